--- /dev/null
+++ b/emulator/memory_watched_store.cc
@@ -0,0 +1,255 @@
+#include "emulator/memory_watched_store.h"
+
+#include <algorithm>
+#include <set>
+
+#include "src/core/call_after.h"
+
+namespace chalkshed {
+namespace {
+
+constexpr Duration kTimeout = std::chrono::milliseconds(2000);
+
+Error unavailable() {
+  return not_run(ErrorKind::kStoreUnavailable, "the store is down", "send the call again");
+}
+
+}  // namespace
+
+RangePage VersionedRows::read(const RangeRead& range, StoreVersion version) const {
+  std::map<StoredRowKey, StoredRow> rows;
+  if (version == version_) {
+    rows = rows_;
+  } else {
+    for (const Change& change : history_) {
+      if (change.version <= version) {
+        rows[change.row.key] = change.row;
+      }
+    }
+    std::erase_if(rows, [](const auto& entry) { return entry.second.removed; });
+  }
+  RangePage page;
+  page.stamp.version = version;
+  for (auto row = rows.lower_bound({range.table, range.partition, range.first_key});
+       row != rows.end(); ++row) {
+    const StoredRowKey& key = row->first;
+    if (key.table != range.table || key.partition != range.partition ||
+        (!range.end_key.empty() && key.key >= range.end_key)) {
+      break;
+    }
+    if (page.rows.size() == range.limit) {
+      page.more = true;
+      break;
+    }
+    page.rows.push_back(row->second);
+  }
+  return page;
+}
+
+Expected<std::vector<StoredRow>> VersionedRows::changes(const std::string& table,
+                                                        StoreVersion since) const {
+  if (since < history_begins_) {
+    return tl::unexpected(
+        not_run(ErrorKind::kNotFound, "the history is gone", "list the table again"));
+  }
+  std::vector<StoredRow> rows;
+  for (const Change& change : history_) {
+    if (change.version > since && change.row.key.table == table) {
+      rows.push_back(change.row);
+    }
+  }
+  return rows;
+}
+
+StoreCommit VersionedRows::commit(const StoreTransaction& transaction) {
+  StoreCommit result;
+  bool holds = true;
+  for (const StoreCondition& condition : transaction.conditions) {
+    const auto found = rows_.find(condition.key);
+    StoredRow current;
+    current.key = condition.key;
+    if (found != rows_.end()) {
+      current = found->second;
+    }
+    holds = holds && current.version == condition.version;
+    result.current.push_back(std::move(current));
+  }
+  if (holds) {
+    result.committed = true;
+    result.current.clear();
+    ++version_;
+    for (const StoreWrite& write : transaction.writes) {
+      const StoredRow row{write.key, write.value.value_or(""), version_, !write.value};
+      history_.push_back({version_, row});
+      if (write.value) {
+        rows_[write.key] = row;
+      } else {
+        rows_.erase(write.key);
+      }
+    }
+  }
+  result.stamp.version = version_;
+  return result;
+}
+
+void SharedStore::wake_followers() {
+  for (const std::function<void()>& wake : followers_) {
+    wake();
+  }
+}
+
+MemoryWatchedStore::MemoryWatchedStore(SharedStore& shared, TimeSource& time_source,
+                                       Dispatcher& dispatcher, Duration delay)
+    : shared_(shared), time_source_(time_source), dispatcher_(dispatcher), delay_(delay) {
+  shared_.add_follower(lifetime_.guard([this] { wake(); }));
+}
+
+StoreStamp MemoryWatchedStore::stamp() const {
+  return {shared_.rows.version(), time_source_.monotonic_now().time_since_epoch()};
+}
+
+template <typename Value>
+void MemoryWatchedStore::answer_later(Callback<Value> callback,
+                                      std::function<Expected<Value>()> answer,
+                                      ErrorKind silence_kind) {
+  ++shared_.calls;
+  const bool silent = cut_ || shared_.trouble.silent;
+  call_after(dispatcher_, silent ? kTimeout : delay_,
+             lifetime_.guard([this, silent, silence_kind, callback = std::move(callback),
+                              answer = std::move(answer)] {
+               if (silent) {
+                 callback(tl::unexpected(
+                     maybe_run(silence_kind, "the store does not answer", "send the call again")));
+               } else if (shared_.trouble.down) {
+                 callback(tl::unexpected(unavailable()));
+               } else {
+                 callback(answer());
+               }
+             }));
+}
+
+void MemoryWatchedStore::read_range(RangeRead range, Callback<RangePage> callback) {
+  answer_later<RangePage>(
+      std::move(callback),
+      [this, range = std::move(range)]() -> Expected<RangePage> {
+        const StoreVersion as_of = shared_.trouble.read_as_of;
+        RangePage page = shared_.rows.read(range, as_of == 0 ? shared_.rows.version() : as_of);
+        page.stamp.steady_clock = stamp().steady_clock;
+        return page;
+      },
+      ErrorKind::kStoreUnavailable);
+}
+
+void MemoryWatchedStore::read_changes(std::string table, StoreVersion since, Duration wait,
+                                      Callback<TableChanges> callback) {
+  ++shared_.calls;
+  auto follower =
+      std::make_shared<Follower>(Follower{std::move(table), since, std::move(callback)});
+  followers_.push_back(follower);
+  call_after(dispatcher_, delay_, lifetime_.guard([this] { wake(); }));
+  call_after(dispatcher_, wait, lifetime_.guard([this, follower] {
+    if (!follower->answered) {
+      answer(follower);
+    }
+  }));
+}
+
+void MemoryWatchedStore::wake() {
+  if (cut_ || shared_.trouble.hold_changes || shared_.trouble.down || shared_.trouble.silent) {
+    return;
+  }
+  const std::vector<FollowerPtr> followers = followers_;
+  for (const FollowerPtr& follower : followers) {
+    const auto changes = shared_.rows.changes(follower->table, follower->since);
+    if (!follower->answered && (!changes || !changes->empty())) {
+      answer(follower);
+    }
+  }
+}
+
+void MemoryWatchedStore::answer(const FollowerPtr& follower) {
+  follower->answered = true;
+  std::erase(followers_, follower);
+  call_after(dispatcher_, delay_, lifetime_.guard([this, follower] {
+    if (cut_ || shared_.trouble.silent || shared_.trouble.down) {
+      follower->callback(tl::unexpected(unavailable()));
+      return;
+    }
+    const auto rows = shared_.rows.changes(follower->table, follower->since);
+    if (!rows) {
+      follower->callback(tl::unexpected(rows.error()));
+      return;
+    }
+    if (shared_.trouble.hold_changes) {
+      follower->callback(TableChanges{{}, {follower->since, stamp().steady_clock}});
+      return;
+    }
+    follower->callback(TableChanges{*rows, stamp()});
+  }));
+}
+
+void MemoryWatchedStore::commit(StoreTransaction transaction, Callback<StoreCommit> callback) {
+  const bool lost = shared_.trouble.lose_commits && !cut_;
+  if (lost) {
+    ++shared_.calls;
+    call_after(dispatcher_, std::max(shared_.trouble.late_commits, delay_),
+               [&shared = shared_, transaction = std::move(transaction)] {
+                 shared.rows.commit(transaction);
+                 shared.wake_followers();
+               });
+    call_after(dispatcher_, kTimeout, lifetime_.guard([callback = std::move(callback)] {
+      callback(tl::unexpected(
+          maybe_run(ErrorKind::kOutcomeUnknown, "the answer was lost", "read back")));
+    }));
+    return;
+  }
+  answer_later<StoreCommit>(
+      std::move(callback),
+      [this, transaction = std::move(transaction)]() -> Expected<StoreCommit> {
+        StoreCommit result = shared_.rows.commit(transaction);
+        result.stamp.steady_clock = stamp().steady_clock;
+        if (result.committed) {
+          shared_.wake_followers();
+        }
+        return result;
+      },
+      ErrorKind::kOutcomeUnknown);
+}
+
+void MemoryWatchedStore::put(std::string name, std::shared_ptr<const std::string> content,
+                             Callback<std::monostate> callback) {
+  answer_later<std::monostate>(
+      std::move(callback),
+      [this, name = std::move(name), content = std::move(content)]() -> Expected<std::monostate> {
+        shared_.objects[name] = content;
+        return std::monostate{};
+      },
+      ErrorKind::kOutcomeUnknown);
+}
+
+void MemoryWatchedStore::get(std::string name,
+                             Callback<std::shared_ptr<const std::string>> callback) {
+  answer_later<std::shared_ptr<const std::string>>(
+      std::move(callback),
+      [this, name = std::move(name)]() -> Expected<std::shared_ptr<const std::string>> {
+        const auto found = shared_.objects.find(name);
+        if (found == shared_.objects.end()) {
+          return tl::unexpected(
+              not_run(ErrorKind::kNotFound, "no object " + name, "check its name"));
+        }
+        return found->second;
+      },
+      ErrorKind::kStoreUnavailable);
+}
+
+void MemoryWatchedStore::remove(std::string name, Callback<std::monostate> callback) {
+  answer_later<std::monostate>(
+      std::move(callback),
+      [this, name = std::move(name)]() -> Expected<std::monostate> {
+        shared_.objects.erase(name);
+        return std::monostate{};
+      },
+      ErrorKind::kOutcomeUnknown);
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/core/call_after.h
@@ -0,0 +1,22 @@
+// Runs a function once after a delay, without a timer to keep.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "src/core/dispatcher.h"
+
+namespace chalkshed {
+
+// @param dispatcher outlives the call. @param function guards its own receiver, see Lifetime.
+inline void call_after(Dispatcher& dispatcher, Duration delay, std::function<void()> function) {
+  auto timer = std::make_shared<TimerPtr>();
+  *timer = dispatcher.create_timer([&dispatcher, timer, function = std::move(function)] {
+    // The timer must outlive its own callback.
+    dispatcher.post([timer] { timer->reset(); });
+    function();
+  });
+  (*timer)->enable(delay);
+}
+
+}  // namespace chalkshed
--- a/src/http/event_http_client.cc
+++ b/src/http/event_http_client.cc
@@ -48,7 +48,7 @@
   });
 }
 
-std::string serialize(const Address& server, const HttpRequest& request) {
+std::string serialize(const Address& server, const HttpRequest& request, const std::string& host) {
   std::string wire;
   constexpr size_t kUsualHeadBytes = 512;
   wire.reserve(kUsualHeadBytes + request.body.size());
@@ -56,7 +56,7 @@
   if (!request.query.empty()) {
     wire.append("?").append(request.query);
   }
-  wire.append(" HTTP/1.1\r\nHost: ").append(to_string(server)).append("\r\n");
+  wire.append(" HTTP/1.1\r\nHost: ").append(host.empty() ? to_string(server) : host).append("\r\n");
   for (const HttpHeader& header : request.headers) {
     if (!set_by_client(header)) {
       wire.append(header.name).append(": ").append(header.value).append("\r\n");
@@ -185,7 +185,7 @@
 HttpCallPtr EventHttpClient::Implementation::send(const Address& server, const HttpRequest& request,
                                                   const HttpCallOptions& options,
                                                   HttpCallCallbacks& callbacks) {
-  if (!well_formed(request)) {
+  if (!well_formed(request) || !is_header_value(options.host)) {
     return refuse(server, callbacks);
   }
   ConnectionKey key{server, options.pool};
@@ -195,7 +195,8 @@
                                                     knobs_.max_header_bytes, *this);
     connections_.emplace(connection.get(), connection);
   }
-  connection->send(serialize(server, request), request.method == "HEAD", options, callbacks);
+  connection->send(serialize(server, request, options.host), request.method == "HEAD", options,
+                   callbacks);
   auto call = std::make_unique<Call>();
   call->set_connection(connection);
   call->set_abandon([weak = weak_from_this(), connection = std::weak_ptr(connection),
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -70,11 +70,13 @@
   void abort(Exchange& exchange);
 
   const Address& local() const { return local_; }
+  void close_after_answers() { closing_ = true; }
   size_t requests_in_progress() const { return exchanges_.size() + flushing_.size(); }
 
  private:
   class Writer;
 
+  void ask_to_close(Exchange& exchange) const;
   static void write_at_once(Exchange& exchange, std::string_view chunk);
   void listen(EventDispatcher& dispatcher, const Address& local);
   void handle(evhttp_request* request);
@@ -94,6 +96,7 @@
   evhttp* http_;
   evbuffer* scratch_;
   bool replacing_output_ = false;
+  bool closing_ = false;
   // Output buffers of connections whose current request is in a handler's hands.
   std::unordered_set<const evbuffer*> answering_;
   std::unordered_map<evhttp_connection*, ExchangePtr> exchanges_;
@@ -344,8 +347,17 @@
   return request;
 }
 
+void HttpServer::Implementation::ask_to_close(Exchange& exchange) const {
+  if (closing_) {
+    evkeyvalq* headers = evhttp_request_get_output_headers(exchange.request);
+    evhttp_remove_header(headers, "Connection");
+    evhttp_add_header(headers, "Connection", "close");
+  }
+}
+
 void HttpServer::Implementation::start(Exchange& exchange, int status, const HttpHeaders& headers) {
   add_headers(exchange.request, headers);
+  ask_to_close(exchange);
   if (exchange.request->major == 1 && exchange.request->minor == 0) {
     end_with_connection(exchange.request);
   }
@@ -390,6 +402,7 @@
 
 void HttpServer::Implementation::respond(Exchange& exchange, const HttpResponse& response) {
   add_headers(exchange.request, response.headers);
+  ask_to_close(exchange);
   const evbuffer* output = exchange.output;
   evbuffer_add(scratch_, response.body.data(), response.body.size());
   evhttp_send_reply(release(exchange), response.status, nullptr, scratch_);
@@ -418,6 +431,8 @@
 
 const Address& HttpServer::local() const { return implementation_->local(); }
 
+void HttpServer::close_after_answers() { implementation_->close_after_answers(); }
+
 size_t HttpServer::requests_in_progress() const { return implementation_->requests_in_progress(); }
 
 }  // namespace chalkshed
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -31,6 +31,8 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
   const Address& local() const;
+  // From now on every answer asks its caller to close the connection: the server is about to stop.
+  void close_after_answers();
   // Requests handed to the handler whose answers have not ended or not been sent whole.
   size_t requests_in_progress() const;
 
--- /dev/null
+++ b/src/jobs/job.h
@@ -0,0 +1,58 @@
+// A batch job of opaque requests: what is accepted, what is stored of it, and its results.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/core/error.h"
+#include "src/core/time.h"
+#include "src/platform/watched_store.h"
+#include "src/serving/serving_request.h"
+
+namespace chalkshed {
+
+struct RequestJob {
+  std::string id;  // the caller's; the same job may be sent again under it
+  std::string host;
+  std::string path;                   // selects the job's route together with the host
+  std::vector<ServingRequest> items;  // each with its own id
+  std::string content;                // the items as sent; what is stored
+};
+
+// The state of a job that all nodes share. Only its owner may append results; whoever takes it over
+// raises the epoch, which fences the owner before.
+struct StoredJob {
+  std::string id;
+  std::string host;
+  std::string path;
+  uint32_t items = 0;
+  std::string owner;  // session of a node; empty: free to be taken
+  uint64_t epoch = 0;
+  bool ended = false;     // by its caller
+  bool finished = false;  // every item has its result
+  bool content_in_object = false;
+  Duration accepted{0};  // by the store's clock
+};
+
+enum class ItemState { kCompleted, kErrored };
+
+struct JobResult {
+  std::string item;
+  ItemState state = ItemState::kErrored;
+  std::string text;
+  // The text lies in the object that `text` names: it is too large for a row.
+  bool in_object = false;
+};
+
+// Reads a job's stored content. Part of the wire format that jobs are sent in.
+class JobCodec {
+ public:
+  virtual ~JobCodec() = default;
+  // Errors: kInvalidRequest, naming what is wrong.
+  virtual Expected<std::vector<ServingRequest>> decode_items(const std::string& host,
+                                                             std::string_view content) const = 0;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/job_environment.h
@@ -0,0 +1,27 @@
+// What all parts of the job module share.
+#pragma once
+
+#include "src/jobs/job.h"
+#include "src/jobs/job_knobs.h"
+#include "src/platform/object_store.h"
+#include "src/platform/watched_store.h"
+#include "src/serving/route_watch.h"
+#include "src/serving/service_draw.h"
+#include "src/serving/serving_environment.h"
+#include "src/watch/store_clock.h"
+
+namespace chalkshed {
+
+// All references outlive the jobs.
+struct JobEnvironment {
+  ServingEnvironment& serving;
+  RouteWatch& routes;
+  WatchedStore& store;
+  ObjectStore& objects;
+  StoreClock& clock;
+  const JobCodec& codec;
+  ServiceDraw& draw;
+  JobKnobs knobs;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/job_item_run.cc
@@ -0,0 +1,69 @@
+#include "src/jobs/job_item_run.h"
+
+namespace chalkshed {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnprocessable = 422;
+constexpr int kInternalServerError = 500;
+
+JobItemRunEnd judge(const AttemptEnd& end) {
+  if (end.result != AttemptResult::kWhole) {
+    return JobItemRunEnd::kBroken;
+  }
+  switch (end.status) {
+    case kOk:
+      return JobItemRunEnd::kCompleted;
+    case kUnprocessable:
+      return JobItemRunEnd::kImpossible;
+    case kInternalServerError:
+      return JobItemRunEnd::kFailed;
+    default:
+      return JobItemRunEnd::kBroken;
+  }
+}
+
+std::string reason_of(const AttemptEnd& end) {
+  return end.result == AttemptResult::kWhole ? "status " + std::to_string(end.status) : end.reason;
+}
+
+}  // namespace
+
+JobItemRun::JobItemRun(JobEnvironment& environment, const ServingRequest& item,
+                       WorkerPlacePtr place, ItemProgress& progress, OnEnd on_end)
+    : progress_(progress), on_end_(std::move(on_end)), worker_(place->worker().record.incarnation) {
+  WorkerSend send;
+  send.request = &item;
+  send.incarnation = worker_;
+  send.resume_after = progress.last_event;
+  AttemptOptions options;
+  options.pool = "batch";
+  options.connect_timeout = environment.serving.knobs.connect_timeout;
+  options.silence_timeout = environment.knobs.item_silence;
+  options.streaming = true;
+  attempt_ = std::make_unique<WorkerAttempt>(
+      environment.serving.worker_client, environment.serving.protocol, environment.serving.workers,
+      std::move(place), send, options, *this);
+}
+
+void JobItemRun::on_events(std::string_view events) {
+  while (const std::optional<StreamEvent> event = take_event(events)) {
+    if (event->id && progress_.last_event && *event->id <= *progress_.last_event) {
+      continue;
+    }
+    if (event->id) {
+      progress_.last_event = event->id;
+    }
+    if (std::exchange(progress_.has_text, true)) {
+      progress_.text += '\n';
+    }
+    progress_.text += event->data;
+  }
+}
+
+void JobItemRun::on_attempt_ended(const AttemptEnd& end) {
+  const OnEnd on_end = std::move(on_end_);
+  on_end(judge(end), reason_of(end));
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/job_item_run.h
@@ -0,0 +1,52 @@
+// One run of one batch item at one worker, continuing behind what earlier runs have brought.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/jobs/job_environment.h"
+#include "src/serving/worker_attempt.h"
+
+namespace chalkshed {
+
+// What the runs of an item have brought so far.
+struct ItemProgress {
+  std::string text;  // data of the events, separated by line feeds
+  bool has_text = false;
+  std::optional<uint64_t> last_event;
+  uint32_t failures = 0;  // answers that count as failed attempts
+};
+
+enum class JobItemRunEnd {
+  kCompleted,   // the text is whole
+  kImpossible,  // the worker says that it can never be done
+  kFailed,      // the worker failed on it
+  kBroken,      // broke off, or was not run: another run may continue
+};
+
+class JobItemRun : public AttemptObserver {
+ public:
+  using OnEnd = std::function<void(JobItemRunEnd end, const std::string& reason)>;
+
+  // @param progress outlives the run. @param on_end may destroy the run.
+  JobItemRun(JobEnvironment& environment, const ServingRequest& item, WorkerPlacePtr place,
+             ItemProgress& progress, OnEnd on_end);
+  ~JobItemRun() override = default;
+  JobItemRun(const JobItemRun&) = delete;
+  JobItemRun& operator=(const JobItemRun&) = delete;
+  const std::string& worker() const { return worker_; }
+
+ private:
+  void on_stream_begun(const HttpHeaders& /*headers*/) override {}
+  void on_events(std::string_view events) override;
+  void on_attempt_ended(const AttemptEnd& end) override;
+
+  ItemProgress& progress_;
+  OnEnd on_end_;
+  std::string worker_;
+  std::unique_ptr<WorkerAttempt> attempt_;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/job_knobs.h
@@ -0,0 +1,36 @@
+// Tunables of batch jobs.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "src/core/time.h"
+
+namespace chalkshed {
+
+struct JobKnobs {
+  // Contents and results up to this size lie in rows, larger ones in objects.
+  size_t most_row_bytes = 60 * 1024;
+  // Results of one transaction.
+  size_t most_results_a_commit = 50;
+  size_t most_bytes_a_commit = 600 * 1024;
+  // Results gather for this long before they are committed together.
+  Duration commit_delay = std::chrono::milliseconds(150);
+  Duration store_retry = std::chrono::milliseconds(250);
+  // A submission whose outcome is unknown is settled within this time, or the caller hears so.
+  uint32_t most_submit_tries = 4;
+  // A worker that sends nothing for this long has failed the item's run.
+  Duration item_silence = std::chrono::milliseconds(2500);
+  Duration item_pause = std::chrono::milliseconds(200);  // before an item is tried again
+  // The next node in line waits this much longer before it takes a free job over.
+  Duration takeover_step = std::chrono::milliseconds(700);
+  Duration sweep_interval = std::chrono::milliseconds(400);
+  // Bytes of results in one answer.
+  size_t most_answer_bytes = 900 * 1024;
+  // Finished jobs stay in the owner's memory for this long.
+  Duration keep_finished = std::chrono::seconds(20);
+  // A planned stop lets items under way run on for this long.
+  Duration longest_drain = std::chrono::milliseconds(5000);
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/job_loader.cc
@@ -0,0 +1,89 @@
+#include "src/jobs/job_loader.h"
+
+#include "src/jobs/job_rows.h"
+
+namespace chalkshed {
+
+void JobLoader::load_content(const StoredJob& record,
+                             Callback<std::shared_ptr<const std::string>> callback) {
+  if (record.content_in_object) {
+    environment_.objects.get(job_object_name(record.id), std::move(callback));
+    return;
+  }
+  const StoredRowKey key = job_content_key(record.id);
+  RangeRead range;
+  range.table = key.table;
+  range.partition = key.partition;
+  range.first_key = key.key;
+  range.limit = 1;
+  environment_.store.read_range(
+      std::move(range), [key, callback = std::move(callback)](const Expected<RangePage>& page) {
+        if (!page) {
+          callback(tl::unexpected(page.error()));
+          return;
+        }
+        if (page->rows.empty() || page->rows.front().key.key != key.key) {
+          callback(tl::unexpected(maybe_run(ErrorKind::kNotFound,
+                                            "the content of job " + key.key + " is not there",
+                                            "check who removed it from the store")));
+          return;
+        }
+        callback(std::make_shared<const std::string>(page->rows.front().value));
+      });
+}
+
+void JobLoader::load_items(const StoredJob& record,
+                           Callback<std::vector<ServingRequest>> callback) {
+  load_content(record,
+               lifetime_.guard([this, host = record.host, callback = std::move(callback)](
+                                   const Expected<std::shared_ptr<const std::string>>& content) {
+                 if (!content) {
+                   callback(tl::unexpected(content.error()));
+                   return;
+                 }
+                 callback(environment_.codec.decode_items(host, **content));
+               }));
+}
+
+void JobLoader::load(const StoredJob& record, Callback<LoadedJob> callback) {
+  load_items(record, lifetime_.guard([this, job = record.id, callback = std::move(callback)](
+                                         Expected<std::vector<ServingRequest>> items) mutable {
+    if (!items) {
+      callback(tl::unexpected(items.error()));
+      return;
+    }
+    auto loaded = std::make_shared<LoadedJob>();
+    loaded->items = std::move(*items);
+    load_listed(job, std::move(loaded), std::move(callback));
+  }));
+}
+
+void JobLoader::load_listed(const std::string& job, std::shared_ptr<LoadedJob> loaded,
+                            Callback<LoadedJob> callback) {
+  constexpr uint32_t kPage = 200;
+  const auto from = static_cast<uint32_t>(loaded->listed.size());
+  environment_.store.read_range(
+      job_result_range(job, from, kPage),
+      lifetime_.guard([this, job, loaded = std::move(loaded),
+                       callback = std::move(callback)](const Expected<RangePage>& page) mutable {
+        if (!page) {
+          callback(tl::unexpected(page.error()));
+          return;
+        }
+        for (const StoredRow& row : page->rows) {
+          const Expected<JobResult> result = decode_job_result(row.value);
+          if (!result) {
+            callback(tl::unexpected(result.error()));
+            return;
+          }
+          loaded->listed.push_back(result->item);
+        }
+        if (page->more && !page->rows.empty()) {
+          load_listed(job, std::move(loaded), std::move(callback));
+          return;
+        }
+        callback(std::move(*loaded));
+      }));
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/job_loader.h
@@ -0,0 +1,35 @@
+// Reads what a node needs to run a job that it has not accepted itself.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/core/lifetime.h"
+#include "src/jobs/job_environment.h"
+
+namespace chalkshed {
+
+struct LoadedJob {
+  std::vector<ServingRequest> items;
+  std::vector<std::string> listed;  // ids of the items that have results, in their order
+};
+
+class JobLoader {
+ public:
+  explicit JobLoader(JobEnvironment& environment) : environment_(environment) {}
+
+  // Errors: kStoreUnavailable, kNotFound, kInvalidRequest (content that cannot be read).
+  void load_items(const StoredJob& record, Callback<std::vector<ServingRequest>> callback);
+  void load(const StoredJob& record, Callback<LoadedJob> callback);
+
+ private:
+  void load_content(const StoredJob& record, Callback<std::shared_ptr<const std::string>> callback);
+  void load_listed(const std::string& job, std::shared_ptr<LoadedJob> loaded,
+                   Callback<LoadedJob> callback);
+
+  JobEnvironment& environment_;
+  Lifetime lifetime_;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/job_service.cc
@@ -0,0 +1,534 @@
+#include "src/jobs/job_service.h"
+
+#include <algorithm>
+
+#include "src/core/call_after.h"
+#include "src/jobs/job_rows.h"
+
+namespace chalkshed {
+namespace {
+
+Error unknown_job(const std::string& job) {
+  return not_run(ErrorKind::kNotFound, "there is no job " + job, "check the job's id");
+}
+
+Error unknown_item(const std::string& job, const std::string& item) {
+  return not_run(ErrorKind::kNotFound, "job " + job + " has no unlisted item " + item,
+                 "read its result instead");
+}
+
+}  // namespace
+
+JobService::JobService(JobEnvironment& environment, NodeSessions& sessions,
+                       std::function<bool()> may_start)
+    : environment_(environment),
+      sessions_(sessions),
+      may_start_(std::move(may_start)),
+      loader_(environment),
+      sweep_timer_(environment.serving.dispatcher.create_timer([this] { sweep(); })),
+      items_timer_(environment.serving.dispatcher.create_timer([this] { start_items(); })) {}
+
+void JobService::start() { sweep_timer_->enable(environment_.knobs.sweep_interval); }
+
+void JobService::on_row(const StoredRow& row) {
+  if (row.removed) {
+    index_.erase(row.key.key);
+    return;
+  }
+  const Expected<StoredJob> record = decode_job_record(row.key.key, row.value);
+  if (!record) {
+    environment_.serving.logger.write(LogLevel::kError, "job_record_rejected",
+                                      {{"job", row.key.key}, {"reason", record.error().message}});
+    return;
+  }
+  note(*record, row.version);
+}
+
+void JobService::note(const StoredJob& record, StoreVersion version) {
+  Indexed& indexed = index_[record.id];
+  if (version <= indexed.version) {
+    return;
+  }
+  indexed.record = record;
+  indexed.version = version;
+  indexed.orphan = false;
+  const auto owned = owned_.find(record.id);
+  if (owned == owned_.end() || owned->second.job->version() >= version) {
+    return;
+  }
+  const StoredJob& mine = owned->second.job->record();
+  if (record.owner != mine.owner || record.epoch != mine.epoch) {
+    drop(record.id, "superseded by " + record.owner);
+  } else if (record.ended) {
+    drop(record.id, "ended by its caller");
+  }
+}
+
+void JobService::adopt(const StoredJob& record, StoreVersion version,
+                       std::vector<ServingRequest> items, const std::vector<std::string>& listed) {
+  Owned owned;
+  owned.job = std::make_unique<OwnedJob>(environment_, record, version, std::move(items), listed,
+                                         [this, id = record.id](const std::string& reason) {
+                                           environment_.serving.dispatcher.post(lifetime_.guard(
+                                               [this, id, reason] { drop(id, reason); }));
+                                         });
+  owned_[record.id] = std::move(owned);
+  log(LogLevel::kInfo, "job_owned", record, std::to_string(listed.size()) + " results are listed");
+  start_items();
+}
+
+void JobService::drop(const std::string& job, const std::string& reason) {
+  const auto found = owned_.find(job);
+  if (found == owned_.end()) {
+    return;
+  }
+  log(LogLevel::kInfo, "job_given_up", found->second.job->record(), reason);
+  const std::unique_ptr<OwnedJob> dropped = std::move(found->second.job);
+  owned_.erase(found);
+  dropped->cancel();
+}
+
+void JobService::submit(RequestJob submission, Callback<std::monostate> callback) {
+  const auto known = index_.find(submission.id);
+  if (known != index_.end()) {
+    environment_.serving.dispatcher.post([callback = std::move(callback)] { callback({}); });
+    return;
+  }
+  const uint64_t number = next_submit_++;
+  auto submit =
+      std::make_unique<JobSubmit>(environment_, std::move(submission), sessions_.own_session());
+  JobSubmit& started = *submit;
+  submits_.emplace(number, std::move(submit));
+  started.start([this, number, callback = std::move(callback)](Expected<SubmitOutcome> outcome) {
+    const std::shared_ptr<JobSubmit> ended = std::move(submits_.at(number));
+    submits_.erase(number);
+    environment_.serving.dispatcher.post([ended] {});
+    if (!outcome) {
+      environment_.serving.logger.write(LogLevel::kInfo, "job_not_accepted",
+                                        {{"request", ended->submission().id},
+                                         {"job", ended->submission().id},
+                                         {"ran", std::string(ran_name(outcome.error().ran))},
+                                         {"reason", outcome.error().message}});
+      callback(tl::unexpected(outcome.error()));
+      return;
+    }
+    log(LogLevel::kInfo, "job_accepted", outcome->record,
+        outcome->accepted_here ? "taken here" : "was there before");
+    callback({});
+    note(outcome->record, outcome->version);
+    if (outcome->accepted_here && !owned_.contains(outcome->record.id)) {
+      adopt(outcome->record, outcome->version, std::move(ended->submission().items), {});
+    }
+  });
+}
+
+void JobService::find(const std::string& job, Found callback) {
+  const auto known = index_.find(job);
+  if (known != index_.end()) {
+    callback(known->second);
+    return;
+  }
+  // A transaction without effect reads the row as it is now, however old other reads may be.
+  StoreTransaction transaction;
+  constexpr StoreVersion kNever = UINT64_MAX >> 12U;
+  transaction.conditions.push_back({job_key(job), kNever});
+  environment_.store.commit(
+      std::move(transaction), lifetime_.guard([this, job, callback = std::move(callback)](
+                                                  const Expected<StoreCommit>& commit) {
+        if (!commit) {
+          callback(tl::unexpected(commit.error()));
+          return;
+        }
+        const StoredRow* row = commit->current.empty() ? nullptr : &commit->current.front();
+        if (row == nullptr || row->version == 0) {
+          callback(tl::unexpected(unknown_job(job)));
+          return;
+        }
+        const Expected<StoredJob> record = decode_job_record(job, row->value);
+        if (!record) {
+          callback(tl::unexpected(record.error()));
+          return;
+        }
+        note(*record, row->version);
+        callback(index_.at(job));
+      }));
+}
+
+ResultPage JobService::page_of(const OwnedJob& job, uint32_t from) const {
+  ResultPage page;
+  page.total = job.record().items;
+  page.next = from;
+  size_t bytes = 0;
+  const std::vector<JobResult>& held = job.held();
+  for (size_t index = from - job.first_held(); index < held.size(); ++index) {
+    bytes += held[index].text.size();
+    if (!page.results.empty() && bytes > environment_.knobs.most_answer_bytes) {
+      break;
+    }
+    page.results.push_back(held[index]);
+    ++page.next;
+  }
+  return page;
+}
+
+void JobService::read_results(const std::string& job, uint32_t from, Duration wait,
+                              Callback<ResultPage> callback) {
+  const auto found = owned_.find(job);
+  if (found != owned_.end() && from >= found->second.job->first_held()) {
+    OwnedJob& owned = *found->second.job;
+    const size_t listed = owned.first_held() + owned.held().size();
+    if (from < listed || owned.finished() || wait <= Duration(0)) {
+      callback(page_of(owned, std::min<uint32_t>(from, static_cast<uint32_t>(listed))));
+      return;
+    }
+    // Answers upon the next commit or after the wait, whichever comes first.
+    auto answered = std::make_shared<bool>(false);
+    auto answer = lifetime_.guard([this, job, from, answered, callback] {
+      if (!std::exchange(*answered, true)) {
+        read_results(job, from, Duration(0), callback);
+      }
+    });
+    call_after(environment_.serving.dispatcher, wait, answer);
+    owned.on_next_commit(answer);
+    return;
+  }
+  find(job, lifetime_.guard([this, from, wait,
+                             callback = std::move(callback)](const Expected<Indexed>& indexed) {
+    if (!indexed) {
+      callback(tl::unexpected(indexed.error()));
+      return;
+    }
+    read_stored(*indexed, from, wait, callback);
+  }));
+}
+
+void JobService::read_stored(const Indexed& indexed, uint32_t from, Duration wait,
+                             Callback<ResultPage> callback) {
+  // What one answer holds, at the usual size of a result.
+  constexpr uint32_t kMostResults = 60;
+  const std::string job = indexed.record.id;
+  const uint32_t total = indexed.record.items;
+  environment_.store.read_range(
+      job_result_range(job, from, kMostResults),
+      lifetime_.guard([this, job, total, from, wait,
+                       callback = std::move(callback)](const Expected<RangePage>& page) {
+        if (!page) {
+          callback(tl::unexpected(page.error()));
+          return;
+        }
+        auto answer = std::make_shared<ResultPage>();
+        answer->total = total;
+        answer->next = from;
+        size_t bytes = 0;
+        for (const StoredRow& row : page->rows) {
+          Expected<JobResult> result = decode_job_result(row.value);
+          if (!result) {
+            callback(tl::unexpected(result.error()));
+            return;
+          }
+          bytes += result->text.size();
+          if (!answer->results.empty() && bytes > environment_.knobs.most_answer_bytes) {
+            break;
+          }
+          answer->results.push_back(std::move(*result));
+          ++answer->next;
+        }
+        const bool wait_more = answer->results.empty() && from < total && wait > Duration(0);
+        if (!wait_more) {
+          fetch_large(std::move(answer), 0, callback);
+          return;
+        }
+        call_after(environment_.serving.dispatcher, wait,
+                   lifetime_.guard([this, job, from, callback] {
+                     read_results(job, from, Duration(0), callback);
+                   }));
+      }));
+}
+
+void JobService::fetch_large(std::shared_ptr<ResultPage> page, size_t index,
+                             Callback<ResultPage> callback) {
+  while (index < page->results.size() && !page->results[index].in_object) {
+    ++index;
+  }
+  if (index == page->results.size()) {
+    callback(std::move(*page));
+    return;
+  }
+  std::string name = page->results[index].text;
+  environment_.objects.get(
+      std::move(name),
+      lifetime_.guard([this, page = std::move(page), index, callback = std::move(callback)](
+                          const Expected<std::shared_ptr<const std::string>>& text) mutable {
+        if (!text) {
+          callback(tl::unexpected(text.error()));
+          return;
+        }
+        page->results[index].text = **text;
+        page->results[index].in_object = false;
+        fetch_large(std::move(page), index + 1, std::move(callback));
+      }));
+}
+
+void JobService::read_body(const std::string& job, const std::string& item,
+                           Callback<std::string> callback) {
+  const auto found = owned_.find(job);
+  if (found != owned_.end()) {
+    if (const ServingRequest* request = found->second.job->unlisted_item(item)) {
+      callback(request->message.body);
+      return;
+    }
+  }
+  find(job, lifetime_.guard([this, item,
+                             callback = std::move(callback)](const Expected<Indexed>& indexed) {
+    if (!indexed) {
+      callback(tl::unexpected(indexed.error()));
+      return;
+    }
+    const std::string& id = indexed->record.id;
+    loader_.load_items(
+        indexed->record, [id, item, callback](const Expected<std::vector<ServingRequest>>& items) {
+          if (!items) {
+            callback(tl::unexpected(items.error()));
+            return;
+          }
+          const auto match =
+              std::find_if(items->begin(), items->end(),
+                           [&](const ServingRequest& request) { return request.id == item; });
+          if (match == items->end()) {
+            callback(tl::unexpected(unknown_item(id, item)));
+            return;
+          }
+          callback(match->message.body);
+        });
+  }));
+}
+
+void JobService::end(const std::string& job, Callback<std::monostate> callback) {
+  constexpr uint32_t kTries = 5;
+  find(job,
+       lifetime_.guard([this, callback = std::move(callback)](const Expected<Indexed>& indexed) {
+         if (!indexed) {
+           callback(tl::unexpected(indexed.error()));
+           return;
+         }
+         try_end(*indexed, kTries, callback);
+       }));
+}
+
+void JobService::try_end(const Indexed& indexed, uint32_t tries,
+                         Callback<std::monostate> callback) {
+  if (indexed.record.ended || indexed.record.finished) {
+    callback({});
+    return;
+  }
+  StoredJob ended = indexed.record;
+  ended.ended = true;
+  StoreTransaction transaction;
+  transaction.conditions.push_back({job_key(ended.id), indexed.version});
+  transaction.writes.push_back({job_key(ended.id), encode_job_record(ended)});
+  environment_.store.commit(
+      std::move(transaction), lifetime_.guard([this, ended, tries, callback = std::move(callback)](
+                                                  const Expected<StoreCommit>& commit) {
+        if (!commit) {
+          callback(tl::unexpected(commit.error()));
+          return;
+        }
+        if (commit->committed) {
+          log(LogLevel::kInfo, "job_ended", ended, "by its caller");
+          note(ended, commit->stamp.version);
+          callback({});
+          return;
+        }
+        const StoredRow* row = commit->current.empty() ? nullptr : &commit->current.front();
+        if (row == nullptr || row->version == 0) {
+          callback(tl::unexpected(unknown_job(ended.id)));
+          return;
+        }
+        const Expected<StoredJob> record = decode_job_record(ended.id, row->value);
+        if (!record || tries == 0) {
+          callback(
+              tl::unexpected(not_run(ErrorKind::kStoreUnavailable,
+                                     "the job's record changes too often", "end the job again")));
+          return;
+        }
+        note(*record, row->version);
+        Indexed now;
+        now.record = *record;
+        now.version = row->version;
+        try_end(now, tries - 1, callback);
+      }));
+}
+
+void JobService::start_items() {
+  if (draining_) {
+    return;
+  }
+  bool waiting = false;
+  while (may_start_()) {
+    OwnedJob* next = nullptr;
+    for (const auto& [id, owned] : owned_) {
+      if (owned.job->has_waiting() && (next == nullptr || owned.job->due() < next->due())) {
+        next = owned.job.get();
+      }
+    }
+    waiting = next != nullptr;
+    if (next == nullptr || !next->start_item()) {
+      break;
+    }
+  }
+  constexpr Duration kLookAgain = std::chrono::milliseconds(50);
+  if (waiting && !items_timer_->enabled()) {
+    items_timer_->enable(kLookAgain);
+  }
+}
+
+void JobService::sweep() {
+  sweep_timer_->enable(environment_.knobs.sweep_interval);
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  for (auto entry = owned_.begin(); entry != owned_.end();) {
+    Owned& owned = entry->second;
+    owned.job->give_up_expired();
+    if (owned.job->finished() && owned.finished == MonotonicTime{}) {
+      owned.finished = now;
+    }
+    const bool forget = owned.finished != MonotonicTime{} &&
+                        now - owned.finished > environment_.knobs.keep_finished;
+    entry = forget ? owned_.erase(entry) : std::next(entry);
+  }
+  for (auto& [id, indexed] : index_) {
+    sweep_job(id, indexed);
+  }
+  start_items();
+}
+
+void JobService::sweep_job(const std::string& id, Indexed& indexed) {
+  const StoredJob& record = indexed.record;
+  if (record.ended || record.finished || indexed.busy || draining_) {
+    return;
+  }
+  if (record.owner == sessions_.own_session()) {
+    if (!owned_.contains(id)) {
+      load(id);
+    }
+    return;
+  }
+  if (!record.owner.empty() && sessions_.alive(record.owner)) {
+    indexed.orphan = false;
+    return;
+  }
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  if (!std::exchange(indexed.orphan, true)) {
+    indexed.orphaned = now;
+  }
+  const auto rank = static_cast<int64_t>(sessions_.rank(id));
+  if (now - indexed.orphaned >= rank * environment_.knobs.takeover_step) {
+    take_over(id);
+  }
+}
+
+void JobService::take_over(const std::string& id) {
+  Indexed& indexed = index_.at(id);
+  indexed.busy = true;
+  StoredJob mine = indexed.record;
+  mine.owner = sessions_.own_session();
+  ++mine.epoch;
+  StoreTransaction transaction;
+  transaction.conditions.push_back({job_key(id), indexed.version});
+  transaction.writes.push_back({job_key(id), encode_job_record(mine)});
+  environment_.store.commit(
+      std::move(transaction), lifetime_.guard([this, mine](const Expected<StoreCommit>& commit) {
+        const auto found = index_.find(mine.id);
+        if (found != index_.end()) {
+          found->second.busy = false;
+        }
+        if (!commit || !commit->committed) {
+          log(LogLevel::kInfo, "job_not_taken_over", mine,
+              commit ? "another node was first" : commit.error().message);
+          if (commit && !commit->current.empty() && commit->current.front().version > 0) {
+            on_row(commit->current.front());
+          }
+          return;
+        }
+        log(LogLevel::kInfo, "job_taken_over", mine, "its owner is gone");
+        note(mine, commit->stamp.version);
+        load(mine.id);
+      }));
+}
+
+void JobService::load(const std::string& id) {
+  Indexed& indexed = index_.at(id);
+  indexed.busy = true;
+  loader_.load(indexed.record,
+               lifetime_.guard([this, id, version = indexed.version](Expected<LoadedJob> loaded) {
+                 const auto found = index_.find(id);
+                 if (found == index_.end()) {
+                   return;
+                 }
+                 found->second.busy = false;
+                 const StoredJob& record = found->second.record;
+                 if (!loaded) {
+                   log(LogLevel::kWarning, "job_not_loaded", record, loaded.error().message);
+                   return;
+                 }
+                 if (found->second.version != version || owned_.contains(id)) {
+                   return;
+                 }
+                 adopt(record, version, std::move(loaded->items), loaded->listed);
+               }));
+}
+
+void JobService::drain(std::function<void()> done) {
+  draining_ = true;
+  drain_began_ = environment_.serving.time_source.monotonic_now();
+  on_drained_ = std::move(done);
+  sessions_.begin_drain();
+  check_drained();
+}
+
+void JobService::check_drained() {
+  const Duration elapsed = environment_.serving.time_source.monotonic_now() - drain_began_;
+  std::vector<std::string> ready;
+  for (const auto& [id, owned] : owned_) {
+    const bool idle = !owned.job->has_running() && !owned.job->has_uncommitted();
+    if (owned.job->finished()) {
+      ready.push_back(id);
+    } else if (idle || elapsed > environment_.knobs.longest_drain) {
+      ready.push_back(id);
+      release(id);
+    }
+  }
+  for (const std::string& id : ready) {
+    drop(id, "this node stops");
+  }
+  if (owned_.empty() && submits_.empty()) {
+    if (on_drained_) {
+      std::exchange(on_drained_, nullptr)();
+    }
+    return;
+  }
+  constexpr Duration kLookAgain = std::chrono::milliseconds(50);
+  call_after(environment_.serving.dispatcher, kLookAgain,
+             lifetime_.guard([this] { check_drained(); }));
+}
+
+void JobService::release(const std::string& id) {
+  const OwnedJob& job = *owned_.at(id).job;
+  StoredJob free = job.record();
+  free.owner.clear();
+  StoreTransaction transaction;
+  transaction.conditions.push_back({job_key(id), job.version()});
+  transaction.writes.push_back({job_key(id), encode_job_record(free)});
+  environment_.store.commit(std::move(transaction), [](const Expected<StoreCommit>& /*commit*/) {});
+}
+
+void JobService::log(LogLevel level, std::string_view event, const StoredJob& record,
+                     const std::string& reason) const {
+  environment_.serving.logger.write(level, event,
+                                    {{"job", record.id},
+                                     {"items", std::to_string(record.items)},
+                                     {"owner", record.owner},
+                                     {"epoch", std::to_string(record.epoch)},
+                                     {"reason", reason}});
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/job_service.h
@@ -0,0 +1,107 @@
+// Batch jobs as callers see them, at every node: accepts, reads results and bodies, ends. Owns the
+// jobs that this node runs, and takes over those whose owners are gone.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/core/lifetime.h"
+#include "src/jobs/job_environment.h"
+#include "src/jobs/job_loader.h"
+#include "src/jobs/job_submit.h"
+#include "src/jobs/node_sessions.h"
+#include "src/jobs/owned_job.h"
+#include "src/watch/table_watcher.h"
+
+namespace chalkshed {
+
+// A part of a job's list of results.
+struct ResultPage {
+  uint32_t total = 0;  // items of the job
+  uint32_t next = 0;   // position behind the last result here
+  std::vector<JobResult> results;
+};
+
+class JobService : public TableObserver {
+ public:
+  // @param may_start whether batch may take places now: no online request waits for one.
+  JobService(JobEnvironment& environment, NodeSessions& sessions, std::function<bool()> may_start);
+
+  void start();
+  // Changes of the job table.
+  void on_row(const StoredRow& row) override;
+
+  // Accepts the job durably. Sending it again under its id succeeds again.
+  // Errors: kStoreUnavailable with Ran::kNo when certainly nothing was accepted; kOutcomeUnknown.
+  void submit(RequestJob submission, Callback<std::monostate> callback);
+  // @param wait the answer may be held back that long while there is no result.
+  // Errors: kNotFound, kStoreUnavailable.
+  void read_results(const std::string& job, uint32_t from, Duration wait,
+                    Callback<ResultPage> callback);
+  // The body of an item that is not listed yet. Errors: kNotFound, kStoreUnavailable.
+  void read_body(const std::string& job, const std::string& item, Callback<std::string> callback);
+  // Ends the job; no item is started any more. Errors: kNotFound, kStoreUnavailable,
+  // kOutcomeUnknown.
+  void end(const std::string& job, Callback<std::monostate> callback);
+
+  // Starts waiting items while workers have room.
+  void start_items();
+  // Planned stop: starts nothing more, lets items under way end, gives the jobs to other nodes,
+  // then calls `done` once.
+  void drain(std::function<void()> done);
+  size_t owned_jobs() const { return owned_.size(); }
+
+ private:
+  struct Indexed {
+    StoredJob record;
+    StoreVersion version = 0;
+    MonotonicTime orphaned{};  // since when its owner is known to be gone
+    bool orphan = false;
+    bool busy = false;  // a takeover or load of it is under way here
+  };
+  struct Owned {
+    std::unique_ptr<OwnedJob> job;
+    MonotonicTime finished{};
+  };
+  using Found = std::function<void(Expected<Indexed>)>;
+
+  void find(const std::string& job, Found callback);
+  void note(const StoredJob& record, StoreVersion version);
+  void adopt(const StoredJob& record, StoreVersion version, std::vector<ServingRequest> items,
+             const std::vector<std::string>& listed);
+  void drop(const std::string& job, const std::string& reason);
+  void sweep();
+  void sweep_job(const std::string& id, Indexed& indexed);
+  void take_over(const std::string& id);
+  void load(const std::string& id);
+  void release(const std::string& id);
+  void check_drained();
+  void read_stored(const Indexed& indexed, uint32_t from, Duration wait,
+                   Callback<ResultPage> callback);
+  void fetch_large(std::shared_ptr<ResultPage> page, size_t index, Callback<ResultPage> callback);
+  void try_end(const Indexed& indexed, uint32_t tries, Callback<std::monostate> callback);
+  ResultPage page_of(const OwnedJob& job, uint32_t from) const;
+  void log(LogLevel level, std::string_view event, const StoredJob& record,
+           const std::string& reason) const;
+
+  JobEnvironment& environment_;
+  NodeSessions& sessions_;
+  std::function<bool()> may_start_;
+  JobLoader loader_;
+  std::map<std::string, Indexed> index_;
+  std::map<std::string, Owned> owned_;
+  std::map<uint64_t, std::unique_ptr<JobSubmit>> submits_;
+  uint64_t next_submit_ = 0;
+  bool draining_ = false;
+  MonotonicTime drain_began_{};
+  std::function<void()> on_drained_;
+  TimerPtr sweep_timer_;
+  TimerPtr items_timer_;
+  Lifetime lifetime_;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/owned_job.cc
@@ -0,0 +1,333 @@
+#include "src/jobs/owned_job.h"
+
+#include <algorithm>
+#include <set>
+
+#include "src/jobs/job_rows.h"
+
+namespace chalkshed {
+
+OwnedJob::OwnedJob(JobEnvironment& environment, StoredJob record, StoreVersion version,
+                   std::vector<ServingRequest> items, const std::vector<std::string>& listed,
+                   OnLost on_lost)
+    : environment_(environment),
+      record_(std::move(record)),
+      version_(version),
+      on_lost_(std::move(on_lost)),
+      first_held_(static_cast<uint32_t>(listed.size())),
+      commit_timer_(environment.serving.dispatcher.create_timer([this] { commit(); })) {
+  const std::set<std::string> done(listed.begin(), listed.end());
+  items_.reserve(items.size());
+  for (ServingRequest& request : items) {
+    Item item;
+    item.listed = done.contains(request.id);
+    item.phase = item.listed ? Phase::kEnded : Phase::kWaiting;
+    item.request = std::move(request);
+    items_.push_back(std::move(item));
+  }
+}
+
+const Route* OwnedJob::route_of(const RouteTable& table, const Item& item) const {
+  const Route* route = table.find(item.request.host, item.request.message.path);
+  return route != nullptr ? route : table.find(record_.host, record_.path);
+}
+
+Duration OwnedJob::due() const {
+  const RouteTablePtr& table = environment_.routes.current();
+  const Route* route = table ? table->find(record_.host, record_.path) : nullptr;
+  return record_.accepted + (route == nullptr ? Duration(0) : route->run_target);
+}
+
+OwnedJob::Item* OwnedJob::next_waiting() {
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  const auto found = std::find_if(items_.begin(), items_.end(), [&](const Item& item) {
+    return item.phase == Phase::kWaiting && item.not_before <= now;
+  });
+  return found == items_.end() ? nullptr : &*found;
+}
+
+bool OwnedJob::has_waiting() const {
+  return !lost_ && const_cast<OwnedJob*>(this)->next_waiting() != nullptr;
+}
+
+bool OwnedJob::start_item() {
+  const RouteTablePtr table = environment_.routes.current();
+  Item* item = lost_ || !table ? nullptr : next_waiting();
+  const Route* route = item == nullptr ? nullptr : route_of(*table, *item);
+  if (route == nullptr) {
+    return false;
+  }
+  PlaceRequest wanted;
+  wanted.service = environment_.draw.draw(*route);
+  wanted.work = WorkClass::kBatch;
+  wanted.request = &item->request;
+  WorkerPlacePtr place = environment_.serving.workers.take_place(wanted);
+  if (!place) {
+    return false;
+  }
+  const auto index = static_cast<size_t>(item - items_.data());
+  item->phase = Phase::kRunning;
+  ++running_;
+  item->run =
+      std::make_unique<JobItemRun>(environment_, item->request, std::move(place), item->progress,
+                                   [this, index](JobItemRunEnd end, const std::string& reason) {
+                                     handle_run_end(index, end, reason);
+                                   });
+  environment_.serving.logger.write(
+      LogLevel::kDebug, "item_started",
+      {{"job", record_.id},
+       {"request", item->request.id},
+       {"worker", item->run->worker()},
+       {"resume_after",
+        item->progress.last_event ? std::to_string(*item->progress.last_event) : ""},
+       {"configuration", std::to_string(table->version())}});
+  return true;
+}
+
+void OwnedJob::handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason) {
+  Item& item = items_[index];
+  const std::string worker = item.run->worker();
+  // The run must outlive its own callback.
+  environment_.serving.dispatcher.post([run = std::shared_ptr<JobItemRun>(std::move(item.run))] {});
+  --running_;
+  if (lost_) {
+    return;
+  }
+  const RouteTablePtr table = environment_.routes.current();
+  const Route* route = table ? route_of(*table, item) : nullptr;
+  const uint32_t attempts = route == nullptr ? 1 : std::max(route->attempts, 1U);
+  if (end != JobItemRunEnd::kCompleted) {
+    environment_.serving.logger.write(LogLevel::kInfo, "item_run_failed",
+                                      {{"job", record_.id},
+                                       {"request", item.request.id},
+                                       {"worker", worker},
+                                       {"failures", std::to_string(item.progress.failures)},
+                                       {"reason", reason}});
+  }
+  if (end == JobItemRunEnd::kFailed) {
+    ++item.progress.failures;
+  }
+  if (end == JobItemRunEnd::kCompleted) {
+    end_item(item, ItemState::kCompleted);
+  } else if (end == JobItemRunEnd::kImpossible || item.progress.failures >= attempts) {
+    end_item(item, ItemState::kErrored);
+  } else {
+    item.phase = Phase::kWaiting;
+    item.not_before =
+        environment_.serving.time_source.monotonic_now() + environment_.knobs.item_pause;
+  }
+}
+
+void OwnedJob::end_item(Item& item, ItemState state) {
+  item.phase = Phase::kEnded;
+  JobResult result;
+  result.item = item.request.id;
+  result.state = state;
+  if (state == ItemState::kCompleted) {
+    result.text = std::move(item.progress.text);
+  }
+  item.progress = {};
+  pending_.push_back(std::move(result));
+  commit_later();
+}
+
+void OwnedJob::give_up_expired() {
+  const RouteTablePtr table = environment_.routes.current();
+  if (lost_ || !table) {
+    return;
+  }
+  for (Item& item : items_) {
+    if (item.phase != Phase::kWaiting) {
+      continue;
+    }
+    const Route* route = route_of(*table, item);
+    const bool too_old = route != nullptr && route->retention > Duration(0) &&
+                         environment_.clock.now() - record_.accepted > route->retention;
+    if (route == nullptr || too_old) {
+      environment_.serving.logger.write(LogLevel::kInfo, "item_given_up",
+                                        {{"job", record_.id},
+                                         {"request", item.request.id},
+                                         {"configuration", std::to_string(table->version())},
+                                         {"reason", too_old ? "too old" : "its route is gone"}});
+      end_item(item, ItemState::kErrored);
+    }
+  }
+}
+
+void OwnedJob::commit_later() {
+  if (committing_.empty() && !commit_timer_->enabled()) {
+    commit_timer_->enable(environment_.knobs.commit_delay);
+  }
+}
+
+void OwnedJob::commit() {
+  if (lost_ || (committing_.empty() && pending_.empty())) {
+    return;
+  }
+  if (committing_.empty()) {
+    size_t bytes = 0;
+    size_t count = 0;
+    while (count < pending_.size() && count < environment_.knobs.most_results_a_commit &&
+           (count == 0 ||
+            bytes + pending_[count].text.size() <= environment_.knobs.most_bytes_a_commit)) {
+      bytes += std::min(pending_[count++].text.size(), environment_.knobs.most_row_bytes);
+    }
+    const auto end = pending_.begin() + static_cast<ptrdiff_t>(count);
+    committing_.assign(std::make_move_iterator(pending_.begin()), std::make_move_iterator(end));
+    pending_.erase(pending_.begin(), end);
+    commit_finishes_ = first_held_ + held_.size() + committing_.size() == items_.size();
+  }
+  put_large_results(0, [this] { send_commit(); });
+}
+
+void OwnedJob::put_large_results(size_t index, std::function<void()> then) {
+  while (index < committing_.size() &&
+         committing_[index].text.size() <= environment_.knobs.most_row_bytes) {
+    ++index;
+  }
+  if (index == committing_.size()) {
+    then();
+    return;
+  }
+  const auto position = static_cast<uint32_t>(first_held_ + held_.size() + index);
+  environment_.objects.put(
+      result_object_name(record_, position),
+      std::make_shared<const std::string>(committing_[index].text),
+      lifetime_.guard([this, index, then = std::move(then)](const Expected<std::monostate>& put) {
+        if (!put) {
+          commit_timer_->enable(environment_.knobs.store_retry);
+          return;
+        }
+        put_large_results(index + 1, then);
+      }));
+}
+
+void OwnedJob::send_commit() {
+  if (lost_) {
+    return;
+  }
+  StoreTransaction transaction;
+  auto position = static_cast<uint32_t>(first_held_ + held_.size());
+  transaction.conditions.push_back({job_key(record_.id), version_});
+  transaction.conditions.push_back({job_result_key(record_.id, position), 0});
+  for (const JobResult& result : committing_) {
+    JobResult stored = result;
+    if (result.text.size() > environment_.knobs.most_row_bytes) {
+      stored.in_object = true;
+      stored.text = result_object_name(record_, position);
+    }
+    transaction.writes.push_back(
+        {job_result_key(record_.id, position++), encode_job_result(stored)});
+  }
+  if (commit_finishes_) {
+    StoredJob finished = record_;
+    finished.finished = true;
+    transaction.writes.push_back({job_key(record_.id), encode_job_record(finished)});
+  }
+  environment_.store.commit(
+      std::move(transaction),
+      lifetime_.guard([this](const Expected<StoreCommit>& commit) { handle_commit(commit); }));
+}
+
+void OwnedJob::handle_commit(const Expected<StoreCommit>& commit) {
+  if (lost_) {
+    return;
+  }
+  if (!commit) {
+    // Applied or not: the same transaction again tells, because its conditions fail if it was.
+    environment_.serving.logger.write(LogLevel::kInfo, "results_not_committed",
+                                      {{"job", record_.id}, {"reason", commit.error().message}});
+    commit_timer_->enable(
+        std::max(environment_.knobs.store_retry, commit.error().retry_after.value_or(Duration(0))));
+    return;
+  }
+  if (commit->committed) {
+    accept_commit(commit->stamp.version);
+    return;
+  }
+  handle_conflict(*commit);
+}
+
+void OwnedJob::handle_conflict(const StoreCommit& commit) {
+  const StoredRow* record_row = nullptr;
+  const StoredRow* result_row = nullptr;
+  for (const StoredRow& row : commit.current) {
+    (row.key.table == kJobTable ? record_row : result_row) = &row;
+  }
+  const bool result_there = result_row != nullptr && result_row->version > 0;
+  if (record_row != nullptr && record_row->version == version_ && result_there) {
+    accept_commit(result_row->version);  // an earlier send of this very transaction
+    return;
+  }
+  if (record_row != nullptr && record_row->version > 0) {
+    const Expected<StoredJob> now = decode_job_record(record_.id, record_row->value);
+    const bool own = now && now->owner == record_.owner && now->epoch == record_.epoch;
+    if (own && now->finished && commit_finishes_ && result_there) {
+      accept_commit(record_row->version);
+      return;
+    }
+    if (own && now->ended) {
+      lose("ended by its caller");
+      return;
+    }
+  }
+  lose("superseded by another owner");
+}
+
+void OwnedJob::accept_commit(StoreVersion version) {
+  for (JobResult& result : committing_) {
+    for (Item& item : items_) {
+      item.listed = item.listed || item.request.id == result.item;
+    }
+    held_.push_back(std::move(result));
+  }
+  environment_.serving.logger.write(LogLevel::kInfo, "results_committed",
+                                    {{"job", record_.id},
+                                     {"results", std::to_string(committing_.size())},
+                                     {"listed", std::to_string(first_held_ + held_.size())},
+                                     {"items", std::to_string(items_.size())},
+                                     {"store_version", std::to_string(version)}});
+  committing_.clear();
+  if (commit_finishes_) {
+    record_.finished = true;
+    version_ = version;
+  }
+  const std::vector<std::function<void()>> callbacks = std::exchange(on_commit_, {});
+  for (const std::function<void()>& callback : callbacks) {
+    callback();
+  }
+  if (!pending_.empty()) {
+    commit_later();
+  }
+}
+
+void OwnedJob::cancel() {
+  lost_ = true;
+  commit_timer_->disable();
+  for (Item& item : items_) {
+    item.run.reset();
+  }
+  running_ = 0;
+  const std::vector<std::function<void()>> callbacks = std::exchange(on_commit_, {});
+  for (const std::function<void()>& callback : callbacks) {
+    callback();
+  }
+}
+
+void OwnedJob::lose(const std::string& reason) {
+  cancel();
+  on_lost_(reason);
+}
+
+void OwnedJob::on_next_commit(std::function<void()> callback) {
+  on_commit_.push_back(std::move(callback));
+}
+
+const ServingRequest* OwnedJob::unlisted_item(const std::string& id) const {
+  const auto found = std::find_if(items_.begin(), items_.end(), [&](const Item& item) {
+    return item.request.id == id && !item.listed;
+  });
+  return found == items_.end() ? nullptr : &found->request;
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/owned_job.h
@@ -0,0 +1,96 @@
+// A job that this node owns: runs its items, and appends their results to the list in the store, in
+// the order in which they end. Every append is conditional on the record's version, so that an
+// owner that was superseded writes nothing.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/core/lifetime.h"
+#include "src/jobs/job.h"
+#include "src/jobs/job_environment.h"
+#include "src/jobs/job_item_run.h"
+
+namespace chalkshed {
+
+class OwnedJob {
+ public:
+  // Called when the job is not this node's any more, or was ended.
+  using OnLost = std::function<void(const std::string& reason)>;
+
+  // @param version of the record's row.
+  // @param listed ids of the items whose results are in the store already, in their order.
+  OwnedJob(JobEnvironment& environment, StoredJob record, StoreVersion version,
+           std::vector<ServingRequest> items, const std::vector<std::string>& listed,
+           OnLost on_lost);
+
+  const StoredJob& record() const { return record_; }
+  StoreVersion version() const { return version_; }
+  // When all results are due, by the store's clock.
+  Duration due() const;
+  // Whether an item waits to be run now.
+  bool has_waiting() const;
+  bool has_running() const { return running_ > 0; }
+  // Starts the next waiting item. @return false when no worker has room for it.
+  bool start_item();
+  // Gives up items that are too old or whose route is gone.
+  void give_up_expired();
+  // Ends all runs; nothing is appended any more.
+  void cancel();
+  // Whether all results are in the store.
+  bool finished() const { return record_.finished; }
+  // Whether results wait for the store.
+  bool has_uncommitted() const { return !pending_.empty() || !committing_.empty(); }
+
+  // Results that are in the store and in memory: positions [first_held(), first_held() + size).
+  uint32_t first_held() const { return first_held_; }
+  const std::vector<JobResult>& held() const { return held_; }
+  // Calls `callback` once, upon the next commit.
+  void on_next_commit(std::function<void()> callback);
+  // @return the item while it has no listed result, or null.
+  const ServingRequest* unlisted_item(const std::string& id) const;
+
+ private:
+  enum class Phase { kWaiting, kRunning, kEnded };
+  struct Item {
+    ServingRequest request;
+    Phase phase = Phase::kWaiting;
+    ItemProgress progress;
+    MonotonicTime not_before{};
+    std::unique_ptr<JobItemRun> run;
+    bool listed = false;
+  };
+
+  void handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason);
+  void end_item(Item& item, ItemState state);
+  void commit_later();
+  void commit();
+  void put_large_results(size_t index, std::function<void()> then);
+  void send_commit();
+  void handle_commit(const Expected<StoreCommit>& commit);
+  void handle_conflict(const StoreCommit& commit);
+  void accept_commit(StoreVersion version);
+  void lose(const std::string& reason);
+  Item* next_waiting();
+  const Route* route_of(const RouteTable& table, const Item& item) const;
+
+  JobEnvironment& environment_;
+  StoredJob record_;
+  StoreVersion version_;
+  std::vector<Item> items_;
+  OnLost on_lost_;
+  uint32_t running_ = 0;
+  bool lost_ = false;
+  uint32_t first_held_;
+  std::vector<JobResult> held_;
+  std::vector<JobResult> pending_;     // ended, not yet sent to the store
+  std::vector<JobResult> committing_;  // sent; the same until the store has answered clearly
+  bool commit_finishes_ = false;       // the commit under way holds the last result
+  std::vector<std::function<void()>> on_commit_;
+  TimerPtr commit_timer_;
+  Lifetime lifetime_;
+};
+
+}  // namespace chalkshed
--- a/src/logging/logger.h
+++ b/src/logging/logger.h
@@ -17,6 +17,8 @@
 class Logger {
  public:
   virtual ~Logger() = default;
+  // Whether lines of that level are written: spares the making of fields that nobody reads.
+  virtual bool enabled(LogLevel /*level*/) const { return true; }
   // @param event stable snake_case name of what happened.
   virtual void write(LogLevel level, std::string_view event,
                      std::initializer_list<LogField> fields) = 0;
@@ -25,6 +27,7 @@
 // Drops everything; for tests and the simulator.
 class NullLogger : public Logger {
  public:
+  bool enabled(LogLevel) const override { return false; }
   void write(LogLevel, std::string_view, std::initializer_list<LogField>) override {}
 };
 
--- a/src/logging/structured_logger.cc
+++ b/src/logging/structured_logger.cc
@@ -1,11 +1,13 @@
 #include "src/logging/structured_logger.h"
 
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <array>
 #include <cstdio>
 
+#include "src/logging/bounded_sink.h"
+
 namespace chalkshed {
 namespace {
 
@@ -71,8 +73,11 @@
 
 class StructuredLogger::Implementation {
  public:
-  Implementation(LogLevel level, LogLineFormat format)
-      : format_(format), logger_("chalkshed", std::make_shared<spdlog::sinks::stderr_sink_st>()) {
+  Implementation(LogLevel level, LogLineFormat format, LogStream stream, const LogBudget& budget)
+      : format_(format),
+        logger_("chalkshed",
+                std::make_shared<BoundedSink>(
+                    stream == LogStream::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO, budget)) {
     const char* pattern = format == LogLineFormat::kJson
                               ? R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v})"
                               : "time=%Y-%m-%dT%H:%M:%S.%fZ level=%l %v";
@@ -80,6 +85,8 @@
     logger_.set_level(spdlog_level(level));
   }
 
+  bool enabled(LogLevel level) const { return logger_.should_log(spdlog_level(level)); }
+
   void write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
     const spdlog::level::level_enum target = spdlog_level(level);
     if (logger_.should_log(target)) {
@@ -92,11 +99,14 @@
   spdlog::logger logger_;
 };
 
-StructuredLogger::StructuredLogger(LogLevel level, LogLineFormat format)
-    : implementation_(std::make_unique<Implementation>(level, format)) {}
+StructuredLogger::StructuredLogger(LogLevel level, LogLineFormat format, LogStream stream,
+                                   const LogBudget& budget)
+    : implementation_(std::make_unique<Implementation>(level, format, stream, budget)) {}
 
 StructuredLogger::~StructuredLogger() = default;
 
+bool StructuredLogger::enabled(LogLevel level) const { return implementation_->enabled(level); }
+
 void StructuredLogger::write(LogLevel level, std::string_view event,
                              std::initializer_list<LogField> fields) {
   implementation_->write(level, event, fields);
--- a/src/logging/structured_logger.h
+++ b/src/logging/structured_logger.h
@@ -1,4 +1,5 @@
-// Logger that writes one line an event to the standard error stream, as key=value or JSON.
+// Logger that writes one line an event, as key=value or JSON. Its volume is bounded, and it never
+// blocks: a line that the reader of the stream has no room for is left out and counted.
 #pragma once
 
 #include <memory>
@@ -8,14 +9,22 @@
 namespace chalkshed {
 
 enum class LogLineFormat { kKeyValue, kJson };
+enum class LogStream { kStandardOutput, kStandardError };
+
+struct LogBudget {
+  size_t bytes_per_second = 128 * 1024;
+  size_t burst_bytes = 1024 * 1024;
+};
 
 class StructuredLogger : public Logger {
  public:
-  StructuredLogger(LogLevel level, LogLineFormat format);
+  StructuredLogger(LogLevel level, LogLineFormat format,
+                   LogStream stream = LogStream::kStandardError, const LogBudget& budget = {});
   ~StructuredLogger() override;
   StructuredLogger(const StructuredLogger&) = delete;
   StructuredLogger& operator=(const StructuredLogger&) = delete;
 
+  bool enabled(LogLevel level) const override;
   void write(LogLevel level, std::string_view event,
              std::initializer_list<LogField> fields) override;
 
--- /dev/null
+++ b/src/node/serving_node.cc
@@ -0,0 +1,98 @@
+#include "src/node/serving_node.h"
+
+#include "src/core/call_after.h"
+#include "src/jobs/job_rows.h"
+
+namespace chalkshed {
+
+ServingNode::ServingNode(const ServingNodeIdentity& identity,
+                         const ServingNodeDependencies& dependencies, const WatchedTables& tables,
+                         const ServingNodeKnobs& knobs)
+    : dependencies_(dependencies),
+      knobs_(knobs),
+      clock_(dependencies.time_source),
+      watched_store_(dependencies.store, clock_, dependencies.metrics, StaleReads::kAccept),
+      fresh_store_(dependencies.store, clock_, dependencies.metrics, StaleReads::kRefuse),
+      workers_(dependencies.time_source, dependencies.random, identity.zone, knobs.workers),
+      serving_{dependencies.time_source,   dependencies.dispatcher, dependencies.random,
+               dependencies.worker_client, dependencies.protocol,   workers_,
+               dependencies.logger,        dependencies.metrics,    knobs.serving},
+      route_watch_(dependencies.logger, tables.configuration_key, tables.decode_routes),
+      worker_watch_(dependencies.logger, workers_, tables.decode_worker),
+      gateway_(serving_),
+      batch_draw_(dependencies.random),
+      sessions_(dependencies.time_source, dependencies.dispatcher, watched_store_,
+                dependencies.logger, identity.node, identity.session, identity.peer_address,
+                knobs.sessions),
+      job_environment_{serving_, route_watch_,           fresh_store_, dependencies.objects,
+                       clock_,   dependencies.job_codec, batch_draw_,  knobs.jobs},
+      jobs_(job_environment_, sessions_, [this] { return !gateway_.any_waiting(); }),
+      route_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
+                   dependencies.logger, tables.configuration_table, {""}, route_watch_,
+                   knobs.watchers),
+      worker_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
+                    dependencies.logger, tables.worker_table, {""}, worker_watch_, knobs.watchers),
+      job_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
+                 dependencies.logger, kJobTable, job_partitions(), jobs_, knobs.watchers) {
+  workers_.set_on_place_freed([this] { place_soon(); });
+}
+
+void ServingNode::start() {
+  route_table_.start();
+  worker_table_.start();
+  job_table_.start();
+  sessions_.start();
+  jobs_.start();
+}
+
+// Places are freed in the midst of other work; what waits for them is looked at afterwards, online
+// requests first.
+void ServingNode::place_soon() {
+  if (std::exchange(placing_soon_, true)) {
+    return;
+  }
+  dependencies_.dispatcher.post(lifetime_.guard([this] {
+    placing_soon_ = false;
+    gateway_.place_waiting();
+    jobs_.start_items();
+  }));
+}
+
+const char* ServingNode::not_ready_reason() const {
+  if (draining_) {
+    return "draining";
+  }
+  if (!route_watch_.current()) {
+    return "no configuration known yet";
+  }
+  if (!worker_table_.listed()) {
+    return "no workers known yet";
+  }
+  return nullptr;
+}
+
+void ServingNode::begin_drain(std::function<void()> done) {
+  if (std::exchange(draining_, true)) {
+    return;
+  }
+  drain_began_ = dependencies_.time_source.monotonic_now();
+  on_drained_ = std::move(done);
+  dependencies_.logger.write(LogLevel::kInfo, "drain_began",
+                             {{"requests", std::to_string(gateway_.requests_in_progress())},
+                              {"jobs", std::to_string(jobs_.owned_jobs())}});
+  jobs_.drain(lifetime_.guard([this] { jobs_drained_ = true; }));
+  check_drained();
+}
+
+void ServingNode::check_drained() {
+  const Duration elapsed = dependencies_.time_source.monotonic_now() - drain_began_;
+  if (elapsed >= knobs_.least_drain && jobs_drained_ && gateway_.requests_in_progress() == 0) {
+    dependencies_.logger.write(LogLevel::kInfo, "drain_ended", {});
+    std::exchange(on_drained_, nullptr)();
+    return;
+  }
+  constexpr Duration kLookAgain = std::chrono::milliseconds(50);
+  call_after(dependencies_.dispatcher, kLookAgain, lifetime_.guard([this] { check_drained(); }));
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/node/serving_node.h
@@ -0,0 +1,103 @@
+// A node that serves opaque requests and jobs: routes, workers, gateway and jobs wired together
+// over a watched store. Free of sockets and of any wire format; both are given to it.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "src/core/lifetime.h"
+#include "src/jobs/job_service.h"
+#include "src/serving/route_watch.h"
+#include "src/serving/serving_gateway.h"
+#include "src/serving/worker_watch.h"
+#include "src/watch/observed_store.h"
+
+namespace chalkshed {
+
+struct ServingNodeIdentity {
+  std::string node;     // unique name of the machine
+  std::string session;  // unique for this start
+  std::string zone;
+  std::string peer_address;  // "ip:port" where other nodes reach this one
+};
+
+// Where the store holds what operators and workers write, and how it is read.
+struct WatchedTables {
+  std::string configuration_table;
+  std::string configuration_key;
+  RouteWatch::Decode decode_routes;
+  std::string worker_table;
+  WorkerWatch::Decode decode_worker;
+};
+
+// All references outlive the node.
+struct ServingNodeDependencies {
+  TimeSource& time_source;
+  Dispatcher& dispatcher;
+  RandomGenerator& random;
+  WatchedStore& store;
+  ObjectStore& objects;
+  HttpClient& worker_client;
+  const ServingProtocol& protocol;
+  const JobCodec& job_codec;
+  Logger& logger;
+  MetricsRegistry& metrics;
+};
+
+struct ServingNodeKnobs {
+  WorkerKnobs workers;
+  ServingKnobs serving;
+  JobKnobs jobs;
+  NodeSessionKnobs sessions;
+  TableWatcherKnobs watchers;
+  // A planned stop serves on for this long, until callers are sent elsewhere.
+  Duration least_drain = std::chrono::milliseconds(2600);
+};
+
+class ServingNode {
+ public:
+  ServingNode(const ServingNodeIdentity& identity, const ServingNodeDependencies& dependencies,
+              const WatchedTables& tables, const ServingNodeKnobs& knobs = {});
+
+  void start();
+  // @return why callers should not be sent here, or null.
+  const char* not_ready_reason() const;
+  // Planned stop: not ready any more, but serves on while callers still come; finishes what runs,
+  // hands the jobs over, then calls `done` once.
+  void begin_drain(std::function<void()> done);
+
+  const RouteTablePtr& routes() const { return route_watch_.current(); }
+  ServingGateway& gateway() { return gateway_; }
+  JobService& jobs() { return jobs_; }
+  WorkerSet& workers() { return workers_; }
+
+ private:
+  void place_soon();
+  void check_drained();
+
+  ServingNodeDependencies dependencies_;
+  ServingNodeKnobs knobs_;
+  StoreClock clock_;
+  ObservedStore watched_store_;  // for watchers: an old answer is better than none
+  ObservedStore fresh_store_;    // for answers to callers
+  WorkerSet workers_;
+  ServingEnvironment serving_;
+  RouteWatch route_watch_;
+  WorkerWatch worker_watch_;
+  ServingGateway gateway_;
+  ServiceDraw batch_draw_;
+  NodeSessions sessions_;
+  JobEnvironment job_environment_;
+  JobService jobs_;
+  TableWatcher route_table_;
+  TableWatcher worker_table_;
+  TableWatcher job_table_;
+  bool placing_soon_ = false;
+  bool draining_ = false;
+  bool jobs_drained_ = false;
+  MonotonicTime drain_began_{};
+  std::function<void()> on_drained_;
+  Lifetime lifetime_;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/serving/request_relay.cc
@@ -0,0 +1,304 @@
+#include "src/serving/request_relay.h"
+
+#include <algorithm>
+
+namespace chalkshed {
+namespace {
+
+constexpr int kInternalServerError = 500;
+
+std::string milliseconds_text(Duration duration) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+std::string_view relay_end_name(RelayEnd end) {
+  switch (end) {
+    case RelayEnd::kAnswered:
+      return "answered";
+    case RelayEnd::kRefused:
+      return "refused";
+    case RelayEnd::kFailed:
+      return "failed";
+    case RelayEnd::kBroken:
+      return "broken";
+    case RelayEnd::kCallerGone:
+      return "caller_gone";
+  }
+  return "failed";
+}
+
+RequestRelay::RequestRelay(ServingEnvironment& environment, RouteTablePtr table, const Route& route,
+                           std::string service, ServingRequest request, ResponseWriterPtr writer,
+                           OnEnd on_end)
+    : environment_(environment),
+      table_(std::move(table)),
+      route_(route),
+      service_(std::move(service)),
+      request_(std::move(request)),
+      writer_(std::move(writer)),
+      on_end_(std::move(on_end)),
+      received_(environment.time_source.monotonic_now()),
+      deadline_(received_ + std::min(route.timeout, request_.time_limit.value_or(route.timeout))),
+      last_event_(request_.resume_after),
+      deadline_timer_(environment.dispatcher.create_timer([this] { handle_timeout(); })),
+      wait_timer_(environment.dispatcher.create_timer([this] { give_up_waiting(); })) {}
+
+Duration RequestRelay::elapsed() const {
+  return environment_.time_source.monotonic_now() - received_;
+}
+
+Duration RequestRelay::time_left() const {
+  return deadline_ - environment_.time_source.monotonic_now();
+}
+
+void RequestRelay::start() {
+  writer_->set_on_closed(lifetime_.guard([this] { finish(RelayEnd::kCallerGone, "caller left"); }));
+  deadline_timer_->enable(std::max(time_left(), Duration(0)));
+  if (!send(false)) {
+    wait_for_place();
+  }
+}
+
+bool RequestRelay::try_place() {
+  if (!waiting_ || !send(false)) {
+    return false;
+  }
+  waiting_ = false;
+  wait_timer_->disable();
+  return true;
+}
+
+bool RequestRelay::send(bool even_if_full) {
+  PlaceRequest wanted;
+  wanted.service = service_;
+  wanted.request = &request_;
+  wanted.tried = &tried_;
+  wanted.even_if_full = even_if_full;
+  WorkerPlacePtr place = environment_.workers.take_place(wanted);
+  if (!place) {
+    return false;
+  }
+  worker_ = place->worker().record.incarnation;
+  tried_.insert(worker_);
+  WorkerSend worker_send;
+  worker_send.request = &request_;
+  worker_send.incarnation = worker_;
+  if (request_.time_limit) {
+    worker_send.time_left = std::max(time_left(), Duration(std::chrono::milliseconds(1)));
+  }
+  worker_send.resume_after = last_event_;
+  AttemptOptions options;
+  options.pool = "online";
+  options.connect_timeout = std::min(environment_.knobs.connect_timeout,
+                                     std::max(time_left(), Duration(std::chrono::milliseconds(1))));
+  options.streaming = route_.kind == RouteKind::kStreaming;
+  attempt_ = std::make_unique<WorkerAttempt>(environment_.worker_client, environment_.protocol,
+                                             environment_.workers, std::move(place), worker_send,
+                                             options, *this);
+  return true;
+}
+
+void RequestRelay::wait_for_place() {
+  waiting_ = true;
+  const auto longest = std::chrono::duration_cast<Duration>(
+      route_.target * environment_.knobs.longest_wait_of_target);
+  wait_timer_->enable(std::max(std::min(longest - elapsed(), time_left()), Duration(0)));
+}
+
+// Too long without a free place: stand in the queue of a worker rather than hold on.
+void RequestRelay::give_up_waiting() {
+  waiting_ = false;
+  if (!send(true)) {
+    refuse(ErrorKind::kUnavailable, "no worker of service '" + service_ + "' takes requests");
+  }
+}
+
+void RequestRelay::on_stream_begun(const HttpHeaders& headers) {
+  if (started_ || ended_) {
+    return;  // a resumed stream keeps the head of the worker it began on
+  }
+  started_ = true;
+  writer_->start(200, environment_.protocol.headers_to_caller(request_, headers));
+}
+
+void RequestRelay::on_events(std::string_view events) {
+  if (ended_) {
+    return;
+  }
+  std::string_view rest = events;
+  std::string_view fresh = events;
+  while (const std::optional<StreamEvent> event = take_event(rest)) {
+    if (!event->id) {
+      continue;
+    }
+    if (last_event_ && *event->id <= *last_event_) {
+      // Sent before: whatever stands in front of it in these bytes is old as well.
+      fresh.remove_prefix(static_cast<size_t>(event->bytes.end() - fresh.begin()));
+      continue;
+    }
+    last_event_ = event->id;
+  }
+  if (fresh.empty()) {
+    return;
+  }
+  writer_->write(fresh);
+  if (writer_->buffered_bytes() > environment_.knobs.most_buffered_bytes) {
+    cut_off("the caller reads too slowly");
+  }
+}
+
+void RequestRelay::on_attempt_ended(const AttemptEnd& end) {
+  if (ended_) {
+    return;
+  }
+  // The attempt must outlive its own callback.
+  environment_.dispatcher.post([attempt = std::shared_ptr<WorkerAttempt>(std::move(attempt_))] {});
+  switch (end.result) {
+    case AttemptResult::kWhole:
+      handle_whole(end);
+      return;
+    case AttemptResult::kNotRun:
+      handle_not_run(end);
+      return;
+    case AttemptResult::kBroken:
+      handle_broken(end);
+      return;
+  }
+}
+
+bool RequestRelay::may_send_again() const {
+  return is_repeatable(route_) && runs_ < route_.attempts && time_left() > Duration(0);
+}
+
+void RequestRelay::handle_whole(const AttemptEnd& end) {
+  ++runs_;
+  if (started_) {
+    if (end.status == 200) {
+      writer_->finish();
+      finish(RelayEnd::kAnswered, "");
+    } else {
+      handle_broken(end);  // a resumed run failed; the count above already holds it
+    }
+    return;
+  }
+  if (end.status >= kInternalServerError && may_send_again()) {
+    log(LogLevel::kInfo, "request_sent_again", "status " + std::to_string(end.status));
+    if (send(false) || send(true)) {
+      return;
+    }
+  }
+  HttpResponse response;
+  response.status = end.status;
+  response.headers = environment_.protocol.headers_to_caller(request_, end.headers);
+  response.body = end.body;
+  writer_->respond(response);
+  finish(RelayEnd::kAnswered, "");
+}
+
+void RequestRelay::handle_not_run(const AttemptEnd& end) {
+  ++refusals_;
+  log(LogLevel::kInfo, "send_refused", end.reason);
+  const bool more = refusals_ < environment_.knobs.most_refused_sends && time_left() > Duration(0);
+  if (more && (send(false) || send(true))) {
+    return;
+  }
+  if (started_) {
+    cut_off(end.reason);
+  } else if (runs_ > 0) {
+    fail(ErrorKind::kUpstreamFailed, "a worker broke off and no other takes the request");
+  } else {
+    refuse(ErrorKind::kOverloaded, "no worker takes the request: " + end.reason);
+  }
+}
+
+void RequestRelay::handle_broken(const AttemptEnd& end) {
+  if (end.result == AttemptResult::kBroken) {
+    ++runs_;
+  }
+  if (may_send_again()) {
+    log(LogLevel::kInfo, started_ ? "stream_resumed" : "request_sent_again", end.reason);
+    if (send(false) || send(true)) {
+      return;
+    }
+  }
+  if (started_) {
+    cut_off(end.reason);
+  } else {
+    fail(ErrorKind::kUpstreamFailed, end.reason);
+  }
+}
+
+void RequestRelay::handle_timeout() {
+  if (started_) {
+    cut_off("the time of the request is over");
+    return;
+  }
+  const bool sent = attempt_ != nullptr || runs_ > 0;
+  attempt_.reset();
+  if (sent) {
+    fail(ErrorKind::kDeadlineExceeded, "no answer within the time of the request");
+  } else {
+    refuse(ErrorKind::kOverloaded, "no place at a worker within the time of the request");
+  }
+}
+
+void RequestRelay::refuse(ErrorKind kind, const std::string& message) {
+  Error error = not_run(kind, message, "send it again after the time given");
+  error.retry_after = environment_.knobs.retry_after;
+  writer_->respond(environment_.protocol.refusal(request_.id, error));
+  finish(RelayEnd::kRefused, message);
+}
+
+void RequestRelay::fail(ErrorKind kind, const std::string& message) {
+  const Error error =
+      maybe_run(kind, message, "the request may have run; send it again if that is harmless");
+  writer_->respond(environment_.protocol.refusal(request_.id, error));
+  finish(RelayEnd::kFailed, message);
+}
+
+void RequestRelay::cut_off(const std::string& reason) {
+  writer_->abort();
+  finish(RelayEnd::kBroken, reason);
+}
+
+void RequestRelay::finish(RelayEnd end, const std::string& reason) {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  waiting_ = false;
+  deadline_timer_->disable();
+  wait_timer_->disable();
+  if (attempt_) {
+    environment_.dispatcher.post(
+        [attempt = std::shared_ptr<WorkerAttempt>(std::move(attempt_))] {});
+  }
+  const bool good = end == RelayEnd::kAnswered;
+  log(good ? LogLevel::kDebug : LogLevel::kInfo,
+      good ? "request_answered" : "request_ended_without_answer",
+      std::string(relay_end_name(end)) + (reason.empty() ? "" : ": " + reason));
+  on_end_(end);
+}
+
+void RequestRelay::log(LogLevel level, std::string_view event, const std::string& reason) const {
+  if (!environment_.logger.enabled(level)) {
+    return;
+  }
+  environment_.logger.write(
+      level, event,
+      {{"request", request_.id},
+       {"route", route_.name},
+       {"service", service_},
+       {"configuration", std::to_string(table_->version())},
+       {"worker", worker_},
+       {"runs", std::to_string(runs_)},
+       {"refusals", std::to_string(refusals_)},
+       {"free_places", std::to_string(environment_.workers.free_places(service_))},
+       {"elapsed_ms", milliseconds_text(elapsed())},
+       {"left_ms", milliseconds_text(time_left())},
+       {"reason", reason}});
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/serving/request_relay.h
@@ -0,0 +1,94 @@
+// One caller's request from its admission to the end of its answer: sends it to a worker, hands the
+// answer on byte for byte, tries elsewhere where the route allows it, and resumes a broken stream
+// behind its last whole event. Ends visibly broken where it cannot go on.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "src/core/lifetime.h"
+#include "src/serving/route_table.h"
+#include "src/serving/serving_environment.h"
+#include "src/serving/worker_attempt.h"
+
+namespace chalkshed {
+
+enum class RelayEnd {
+  kAnswered,  // a worker's whole answer was handed on
+  kRefused,   // not run, and the caller was told so
+  kFailed,    // may have run; the caller was told an error
+  kBroken,    // the answer had begun and was cut off visibly
+  kCallerGone,
+};
+
+// @return the stable name used in logs and metrics.
+std::string_view relay_end_name(RelayEnd end);
+
+class RequestRelay : public AttemptObserver {
+ public:
+  // Called once, when the answer has ended. The relay must not be destroyed inside.
+  using OnEnd = std::function<void(RelayEnd)>;
+
+  // @param table keeps `route` alive.
+  // @param service the service that answers, drawn from the route's.
+  RequestRelay(ServingEnvironment& environment, RouteTablePtr table, const Route& route,
+               std::string service, ServingRequest request, ResponseWriterPtr writer, OnEnd on_end);
+  ~RequestRelay() override = default;
+  RequestRelay(const RequestRelay&) = delete;
+  RequestRelay& operator=(const RequestRelay&) = delete;
+
+  // Begins; the request may have ended when this returns.
+  void start();
+  // Whether it waits for a place at a worker.
+  bool waiting() const { return waiting_; }
+  uint32_t priority() const { return route_.priority; }
+  // A place may have become free. @return whether the request was sent.
+  bool try_place();
+
+ private:
+  void on_stream_begun(const HttpHeaders& headers) override;
+  void on_events(std::string_view events) override;
+  void on_attempt_ended(const AttemptEnd& end) override;
+
+  bool send(bool even_if_full);
+  void handle_not_run(const AttemptEnd& end);
+  void handle_broken(const AttemptEnd& end);
+  void handle_whole(const AttemptEnd& end);
+  void wait_for_place();
+  void give_up_waiting();
+  void handle_timeout();
+  void refuse(ErrorKind kind, const std::string& message);
+  void fail(ErrorKind kind, const std::string& message);
+  void cut_off(const std::string& reason);
+  void finish(RelayEnd end, const std::string& reason);
+  Duration elapsed() const;
+  Duration time_left() const;
+  bool may_send_again() const;
+  void log(LogLevel level, std::string_view event, const std::string& reason) const;
+
+  ServingEnvironment& environment_;
+  RouteTablePtr table_;
+  const Route& route_;
+  const std::string service_;
+  ServingRequest request_;
+  ResponseWriterPtr writer_;
+  OnEnd on_end_;
+  const MonotonicTime received_;
+  MonotonicTime deadline_;
+  std::unique_ptr<WorkerAttempt> attempt_;
+  std::set<std::string> tried_;
+  std::string worker_;     // asked last
+  uint32_t runs_ = 0;      // workers that may have run it
+  uint32_t refusals_ = 0;  // sends that were certainly not run
+  bool waiting_ = false;
+  bool started_ = false;  // the answer's head was written
+  bool ended_ = false;
+  std::optional<uint64_t> last_event_;
+  TimerPtr deadline_timer_;
+  TimerPtr wait_timer_;
+  Lifetime lifetime_;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/serving/serving_gateway.cc
@@ -0,0 +1,64 @@
+#include "src/serving/serving_gateway.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace chalkshed {
+
+ServingGateway::ServingGateway(ServingEnvironment& environment)
+    : environment_(environment), draw_(environment.random) {}
+
+void ServingGateway::handle(RouteTablePtr table, const Route& route, ServingRequest request,
+                            ResponseWriterPtr writer) {
+  const uint64_t id = next_id_++;
+  const MonotonicTime received = environment_.time_source.monotonic_now();
+  auto on_end = [this, id, received, route_name = route.name](RelayEnd end) {
+    const std::string name(relay_end_name(end));
+    environment_.metrics
+        .counter("chalkshed_serving_requests_total", "Requests by route and how they ended.",
+                 {{"route", route_name}, {"end", name}})
+        .add(1);
+    environment_.metrics
+        .histogram("chalkshed_serving_request_seconds", "Time to the end of the answer.",
+                   {{"end", name}})
+        .observe(std::chrono::duration<double>(environment_.time_source.monotonic_now() - received)
+                     .count());
+    remove_later(id);
+  };
+  auto relay =
+      std::make_unique<RequestRelay>(environment_, std::move(table), route, draw_.draw(route),
+                                     std::move(request), std::move(writer), std::move(on_end));
+  RequestRelay& started = *relay;
+  relays_.emplace(id, std::move(relay));
+  started.start();
+}
+
+void ServingGateway::remove_later(uint64_t id) {
+  environment_.dispatcher.post(lifetime_.guard([this, id] { relays_.erase(id); }));
+}
+
+bool ServingGateway::any_waiting() const {
+  return std::any_of(relays_.begin(), relays_.end(),
+                     [](const auto& entry) { return entry.second->waiting(); });
+}
+
+void ServingGateway::place_waiting() {
+  if (placing_) {
+    return;  // sending may itself free a place
+  }
+  placing_ = true;
+  std::vector<RequestRelay*> waiting;
+  for (const auto& [id, relay] : relays_) {
+    if (relay->waiting()) {
+      waiting.push_back(relay.get());
+    }
+  }
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [](RequestRelay* a, RequestRelay* b) { return a->priority() < b->priority(); });
+  for (RequestRelay* relay : waiting) {
+    relay->try_place();
+  }
+  placing_ = false;
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/serving/serving_gateway.h
@@ -0,0 +1,40 @@
+// Takes callers' requests: finds the route, draws the service, and keeps the relays of the requests
+// in progress. Those that wait for a place at a worker get it by priority, then by arrival.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "src/core/lifetime.h"
+#include "src/serving/request_relay.h"
+#include "src/serving/service_draw.h"
+
+namespace chalkshed {
+
+class ServingGateway {
+ public:
+  explicit ServingGateway(ServingEnvironment& environment);
+
+  // @param route of `table`, for online work.
+  void handle(RouteTablePtr table, const Route& route, ServingRequest request,
+              ResponseWriterPtr writer);
+  size_t requests_in_progress() const { return relays_.size(); }
+  // Whether any online request waits for a place: batch then takes none.
+  bool any_waiting() const;
+  // A place may have become free.
+  void place_waiting();
+
+ private:
+  void remove_later(uint64_t id);
+
+  ServingEnvironment& environment_;
+  ServiceDraw draw_;
+  std::map<uint64_t, std::unique_ptr<RequestRelay>> relays_;  // in order of arrival
+  uint64_t next_id_ = 0;
+  bool placing_ = false;
+  Lifetime lifetime_;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/serving/serving_request.h
@@ -0,0 +1,35 @@
+// A caller's request whose content is opaque: it reaches a worker byte for byte, and the worker's
+// answer comes back byte for byte. What routing needs to know of it stands beside.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/core/http_message.h"
+#include "src/core/time.h"
+
+namespace chalkshed {
+
+// A part of a prompt that other requests may share.
+struct PromptPart {
+  std::string id;
+  uint32_t tokens = 0;
+};
+
+struct ServingRequest {
+  std::string id;    // the caller's; every attempt of a caller has its own
+  std::string host;  // selects the route together with the path
+  // Method, path, query, body, and the headers that are passed on.
+  HttpRequest message;
+  std::optional<Duration> time_limit;  // how long the caller waits
+  // The parts in order; the last is the request's own. Empty for plain services.
+  std::vector<PromptPart> prompt;
+  uint32_t prompt_tokens = 0;
+  uint32_t max_output_tokens = 0;
+  // The caller continues a stream behind this event.
+  std::optional<uint64_t> resume_after;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/serving/worker_attempt.cc
@@ -0,0 +1,122 @@
+#include "src/serving/worker_attempt.h"
+
+#include <utility>
+
+namespace chalkshed {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kFirstFailure = 300;
+
+bool is_success(int status) { return status >= kOk && status < kFirstFailure; }
+
+}  // namespace
+
+WorkerAttempt::WorkerAttempt(HttpClient& client, const ServingProtocol& protocol,
+                             WorkerSet& workers, WorkerPlacePtr place, const WorkerSend& send,
+                             const AttemptOptions& options, AttemptObserver& observer)
+    : protocol_(protocol),
+      workers_(workers),
+      place_(std::move(place)),
+      request_(*send.request),
+      streaming_(options.streaming),
+      observer_(observer) {
+  HttpCallOptions call_options;
+  call_options.pool = options.pool;
+  call_options.connect_timeout = options.connect_timeout;
+  call_options.idle_timeout = options.silence_timeout;
+  call_options.host = request_.host;
+  call_ = client.send(place_->worker().record.address, protocol_.encode(send), call_options, *this);
+}
+
+void WorkerAttempt::on_headers(int status, const HttpHeaders& headers) {
+  verdict_ = protocol_.judge(request_, status, headers);
+  end_.status = status;
+  end_.headers = headers;
+  ServingWorker& worker = place_->worker();
+  if (verdict_.load) {
+    workers_.note_report(worker, *verdict_.load);
+  }
+  if (verdict_.other_request) {
+    workers_.note_failure(worker);
+    break_off("the worker's answer belongs to another request");
+    return;
+  }
+  if (verdict_.not_run) {
+    return;  // the rest of the answer is not needed, but its end keeps the connection
+  }
+  if (!verdict_.authentic) {
+    workers_.note_failure(worker);
+    break_off("the answer of status " + std::to_string(status) + " isn't authentic");
+    return;
+  }
+  if (verdict_.encoded) {
+    workers_.note_failure(worker);
+    break_off("the worker encoded the body unasked");
+    return;
+  }
+  if (streaming_ && status == kOk) {
+    relays_events_ = true;
+    observer_.on_stream_begun(headers);
+  }
+}
+
+void WorkerAttempt::on_body(std::string_view data) {
+  if (!relays_events_) {
+    end_.body.append(data);
+    return;
+  }
+  const std::string_view events = splitter_.add(data);
+  if (!events.empty()) {
+    observer_.on_events(events);
+  }
+}
+
+void WorkerAttempt::on_end() {
+  ServingWorker& worker = place_->worker();
+  if (verdict_.not_run) {
+    if (verdict_.other_incarnation) {
+      workers_.note_replaced(worker);
+    } else {
+      workers_.note_refusal(worker);
+    }
+    end(AttemptResult::kNotRun, "the worker refused with status " + std::to_string(end_.status));
+    return;
+  }
+  if (relays_events_ && splitter_.inside_event()) {
+    workers_.note_failure(worker);
+    end(AttemptResult::kBroken, "the stream ended inside an event");
+    return;
+  }
+  if (is_success(end_.status)) {
+    workers_.note_success(worker);
+  }
+  end(AttemptResult::kWhole, "");
+}
+
+void WorkerAttempt::on_error(const Error& error) {
+  workers_.note_failure(place_->worker());
+  if (verdict_.not_run) {
+    end(AttemptResult::kNotRun, "the worker refused with status " + std::to_string(end_.status));
+    return;
+  }
+  end(error.ran == Ran::kNo ? AttemptResult::kNotRun : AttemptResult::kBroken, error.message);
+}
+
+void WorkerAttempt::break_off(std::string reason) {
+  call_.reset();
+  end(AttemptResult::kBroken, std::move(reason));
+}
+
+void WorkerAttempt::end(AttemptResult result, std::string reason) {
+  if (std::exchange(ended_, true)) {
+    return;
+  }
+  end_.result = result;
+  end_.reason = std::move(reason);
+  // The observer may destroy this attempt.
+  const AttemptEnd end = std::move(end_);
+  observer_.on_attempt_ended(end);
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/serving/worker_knobs.h
@@ -0,0 +1,35 @@
+// Tunables of the choice of workers.
+#pragma once
+
+#include <cstdint>
+
+#include "src/core/time.h"
+
+namespace chalkshed {
+
+struct WorkerKnobs {
+  // A report of a worker counts in full when new and for nothing after this long.
+  Duration report_lifetime = std::chrono::milliseconds(400);
+  // A worker that refused is not asked again for this long.
+  Duration refusal_pause = std::chrono::milliseconds(60);
+  // A worker that failed is avoided for this long, doubled with each further failure in a row.
+  Duration failure_pause = std::chrono::milliseconds(250);
+  Duration longest_failure_pause = std::chrono::seconds(4);
+  // A worker whose record is gone without having said that it leaves serves as a last resort for
+  // this long: records also vanish while the store is down.
+  Duration unlisted_grace = std::chrono::seconds(10);
+  // Batch takes at most this share of a worker's places.
+  double batch_share = 0.75;
+  // Prompt tokens that an engine reads in a millisecond: what a missing prefix costs.
+  double prompt_tokens_per_millisecond = 85.0;
+  // What each further request at an engine costs a new one, in milliseconds.
+  double milliseconds_per_request = 6.0;
+  // A worker in another zone counts as if it had this many milliseconds more to do.
+  double other_zone_milliseconds = 2.0;
+  // Shared prompt parts below this many tokens don't decide where a request goes.
+  uint32_t least_shared_tokens = 1000;
+  // Workers that keep a shared prompt.
+  uint32_t prefix_copies = 2;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/serving/worker_set.h
@@ -0,0 +1,131 @@
+// The workers that this node knows, what it has in flight at each, and which of them takes the next
+// request.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/core/address.h"
+#include "src/core/random.h"
+#include "src/core/time.h"
+#include "src/serving/serving_protocol.h"
+#include "src/serving/serving_request.h"
+#include "src/serving/worker_knobs.h"
+
+namespace chalkshed {
+
+// What the source of truth tells of a worker. Every start of a worker is a new incarnation.
+struct WorkerRecord {
+  std::string incarnation;
+  std::string service;
+  Address address;
+  std::string zone;
+  uint32_t slots = 1;
+  bool leaving = false;
+};
+
+enum class WorkClass { kOnline, kBatch };
+
+// One worker as this node sees it.
+struct ServingWorker {
+  WorkerRecord record;
+  bool listed = true;  // false: its record is gone
+  MonotonicTime unlisted_since{};
+  uint32_t online_in_flight = 0;  // of this node
+  uint32_t batch_in_flight = 0;
+  // What the other nodes have in flight there, as far as told.
+  uint32_t others_online = 0;
+  uint32_t others_batch = 0;
+  // The worker's own report, beside an answer.
+  std::optional<WorkerLoadReport> report;
+  MonotonicTime reported{};
+  uint32_t in_flight_when_reported = 0;
+  // Refused or failed lately: not chosen before this time unless nothing else is left.
+  MonotonicTime avoided_until{};
+  uint32_t failures_in_a_row = 0;
+
+  uint32_t in_flight() const { return online_in_flight + batch_in_flight; }
+};
+using WorkerPtr = std::shared_ptr<ServingWorker>;
+
+// A place at a worker that a request of this node takes; giving it up frees it.
+class WorkerPlace {
+ public:
+  WorkerPlace(WorkerPtr worker, WorkClass work, std::function<void()> on_freed);
+  ~WorkerPlace();
+  WorkerPlace(const WorkerPlace&) = delete;
+  WorkerPlace& operator=(const WorkerPlace&) = delete;
+  ServingWorker& worker() const { return *worker_; }
+
+ private:
+  WorkerPtr worker_;
+  WorkClass work_;
+  std::function<void()> on_freed_;
+};
+using WorkerPlacePtr = std::unique_ptr<WorkerPlace>;
+
+// What is wanted of a worker.
+struct PlaceRequest {
+  std::string service;
+  WorkClass work = WorkClass::kOnline;
+  const ServingRequest* request = nullptr;
+  // Incarnations that were asked before; chosen only when nothing else is left.
+  const std::set<std::string>* tried = nullptr;
+  // Take a worker even when all places of all workers are taken.
+  bool even_if_full = false;
+};
+
+class WorkerSet {
+ public:
+  WorkerSet(TimeSource& time_source, RandomGenerator& random, std::string own_zone,
+            const WorkerKnobs& knobs = {});
+
+  // From the source of truth.
+  void update(const WorkerRecord& record);
+  void remove(const std::string& incarnation);
+
+  // @return a place, or null when no worker may take the request now.
+  WorkerPlacePtr take_place(const PlaceRequest& request);
+
+  // What the answers of a worker tell.
+  void note_report(ServingWorker& worker, const WorkerLoadReport& report);
+  void note_success(ServingWorker& worker);
+  void note_refusal(ServingWorker& worker);
+  void note_failure(ServingWorker& worker);
+  void note_replaced(ServingWorker& worker);  // another worker has its address
+
+  // Called whenever a place at any worker becomes free or a worker appears.
+  void set_on_place_freed(std::function<void()> callback) { on_place_freed_ = std::move(callback); }
+
+  // Places of the service that are free by this node's view.
+  uint32_t free_places(std::string_view service) const;
+  bool knows(std::string_view service) const;
+  const std::map<std::string, WorkerPtr>& workers() const { return workers_; }
+  // @return the worker, or null.
+  WorkerPtr find(const std::string& incarnation) const;
+  // All requests at the worker, of all nodes, as far as known.
+  uint32_t load_of(const ServingWorker& worker) const;
+
+ private:
+  bool usable(const ServingWorker& worker, const PlaceRequest& request) const;
+  bool has_room(const ServingWorker& worker, WorkClass work) const;
+  double cost(const ServingWorker& worker) const;
+  WorkerPtr choose(const PlaceRequest& request, bool ignore_failures) const;
+  void forget_old();
+
+  TimeSource& time_source_;
+  RandomGenerator& random_;
+  std::string own_zone_;
+  WorkerKnobs knobs_;
+  std::map<std::string, WorkerPtr> workers_;  // by incarnation
+  std::function<void()> on_place_freed_;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/serving/worker_watch.h
@@ -0,0 +1,30 @@
+// Follows the records of workers in the store and keeps the worker set in step with them.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "src/logging/logger.h"
+#include "src/serving/worker_set.h"
+#include "src/watch/table_watcher.h"
+
+namespace chalkshed {
+
+class WorkerWatch : public TableObserver {
+ public:
+  // Reads a row: its key and value. Errors name what is wrong.
+  using Decode =
+      std::function<Expected<WorkerRecord>(const std::string& key, std::string_view value)>;
+
+  WorkerWatch(Logger& logger, WorkerSet& workers, Decode decode)
+      : logger_(logger), workers_(workers), decode_(std::move(decode)) {}
+
+  void on_row(const StoredRow& row) override;
+
+ private:
+  Logger& logger_;
+  WorkerSet& workers_;
+  const Decode decode_;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/watch/observed_store.h
@@ -0,0 +1,37 @@
+// A store whose answers are watched: keeps the store clock, counts the calls, and refuses range
+// reads that are older than what this node knew when it asked.
+#pragma once
+
+#include "src/core/lifetime.h"
+#include "src/metrics/metrics.h"
+#include "src/platform/watched_store.h"
+#include "src/watch/store_clock.h"
+
+namespace chalkshed {
+
+enum class StaleReads { kAccept, kRefuse };
+
+class ObservedStore : public WatchedStore {
+ public:
+  // All references outlive the store.
+  ObservedStore(WatchedStore& inner, StoreClock& clock, MetricsRegistry& metrics,
+                StaleReads stale_reads)
+      : inner_(inner), clock_(clock), metrics_(metrics), stale_reads_(stale_reads) {}
+
+  // Errors beside the store's own: kStoreUnavailable for an old answer.
+  void read_range(RangeRead range, Callback<RangePage> callback) override;
+  void read_changes(std::string table, StoreVersion since, Duration wait,
+                    Callback<TableChanges> callback) override;
+  void commit(StoreTransaction transaction, Callback<StoreCommit> callback) override;
+
+ private:
+  void count(const char* call, bool succeeded);
+
+  WatchedStore& inner_;
+  StoreClock& clock_;
+  MetricsRegistry& metrics_;
+  StaleReads stale_reads_;
+  Lifetime lifetime_;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/watch/store_clock.h
@@ -0,0 +1,34 @@
+// What this node has learned of the store from its answers: its newest version and its clock.
+#pragma once
+
+#include <algorithm>
+
+#include "src/core/time.h"
+#include "src/platform/watched_store.h"
+
+namespace chalkshed {
+
+class StoreClock {
+ public:
+  explicit StoreClock(TimeSource& time_source) : time_source_(time_source) {}
+
+  void observe(const StoreStamp& stamp) {
+    newest_ = std::max(newest_, stamp.version);
+    // The answer that took least time to arrive is closest to the truth.
+    const Duration offset = stamp.steady_clock - time_source_.monotonic_now().time_since_epoch();
+    offset_ = known_ ? std::max(offset_, offset) : offset;
+    known_ = true;
+  }
+  // Newest version of the store that any answer has told.
+  StoreVersion newest() const { return newest_; }
+  // The store's clock now, as far as known.
+  Duration now() const { return time_source_.monotonic_now().time_since_epoch() + offset_; }
+
+ private:
+  TimeSource& time_source_;
+  StoreVersion newest_ = 0;
+  Duration offset_{0};
+  bool known_ = false;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/watch/table_watcher.cc
@@ -0,0 +1,157 @@
+#include "src/watch/table_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chalkshed {
+
+TableWatcher::TableWatcher(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store,
+                           Logger& logger, std::string table, std::vector<std::string> partitions,
+                           TableObserver& observer, const TableWatcherKnobs& knobs)
+    : time_source_(time_source),
+      dispatcher_(dispatcher),
+      store_(store),
+      logger_(logger),
+      table_(std::move(table)),
+      partitions_(std::move(partitions)),
+      observer_(observer),
+      knobs_(knobs),
+      retry_timer_(dispatcher.create_timer([this] {
+        const std::function<void()> action = std::move(retry_action_);
+        action();
+      })) {}
+
+void TableWatcher::start() { list(); }
+
+void TableWatcher::list() {
+  listing_.clear();
+  partition_versions_.clear();
+  list_version_ = 0;
+  list_partition(0, "");
+}
+
+void TableWatcher::list_partition(size_t index, std::string from) {
+  if (index == partitions_.size()) {
+    finish_list();
+    return;
+  }
+  RangeRead range;
+  range.table = table_;
+  range.partition = partitions_[index];
+  range.first_key = std::move(from);
+  store_.read_range(std::move(range),
+                    lifetime_.guard([this, index](const Expected<RangePage>& page) {
+                      if (!page) {
+                        retry(page.error(), [this] { list(); });
+                        return;
+                      }
+                      handle_page(index, *page);
+                    }));
+}
+
+void TableWatcher::handle_page(size_t index, const RangePage& page) {
+  heard();
+  for (const StoredRow& row : page.rows) {
+    listing_[row.key] = row.version;
+    tell(row);
+  }
+  const std::string& partition = partitions_[index];
+  const auto [entry, is_new] = partition_versions_.try_emplace(partition, page.stamp.version);
+  entry->second = std::min(entry->second, page.stamp.version);
+  if (page.more && page.rows.size() > 1) {
+    // The last row comes again, as the first of the next page.
+    list_partition(index, page.rows.back().key.key);
+    return;
+  }
+  list_partition(index + 1, "");
+}
+
+void TableWatcher::finish_list() {
+  StoreVersion version = 0;
+  for (const auto& [partition, partition_version] : partition_versions_) {
+    version = version == 0 ? partition_version : std::min(version, partition_version);
+  }
+  // What was known and is not in the list is gone, unless it is newer than the list.
+  std::vector<StoredRow> gone;
+  for (const auto& [key, known] : known_) {
+    const auto listed_at = partition_versions_.find(key.partition);
+    if (!known.removed && !listing_.contains(key) && listed_at != partition_versions_.end() &&
+        known.version <= listed_at->second) {
+      gone.push_back({key, "", listed_at->second, true});
+    }
+  }
+  for (const StoredRow& row : gone) {
+    tell(row);
+  }
+  const bool stale = version < followed_;
+  followed_ = version;
+  listing_.clear();
+  if (!std::exchange(listed_, true) || stale || !gone.empty()) {
+    logger_.write(LogLevel::kInfo, "table_listed",
+                  {{"table", table_},
+                   {"version", std::to_string(version)},
+                   {"rows", std::to_string(known_.size())},
+                   {"gone", std::to_string(gone.size())},
+                   {"older_than_known", stale ? "yes" : "no"}});
+  }
+  observer_.on_listed();
+  follow();
+}
+
+void TableWatcher::follow() {
+  store_.read_changes(
+      table_, followed_, knobs_.longest_wait,
+      lifetime_.guard([this](const Expected<TableChanges>& changes) { handle_changes(changes); }));
+}
+
+void TableWatcher::handle_changes(const Expected<TableChanges>& changes) {
+  if (!changes && changes.error().kind == ErrorKind::kNotFound) {
+    heard();
+    logger_.write(LogLevel::kWarning, "table_history_lost",
+                  {{"table", table_}, {"version", std::to_string(followed_)}});
+    list();
+    return;
+  }
+  if (!changes) {
+    retry(changes.error(), [this] { follow(); });
+    return;
+  }
+  heard();
+  for (const StoredRow& row : changes->rows) {
+    tell(row);
+  }
+  followed_ = std::max(followed_, changes->stamp.version);
+  follow();
+}
+
+void TableWatcher::tell(const StoredRow& row) {
+  Known& known = known_[row.key];
+  if (row.version <= known.version) {
+    return;
+  }
+  const bool nothing_new = row.removed && (known.removed || known.version == 0);
+  known = {row.version, row.removed};
+  if (!nothing_new) {
+    observer_.on_row(row);
+  }
+}
+
+void TableWatcher::heard() {
+  last_heard_ = time_source_.monotonic_now();
+  if (std::exchange(failures_, 0U) > 0) {
+    logger_.write(LogLevel::kInfo, "store_regained", {{"table", table_}});
+  }
+}
+
+void TableWatcher::retry(const Error& error, std::function<void()> action) {
+  if (failures_++ == 0) {
+    logger_.write(LogLevel::kWarning, "store_lost", {{"table", table_}, {"reason", error.message}});
+  }
+  constexpr uint32_t kMostDoublings = 8;
+  const Duration delay = std::min(knobs_.first_retry * (1U << std::min(failures_, kMostDoublings)),
+                                  knobs_.longest_retry);
+  retry_action_ = std::move(action);
+  retry_timer_->enable(std::max(delay, error.retry_after.value_or(Duration(0))));
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/watch/table_watcher.h
@@ -0,0 +1,89 @@
+// Keeps up with one table of the store: lists its partitions, then follows its changes, and lists
+// again when the history is gone. Each row is told at most once for each of its versions, and never
+// in an older version after a newer one, whatever the store answers.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/core/dispatcher.h"
+#include "src/core/lifetime.h"
+#include "src/core/time.h"
+#include "src/logging/logger.h"
+#include "src/platform/watched_store.h"
+
+namespace chalkshed {
+
+class TableObserver {
+ public:
+  virtual ~TableObserver() = default;
+  // A row has changed, or is gone (removed).
+  virtual void on_row(const StoredRow& row) = 0;
+  // All rows have been told once.
+  virtual void on_listed() {}
+};
+
+struct TableWatcherKnobs {
+  // How long the store may hold the answer back when nothing changes. Bounds how long a lost
+  // connection goes unnoticed.
+  Duration longest_wait = std::chrono::milliseconds(1500);
+  Duration first_retry = std::chrono::milliseconds(100);
+  Duration longest_retry = std::chrono::milliseconds(800);
+};
+
+class TableWatcher {
+ public:
+  // @param partitions those that are listed.
+  // @param observer must outlive the watcher.
+  TableWatcher(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store, Logger& logger,
+               std::string table, std::vector<std::string> partitions, TableObserver& observer,
+               const TableWatcherKnobs& knobs = {});
+
+  void start();
+  // Whether the table has been listed once.
+  bool listed() const { return listed_; }
+  // Whether the last call failed, and since when the store has not answered.
+  bool disconnected() const { return failures_ > 0; }
+  MonotonicTime last_heard() const { return last_heard_; }
+
+ private:
+  struct Known {
+    StoreVersion version = 0;
+    bool removed = false;
+  };
+
+  void list();
+  void list_partition(size_t index, std::string from);
+  void handle_page(size_t index, const RangePage& page);
+  void finish_list();
+  void follow();
+  void handle_changes(const Expected<TableChanges>& changes);
+  void tell(const StoredRow& row);
+  void retry(const Error& error, std::function<void()> action);
+  void heard();
+
+  TimeSource& time_source_;
+  Dispatcher& dispatcher_;
+  WatchedStore& store_;
+  Logger& logger_;
+  const std::string table_;
+  const std::vector<std::string> partitions_;
+  TableObserver& observer_;
+  const TableWatcherKnobs knobs_;
+  std::map<StoredRowKey, Known> known_;
+  // Of the list under way: the keys seen and the oldest version of its pages.
+  std::map<StoredRowKey, StoreVersion> listing_;
+  std::map<std::string, StoreVersion> partition_versions_;
+  StoreVersion list_version_ = 0;
+  StoreVersion followed_ = 0;  // all changes up to here are known
+  bool listed_ = false;
+  uint32_t failures_ = 0;
+  MonotonicTime last_heard_{};
+  std::function<void()> retry_action_;
+  TimerPtr retry_timer_;
+  Lifetime lifetime_;
+};
+
+}  // namespace chalkshed
--- /dev/null
+++ b/tests/serving/serving_cluster.h
@@ -0,0 +1,257 @@
+// Serving nodes over a shared store and scripted workers, in virtual time.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "emulator/memory_watched_store.h"
+#include "platform/header_names.h"
+#include "platform/job_wire.h"
+#include "platform/record_codec.h"
+#include "platform/request_wire.h"
+#include "sim/virtual_time.h"
+#include "src/core/base64.h"
+#include "src/core/call_after.h"
+#include "src/core/digest.h"
+#include "src/node/serving_node.h"
+#include "tests/gateway/gateway_fixture.h"
+
+namespace chalkshed {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A call to a scripted worker, driven by the test or by a plan.
+struct ScriptedCall {
+  Address worker;
+  HttpRequest request;
+  HttpCallCallbacks* callbacks = nullptr;  // null once abandoned or ended
+
+  bool open() const { return callbacks != nullptr; }
+  std::string header(std::string_view name) const {
+    return std::string(find_header(request.headers, name).value_or(""));
+  }
+  HttpHeaders head() const {
+    return {{platform::kRequestId, header(platform::kRequestId)},
+            {platform::kSignature, "signed"},
+            {"Content-Type", "text/event-stream"}};
+  }
+  void begin(int status = 200) { callbacks->on_headers(status, head()); }
+  void event(uint64_t id) {
+    callbacks->on_body("id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n");
+  }
+  void end() { std::exchange(callbacks, nullptr)->on_end(); }
+  void refuse() {
+    callbacks->on_headers(503, {{platform::kNotExecuted, "1"}});
+    end();
+  }
+  void fail(Ran ran) {
+    std::exchange(callbacks, nullptr)
+        ->on_error({ErrorKind::kUpstreamFailed, "broken", "again", ran, {}});
+  }
+};
+
+class ScriptedWorkers : public HttpClient {
+ public:
+  HttpCallPtr send(const Address& server, const HttpRequest& request, const HttpCallOptions&,
+                   HttpCallCallbacks& callbacks) override {
+    calls.push_back({server, request, &callbacks});
+    ScriptedCall& call = calls.back();
+    if (on_call) {
+      on_call(call);
+    }
+    return std::make_unique<Handle>(call);
+  }
+  void fetch(const Address&, const HttpRequest&, const HttpCallOptions&,
+             Callback<HttpResponse>) override {}
+
+  std::list<ScriptedCall> calls;
+  std::function<void(ScriptedCall&)> on_call;  // must not use the callbacks at once
+
+ private:
+  class Handle : public HttpCall {
+   public:
+    explicit Handle(ScriptedCall& call) : call_(call) {}
+    ~Handle() override { call_.callbacks = nullptr; }
+    Handle(const Handle&) = delete;
+    Handle& operator=(const Handle&) = delete;
+
+   private:
+    ScriptedCall& call_;
+  };
+};
+
+inline platform::JobWire& job_wire() {
+  static platform::JobWire wire;
+  return wire;
+}
+
+inline const platform::RequestWire& request_wire() {
+  static const platform::RequestWire wire;
+  return wire;
+}
+
+// One node with its own loop, which can be frozen or destroyed.
+struct ClusterNode {
+  ClusterNode(VirtualClock& clock, SharedStore& shared, HttpClient& workers,
+              const std::string& name, uint64_t start, const ServingNodeKnobs& knobs = {})
+      : dispatcher(clock),
+        random(content_hash(name, start)),
+        store(shared, clock, dispatcher),
+        node({name, name + "#" + std::to_string(start), "zone-a", "10.0.0.1:7660"},
+             {clock, dispatcher, random, store, store, workers, request_wire(), job_wire(), logger,
+              metrics},
+             {platform::kOperatorTable, platform::kConfigurationKey, &platform::decode_routes,
+              platform::kWorkerTable, &platform::decode_worker},
+             knobs) {
+    node.start();
+  }
+  VirtualDispatcher dispatcher;
+  SeededRandomGenerator random;
+  NullLogger logger;
+  NullMetricsRegistry metrics;
+  MemoryWatchedStore store;
+  ServingNode node;
+};
+
+class ServingCluster {
+ public:
+  explicit ServingCluster(size_t node_count = 1, size_t worker_count = 2) {
+    write_configuration(1);
+    for (size_t index = 0; index < worker_count; ++index) {
+      write_worker("i-" + std::to_string(index), index, "ready");
+    }
+    for (size_t index = 0; index < node_count; ++index) {
+      start_node("n" + std::to_string(index));
+    }
+    clock.run_for(milliseconds(200));
+  }
+
+  // @param change of the parsed configuration before it is written.
+  void write_configuration(uint64_t version,
+                           const std::function<void(nlohmann::json&)>& change = nullptr) {
+    nlohmann::json configuration = nlohmann::json::parse(R"({
+      "version": 1,
+      "routes": [
+        {"name": "stream", "host": "a.example", "path_prefix": "/stream/", "kind": "streaming",
+         "timeout_ms": 8000, "target_ms": 300, "service": "engines", "attempts": 2,
+         "resumable": true},
+        {"name": "fixed", "host": "a.example", "path_prefix": "/fixed/", "kind": "streaming",
+         "timeout_ms": 8000, "target_ms": 300, "service": "engines", "attempts": 2,
+         "resumable": false},
+        {"name": "plain", "host": "a.example", "path_prefix": "/plain/", "kind": "idempotent",
+         "timeout_ms": 4000, "target_ms": 300, "service": "engines", "attempts": 2},
+        {"name": "once", "host": "a.example", "path_prefix": "/once/", "kind": "non_idempotent",
+         "timeout_ms": 4000, "target_ms": 300, "service": "engines", "attempts": 2},
+        {"name": "batch", "host": "a.example", "path_prefix": "/batch/", "kind": "batch",
+         "timeout_ms": 30000, "target_ms": 400, "run_target_ms": 20000, "retention_s": 60,
+         "service": "engines", "attempts": 3, "priority": 2}
+      ],
+      "services": [{"name": "engines", "max_conns": 100, "engine": {"kv_capacity": 100000}}]
+    })");
+    configuration["version"] = version;
+    if (change) {
+      change(configuration);
+    }
+    put("op", "config", configuration.dump());
+  }
+  void write_worker(const std::string& id, size_t number, const std::string& state,
+                    uint32_t slots = 4) {
+    const nlohmann::json worker = {{"service", "engines"},
+                                   {"address", "10.1.0." + std::to_string(number) + ":80"},
+                                   {"zone", "zone-a"},
+                                   {"slots", slots},
+                                   {"state", state}};
+    put("servers", id, worker.dump());
+  }
+  void put(const std::string& table, const std::string& key, std::optional<std::string> value) {
+    StoreTransaction transaction;
+    transaction.writes.push_back({{table, "", key}, std::move(value)});
+    shared.rows.commit(transaction);
+    shared.wake_followers();
+  }
+
+  ClusterNode& start_node(const std::string& name) {
+    nodes[name] = nullptr;
+    nodes[name] = std::make_unique<ClusterNode>(clock, shared, workers, name, ++starts_);
+    return *nodes[name];
+  }
+  void kill_node(const std::string& name) { nodes[name] = nullptr; }
+  ServingNode& node(const std::string& name = "n0") { return nodes.at(name)->node; }
+
+  SeenAnswerPtr request(const std::string& path, const std::string& id = "r1") {
+    HttpRequest message;
+    message.method = "POST";
+    message.path = path;
+    message.body = "body of " + id;
+    message.headers = {{platform::kRequestId, id}, {platform::kDeadline, "8000"}};
+    auto seen = std::make_shared<SeenAnswer>();
+    const RouteTablePtr table = node().routes();
+    const Route* route = table->find("a.example", path);
+    EXPECT_NE(route, nullptr);
+    node().gateway().handle(table, *route, platform::read_request("a.example", std::move(message)),
+                            std::make_unique<FakeWriter>(seen));
+    return seen;
+  }
+
+  RequestJob job(const std::string& id, size_t items, size_t body_bytes = 10) const {
+    nlohmann::json requests = nlohmann::json::array();
+    for (size_t index = 0; index < items; ++index) {
+      requests.push_back({{"id", id + "-" + std::to_string(index)},
+                          {"path", "/batch/x"},
+                          {"headers", nlohmann::json::object()},
+                          {"body", encode_base64(std::string(body_bytes, 'b'))},
+                          {"tokens", 10}});
+    }
+    RequestJob submission;
+    submission.id = id;
+    submission.host = "a.example";
+    submission.path = "/batch/j";
+    submission.content = nlohmann::json{{"requests", requests}}.dump();
+    submission.items = *job_wire().decode_items("a.example", submission.content);
+    return submission;
+  }
+
+  // Runs every call to its end: `events` events, each after `step`.
+  void answer_all(uint64_t events, Duration step) {
+    workers.on_call = [this, events, step](ScriptedCall& call) {
+      call_after(loop, step, [this, &call, events, step] { play(call, events, step); });
+    };
+  }
+
+  VirtualClock clock;
+  VirtualDispatcher loop{clock};
+  SharedStore shared;
+  ScriptedWorkers workers;
+  std::map<std::string, std::unique_ptr<ClusterNode>> nodes;
+
+ private:
+  void play(ScriptedCall& call, uint64_t events, Duration step) {
+    if (!call.open()) {
+      return;
+    }
+    call.begin();
+    const std::string last = call.header(platform::kLastEventId);
+    play_event(call, last.empty() ? 1 : std::stoull(last) + 1, events, step);
+  }
+  void play_event(ScriptedCall& call, uint64_t next, uint64_t events, Duration step) {
+    if (!call.open()) {
+      return;
+    }
+    if (next > events) {
+      call.end();
+      return;
+    }
+    call.event(next);
+    call_after(loop, step,
+               [this, &call, next, events, step] { play_event(call, next + 1, events, step); });
+  }
+  uint64_t starts_ = 0;
+};
+
+}  // namespace chalkshed
