Tell liveness and load between nodes by datagram; fence every adoption of a job

Ruled out: two owners at one epoch (the rows' versions differ). Change: every adoption draws a new epoch, also of one's own job, and an append counts as applied only if the stored bytes are its own.

Cause (the flapping that led there): sessions were renewed in the store; a store 50 times slower took 4 writes a second for 11 nodes, so all sessions lapsed at once. Change: nodes announce themselves once in the store and exchange heartbeats by datagram, which also carry what each has in flight at each worker; src/peers.

Change: new requests are refused once callers are sent elsewhere, and the stop ends within its grace.

--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-JobService::JobService(JobEnvironment& environment, NodeSessions& sessions,
+JobService::JobService(JobEnvironment& environment, SessionView& sessions,
                        std::function<bool()> may_start)
     : environment_(environment),
       sessions_(sessions),
@@ -98,10 +98,14 @@
   auto submit =
       std::make_unique<JobSubmit>(environment_, std::move(submission), sessions_.own_session());
   JobSubmit& started = *submit;
+  ++submitting_[started.submission().id];
   submits_.emplace(number, std::move(submit));
   started.start([this, number, callback = std::move(callback)](Expected<SubmitOutcome> outcome) {
     const std::shared_ptr<JobSubmit> ended = std::move(submits_.at(number));
     submits_.erase(number);
+    if (--submitting_[ended->submission().id] == 0) {
+      submitting_.erase(ended->submission().id);
+    }
     environment_.serving.dispatcher.post([ended] {});
     if (!outcome) {
       environment_.serving.logger.write(LogLevel::kInfo, "job_not_accepted",
@@ -407,12 +411,14 @@
     return;
   }
   if (record.owner == sessions_.own_session()) {
-    if (!owned_.contains(id)) {
-      load(id);
+    // Owned by an acceptance or takeover whose answer was lost. A new epoch fences whatever that
+    // one may still have under way.
+    if (!owned_.contains(id) && !submitting_.contains(id)) {
+      take_over(id);
     }
     return;
   }
-  if (!record.owner.empty() && sessions_.alive(record.owner)) {
+  if (!record.owner.empty() && sessions_.alive(record.owner, indexed.version)) {
     indexed.orphan = false;
     return;
   }
@@ -451,26 +457,23 @@
         }
         log(LogLevel::kInfo, "job_taken_over", mine, "its owner is gone");
         note(mine, commit->stamp.version);
-        load(mine.id);
+        load(mine, commit->stamp.version);
       }));
 }
 
-void JobService::load(const std::string& id) {
-  Indexed& indexed = index_.at(id);
-  indexed.busy = true;
-  loader_.load(indexed.record,
-               lifetime_.guard([this, id, version = indexed.version](Expected<LoadedJob> loaded) {
-                 const auto found = index_.find(id);
+void JobService::load(const StoredJob& record, StoreVersion version) {
+  index_.at(record.id).busy = true;
+  loader_.load(record, lifetime_.guard([this, record, version](Expected<LoadedJob> loaded) {
+                 const auto found = index_.find(record.id);
                  if (found == index_.end()) {
                    return;
                  }
                  found->second.busy = false;
-                 const StoredJob& record = found->second.record;
                  if (!loaded) {
                    log(LogLevel::kWarning, "job_not_loaded", record, loaded.error().message);
                    return;
                  }
-                 if (found->second.version != version || owned_.contains(id)) {
+                 if (found->second.version != version || owned_.contains(record.id)) {
                    return;
                  }
                  adopt(record, version, std::move(loaded->items), loaded->listed);
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -13,8 +13,8 @@
 #include "src/jobs/job_environment.h"
 #include "src/jobs/job_loader.h"
 #include "src/jobs/job_submit.h"
-#include "src/jobs/node_sessions.h"
 #include "src/jobs/owned_job.h"
+#include "src/peers/session_view.h"
 #include "src/watch/table_watcher.h"
 
 namespace chalkshed {
@@ -29,7 +29,7 @@
 class JobService : public TableObserver {
  public:
   // @param may_start whether batch may take places now: no online request waits for one.
-  JobService(JobEnvironment& environment, NodeSessions& sessions, std::function<bool()> may_start);
+  JobService(JobEnvironment& environment, SessionView& sessions, std::function<bool()> may_start);
 
   void start();
   // Changes of the job table.
@@ -77,7 +77,7 @@
   void sweep();
   void sweep_job(const std::string& id, Indexed& indexed);
   void take_over(const std::string& id);
-  void load(const std::string& id);
+  void load(const StoredJob& record, StoreVersion version);
   void release(const std::string& id);
   void check_drained();
   void read_stored(const Indexed& indexed, uint32_t from, Duration wait,
@@ -89,13 +89,14 @@
            const std::string& reason) const;
 
   JobEnvironment& environment_;
-  NodeSessions& sessions_;
+  SessionView& sessions_;
   std::function<bool()> may_start_;
   JobLoader loader_;
   std::map<std::string, Indexed> index_;
   std::map<std::string, Owned> owned_;
   std::map<uint64_t, std::unique_ptr<JobSubmit>> submits_;
   uint64_t next_submit_ = 0;
+  std::map<std::string, uint32_t> submitting_;  // submissions under way, by job
   bool draining_ = false;
   MonotonicTime drain_began_{};
   std::function<void()> on_drained_;
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -219,6 +219,7 @@
     transaction.writes.push_back(
         {job_result_key(record_.id, position++), encode_job_result(stored)});
   }
+  first_committing_value_ = transaction.writes.front().value.value_or("");
   if (commit_finishes_) {
     StoredJob finished = record_;
     finished.finished = true;
@@ -254,7 +255,9 @@
   for (const StoredRow& row : commit.current) {
     (row.key.table == kJobTable ? record_row : result_row) = &row;
   }
-  const bool result_there = result_row != nullptr && result_row->version > 0;
+  // Only the very bytes of this transaction prove that an earlier send of it was applied.
+  const bool result_there = result_row != nullptr && result_row->version > 0 &&
+                            result_row->value == first_committing_value_;
   if (record_row != nullptr && record_row->version == version_ && result_there) {
     accept_commit(result_row->version);  // an earlier send of this very transaction
     return;
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -87,6 +87,7 @@
   std::vector<JobResult> held_;
   std::vector<JobResult> pending_;     // ended, not yet sent to the store
   std::vector<JobResult> committing_;  // sent; the same until the store has answered clearly
+  std::string first_committing_value_;  // as it is written to the store
   bool commit_finishes_ = false;       // the commit under way holds the last result
   std::vector<std::function<void()>> on_commit_;
   TimerPtr commit_timer_;
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -21,27 +21,31 @@
       worker_watch_(dependencies.logger, workers_, tables.decode_worker),
       gateway_(serving_),
       batch_draw_(dependencies.random),
-      sessions_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                dependencies.logger, identity.node, identity.session, identity.peer_address,
-                knobs.sessions),
+      peers_(dependencies.time_source, dependencies.dispatcher, watched_store_, clock_,
+             dependencies.datagrams, workers_, dependencies.logger, identity.node,
+             identity.session, identity.peer_address, knobs.peers),
       job_environment_{serving_, route_watch_,           fresh_store_, dependencies.objects,
                        clock_,   dependencies.job_codec, batch_draw_,  knobs.jobs},
-      jobs_(job_environment_, sessions_, [this] { return !gateway_.any_waiting(); }),
+      jobs_(job_environment_, peers_, [this] { return !gateway_.any_waiting(); }),
       route_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                    dependencies.logger, tables.configuration_table, {""}, route_watch_,
                    knobs.watchers),
       worker_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                     dependencies.logger, tables.worker_table, {""}, worker_watch_, knobs.watchers),
       job_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                 dependencies.logger, kJobTable, job_partitions(), jobs_, knobs.watchers) {
+                 dependencies.logger, kJobTable, job_partitions(), jobs_, knobs.watchers),
+      node_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
+                  dependencies.logger, kNodeTable, {""}, peers_, knobs.watchers) {
   workers_.set_on_place_freed([this] { place_soon(); });
+  workers_.set_on_load_changed([this] { peers_.load_changed(); });
 }
 
 void ServingNode::start() {
   route_table_.start();
   worker_table_.start();
   job_table_.start();
-  sessions_.start();
+  node_table_.start();
+  peers_.start();
   jobs_.start();
 }
 
@@ -84,10 +88,19 @@
   check_drained();
 }
 
+bool ServingNode::refuses_requests() const {
+  return draining_ &&
+         dependencies_.time_source.monotonic_now() - drain_began_ >= knobs_.least_drain;
+}
+
 void ServingNode::check_drained() {
   const Duration elapsed = dependencies_.time_source.monotonic_now() - drain_began_;
-  if (elapsed >= knobs_.least_drain && jobs_drained_ && gateway_.requests_in_progress() == 0) {
-    dependencies_.logger.write(LogLevel::kInfo, "drain_ended", {});
+  const bool idle = jobs_drained_ && gateway_.requests_in_progress() == 0;
+  if ((elapsed >= knobs_.least_drain && idle) || elapsed >= knobs_.longest_drain) {
+    dependencies_.logger.write(
+        LogLevel::kInfo, "drain_ended",
+        {{"requests", std::to_string(gateway_.requests_in_progress())},
+         {"jobs", std::to_string(jobs_.owned_jobs())}});
     std::exchange(on_drained_, nullptr)();
     return;
   }
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -7,6 +7,7 @@
 
 #include "src/core/lifetime.h"
 #include "src/jobs/job_service.h"
+#include "src/peers/peer_exchange.h"
 #include "src/serving/route_watch.h"
 #include "src/serving/serving_gateway.h"
 #include "src/serving/worker_watch.h"
@@ -16,9 +17,9 @@
 
 struct ServingNodeIdentity {
   std::string node;     // unique name of the machine
-  std::string session;  // unique for this start
+  std::string session;  // unique for this start: NODE#START
   std::string zone;
-  std::string peer_address;  // "ip:port" where other nodes reach this one
+  Address peer_address;  // where datagrams of other nodes arrive
 };
 
 // Where the store holds what operators and workers write, and how it is read.
@@ -38,6 +39,7 @@
   WatchedStore& store;
   ObjectStore& objects;
   HttpClient& worker_client;
+  DatagramTransport& datagrams;
   const ServingProtocol& protocol;
   const JobCodec& job_codec;
   Logger& logger;
@@ -48,10 +50,12 @@
   WorkerKnobs workers;
   ServingKnobs serving;
   JobKnobs jobs;
-  NodeSessionKnobs sessions;
+  PeerKnobs peers;
   TableWatcherKnobs watchers;
   // A planned stop serves on for this long, until callers are sent elsewhere.
   Duration least_drain = std::chrono::milliseconds(2600);
+  // It ends after this long whatever still runs: the process is killed soon after.
+  Duration longest_drain = std::chrono::milliseconds(7500);
 };
 
 class ServingNode {
@@ -66,6 +70,9 @@
   // hands the jobs over, then calls `done` once.
   void begin_drain(std::function<void()> done);
 
+  // Whether the planned stop has come so far that new requests are refused.
+  bool refuses_requests() const;
+
   const RouteTablePtr& routes() const { return route_watch_.current(); }
   ServingGateway& gateway() { return gateway_; }
   JobService& jobs() { return jobs_; }
@@ -86,12 +93,13 @@
   WorkerWatch worker_watch_;
   ServingGateway gateway_;
   ServiceDraw batch_draw_;
-  NodeSessions sessions_;
+  PeerExchange peers_;
   JobEnvironment job_environment_;
   JobService jobs_;
   TableWatcher route_table_;
   TableWatcher worker_table_;
   TableWatcher job_table_;
+  TableWatcher node_table_;
   bool placing_soon_ = false;
   bool draining_ = false;
   bool jobs_drained_ = false;
--- /dev/null
+++ b/src/peers/heartbeat.cc
@@ -0,0 +1,54 @@
+#include "src/peers/heartbeat.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "src/peers/heartbeat_generated.h"
+
+namespace chalkshed {
+namespace {
+
+uint32_t milliseconds_of(Duration duration) {
+  const int64_t count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<uint32_t>(
+      std::clamp<int64_t>(count, 0, std::numeric_limits<uint32_t>::max()));
+}
+
+}  // namespace
+
+std::string encode_heartbeat(const Heartbeat& heartbeat) {
+  flatbuffers::FlatBufferBuilder builder;
+  std::vector<wire::WorkerLoadEntry> loads;
+  loads.reserve(heartbeat.loads.size());
+  for (const PeerWorkerLoad& load : heartbeat.loads) {
+    loads.emplace_back(load.worker, load.online, load.batch);
+  }
+  builder.Finish(wire::CreateHeartbeat(
+      builder, builder.CreateString(heartbeat.session), heartbeat.sequence, heartbeat.draining,
+      milliseconds_of(heartbeat.store_silence), heartbeat.store_version,
+      builder.CreateVectorOfStructs(loads)));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+std::optional<Heartbeat> decode_heartbeat(std::string_view datagram) {
+  const auto* bytes = reinterpret_cast<const uint8_t*>(datagram.data());
+  flatbuffers::Verifier verifier(bytes, datagram.size());
+  if (!wire::VerifyHeartbeatBuffer(verifier)) {
+    return std::nullopt;
+  }
+  const wire::Heartbeat* message = wire::GetHeartbeat(bytes);
+  Heartbeat heartbeat;
+  heartbeat.session = message->session()->str();
+  heartbeat.sequence = message->sequence();
+  heartbeat.draining = message->draining();
+  heartbeat.store_silence = std::chrono::milliseconds(message->store_silence_ms());
+  heartbeat.store_version = message->store_version();
+  if (message->loads() != nullptr) {
+    for (const wire::WorkerLoadEntry* load : *message->loads()) {
+      heartbeat.loads.push_back({load->worker(), load->online(), load->batch()});
+    }
+  }
+  return heartbeat;
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/peers/heartbeat.h
@@ -0,0 +1,35 @@
+// What a node tells its peers a few times a second.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/core/time.h"
+#include "src/platform/watched_store.h"
+
+namespace chalkshed {
+
+// Requests that one node has in flight at one worker.
+struct PeerWorkerLoad {
+  uint64_t worker = 0;  // hash of its incarnation
+  uint16_t online = 0;
+  uint16_t batch = 0;
+};
+
+struct Heartbeat {
+  std::string session;
+  uint64_t sequence = 0;  // grows; older ones arrive late and are ignored
+  bool draining = false;
+  Duration store_silence{0};
+  StoreVersion store_version = 0;
+  std::vector<PeerWorkerLoad> loads;
+};
+
+std::string encode_heartbeat(const Heartbeat& heartbeat);
+// @return nothing when the bytes form no heartbeat.
+std::optional<Heartbeat> decode_heartbeat(std::string_view datagram);
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/peers/peer_exchange.cc
@@ -0,0 +1,239 @@
+#include "src/peers/peer_exchange.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "src/core/digest.h"
+
+namespace chalkshed {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(250);
+// A longer time between two ticks means that this process itself stood still.
+constexpr Duration kOwnPause = std::chrono::milliseconds(1000);
+
+// Sessions are named NODE#START.
+std::string node_of(const std::string& session) { return session.substr(0, session.rfind('#')); }
+
+}  // namespace
+
+PeerExchange::PeerExchange(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store,
+                           StoreClock& clock, DatagramTransport& datagrams, WorkerSet& workers,
+                           Logger& logger, std::string node, std::string session, Address address,
+                           const PeerKnobs& knobs)
+    : time_source_(time_source),
+      store_(store),
+      clock_(clock),
+      datagrams_(datagrams),
+      workers_(workers),
+      logger_(logger),
+      node_(std::move(node)),
+      session_(std::move(session)),
+      address_(std::move(address)),
+      knobs_(knobs),
+      tick_timer_(dispatcher.create_timer([this] { tick(); })),
+      send_timer_(dispatcher.create_timer([this] { send_heartbeats(); })),
+      announce_timer_(dispatcher.create_timer([this] { announce(); })) {
+  datagrams_.set_receiver(lifetime_.guard(
+      [this](const Address& /*from*/, std::string_view datagram) { receive(datagram); }));
+}
+
+void PeerExchange::start() {
+  ticked_ = time_source_.monotonic_now();
+  heard_anyone_ = ticked_;
+  announce();
+  tick();
+}
+
+void PeerExchange::announce() {
+  const nlohmann::json value = {
+      {"session", session_}, {"ip", address_.ip}, {"port", address_.port}};
+  StoreTransaction announcement;
+  announcement.writes.push_back({{kNodeTable, "", node_}, value.dump()});
+  store_.commit(std::move(announcement),
+                lifetime_.guard([this](const Expected<StoreCommit>& commit) {
+                  if (!commit) {
+                    announce_timer_->enable(knobs_.announce_retry);
+                  }
+                }));
+}
+
+void PeerExchange::on_row(const StoredRow& row) {
+  if (row.key.key == node_) {
+    return;
+  }
+  Peer& peer = peers_[row.key.key];
+  const nlohmann::json fields =
+      row.removed ? nlohmann::json() : nlohmann::json::parse(row.value, nullptr, false);
+  const std::string session = fields.is_object() ? fields.value("session", "") : "";
+  if (session == peer.session) {
+    return;
+  }
+  take_loads(peer, {});
+  peer = Peer{};
+  peer.session = session;
+  if (fields.is_object()) {
+    peer.address = {fields.value("ip", ""), fields.value("port", uint16_t{0})};
+  }
+  peer.announcement = row.version;
+  peer.announced = time_source_.monotonic_now();
+  unannounced_.erase(session);
+  logger_.write(LogLevel::kInfo, "peer_announced",
+                {{"node", row.key.key},
+                 {"session", session},
+                 {"store_version", std::to_string(row.version)}});
+  load_changed();
+}
+
+void PeerExchange::begin_drain() {
+  draining_ = true;
+  send_heartbeats();
+}
+
+void PeerExchange::load_changed() {
+  if (send_timer_->enabled()) {
+    return;
+  }
+  const Duration since = time_source_.monotonic_now() - sent_;
+  send_timer_->enable(std::max(knobs_.least_interval - since, Duration(0)));
+}
+
+void PeerExchange::tick() {
+  tick_timer_->enable(kTickInterval);
+  const MonotonicTime now = time_source_.monotonic_now();
+  const Duration pause = now - ticked_;
+  ticked_ = now;
+  if (pause > kOwnPause) {
+    // Nothing could be heard meanwhile; nobody is to blame for it.
+    logger_.write(LogLevel::kWarning, "process_stood_still",
+                  {{"milliseconds", std::to_string(pause.count() / 1000)}});
+    heard_anyone_ += pause;
+    for (auto& [node, peer] : peers_) {
+      peer.heard += pause;
+      peer.announced += pause;
+    }
+  }
+  judge_peers();
+  if (now - sent_ >= knobs_.heartbeat_interval) {
+    send_heartbeats();
+  }
+}
+
+Duration PeerExchange::own_store_silence() const {
+  return time_source_.monotonic_now() - clock_.last_heard();
+}
+
+void PeerExchange::send_heartbeats() {
+  sent_ = time_source_.monotonic_now();
+  Heartbeat heartbeat;
+  heartbeat.session = session_;
+  heartbeat.sequence = ++sequence_;
+  heartbeat.draining = draining_;
+  heartbeat.store_silence = own_store_silence();
+  heartbeat.store_version = clock_.newest();
+  // The largest datagram holds fewer than this many loads.
+  constexpr size_t kMostLoads = 60;
+  for (const auto& [incarnation, worker] : workers_.workers()) {
+    if (worker->in_flight() > 0 && heartbeat.loads.size() < kMostLoads) {
+      heartbeat.loads.push_back({worker->hash, static_cast<uint16_t>(worker->online_in_flight),
+                                 static_cast<uint16_t>(worker->batch_in_flight)});
+    }
+  }
+  const std::string datagram = encode_heartbeat(heartbeat);
+  for (const auto& [node, peer] : peers_) {
+    if (!peer.address.ip.empty()) {
+      datagrams_.send(peer.address, datagram);
+    }
+  }
+}
+
+void PeerExchange::receive(std::string_view datagram) {
+  const std::optional<Heartbeat> heartbeat = decode_heartbeat(datagram);
+  if (!heartbeat) {
+    return;
+  }
+  const auto found = std::find_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return entry.second.session == heartbeat->session;
+  });
+  if (found == peers_.end() || heartbeat->sequence <= found->second.sequence) {
+    return;
+  }
+  Peer& peer = found->second;
+  peer.sequence = heartbeat->sequence;
+  peer.heard = time_source_.monotonic_now();
+  heard_anyone_ = peer.heard;
+  peer.draining = heartbeat->draining;
+  peer.store_silence = heartbeat->store_silence;
+  clock_.observe_version(heartbeat->store_version);
+  take_loads(peer, heartbeat->loads);
+}
+
+void PeerExchange::take_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads) {
+  for (const auto& [worker, load] : peer.loads) {
+    workers_.add_peer_load(worker, -load.online, -load.batch);
+  }
+  peer.loads.clear();
+  for (const PeerWorkerLoad& load : loads) {
+    if (peer.loads.emplace(load.worker, load).second) {
+      workers_.add_peer_load(load.worker, load.online, load.batch);
+    }
+  }
+}
+
+bool PeerExchange::lapsed(const Peer& peer) const {
+  const MonotonicTime now = time_source_.monotonic_now();
+  const bool alone = now - heard_anyone_ > knobs_.lapse_after;
+  const Duration patience = alone ? knobs_.lapse_when_alone : knobs_.lapse_after;
+  if (now - std::max(peer.heard, peer.announced) > patience) {
+    return true;
+  }
+  return peer.store_silence > knobs_.store_silence && own_store_silence() < knobs_.lapse_after;
+}
+
+void PeerExchange::judge_peers() {
+  const MonotonicTime now = time_source_.monotonic_now();
+  for (auto& [node, peer] : peers_) {
+    const bool now_lapsed = lapsed(peer);
+    if (now_lapsed != peer.lapsed) {
+      logger_.write(LogLevel::kInfo, now_lapsed ? "session_lapsed" : "session_regained",
+                    {{"node", node},
+                     {"session", peer.session},
+                     {"heard_ms_ago", std::to_string((now - peer.heard).count() / 1000)},
+                     {"its_store_silence_ms", std::to_string(peer.store_silence.count() / 1000)}});
+    }
+    peer.lapsed = now_lapsed;
+    if (now - peer.heard > knobs_.load_lifetime) {
+      take_loads(peer, {});
+    }
+  }
+}
+
+bool PeerExchange::alive(const std::string& session, StoreVersion seen) {
+  if (session == session_) {
+    return true;
+  }
+  const auto peer = peers_.find(node_of(session));
+  if (peer != peers_.end() && peer->second.session == session) {
+    return !lapsed(peer->second);
+  }
+  if (peer != peers_.end() && seen < peer->second.announcement) {
+    return false;
+  }
+  // Its announcement may be on its way.
+  const MonotonicTime now = time_source_.monotonic_now();
+  const auto [entry, is_new] = unannounced_.try_emplace(session, now);
+  return now - entry->second <= knobs_.lapse_after;
+}
+
+size_t PeerExchange::rank(const std::string& key) const {
+  const uint64_t seed = content_hash(key);
+  const uint64_t own = content_hash(node_, seed);
+  return static_cast<size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    return !peer.draining && !peer.session.empty() && !lapsed(peer) &&
+           content_hash(entry.first, seed) > own;
+  }));
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/peers/peer_exchange.h
@@ -0,0 +1,111 @@
+// Nodes and what they tell each other. A node announces itself with a row in the store, which its
+// peers watch; from then on they exchange heartbeats by datagram: that the node lives, whether it
+// reaches the store, and what it has in flight at each worker.
+//
+// A new session of a node ends the one before at once. A session without heartbeats lapses after a
+// while, and so does one that has lost the store while this node has it. Both only free its work to
+// be taken over; fencing in the store keeps a wrong guess harmless.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "src/core/address.h"
+#include "src/core/dispatcher.h"
+#include "src/core/lifetime.h"
+#include "src/logging/logger.h"
+#include "src/peers/heartbeat.h"
+#include "src/peers/session_view.h"
+#include "src/platform/watched_store.h"
+#include "src/serving/worker_set.h"
+#include "src/transport/peer_transport.h"
+#include "src/watch/store_clock.h"
+#include "src/watch/table_watcher.h"
+
+namespace chalkshed {
+
+struct PeerKnobs {
+  // Between two heartbeats when nothing changes.
+  Duration heartbeat_interval = std::chrono::milliseconds(500);
+  // Changes of the load are told at most this often.
+  Duration least_interval = std::chrono::milliseconds(40);
+  Duration lapse_after = std::chrono::milliseconds(2500);
+  // A node that hears nobody may itself be the one that is cut off.
+  Duration lapse_when_alone = std::chrono::milliseconds(6000);
+  // A peer that the store has not answered for this long loses its work.
+  Duration store_silence = std::chrono::milliseconds(4500);
+  // A load that was told longer ago counts no more.
+  Duration load_lifetime = std::chrono::milliseconds(1500);
+  Duration announce_retry = std::chrono::milliseconds(500);
+};
+
+inline constexpr const char* kNodeTable = "node";  // key: the node's name
+
+class PeerExchange : public TableObserver, public SessionView {
+ public:
+  // @param node unique name of the machine. All references outlive the exchange.
+  PeerExchange(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store,
+               StoreClock& clock, DatagramTransport& datagrams, WorkerSet& workers,
+               Logger& logger, std::string node, std::string session, Address address,
+               const PeerKnobs& knobs = {});
+
+  void start();
+  // Rows of the node table.
+  void on_row(const StoredRow& row) override;
+  // What this node has in flight has changed.
+  void load_changed();
+
+  const std::string& own_session() const override { return session_; }
+  bool alive(const std::string& session, StoreVersion seen) override;
+  size_t rank(const std::string& key) const override;
+  void begin_drain() override;
+
+ private:
+  struct Peer {
+    std::string session;
+    Address address;
+    StoreVersion announcement = 0;
+    MonotonicTime announced{};
+    MonotonicTime heard{};  // the last heartbeat of this session
+    uint64_t sequence = 0;
+    bool draining = false;
+    Duration store_silence{0};
+    bool lapsed = false;
+    std::map<uint64_t, PeerWorkerLoad> loads;
+  };
+
+  void announce();
+  void tick();
+  void send_heartbeats();
+  void receive(std::string_view datagram);
+  void take_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads);
+  void judge_peers();
+  bool lapsed(const Peer& peer) const;
+  Duration own_store_silence() const;
+
+  TimeSource& time_source_;
+  WatchedStore& store_;
+  StoreClock& clock_;
+  DatagramTransport& datagrams_;
+  WorkerSet& workers_;
+  Logger& logger_;
+  const std::string node_;
+  const std::string session_;
+  const Address address_;
+  const PeerKnobs knobs_;
+  std::map<std::string, Peer> peers_;  // by node, without this one
+  // Sessions that work is said to belong to, but that have not been announced: since when.
+  std::map<std::string, MonotonicTime> unannounced_;
+  bool draining_ = false;
+  uint64_t sequence_ = 0;
+  MonotonicTime sent_{};
+  MonotonicTime ticked_{};
+  MonotonicTime heard_anyone_{};
+  TimerPtr tick_timer_;
+  TimerPtr send_timer_;
+  TimerPtr announce_timer_;
+  Lifetime lifetime_;
+};
+
+}  // namespace chalkshed
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -47,6 +47,8 @@
   const bool is_new = !worker;
   if (is_new) {
     worker = std::make_shared<ServingWorker>();
+    worker->hash = content_hash(record.incarnation);
+    by_hash_[worker->hash] = worker;
   }
   worker->record = record;
   worker->listed = true;
@@ -69,10 +71,26 @@
   const MonotonicTime now = time_source_.monotonic_now();
   std::erase_if(workers_, [&](const auto& entry) {
     const ServingWorker& worker = *entry.second;
-    return !worker.listed && now - worker.unlisted_since > knobs_.unlisted_grace;
+    const bool old = !worker.listed && now - worker.unlisted_since > knobs_.unlisted_grace;
+    if (old) {
+      by_hash_.erase(worker.hash);
+    }
+    return old;
   });
 }
 
+void WorkerSet::add_peer_load(uint64_t worker, int32_t online, int32_t batch) {
+  const auto found = by_hash_.find(worker);
+  if (found == by_hash_.end()) {
+    return;
+  }
+  found->second->others_online += online;
+  found->second->others_batch += batch;
+  if (online + batch < 0 && on_place_freed_) {
+    on_place_freed_();
+  }
+}
+
 WorkerPtr WorkerSet::find(const std::string& incarnation) const {
   const auto found = workers_.find(incarnation);
   return found == workers_.end() ? nullptr : found->second;
@@ -84,7 +102,8 @@
 }
 
 uint32_t WorkerSet::load_of(const ServingWorker& worker) const {
-  uint32_t others = worker.others_online + worker.others_batch;
+  // A worker that was listed after a peer told its load may show less than nothing.
+  auto others = static_cast<uint32_t>(std::max(worker.others_online + worker.others_batch, 0));
   if (worker.report) {
     const Duration age = time_source_.monotonic_now() - worker.reported;
     if (age < knobs_.report_lifetime) {
@@ -188,11 +207,18 @@
   if (!worker) {
     return nullptr;
   }
-  return std::make_unique<WorkerPlace>(std::move(worker), request.work, [this] {
+  auto place = std::make_unique<WorkerPlace>(std::move(worker), request.work, [this] {
     if (on_place_freed_) {
       on_place_freed_();
     }
+    if (on_load_changed_) {
+      on_load_changed_();
+    }
   });
+  if (on_load_changed_) {
+    on_load_changed_();
+  }
+  return place;
 }
 
 void WorkerSet::note_report(ServingWorker& worker, const WorkerLoadReport& report) {
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -36,13 +36,14 @@
 // One worker as this node sees it.
 struct ServingWorker {
   WorkerRecord record;
+  uint64_t hash = 0;  // of the incarnation; names the worker between nodes
   bool listed = true;  // false: its record is gone
   MonotonicTime unlisted_since{};
   uint32_t online_in_flight = 0;  // of this node
   uint32_t batch_in_flight = 0;
   // What the other nodes have in flight there, as far as told.
-  uint32_t others_online = 0;
-  uint32_t others_batch = 0;
+  int32_t others_online = 0;
+  int32_t others_batch = 0;
   // The worker's own report, beside an answer.
   std::optional<WorkerLoadReport> report;
   MonotonicTime reported{};
@@ -94,6 +95,9 @@
   // @return a place, or null when no worker may take the request now.
   WorkerPlacePtr take_place(const PlaceRequest& request);
 
+  // What another node has in flight at the worker of that hash has changed by so much.
+  void add_peer_load(uint64_t worker, int32_t online, int32_t batch);
+
   // What the answers of a worker tell.
   void note_report(ServingWorker& worker, const WorkerLoadReport& report);
   void note_success(ServingWorker& worker);
@@ -103,6 +107,10 @@
 
   // Called whenever a place at any worker becomes free or a worker appears.
   void set_on_place_freed(std::function<void()> callback) { on_place_freed_ = std::move(callback); }
+  // Called whenever what this node has in flight changes.
+  void set_on_load_changed(std::function<void()> callback) {
+    on_load_changed_ = std::move(callback);
+  }
 
   // Places of the service that are free by this node's view.
   uint32_t free_places(std::string_view service) const;
@@ -125,7 +133,9 @@
   std::string own_zone_;
   WorkerKnobs knobs_;
   std::map<std::string, WorkerPtr> workers_;  // by incarnation
+  std::map<uint64_t, WorkerPtr> by_hash_;
   std::function<void()> on_place_freed_;
+  std::function<void()> on_load_changed_;
 };
 
 }  // namespace chalkshed
--- a/src/watch/store_clock.h
+++ b/src/watch/store_clock.h
@@ -10,16 +10,22 @@
 
 class StoreClock {
  public:
-  explicit StoreClock(TimeSource& time_source) : time_source_(time_source) {}
+  explicit StoreClock(TimeSource& time_source)
+      : time_source_(time_source), last_heard_(time_source.monotonic_now()) {}
 
   void observe(const StoreStamp& stamp) {
-    newest_ = std::max(newest_, stamp.version);
+    observe_version(stamp.version);
+    last_heard_ = time_source_.monotonic_now();
     // The answer that took least time to arrive is closest to the truth.
     const Duration offset = stamp.steady_clock - time_source_.monotonic_now().time_since_epoch();
     offset_ = known_ ? std::max(offset_, offset) : offset;
     known_ = true;
   }
-  // Newest version of the store that any answer has told.
+  // From another node that has seen it.
+  void observe_version(StoreVersion version) { newest_ = std::max(newest_, version); }
+  // When the store last answered this node.
+  MonotonicTime last_heard() const { return last_heard_; }
+  // Newest version of the store that this node knows of.
   StoreVersion newest() const { return newest_; }
   // The store's clock now, as far as known.
   Duration now() const { return time_source_.monotonic_now().time_since_epoch() + offset_; }
@@ -27,6 +33,7 @@
  private:
   TimeSource& time_source_;
   StoreVersion newest_ = 0;
+  MonotonicTime last_heard_;
   Duration offset_{0};
   bool known_ = false;
 };
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -86,6 +86,41 @@
   };
 };
 
+// Datagrams between the nodes of one cluster, delivered after a millisecond.
+class DatagramHub {
+ public:
+  explicit DatagramHub(Dispatcher& dispatcher) : dispatcher_(dispatcher) {}
+  void deliver(const Address& from, const Address& to, std::string datagram) {
+    call_after(dispatcher_, milliseconds(1), [this, from, to, datagram = std::move(datagram)] {
+      const auto found = receivers.find(to);
+      if (found != receivers.end() && !cut.contains(from) && !cut.contains(to)) {
+        found->second(from, datagram);
+      }
+    });
+  }
+  std::map<Address, DatagramTransport::Receiver> receivers;
+  std::set<Address> cut;
+
+ private:
+  Dispatcher& dispatcher_;
+};
+
+class HubDatagrams : public DatagramTransport {
+ public:
+  HubDatagrams(DatagramHub& hub, Address own) : hub_(hub), own_(std::move(own)) {}
+  ~HubDatagrams() override { hub_.receivers.erase(own_); }
+  HubDatagrams(const HubDatagrams&) = delete;
+  HubDatagrams& operator=(const HubDatagrams&) = delete;
+  void send(const Address& to, std::string_view datagram) override {
+    hub_.deliver(own_, to, std::string(datagram));
+  }
+  void set_receiver(Receiver receiver) override { hub_.receivers[own_] = std::move(receiver); }
+
+ private:
+  DatagramHub& hub_;
+  Address own_;
+};
+
 inline platform::JobWire& job_wire() {
   static platform::JobWire wire;
   return wire;
@@ -98,24 +133,28 @@
 
 // One node with its own loop, which can be frozen or destroyed.
 struct ClusterNode {
-  ClusterNode(VirtualClock& clock, SharedStore& shared, HttpClient& workers,
+  ClusterNode(VirtualClock& clock, SharedStore& shared, HttpClient& workers, DatagramHub& hub,
               const std::string& name, uint64_t start, const ServingNodeKnobs& knobs = {})
-      : dispatcher(clock),
+      : address{name, 7660},
+        dispatcher(clock),
         random(content_hash(name, start)),
         store(shared, clock, dispatcher),
-        node({name, name + "#" + std::to_string(start), "zone-a", "10.0.0.1:7660"},
-             {clock, dispatcher, random, store, store, workers, request_wire(), job_wire(), logger,
-              metrics},
+        datagrams(hub, address),
+        node({name, name + "#" + std::to_string(start), "zone-a", address},
+             {clock, dispatcher, random, store, store, workers, datagrams, request_wire(),
+              job_wire(), logger, metrics},
              {platform::kOperatorTable, platform::kConfigurationKey, &platform::decode_routes,
               platform::kWorkerTable, &platform::decode_worker},
              knobs) {
     node.start();
   }
+  Address address;
   VirtualDispatcher dispatcher;
   SeededRandomGenerator random;
   NullLogger logger;
   NullMetricsRegistry metrics;
   MemoryWatchedStore store;
+  HubDatagrams datagrams;
   ServingNode node;
 };
 
@@ -178,7 +217,7 @@
 
   ClusterNode& start_node(const std::string& name) {
     nodes[name] = nullptr;
-    nodes[name] = std::make_unique<ClusterNode>(clock, shared, workers, name, ++starts_);
+    nodes[name] = std::make_unique<ClusterNode>(clock, shared, workers, hub, name, ++starts_);
     return *nodes[name];
   }
   void kill_node(const std::string& name) { nodes[name] = nullptr; }
@@ -227,6 +266,7 @@
   VirtualClock clock;
   VirtualDispatcher loop{clock};
   SharedStore shared;
+  DatagramHub hub{loop};
   ScriptedWorkers workers;
   std::map<std::string, std::unique_ptr<ClusterNode>> nodes;
 
