Use unlisted workers only when a service has no listed one

Found by the log: worker_unlisted at 7.92 s, a request sent there at 10.03 s. Ruled out: a late feed (the sending node had seen the row go 3 ms after the store). Change: only when no listed worker of the service stays, which is what a store outage looks like. The test was seen to fail without the change.

--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -156,6 +156,13 @@
   return milliseconds;
 }
 
+bool WorkerSet::any_listed(std::string_view service) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const ServingWorker& worker = *entry.second;
+    return worker.record.service == service && worker.listed && !worker.record.leaving;
+  });
+}
+
 WorkerPtr WorkerSet::choose(const PlaceRequest& request, bool ignore_failures) const {
   const MonotonicTime now = time_source_.monotonic_now();
   const uint32_t shared = request.request == nullptr ? 0 : shared_tokens(*request.request);
@@ -168,9 +175,12 @@
   };
   std::vector<Candidate> candidates;
   std::vector<uint64_t> ranks;  // of all workers of the service, full ones too
+  // All records of a service vanish together only while the store is in trouble.
+  const bool use_unlisted = ignore_failures && !any_listed(request.service);
   for (const auto& [incarnation, worker] : workers_) {
-    const bool sound = worker->listed && worker->avoided_until <= now;
-    if (worker->record.service != request.service || (!sound && !ignore_failures)) {
+    const bool known = worker->listed || use_unlisted;
+    const bool sound = worker->avoided_until <= now || ignore_failures;
+    if (worker->record.service != request.service || !known || !sound) {
       continue;
     }
     const uint64_t rank = by_prefix ? content_hash(incarnation, prefix) : 0;
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -126,6 +126,8 @@
   bool has_room(const ServingWorker& worker, WorkClass work) const;
   double cost(const ServingWorker& worker) const;
   WorkerPtr choose(const PlaceRequest& request, bool ignore_failures) const;
+  // Whether the service has a worker that the source of truth names and that stays.
+  bool any_listed(std::string_view service) const;
   void forget_old();
 
   TimeSource& time_source_;
--- /dev/null
+++ b/tests/serving/worker_set_test.cc
@@ -0,0 +1,129 @@
+#include "src/serving/worker_set.h"
+
+#include <gtest/gtest.h>
+
+#include "sim/virtual_time.h"
+
+namespace chalkshed {
+namespace {
+
+WorkerRecord record(const std::string& incarnation, uint32_t slots = 2) {
+  WorkerRecord worker;
+  worker.incarnation = incarnation;
+  worker.service = "engines";
+  worker.address = {"10.0.0.1", 80};
+  worker.slots = slots;
+  return worker;
+}
+
+class WorkerSetTest : public testing::Test {
+ protected:
+  WorkerPlacePtr take(bool even_if_full = false, WorkClass work = WorkClass::kOnline) {
+    PlaceRequest request;
+    request.service = "engines";
+    request.work = work;
+    request.even_if_full = even_if_full;
+    return workers.take_place(request);
+  }
+
+  VirtualClock clock;
+  SeededRandomGenerator random{7};
+  WorkerSet workers{clock, random, "zone-a"};
+};
+
+TEST_F(WorkerSetTest, RequestsGoWhereFewestAreInFlight) {
+  workers.update(record("i-1"));
+  workers.update(record("i-2"));
+  const WorkerPlacePtr first = take();
+  const WorkerPlacePtr second = take();
+  EXPECT_NE(first->worker().record.incarnation, second->worker().record.incarnation);
+}
+
+TEST_F(WorkerSetTest, NoPlaceIsGivenBeyondTheSlots) {
+  workers.update(record("i-1"));
+  const WorkerPlacePtr first = take();
+  WorkerPlacePtr second = take();
+  EXPECT_EQ(take(), nullptr);
+  second.reset();
+  EXPECT_NE(take(), nullptr);
+}
+
+TEST_F(WorkerSetTest, WhatOtherNodesHaveInFlightTakesPlaces) {
+  workers.update(record("i-1"));
+  const uint64_t hash = workers.find("i-1")->hash;
+  workers.add_peer_load(hash, 1, 1);
+  EXPECT_EQ(take(), nullptr);
+  workers.add_peer_load(hash, -1, 0);
+  EXPECT_NE(take(), nullptr);
+}
+
+TEST_F(WorkerSetTest, ALeavingWorkerTakesNothing) {
+  workers.update(record("i-1"));
+  WorkerRecord leaving = record("i-1");
+  leaving.leaving = true;
+  workers.update(leaving);
+  EXPECT_EQ(take(true), nullptr);
+}
+
+TEST_F(WorkerSetTest, AnUnlistedWorkerTakesNothingWhileAnotherIsListedThoughFull) {
+  workers.update(record("i-1", 1));
+  workers.update(record("i-2", 8));
+  workers.remove("i-2");
+  const WorkerPlacePtr first = take();
+  EXPECT_EQ(first->worker().record.incarnation, "i-1");
+  EXPECT_EQ(take(), nullptr);
+  EXPECT_EQ(take(true)->worker().record.incarnation, "i-1");
+}
+
+TEST_F(WorkerSetTest, WhenAllRecordsVanishTheLastKnownServeForAWhile) {
+  workers.update(record("i-1"));
+  workers.remove("i-1");
+  EXPECT_NE(take(), nullptr);
+  clock.run_for(std::chrono::seconds(11));
+  workers.update(record("i-2"));
+  EXPECT_EQ(workers.find("i-1"), nullptr);
+}
+
+TEST_F(WorkerSetTest, BatchLeavesPlacesFree) {
+  workers.update(record("i-1", 4));
+  std::vector<WorkerPlacePtr> places;
+  for (WorkerPlacePtr place = take(false, WorkClass::kBatch); place;
+       place = take(false, WorkClass::kBatch)) {
+    places.push_back(std::move(place));
+  }
+  EXPECT_EQ(places.size(), 3U);
+  EXPECT_NE(take(), nullptr);
+}
+
+TEST_F(WorkerSetTest, AWorkerThatFailedIsAvoidedButNotLost) {
+  workers.update(record("i-1", 8));
+  workers.update(record("i-2", 8));
+  workers.note_failure(*workers.find("i-1"));
+  for (int count = 0; count < 4; ++count) {
+    const WorkerPlacePtr place = take();
+    EXPECT_EQ(place->worker().record.incarnation, "i-2");
+  }
+  workers.note_failure(*workers.find("i-2"));
+  EXPECT_NE(take(), nullptr);
+}
+
+TEST_F(WorkerSetTest, ALongSharedPromptReturnsToTheWorkersThatKeepIt) {
+  for (int number = 0; number < 8; ++number) {
+    workers.update(record("i-" + std::to_string(number), 8));
+  }
+  ServingRequest request;
+  request.prompt = {{"shared", 20000}, {"own", 100}};
+  PlaceRequest wanted;
+  wanted.service = "engines";
+  wanted.request = &request;
+  std::set<std::string> chosen;
+  std::vector<WorkerPlacePtr> places;
+  for (int count = 0; count < 6; ++count) {
+    places.push_back(workers.take_place(wanted));
+    chosen.insert(places.back()->worker().record.incarnation);
+  }
+  EXPECT_LE(chosen.size(), 2U);
+}
+
+}  // namespace
+}  // namespace chalkshed
