Choose workers by the milliseconds to the first token

Cause (late first tokens of short prompts in bursts, p99 at the target; long ones at twice theirs): a worker was chosen by how many requests it had, although what delays a first token there are the prompts that it still has to read (a long one takes 200 ms). Change: each worker's reading time is kept, own sends and those that peers tell in their heartbeats; the speed is measured from first tokens (median); a shared prompt is kept once instead of twice, since most are read for the first time.

--- a/src/jobs/job_item_run.cc
+++ b/src/jobs/job_item_run.cc
@@ -42,8 +42,9 @@
   options.silence_timeout = environment.knobs.item_silence;
   options.streaming = true;
   attempt_ = std::make_unique<WorkerAttempt>(
-      environment.serving.worker_client, environment.serving.protocol, environment.serving.workers,
-      std::move(place), send, options, *this);
+      environment.serving.time_source, environment.serving.worker_client,
+      environment.serving.protocol, environment.serving.workers, std::move(place), send, options,
+      *this);
 }
 
 void JobItemRun::on_events(std::string_view events) {
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -464,20 +464,20 @@
 void JobService::load(const StoredJob& record, StoreVersion version) {
   index_.at(record.id).busy = true;
   loader_.load(record, lifetime_.guard([this, record, version](Expected<LoadedJob> loaded) {
-                 const auto found = index_.find(record.id);
-                 if (found == index_.end()) {
-                   return;
-                 }
-                 found->second.busy = false;
-                 if (!loaded) {
-                   log(LogLevel::kWarning, "job_not_loaded", record, loaded.error().message);
-                   return;
-                 }
-                 if (found->second.version != version || owned_.contains(record.id)) {
-                   return;
-                 }
-                 adopt(record, version, std::move(loaded->items), loaded->listed);
-               }));
+    const auto found = index_.find(record.id);
+    if (found == index_.end()) {
+      return;
+    }
+    found->second.busy = false;
+    if (!loaded) {
+      log(LogLevel::kWarning, "job_not_loaded", record, loaded.error().message);
+      return;
+    }
+    if (found->second.version != version || owned_.contains(record.id)) {
+      return;
+    }
+    adopt(record, version, std::move(loaded->items), loaded->listed);
+  }));
 }
 
 void JobService::drain(std::function<void()> done) {
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -85,10 +85,10 @@
   bool lost_ = false;
   uint32_t first_held_;
   std::vector<JobResult> held_;
-  std::vector<JobResult> pending_;     // ended, not yet sent to the store
-  std::vector<JobResult> committing_;  // sent; the same until the store has answered clearly
+  std::vector<JobResult> pending_;      // ended, not yet sent to the store
+  std::vector<JobResult> committing_;   // sent; the same until the store has answered clearly
   std::string first_committing_value_;  // as it is written to the store
-  bool commit_finishes_ = false;       // the commit under way holds the last result
+  bool commit_finishes_ = false;        // the commit under way holds the last result
   std::vector<std::function<void()>> on_commit_;
   TimerPtr commit_timer_;
   Lifetime lifetime_;
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -22,8 +22,8 @@
       gateway_(serving_),
       batch_draw_(dependencies.random),
       peers_(dependencies.time_source, dependencies.dispatcher, watched_store_, clock_,
-             dependencies.datagrams, workers_, dependencies.logger, identity.node,
-             identity.session, identity.peer_address, knobs.peers),
+             dependencies.datagrams, workers_, dependencies.logger, identity.node, identity.session,
+             identity.peer_address, knobs.peers),
       job_environment_{serving_, route_watch_,           fresh_store_, dependencies.objects,
                        clock_,   dependencies.job_codec, batch_draw_,  knobs.jobs},
       jobs_(job_environment_, peers_, [this] { return !gateway_.any_waiting(); }),
@@ -97,10 +97,9 @@
   const Duration elapsed = dependencies_.time_source.monotonic_now() - drain_began_;
   const bool idle = jobs_drained_ && gateway_.requests_in_progress() == 0;
   if ((elapsed >= knobs_.least_drain && idle) || elapsed >= knobs_.longest_drain) {
-    dependencies_.logger.write(
-        LogLevel::kInfo, "drain_ended",
-        {{"requests", std::to_string(gateway_.requests_in_progress())},
-         {"jobs", std::to_string(jobs_.owned_jobs())}});
+    dependencies_.logger.write(LogLevel::kInfo, "drain_ended",
+                               {{"requests", std::to_string(gateway_.requests_in_progress())},
+                                {"jobs", std::to_string(jobs_.owned_jobs())}});
     std::exchange(on_drained_, nullptr)();
     return;
   }
--- a/src/peers/heartbeat.cc
+++ b/src/peers/heartbeat.cc
@@ -10,8 +10,7 @@
 
 uint32_t milliseconds_of(Duration duration) {
   const int64_t count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  return static_cast<uint32_t>(
-      std::clamp<int64_t>(count, 0, std::numeric_limits<uint32_t>::max()));
+  return static_cast<uint32_t>(std::clamp<int64_t>(count, 0, std::numeric_limits<uint32_t>::max()));
 }
 
 }  // namespace
@@ -21,12 +20,12 @@
   std::vector<wire::WorkerLoadEntry> loads;
   loads.reserve(heartbeat.loads.size());
   for (const PeerWorkerLoad& load : heartbeat.loads) {
-    loads.emplace_back(load.worker, load.online, load.batch);
+    loads.emplace_back(load.worker, load.online, load.batch, load.prompt_tokens);
   }
-  builder.Finish(wire::CreateHeartbeat(
-      builder, builder.CreateString(heartbeat.session), heartbeat.sequence, heartbeat.draining,
-      milliseconds_of(heartbeat.store_silence), heartbeat.store_version,
-      builder.CreateVectorOfStructs(loads)));
+  builder.Finish(
+      wire::CreateHeartbeat(builder, builder.CreateString(heartbeat.session), heartbeat.sequence,
+                            heartbeat.draining, milliseconds_of(heartbeat.store_silence),
+                            heartbeat.store_version, builder.CreateVectorOfStructs(loads)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -45,7 +44,8 @@
   heartbeat.store_version = message->store_version();
   if (message->loads() != nullptr) {
     for (const wire::WorkerLoadEntry* load : *message->loads()) {
-      heartbeat.loads.push_back({load->worker(), load->online(), load->batch()});
+      heartbeat.loads.push_back(
+          {load->worker(), load->online(), load->batch(), load->prompt_tokens()});
     }
   }
   return heartbeat;
--- a/src/peers/heartbeat.h
+++ b/src/peers/heartbeat.h
@@ -17,6 +17,7 @@
   uint64_t worker = 0;  // hash of its incarnation
   uint16_t online = 0;
   uint16_t batch = 0;
+  uint32_t prompt_tokens = 0;  // to be read, sent there since the node's session began; wraps
 };
 
 struct Heartbeat {
--- a/src/peers/heartbeat_generated.h
+++ b/src/peers/heartbeat_generated.h
@@ -26,22 +26,20 @@
   uint64_t worker_;
   uint16_t online_;
   uint16_t batch_;
-  int32_t padding0__;
+  uint32_t prompt_tokens_;
 
  public:
   WorkerLoadEntry()
       : worker_(0),
         online_(0),
         batch_(0),
-        padding0__(0) {
-    (void)padding0__;
+        prompt_tokens_(0) {
   }
-  WorkerLoadEntry(uint64_t _worker, uint16_t _online, uint16_t _batch)
+  WorkerLoadEntry(uint64_t _worker, uint16_t _online, uint16_t _batch, uint32_t _prompt_tokens)
       : worker_(flatbuffers::EndianScalar(_worker)),
         online_(flatbuffers::EndianScalar(_online)),
         batch_(flatbuffers::EndianScalar(_batch)),
-        padding0__(0) {
-    (void)padding0__;
+        prompt_tokens_(flatbuffers::EndianScalar(_prompt_tokens)) {
   }
   uint64_t worker() const {
     return flatbuffers::EndianScalar(worker_);
@@ -52,6 +50,9 @@
   uint16_t batch() const {
     return flatbuffers::EndianScalar(batch_);
   }
+  uint32_t prompt_tokens() const {
+    return flatbuffers::EndianScalar(prompt_tokens_);
+  }
 };
 FLATBUFFERS_STRUCT_END(WorkerLoadEntry, 16);
 
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -137,7 +137,8 @@
   for (const auto& [incarnation, worker] : workers_.workers()) {
     if (worker->in_flight() > 0 && heartbeat.loads.size() < kMostLoads) {
       heartbeat.loads.push_back({worker->hash, static_cast<uint16_t>(worker->online_in_flight),
-                                 static_cast<uint16_t>(worker->batch_in_flight)});
+                                 static_cast<uint16_t>(worker->batch_in_flight),
+                                 worker->prompt_tokens_sent});
     }
   }
   const std::string datagram = encode_heartbeat(heartbeat);
@@ -175,9 +176,14 @@
   }
   peer.loads.clear();
   for (const PeerWorkerLoad& load : loads) {
-    if (peer.loads.emplace(load.worker, load).second) {
-      workers_.add_peer_load(load.worker, load.online, load.batch);
+    if (!peer.loads.emplace(load.worker, load).second) {
+      continue;
     }
+    workers_.add_peer_load(load.worker, load.online, load.batch);
+    const auto [told, is_new] = peer.prompt_tokens.try_emplace(load.worker, load.prompt_tokens);
+    // The first sight of a counter says nothing of when its tokens were sent.
+    workers_.add_prompt_tokens(load.worker, is_new ? 0 : load.prompt_tokens - told->second);
+    told->second = load.prompt_tokens;
   }
 }
 
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -34,7 +34,7 @@
   // A node that hears nobody may itself be the one that is cut off.
   Duration lapse_when_alone = std::chrono::milliseconds(6000);
   // A peer that the store has not answered for this long loses its work.
-  Duration store_silence = std::chrono::milliseconds(4500);
+  Duration store_silence = std::chrono::milliseconds(2600);
   // A load that was told longer ago counts no more.
   Duration load_lifetime = std::chrono::milliseconds(1500);
   Duration announce_retry = std::chrono::milliseconds(500);
@@ -46,9 +46,8 @@
  public:
   // @param node unique name of the machine. All references outlive the exchange.
   PeerExchange(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store,
-               StoreClock& clock, DatagramTransport& datagrams, WorkerSet& workers,
-               Logger& logger, std::string node, std::string session, Address address,
-               const PeerKnobs& knobs = {});
+               StoreClock& clock, DatagramTransport& datagrams, WorkerSet& workers, Logger& logger,
+               std::string node, std::string session, Address address, const PeerKnobs& knobs = {});
 
   void start();
   // Rows of the node table.
@@ -72,7 +71,8 @@
     bool draining = false;
     Duration store_silence{0};
     bool lapsed = false;
-    std::map<uint64_t, PeerWorkerLoad> loads;
+    std::map<uint64_t, PeerWorkerLoad> loads;    // by worker
+    std::map<uint64_t, uint32_t> prompt_tokens;  // told last, by worker
   };
 
   void announce();
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -94,9 +94,9 @@
   options.connect_timeout = std::min(environment_.knobs.connect_timeout,
                                      std::max(time_left(), Duration(std::chrono::milliseconds(1))));
   options.streaming = route_.kind == RouteKind::kStreaming;
-  attempt_ = std::make_unique<WorkerAttempt>(environment_.worker_client, environment_.protocol,
-                                             environment_.workers, std::move(place), worker_send,
-                                             options, *this);
+  attempt_ = std::make_unique<WorkerAttempt>(environment_.time_source, environment_.worker_client,
+                                             environment_.protocol, environment_.workers,
+                                             std::move(place), worker_send, options, *this);
   return true;
 }
 
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -12,15 +12,18 @@
 
 }  // namespace
 
-WorkerAttempt::WorkerAttempt(HttpClient& client, const ServingProtocol& protocol,
-                             WorkerSet& workers, WorkerPlacePtr place, const WorkerSend& send,
+WorkerAttempt::WorkerAttempt(TimeSource& time_source, HttpClient& client,
+                             const ServingProtocol& protocol, WorkerSet& workers,
+                             WorkerPlacePtr place, const WorkerSend& send,
                              const AttemptOptions& options, AttemptObserver& observer)
-    : protocol_(protocol),
+    : time_source_(time_source),
+      protocol_(protocol),
       workers_(workers),
       place_(std::move(place)),
       request_(*send.request),
       streaming_(options.streaming),
-      observer_(observer) {
+      observer_(observer),
+      sent_(time_source.monotonic_now()) {
   HttpCallOptions call_options;
   call_options.pool = options.pool;
   call_options.connect_timeout = options.connect_timeout;
@@ -68,10 +71,17 @@
   }
   const std::string_view events = splitter_.add(data);
   if (!events.empty()) {
+    note_first_event();
     observer_.on_events(events);
   }
 }
 
+void WorkerAttempt::note_first_event() {
+  if (!std::exchange(has_event_, true) && place_->worker_was_idle) {
+    workers_.note_first_token(request_.prompt_tokens, time_source_.monotonic_now() - sent_);
+  }
+}
+
 void WorkerAttempt::on_end() {
   ServingWorker& worker = place_->worker();
   if (verdict_.not_run) {
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -48,9 +48,9 @@
 
 class WorkerAttempt : private HttpCallCallbacks {
  public:
-  WorkerAttempt(HttpClient& client, const ServingProtocol& protocol, WorkerSet& workers,
-                WorkerPlacePtr place, const WorkerSend& send, const AttemptOptions& options,
-                AttemptObserver& observer);
+  WorkerAttempt(TimeSource& time_source, HttpClient& client, const ServingProtocol& protocol,
+                WorkerSet& workers, WorkerPlacePtr place, const WorkerSend& send,
+                const AttemptOptions& options, AttemptObserver& observer);
   // Closes the connection unless the answer has ended; the worker then stops.
   ~WorkerAttempt() override = default;
   WorkerAttempt(const WorkerAttempt&) = delete;
@@ -68,6 +68,9 @@
   // Gives the connection up in the midst of the answer.
   void break_off(std::string reason);
 
+  void note_first_event();
+
+  TimeSource& time_source_;
   const ServingProtocol& protocol_;
   WorkerSet& workers_;
   WorkerPlacePtr place_;
@@ -75,6 +78,8 @@
   const bool streaming_;
   AttemptObserver& observer_;
   WorkerVerdict verdict_;
+  const MonotonicTime sent_;
+  bool has_event_ = false;
   bool relays_events_ = false;
   bool ended_ = false;
   EventSplitter splitter_;
--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -20,16 +20,19 @@
   Duration unlisted_grace = std::chrono::seconds(10);
   // Batch takes at most this share of a worker's places.
   double batch_share = 0.75;
-  // Prompt tokens that an engine reads in a millisecond: what a missing prefix costs.
-  double prompt_tokens_per_millisecond = 85.0;
-  // What each further request at an engine costs a new one, in milliseconds.
-  double milliseconds_per_request = 6.0;
+  // Prompt tokens that an engine reads in a millisecond, until it has been measured.
+  double prompt_tokens_per_millisecond = 60.0;
+  // What each further request at a worker costs a new one, in milliseconds.
+  double milliseconds_per_request = 1.0;
+  // What a worker whose places are all taken costs, and each request that waits there.
+  double full_milliseconds = 100.0;
+  double waiting_milliseconds = 50.0;
   // A worker in another zone counts as if it had this many milliseconds more to do.
   double other_zone_milliseconds = 2.0;
   // Shared prompt parts below this many tokens don't decide where a request goes.
   uint32_t least_shared_tokens = 1000;
-  // Workers that keep a shared prompt.
-  uint32_t prefix_copies = 2;
+  // How sure it is that the worker to which a shared prompt is sent first still keeps it.
+  double prefix_kept = 0.8;
 };
 
 }  // namespace chalkshed
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -40,7 +40,11 @@
 
 WorkerSet::WorkerSet(TimeSource& time_source, RandomGenerator& random, std::string own_zone,
                      const WorkerKnobs& knobs)
-    : time_source_(time_source), random_(random), own_zone_(std::move(own_zone)), knobs_(knobs) {}
+    : time_source_(time_source),
+      random_(random),
+      own_zone_(std::move(own_zone)),
+      knobs_(knobs),
+      prompt_rate_(knobs.prompt_tokens_per_millisecond) {}
 
 void WorkerSet::update(const WorkerRecord& record) {
   WorkerPtr& worker = workers_[record.incarnation];
@@ -91,6 +95,19 @@
   }
 }
 
+void WorkerSet::add_reading(ServingWorker& worker, double tokens) {
+  const auto time = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(tokens / prompt_rate_.tokens_per_millisecond()));
+  worker.reading_until = std::max(worker.reading_until, time_source_.monotonic_now()) + time;
+}
+
+void WorkerSet::add_prompt_tokens(uint64_t worker, uint32_t tokens) {
+  const auto found = by_hash_.find(worker);
+  if (found != by_hash_.end() && tokens > 0) {
+    add_reading(*found->second, tokens);
+  }
+}
+
 WorkerPtr WorkerSet::find(const std::string& incarnation) const {
   const auto found = workers_.find(incarnation);
   return found == workers_.end() ? nullptr : found->second;
@@ -142,13 +159,20 @@
          (request.even_if_full || has_room(worker, request.work));
 }
 
-// Milliseconds that a request waits for its first token at the worker, roughly.
-double WorkerSet::cost(const ServingWorker& worker) const {
+Duration WorkerSet::reading_time(const ServingWorker& worker) const {
+  return std::max(worker.reading_until - time_source_.monotonic_now(), Duration(0));
+}
+
+double WorkerSet::cost(const ServingWorker& worker, const PlaceRequest& request,
+                       double kept) const {
   const uint32_t load = load_of(worker);
-  double milliseconds = knobs_.milliseconds_per_request * load;
+  const double tokens = request.request == nullptr ? 0.0 : request.request->prompt_tokens;
+  double milliseconds = std::chrono::duration<double, std::milli>(reading_time(worker)).count() +
+                        std::max(tokens - kept, 0.0) / prompt_rate_.tokens_per_millisecond() +
+                        knobs_.milliseconds_per_request * load;
   if (load >= worker.record.slots) {
-    // Has to wait for others to end.
-    milliseconds += 100.0 + 50.0 * (load - worker.record.slots);
+    milliseconds +=
+        knobs_.full_milliseconds + knobs_.waiting_milliseconds * (load - worker.record.slots);
   }
   if (worker.record.zone != own_zone_) {
     milliseconds += knobs_.other_zone_milliseconds;
@@ -163,50 +187,48 @@
   });
 }
 
+const ServingWorker* WorkerSet::prefix_owner(const PlaceRequest& request) const {
+  if (request.request == nullptr || shared_tokens(*request.request) < knobs_.least_shared_tokens) {
+    return nullptr;
+  }
+  const uint64_t prefix = prefix_hash(*request.request);
+  const ServingWorker* owner = nullptr;
+  uint64_t highest = 0;
+  for (const auto& [incarnation, worker] : workers_) {
+    const uint64_t rank = content_hash(incarnation, prefix);
+    const bool stays = worker->listed && !worker->record.leaving;
+    if (worker->record.service == request.service && stays && rank >= highest) {
+      owner = worker.get();
+      highest = rank;
+    }
+  }
+  return owner;
+}
+
 WorkerPtr WorkerSet::choose(const PlaceRequest& request, bool ignore_failures) const {
   const MonotonicTime now = time_source_.monotonic_now();
-  const uint32_t shared = request.request == nullptr ? 0 : shared_tokens(*request.request);
-  const bool by_prefix = shared >= knobs_.least_shared_tokens;
-  const uint64_t prefix = by_prefix ? prefix_hash(*request.request) : 0;
-  struct Candidate {
-    WorkerPtr worker;
-    double cost = 0;
-    uint64_t rank = 0;
-  };
-  std::vector<Candidate> candidates;
-  std::vector<uint64_t> ranks;  // of all workers of the service, full ones too
+  const ServingWorker* const owner = prefix_owner(request);
+  const double kept = owner == nullptr ? 0.0 : knobs_.prefix_kept * shared_tokens(*request.request);
   // All records of a service vanish together only while the store is in trouble.
   const bool use_unlisted = ignore_failures && !any_listed(request.service);
+  WorkerPtr best;
+  double least_cost = 0;
   for (const auto& [incarnation, worker] : workers_) {
     const bool known = worker->listed || use_unlisted;
     const bool sound = worker->avoided_until <= now || ignore_failures;
-    if (worker->record.service != request.service || !known || !sound) {
-      continue;
-    }
-    const uint64_t rank = by_prefix ? content_hash(incarnation, prefix) : 0;
-    ranks.push_back(rank);
-    if (!usable(*worker, request) ||
-        (request.tried != nullptr && request.tried->contains(incarnation))) {
+    const bool tried = request.tried != nullptr && request.tried->contains(incarnation);
+    if (!known || !sound || tried || !usable(*worker, request)) {
       continue;
     }
-    // A random part spreads equal workers.
-    candidates.push_back({worker, cost(*worker) + random_.unit(), rank});
-  }
-  if (by_prefix && !ranks.empty()) {
-    const size_t copies = std::min<size_t>(knobs_.prefix_copies, ranks.size());
-    std::nth_element(ranks.begin(), ranks.begin() + static_cast<ptrdiff_t>(copies) - 1, ranks.end(),
-                     std::greater<>());
-    const uint64_t least_rank = ranks[copies - 1];
-    for (Candidate& candidate : candidates) {
-      if (candidate.rank < least_rank) {
-        candidate.cost += shared / knobs_.prompt_tokens_per_millisecond;
-      }
+    // A random part spreads requests over equal workers.
+    const double total =
+        cost(*worker, request, worker.get() == owner ? kept : 0.0) + random_.unit();
+    if (!best || total < least_cost) {
+      best = worker;
+      least_cost = total;
     }
   }
-  const auto best =
-      std::min_element(candidates.begin(), candidates.end(),
-                       [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
-  return best == candidates.end() ? nullptr : best->worker;
+  return best;
 }
 
 WorkerPlacePtr WorkerSet::take_place(const PlaceRequest& request) {
@@ -217,6 +239,14 @@
   if (!worker) {
     return nullptr;
   }
+  const double kept = prefix_owner(request) == worker.get()
+                          ? knobs_.prefix_kept * shared_tokens(*request.request)
+                          : 0.0;
+  const double tokens =
+      request.request == nullptr ? 0.0 : std::max(request.request->prompt_tokens - kept, 0.0);
+  const bool was_idle = reading_time(*worker) == Duration(0);
+  worker->prompt_tokens_sent += static_cast<uint32_t>(tokens);
+  add_reading(*worker, tokens);
   auto place = std::make_unique<WorkerPlace>(std::move(worker), request.work, [this] {
     if (on_place_freed_) {
       on_place_freed_();
@@ -225,6 +255,7 @@
       on_load_changed_();
     }
   });
+  place->worker_was_idle = was_idle;
   if (on_load_changed_) {
     on_load_changed_();
   }
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -15,6 +15,7 @@
 #include "src/core/address.h"
 #include "src/core/random.h"
 #include "src/core/time.h"
+#include "src/serving/prompt_rate.h"
 #include "src/serving/serving_protocol.h"
 #include "src/serving/serving_request.h"
 #include "src/serving/worker_knobs.h"
@@ -36,7 +37,7 @@
 // One worker as this node sees it.
 struct ServingWorker {
   WorkerRecord record;
-  uint64_t hash = 0;  // of the incarnation; names the worker between nodes
+  uint64_t hash = 0;   // of the incarnation; names the worker between nodes
   bool listed = true;  // false: its record is gone
   MonotonicTime unlisted_since{};
   uint32_t online_in_flight = 0;  // of this node
@@ -44,6 +45,10 @@
   // What the other nodes have in flight there, as far as told.
   int32_t others_online = 0;
   int32_t others_batch = 0;
+  // Prompt tokens that this node has sent there; wraps.
+  uint32_t prompt_tokens_sent = 0;
+  // When it will have read all prompts that any node has sent there, as far as known.
+  MonotonicTime reading_until{};
   // The worker's own report, beside an answer.
   std::optional<WorkerLoadReport> report;
   MonotonicTime reported{};
@@ -64,6 +69,8 @@
   WorkerPlace(const WorkerPlace&) = delete;
   WorkerPlace& operator=(const WorkerPlace&) = delete;
   ServingWorker& worker() const { return *worker_; }
+  // Whether the worker had no other prompt to read when the place was taken.
+  bool worker_was_idle = false;
 
  private:
   WorkerPtr worker_;
@@ -98,6 +105,13 @@
   // What another node has in flight at the worker of that hash has changed by so much.
   void add_peer_load(uint64_t worker, int32_t online, int32_t batch);
 
+  // Another node has sent the worker prompts of so many tokens.
+  void add_prompt_tokens(uint64_t worker, uint32_t tokens);
+
+  // The first token of a prompt came after `took`; the worker had nothing else to read.
+  void note_first_token(uint32_t prompt_tokens, Duration took) {
+    prompt_rate_.add_sample(prompt_tokens, took);
+  }
   // What the answers of a worker tell.
   void note_report(ServingWorker& worker, const WorkerLoadReport& report);
   void note_success(ServingWorker& worker);
@@ -124,7 +138,14 @@
  private:
   bool usable(const ServingWorker& worker, const PlaceRequest& request) const;
   bool has_room(const ServingWorker& worker, WorkClass work) const;
-  double cost(const ServingWorker& worker) const;
+  // Time until the worker has read all that was sent there.
+  Duration reading_time(const ServingWorker& worker) const;
+  // Milliseconds until the first token of the request, roughly.
+  // @param kept tokens of its prompt that the worker need not read again.
+  double cost(const ServingWorker& worker, const PlaceRequest& request, double kept) const;
+  // The worker to which requests with this shared prompt are sent first, or null.
+  const ServingWorker* prefix_owner(const PlaceRequest& request) const;
+  void add_reading(ServingWorker& worker, double tokens);
   WorkerPtr choose(const PlaceRequest& request, bool ignore_failures) const;
   // Whether the service has a worker that the source of truth names and that stays.
   bool any_listed(std::string_view service) const;
@@ -134,6 +155,7 @@
   RandomGenerator& random_;
   std::string own_zone_;
   WorkerKnobs knobs_;
+  PromptRate prompt_rate_;
   std::map<std::string, WorkerPtr> workers_;  // by incarnation
   std::map<uint64_t, WorkerPtr> by_hash_;
   std::function<void()> on_place_freed_;
--- a/tests/serving/worker_set_test.cc
+++ b/tests/serving/worker_set_test.cc
@@ -107,22 +107,49 @@
   EXPECT_NE(take(), nullptr);
 }
 
-TEST_F(WorkerSetTest, ALongSharedPromptReturnsToTheWorkersThatKeepIt) {
-  for (int number = 0; number < 8; ++number) {
-    workers.update(record("i-" + std::to_string(number), 8));
+class SharedPromptTest : public WorkerSetTest {
+ protected:
+  SharedPromptTest() {
+    for (int number = 0; number < 8; ++number) {
+      workers.update(record("i-" + std::to_string(number), 8));
+    }
+    request.prompt = {{"shared", 20000}, {"own", 100}};
+    request.prompt_tokens = 20100;
+    wanted.service = "engines";
+    wanted.request = &request;
+  }
+  std::string next() {
+    places.push_back(workers.take_place(wanted));
+    return places.back()->worker().record.incarnation;
   }
+
   ServingRequest request;
-  request.prompt = {{"shared", 20000}, {"own", 100}};
   PlaceRequest wanted;
-  wanted.service = "engines";
-  wanted.request = &request;
-  std::set<std::string> chosen;
   std::vector<WorkerPlacePtr> places;
-  for (int count = 0; count < 6; ++count) {
-    places.push_back(workers.take_place(wanted));
-    chosen.insert(places.back()->worker().record.incarnation);
+};
+
+TEST_F(SharedPromptTest, ReturnsToTheWorkerThatKeepsIt) {
+  const std::string first = next();
+  EXPECT_EQ(next(), first);
+  EXPECT_EQ(next(), first);
+}
+
+TEST_F(SharedPromptTest, GoesElsewhereWhenReadingItAgainIsSooner) {
+  const std::string first = next();
+  request.prompt[0].id = "another that the worker must read";
+  workers.add_prompt_tokens(workers.find(first)->hash, 60000);
+  request.prompt[0].id = "shared";
+  EXPECT_NE(next(), first);
+}
+
+TEST_F(SharedPromptTest, ShortPromptsAvoidAWorkerThatReadsALongOne) {
+  const std::string busy = next();
+  ServingRequest question;
+  question.prompt_tokens = 500;
+  wanted.request = &question;
+  for (int count = 0; count < 7; ++count) {
+    EXPECT_NE(next(), busy);
   }
-  EXPECT_LE(chosen.size(), 2U);
 }
 
 }  // namespace
