Let batch leave room for the online peak and yield its places

Change: batch leaves room for the most online requests of the last 12 s unless its job is due soon by its own measured pace, and a request that finds no place stops the youngest run of the least pressing job here; the item continues later behind its last event. Ruled out: a fixed lower share, which would leave batch idle in calm times.

--- a/src/jobs/job_environment.h
+++ b/src/jobs/job_environment.h
@@ -1,6 +1,7 @@
 // What all parts of the job module share.
 #pragma once
 
+#include "src/jobs/item_pace.h"
 #include "src/jobs/job.h"
 #include "src/jobs/job_knobs.h"
 #include "src/platform/object_store.h"
@@ -22,6 +23,7 @@
   const JobCodec& codec;
   ServiceDraw& draw;
   JobKnobs knobs;
+  ItemPace pace = {};
 };
 
 }  // namespace chalkshed
--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -21,6 +21,10 @@
   uint32_t most_submit_tries = 4;
   // A worker that sends nothing for this long has failed the item's run.
   Duration item_silence = std::chrono::milliseconds(2500);
+  Duration preemption_pause = std::chrono::milliseconds(500);  // after it made room for online work
+  // A job is urgent once the time to its due is under this many times what an item takes.
+  double urgent_paces = 2.0;
+  Duration urgent_slack = std::chrono::milliseconds(1500);
   Duration item_pause = std::chrono::milliseconds(200);  // before an item is tried again
   // The next node in line waits this much longer before it takes a free job over.
   Duration takeover_step = std::chrono::milliseconds(700);
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -386,6 +386,22 @@
   }
 }
 
+void JobService::preempt_items(size_t count) {
+  while (count > 0) {
+    OwnedJob* latest = nullptr;
+    for (const auto& [id, owned] : owned_) {
+      OwnedJob& job = *owned.job;
+      if (job.has_running() && !job.urgent() && (latest == nullptr || job.due() > latest->due())) {
+        latest = &job;
+      }
+    }
+    if (latest == nullptr || !latest->preempt_item()) {
+      return;
+    }
+    --count;
+  }
+}
+
 void JobService::sweep() {
   sweep_timer_->enable(environment_.knobs.sweep_interval);
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -50,6 +50,8 @@
 
   // Starts waiting items while workers have room.
   void start_items();
+  // Stops up to `count` runs of jobs that are not urgent: online requests wait for their places.
+  void preempt_items(size_t count);
   // Planned stop: starts nothing more, lets items under way end, gives the jobs to other nodes,
   // then calls `done` once.
   void drain(std::function<void()> done);
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -38,6 +38,35 @@
   return record_.accepted + (route == nullptr ? Duration(0) : route->run_target);
 }
 
+bool OwnedJob::urgent() const {
+  const auto need = std::chrono::duration_cast<Duration>(environment_.pace.estimate() *
+                                                         environment_.knobs.urgent_paces) +
+                    environment_.knobs.urgent_slack;
+  return due() - environment_.clock.now() < need;
+}
+
+bool OwnedJob::preempt_item() {
+  // The one that has come least far loses least when its prompt is read again.
+  Item* youngest = nullptr;
+  for (Item& item : items_) {
+    const bool younger = youngest == nullptr || item.started > youngest->started;
+    if (item.phase == Phase::kRunning && younger) {
+      youngest = &item;
+    }
+  }
+  if (youngest == nullptr) {
+    return false;
+  }
+  youngest->run.reset();
+  --running_;
+  youngest->phase = Phase::kWaiting;
+  youngest->not_before =
+      environment_.serving.time_source.monotonic_now() + environment_.knobs.preemption_pause;
+  environment_.serving.logger.write(LogLevel::kInfo, "item_preempted",
+                                    {{"job", record_.id}, {"request", youngest->request.id}});
+  return true;
+}
+
 OwnedJob::Item* OwnedJob::next_waiting() {
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
   const auto found = std::find_if(items_.begin(), items_.end(), [&](const Item& item) {
@@ -61,12 +90,14 @@
   wanted.service = environment_.draw.draw(*route);
   wanted.work = WorkClass::kBatch;
   wanted.request = &item->request;
+  wanted.urgent = urgent();
   WorkerPlacePtr place = environment_.serving.workers.take_place(wanted);
   if (!place) {
     return false;
   }
   const auto index = static_cast<size_t>(item - items_.data());
   item->phase = Phase::kRunning;
+  item->started = environment_.serving.time_source.monotonic_now();
   ++running_;
   item->run =
       std::make_unique<JobItemRun>(environment_, item->request, std::move(place), item->progress,
@@ -108,6 +139,7 @@
     ++item.progress.failures;
   }
   if (end == JobItemRunEnd::kCompleted) {
+    environment_.pace.note(environment_.serving.time_source.monotonic_now() - item.started);
     end_item(item, ItemState::kCompleted);
   } else if (end == JobItemRunEnd::kImpossible || item.progress.failures >= attempts) {
     end_item(item, ItemState::kErrored);
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -30,6 +30,11 @@
   StoreVersion version() const { return version_; }
   // When all results are due, by the store's clock.
   Duration due() const;
+  // Whether its items must be run soon to be in time.
+  bool urgent() const;
+  // Stops a run, to make room for online work; its item waits again and continues later.
+  // @return whether there was one.
+  bool preempt_item();
   // Whether an item waits to be run now.
   bool has_waiting() const;
   bool has_running() const { return running_ > 0; }
@@ -59,6 +64,7 @@
     Phase phase = Phase::kWaiting;
     ItemProgress progress;
     MonotonicTime not_before{};
+    MonotonicTime started{};
     std::unique_ptr<JobItemRun> run;
     bool listed = false;
   };
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -37,6 +37,7 @@
       node_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                   dependencies.logger, kNodeTable, {""}, peers_, knobs.watchers) {
   workers_.set_on_place_freed([this] { place_soon(); });
+  gateway_.set_on_waiting([this] { jobs_.preempt_items(1); });
   workers_.set_on_load_changed([this] { peers_.load_changed(); });
 }
 
--- a/src/serving/serving_gateway.cc
+++ b/src/serving/serving_gateway.cc
@@ -31,15 +31,18 @@
   RequestRelay& started = *relay;
   relays_.emplace(id, std::move(relay));
   started.start();
+  if (started.waiting() && on_waiting_) {
+    on_waiting_();
+  }
 }
 
 void ServingGateway::remove_later(uint64_t id) {
   environment_.dispatcher.post(lifetime_.guard([this, id] { relays_.erase(id); }));
 }
 
-bool ServingGateway::any_waiting() const {
-  return std::any_of(relays_.begin(), relays_.end(),
-                     [](const auto& entry) { return entry.second->waiting(); });
+size_t ServingGateway::waiting() const {
+  return static_cast<size_t>(std::count_if(
+      relays_.begin(), relays_.end(), [](const auto& entry) { return entry.second->waiting(); }));
 }
 
 void ServingGateway::place_waiting() {
--- a/src/serving/serving_gateway.h
+++ b/src/serving/serving_gateway.h
@@ -22,7 +22,10 @@
               ResponseWriterPtr writer);
   size_t requests_in_progress() const { return relays_.size(); }
   // Whether any online request waits for a place: batch then takes none.
-  bool any_waiting() const;
+  bool any_waiting() const { return waiting() > 0; }
+  size_t waiting() const;
+  // Called when a request finds no place at any worker.
+  void set_on_waiting(std::function<void()> callback) { on_waiting_ = std::move(callback); }
   // A place may have become free.
   void place_waiting();
 
@@ -34,6 +37,7 @@
   std::map<uint64_t, std::unique_ptr<RequestRelay>> relays_;  // in order of arrival
   uint64_t next_id_ = 0;
   bool placing_ = false;
+  std::function<void()> on_waiting_;
   Lifetime lifetime_;
 };
 
--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -18,8 +18,11 @@
   // A worker whose record is gone without having said that it leaves serves as a last resort for
   // this long: records also vanish while the store is down.
   Duration unlisted_grace = std::chrono::seconds(10);
-  // Batch takes at most this share of a worker's places.
+  // Urgent batch work takes at most this share of a worker's places.
   double batch_share = 0.75;
+  // Other batch work leaves room for the most online requests of this last time, times the margin.
+  Duration peak_span = std::chrono::seconds(12);
+  double peak_margin = 1.1;
   // Prompt tokens that an engine reads in a millisecond, until it has been measured.
   double prompt_tokens_per_millisecond = 60.0;
   // What each further request at a worker costs a new one, in milliseconds.
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -90,6 +90,9 @@
   }
   found->second->others_online += online;
   found->second->others_batch += batch;
+  if (online > 0) {
+    observe_online(found->second->record.service);
+  }
   if (online + batch < 0 && on_place_freed_) {
     on_place_freed_();
   }
@@ -135,12 +138,42 @@
   return worker.in_flight() + others;
 }
 
-bool WorkerSet::has_room(const ServingWorker& worker, WorkClass work) const {
+void WorkerSet::observe_online(const std::string& service) {
+  uint32_t online = 0;
+  for (const auto& [incarnation, worker] : workers_) {
+    if (worker->record.service == service) {
+      online +=
+          worker->online_in_flight + static_cast<uint32_t>(std::max(worker->others_online, 0));
+    }
+  }
+  online_peaks_.try_emplace(service, knobs_.peak_span)
+      .first->second.observe(online, time_source_.monotonic_now());
+}
+
+double WorkerSet::burst_reserve(const ServingWorker& worker) const {
+  const auto peak = online_peaks_.find(worker.record.service);
+  if (peak == online_peaks_.end()) {
+    return 0;
+  }
+  uint32_t slots = 0;
+  for (const auto& [incarnation, other] : workers_) {
+    const bool counts = other->listed && !other->record.leaving;
+    slots += counts && other->record.service == worker.record.service ? other->record.slots : 0;
+  }
+  const double share = slots == 0 ? 0.0 : static_cast<double>(worker.record.slots) / slots;
+  const double online = worker.online_in_flight + std::max(worker.others_online, 0);
+  return std::max(knobs_.peak_margin * share * peak->second.value() - online, 0.0);
+}
+
+bool WorkerSet::has_room(const ServingWorker& worker, const PlaceRequest& request) const {
   const uint32_t load = load_of(worker);
-  if (work == WorkClass::kOnline) {
+  if (request.work == WorkClass::kOnline) {
     return load < worker.record.slots;
   }
-  return load < static_cast<uint32_t>(knobs_.batch_share * worker.record.slots);
+  if (load >= static_cast<uint32_t>(knobs_.batch_share * worker.record.slots)) {
+    return false;
+  }
+  return request.urgent || load + 1 + burst_reserve(worker) <= worker.record.slots;
 }
 
 uint32_t WorkerSet::free_places(std::string_view service) const {
@@ -156,7 +189,7 @@
 
 bool WorkerSet::usable(const ServingWorker& worker, const PlaceRequest& request) const {
   return worker.record.service == request.service && !worker.record.leaving &&
-         (request.even_if_full || has_room(worker, request.work));
+         (request.even_if_full || has_room(worker, request));
 }
 
 Duration WorkerSet::reading_time(const ServingWorker& worker) const {
@@ -256,6 +289,9 @@
     }
   });
   place->worker_was_idle = was_idle;
+  if (request.work == WorkClass::kOnline) {
+    observe_online(request.service);
+  }
   if (on_load_changed_) {
     on_load_changed_();
   }
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -15,6 +15,7 @@
 #include "src/core/address.h"
 #include "src/core/random.h"
 #include "src/core/time.h"
+#include "src/serving/online_peak.h"
 #include "src/serving/prompt_rate.h"
 #include "src/serving/serving_protocol.h"
 #include "src/serving/serving_request.h"
@@ -86,6 +87,8 @@
   const ServingRequest* request = nullptr;
   // Incarnations that were asked before; chosen only when nothing else is left.
   const std::set<std::string>* tried = nullptr;
+  // Batch work that is due soon leaves less room for a burst of online work.
+  bool urgent = false;
   // Take a worker even when all places of all workers are taken.
   bool even_if_full = false;
 };
@@ -137,7 +140,10 @@
 
  private:
   bool usable(const ServingWorker& worker, const PlaceRequest& request) const;
-  bool has_room(const ServingWorker& worker, WorkClass work) const;
+  bool has_room(const ServingWorker& worker, const PlaceRequest& request) const;
+  // Places of one worker that batch leaves free for a burst.
+  double burst_reserve(const ServingWorker& worker) const;
+  void observe_online(const std::string& service);
   // Time until the worker has read all that was sent there.
   Duration reading_time(const ServingWorker& worker) const;
   // Milliseconds until the first token of the request, roughly.
@@ -158,6 +164,7 @@
   PromptRate prompt_rate_;
   std::map<std::string, WorkerPtr> workers_;  // by incarnation
   std::map<uint64_t, WorkerPtr> by_hash_;
+  std::map<std::string, OnlinePeak, std::less<>> online_peaks_;  // by service
   std::function<void()> on_place_freed_;
   std::function<void()> on_load_changed_;
 };
