--- a/src/history/check_serving.cc
+++ b/src/history/check_serving.cc
@@ -83,17 +83,16 @@
 // learns nothing, and tells nobody of the order that it took, until that is over.
 MonotonicTime idle_from(const Interval& leaving, const RunRecord& run, const HistoryIndex& index,
                         const CheckerBounds& bounds) {
-  MonotonicTime from = leaving.begin + bounds.leaving_grace;
+  MonotonicTime known_since = leaving.begin;
   for (const auto& [id, fault] : index.faults) {
     const bool spreads = fault.fault.processes.empty() || fault.fault.kind == kDatagramFaultKind;
     const bool touches = !spreads && (touches_node(fault, run.arrived.sender) ||
                                       touches_node(fault, leaving.ordered_at));
-    // A fault that ended shortly before counts too: the node may not have found the others yet.
-    if (touches && fault.interval.overlaps(leaving.begin - bounds.rejoining, run.arrived_at)) {
-      from = std::max(from, fault.interval.end.value_or(run.arrived_at) + bounds.rejoining);
+    if (touches && fault.interval.overlaps(leaving.begin, run.arrived_at)) {
+      known_since = std::max(known_since, fault.interval.end.value_or(run.arrived_at));
     }
   }
-  return from;
+  return known_since + bounds.leaving_grace;
 }
 
 // @return the interval within which the back end must receive nothing, if it covers the run.
--- a/src/history/checker.h
+++ b/src/history/checker.h
@@ -45,11 +45,9 @@
 
 // Bounds within which the guarantees that speak of time must hold.
 struct CheckerBounds {
-  // After this a leaving back end receives nothing new.
+  // After this a leaving back end receives nothing new; counted from the end of the pause or cut
+  // for a node that was paused or cut off, or that took the order and was.
   Duration leaving_grace = std::chrono::seconds(3);
-  // Longer for a node that was paused or cut off, or that took the order and was: it first has to
-  // find the others again.
-  Duration rejoining = std::chrono::seconds(10);
   // From acceptance until a version is in force on every node that can be reached.
   Duration configuration_spread = std::chrono::seconds(10);
   // From a node's taking up an online request until it hands it to an engine.
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -42,19 +42,21 @@
   return partition_name(content_hash(job) % kPartitions);
 }
 
-StoredRowKey job_key(const std::string& job) { return {kJobTable, job_partition(job), job}; }
+StoredRowKey stored_job_key(const std::string& job) {
+  return {kStoredJobTable, job_partition(job), job};
+}
 
 StoredRowKey job_content_key(const std::string& job) {
-  return {kJobContentTable, job_partition(job), job};
+  return {kStoredContentTable, job_partition(job), job};
 }
 
 StoredRowKey job_result_key(const std::string& job, uint32_t position) {
-  return {kJobResultTable, job_partition(job), job + "/" + position_text(position)};
+  return {kStoredResultTable, job_partition(job), job + "/" + position_text(position)};
 }
 
 RangeRead job_result_range(const std::string& job, uint32_t position, uint32_t limit) {
   RangeRead range;
-  range.table = kJobResultTable;
+  range.table = kStoredResultTable;
   range.partition = job_partition(job);
   range.first_key = job + "/" + position_text(position);
   range.end_key = job + "0";  // '0' follows '/'
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -10,14 +10,15 @@
 
 namespace chalkshed {
 
-inline constexpr const char* kJobTable = "job";                 // key: job id
-inline constexpr const char* kJobContentTable = "job_content";  // key: job id; small contents only
-inline constexpr const char* kJobResultTable = "job_result";    // key: job id, position
+inline constexpr const char* kStoredJobTable = "job";  // key: job id
+inline constexpr const char* kStoredContentTable =
+    "job_content";                                               // key: job id; small contents only
+inline constexpr const char* kStoredResultTable = "job_result";  // key: job id, position
 
 // @return all partitions that jobs lie in.
 std::vector<std::string> job_partitions();
 std::string job_partition(const std::string& job);
-StoredRowKey job_key(const std::string& job);
+StoredRowKey stored_job_key(const std::string& job);
 StoredRowKey job_content_key(const std::string& job);
 StoredRowKey job_result_key(const std::string& job, uint32_t position);
 // Results from `position` on.
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -135,7 +135,7 @@
   // A transaction without effect reads the row as it is now, however old other reads may be.
   StoreTransaction transaction;
   constexpr StoreVersion kNever = UINT64_MAX >> 12U;
-  transaction.conditions.push_back({job_key(job), kNever});
+  transaction.conditions.push_back({stored_job_key(job), kNever});
   environment_.store.commit(
       std::move(transaction), lifetime_.guard([this, job, callback = std::move(callback)](
                                                   const Expected<StoreCommit>& commit) {
@@ -328,8 +328,8 @@
   StoredJob ended = indexed.record;
   ended.ended = true;
   StoreTransaction transaction;
-  transaction.conditions.push_back({job_key(ended.id), indexed.version});
-  transaction.writes.push_back({job_key(ended.id), encode_job_record(ended)});
+  transaction.conditions.push_back({stored_job_key(ended.id), indexed.version});
+  transaction.writes.push_back({stored_job_key(ended.id), encode_job_record(ended)});
   environment_.store.commit(
       std::move(transaction), lifetime_.guard([this, ended, tries, callback = std::move(callback)](
                                                   const Expected<StoreCommit>& commit) {
@@ -455,8 +455,8 @@
   mine.owner = sessions_.own_session();
   ++mine.epoch;
   StoreTransaction transaction;
-  transaction.conditions.push_back({job_key(id), indexed.version});
-  transaction.writes.push_back({job_key(id), encode_job_record(mine)});
+  transaction.conditions.push_back({stored_job_key(id), indexed.version});
+  transaction.writes.push_back({stored_job_key(id), encode_job_record(mine)});
   environment_.store.commit(
       std::move(transaction), lifetime_.guard([this, mine](const Expected<StoreCommit>& commit) {
         const auto found = index_.find(mine.id);
@@ -535,8 +535,8 @@
   StoredJob free = job.record();
   free.owner.clear();
   StoreTransaction transaction;
-  transaction.conditions.push_back({job_key(id), job.version()});
-  transaction.writes.push_back({job_key(id), encode_job_record(free)});
+  transaction.conditions.push_back({stored_job_key(id), job.version()});
+  transaction.writes.push_back({stored_job_key(id), encode_job_record(free)});
   environment_.store.commit(std::move(transaction), [](const Expected<StoreCommit>& /*commit*/) {});
 }
 
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -46,8 +46,8 @@
 
 void JobSubmit::commit() {
   StoreTransaction transaction;
-  transaction.conditions.push_back({job_key(record_.id), 0});
-  transaction.writes.push_back({job_key(record_.id), encode_job_record(record_)});
+  transaction.conditions.push_back({stored_job_key(record_.id), 0});
+  transaction.writes.push_back({stored_job_key(record_.id), encode_job_record(record_)});
   if (!record_.content_in_object) {
     transaction.writes.push_back({job_content_key(record_.id), submission_.content});
   }
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -240,7 +240,7 @@
   }
   StoreTransaction transaction;
   auto position = static_cast<uint32_t>(first_held_ + held_.size());
-  transaction.conditions.push_back({job_key(record_.id), version_});
+  transaction.conditions.push_back({stored_job_key(record_.id), version_});
   transaction.conditions.push_back({job_result_key(record_.id, position), 0});
   for (const JobResult& result : committing_) {
     JobResult stored = result;
@@ -255,7 +255,7 @@
   if (commit_finishes_) {
     StoredJob finished = record_;
     finished.finished = true;
-    transaction.writes.push_back({job_key(record_.id), encode_job_record(finished)});
+    transaction.writes.push_back({stored_job_key(record_.id), encode_job_record(finished)});
   }
   environment_.store.commit(
       std::move(transaction),
@@ -285,7 +285,7 @@
   const StoredRow* record_row = nullptr;
   const StoredRow* result_row = nullptr;
   for (const StoredRow& row : commit.current) {
-    (row.key.table == kJobTable ? record_row : result_row) = &row;
+    (row.key.table == kStoredJobTable ? record_row : result_row) = &row;
   }
   // Only the very bytes of this transaction prove that an earlier send of it was applied.
   const bool result_there = result_row != nullptr && result_row->version > 0 &&
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -33,7 +33,7 @@
       worker_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                     dependencies.logger, tables.worker_table, {""}, worker_watch_, knobs.watchers),
       job_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                 dependencies.logger, kJobTable, job_partitions(), jobs_, knobs.watchers),
+                 dependencies.logger, kStoredJobTable, job_partitions(), jobs_, knobs.watchers),
       node_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                   dependencies.logger, kNodeTable, {""}, peers_, knobs.watchers) {
   workers_.set_on_place_freed([this] { place_soon(); });
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -17,7 +17,7 @@
   Duration connect_timeout = std::chrono::seconds(1);
   Duration idle_timeout = std::chrono::seconds(10);
   // Value of the Host header; empty: the server's address.
-  std::string host;
+  std::string host = {};
 };
 
 // Events of one call, in order; exactly one of on_end and on_error comes last.
--- a/tests/history/checker_test.cc
+++ b/tests/history/checker_test.cc
@@ -196,10 +196,10 @@
   HistoryBuilder builder;
   builder.at(0, LeavingChanged{"engine-1", true, "node-1"});
   builder.at(0, FaultBegan{1, "cut_node", {"node-2"}}).at(5000, FaultEnded{1});
-  builder.at(14000, RunArrived{"engine-1", "attempt-1", "request", false, 1, "node-2"});
+  builder.at(7900, RunArrived{"engine-1", "attempt-1", "request", false, 1, "node-2"});
   EXPECT_EQ(builder.violations(Guarantee::kLeavingGetsNoWork), 0U);
-  builder.at(14000, RunArrived{"engine-1", "attempt-2", "request", false, 1, "node-3"});
-  builder.at(15100, RunArrived{"engine-1", "attempt-3", "request", false, 1, "node-2"});
+  builder.at(7900, RunArrived{"engine-1", "attempt-2", "request", false, 1, "node-3"});
+  builder.at(8100, RunArrived{"engine-1", "attempt-3", "request", false, 1, "node-2"});
   EXPECT_EQ(builder.violations(Guarantee::kLeavingGetsNoWork), 2U);
 }
 
