--- a/src/core/base64.cc
+++ b/src/core/base64.cc
@@ -45,7 +45,7 @@
 }
 
 std::optional<std::string> decode_base64(std::string_view text) {
-  static const std::array<uint8_t, 256> values = make_values();
+  static const std::array<uint8_t, 256> kValues = make_values();
   if (text.size() % kGroupLetters != 0) {
     return std::nullopt;
   }
@@ -58,7 +58,7 @@
   uint32_t bits = 0;
   unsigned held = 0;
   for (const char letter : text.substr(0, letters)) {
-    const uint8_t value = values[static_cast<unsigned char>(letter)];
+    const uint8_t value = kValues[static_cast<unsigned char>(letter)];
     if (value == kNoValue) {
       return std::nullopt;
     }
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -37,10 +37,16 @@
       node_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                   dependencies.logger, kNodeTable, {""}, peers_, knobs.watchers) {
   workers_.set_on_place_freed([this] { place_soon(); });
-  gateway_.set_on_waiting([this] { jobs_.preempt_items(1); });
+  gateway_.set_on_short_of_places([this](size_t count) { jobs_.preempt_items(count); });
   workers_.set_on_load_changed([this] { peers_.load_changed(); });
 }
 
+// The requests that end now free their places; nobody is left to take them.
+ServingNode::~ServingNode() {
+  workers_.set_on_place_freed(nullptr);
+  workers_.set_on_load_changed(nullptr);
+}
+
 void ServingNode::start() {
   route_table_.start();
   worker_table_.start();
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -63,6 +63,10 @@
   ServingNode(const ServingNodeIdentity& identity, const ServingNodeDependencies& dependencies,
               const WatchedTables& tables, const ServingNodeKnobs& knobs = {});
 
+  ~ServingNode();
+  ServingNode(const ServingNode&) = delete;
+  ServingNode& operator=(const ServingNode&) = delete;
+
   void start();
   // @return why callers should not be sent here, or null.
   const char* not_ready_reason() const;
@@ -77,6 +81,7 @@
   ServingGateway& gateway() { return gateway_; }
   JobService& jobs() { return jobs_; }
   WorkerSet& workers() { return workers_; }
+  SessionView& peers() { return peers_; }
 
  private:
   void place_soon();
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -53,10 +53,10 @@
   return deadline_ - environment_.time_source.monotonic_now();
 }
 
-void RequestRelay::start() {
+void RequestRelay::start(bool behind_others) {
   writer_->set_on_closed(lifetime_.guard([this] { finish(RelayEnd::kCallerGone, "caller left"); }));
   deadline_timer_->enable(std::max(time_left(), Duration(0)));
-  if (!send(false)) {
+  if (behind_others || !send(false)) {
     wait_for_place();
   }
 }
--- a/src/serving/request_relay.h
+++ b/src/serving/request_relay.h
@@ -40,10 +40,12 @@
   RequestRelay& operator=(const RequestRelay&) = delete;
 
   // Begins; the request may have ended when this returns.
-  void start();
+  // @param behind_others it waits although there may be a place: others wait longer for one.
+  void start(bool behind_others = false);
   // Whether it waits for a place at a worker.
   bool waiting() const { return waiting_; }
   uint32_t priority() const { return route_.priority; }
+  const std::string& service() const { return service_; }
   // A place may have become free. @return whether the request was sent.
   bool try_place();
 
--- a/src/serving/serving_gateway.cc
+++ b/src/serving/serving_gateway.cc
@@ -30,12 +30,24 @@
                                      std::move(request), std::move(writer), std::move(on_end));
   RequestRelay& started = *relay;
   relays_.emplace(id, std::move(relay));
-  started.start();
-  if (started.waiting() && on_waiting_) {
-    on_waiting_();
+  started.start(waiting_before(started.service(), started.priority()) > 0);
+  const size_t places = environment_.workers.free_places(started.service());
+  const size_t short_of = waiting();
+  if (started.waiting() && short_of > places && on_short_of_places_) {
+    on_short_of_places_(short_of - places);
+  } else if (started.waiting()) {
+    environment_.dispatcher.post(lifetime_.guard([this] { place_waiting(); }));
   }
 }
 
+size_t ServingGateway::waiting_before(const std::string& service, uint32_t priority) const {
+  return static_cast<size_t>(
+      std::count_if(relays_.begin(), relays_.end(), [&](const auto& entry) {
+        const RequestRelay& relay = *entry.second;
+        return relay.waiting() && relay.service() == service && relay.priority() <= priority;
+      }));
+}
+
 void ServingGateway::remove_later(uint64_t id) {
   environment_.dispatcher.post(lifetime_.guard([this, id] { relays_.erase(id); }));
 }
--- a/src/serving/serving_gateway.h
+++ b/src/serving/serving_gateway.h
@@ -24,20 +24,24 @@
   // Whether any online request waits for a place: batch then takes none.
   bool any_waiting() const { return waiting() > 0; }
   size_t waiting() const;
-  // Called when a request finds no place at any worker.
-  void set_on_waiting(std::function<void()> callback) { on_waiting_ = std::move(callback); }
+  // Called when requests wait for more places than are free; told how many more.
+  void set_on_short_of_places(std::function<void(size_t)> callback) {
+    on_short_of_places_ = std::move(callback);
+  }
   // A place may have become free.
   void place_waiting();
 
  private:
   void remove_later(uint64_t id);
+  // Requests of the service, at least as urgent, that wait.
+  size_t waiting_before(const std::string& service, uint32_t priority) const;
 
   ServingEnvironment& environment_;
   ServiceDraw draw_;
   std::map<uint64_t, std::unique_ptr<RequestRelay>> relays_;  // in order of arrival
   uint64_t next_id_ = 0;
   bool placing_ = false;
-  std::function<void()> on_waiting_;
+  std::function<void(size_t)> on_short_of_places_;
   Lifetime lifetime_;
 };
 
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -1,6 +1,7 @@
 #include "src/serving/worker_set.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "src/core/digest.h"
 
@@ -132,7 +133,7 @@
           total > worker.in_flight_when_reported ? total - worker.in_flight_when_reported : 0;
       const double weight = 1.0 - std::chrono::duration<double>(age).count() /
                                       std::chrono::duration<double>(knobs_.report_lifetime).count();
-      others = std::max(others, static_cast<uint32_t>(weight * reported_others + 0.5));
+      others = std::max(others, static_cast<uint32_t>(std::lround(weight * reported_others)));
     }
   }
   return worker.in_flight() + others;
@@ -280,14 +281,9 @@
   const bool was_idle = reading_time(*worker) == Duration(0);
   worker->prompt_tokens_sent += static_cast<uint32_t>(tokens);
   add_reading(*worker, tokens);
-  auto place = std::make_unique<WorkerPlace>(std::move(worker), request.work, [this] {
-    if (on_place_freed_) {
-      on_place_freed_();
-    }
-    if (on_load_changed_) {
-      on_load_changed_();
-    }
-  });
+  // A place may outlive this node's parts: its request is destroyed in a later turn of the loop.
+  auto place = std::make_unique<WorkerPlace>(std::move(worker), request.work,
+                                             lifetime_.guard([this] { note_place_freed(); }));
   place->worker_was_idle = was_idle;
   if (request.work == WorkClass::kOnline) {
     observe_online(request.service);
@@ -298,6 +294,15 @@
   return place;
 }
 
+void WorkerSet::note_place_freed() {
+  if (on_place_freed_) {
+    on_place_freed_();
+  }
+  if (on_load_changed_) {
+    on_load_changed_();
+  }
+}
+
 void WorkerSet::note_report(ServingWorker& worker, const WorkerLoadReport& report) {
   worker.report = report;
   worker.reported = time_source_.monotonic_now();
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "src/core/address.h"
+#include "src/core/lifetime.h"
 #include "src/core/random.h"
 #include "src/core/time.h"
 #include "src/serving/online_peak.h"
@@ -144,6 +145,7 @@
   // Places of one worker that batch leaves free for a burst.
   double burst_reserve(const ServingWorker& worker) const;
   void observe_online(const std::string& service);
+  void note_place_freed();
   // Time until the worker has read all that was sent there.
   Duration reading_time(const ServingWorker& worker) const;
   // Milliseconds until the first token of the request, roughly.
@@ -167,6 +169,7 @@
   std::map<std::string, OnlinePeak, std::less<>> online_peaks_;  // by service
   std::function<void()> on_place_freed_;
   std::function<void()> on_load_changed_;
+  Lifetime lifetime_;
 };
 
 }  // namespace chalkshed
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -9,7 +9,6 @@
                            Logger& logger, std::string table, std::vector<std::string> partitions,
                            TableObserver& observer, const TableWatcherKnobs& knobs)
     : time_source_(time_source),
-      dispatcher_(dispatcher),
       store_(store),
       logger_(logger),
       table_(std::move(table)),
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -65,7 +65,6 @@
   void heard();
 
   TimeSource& time_source_;
-  Dispatcher& dispatcher_;
   WatchedStore& store_;
   Logger& logger_;
   const std::string table_;
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -76,5 +76,292 @@
   EXPECT_EQ(results, 1U);
 }
 
+// Whether every item of the job is listed exactly once, completed, with its whole text.
+void expect_complete(ServingCluster& cluster, const std::string& node, const std::string& job,
+                     size_t items, const std::string& text) {
+  const std::vector<JobResult> results = read_all(cluster, node, job);
+  std::set<std::string> ids;
+  for (const JobResult& result : results) {
+    EXPECT_EQ(result.state, ItemState::kCompleted);
+    EXPECT_EQ(result.text, text);
+    ids.insert(result.item);
+  }
+  EXPECT_EQ(results.size(), items);
+  EXPECT_EQ(ids.size(), items);
+}
+
+TEST(JobServiceTest, AJobThatIsSentAgainIsTakenOnce) {
+  ServingCluster cluster(2);
+  cluster.answer_all(2, milliseconds(20));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 3)));
+  ASSERT_TRUE(submit(cluster, "n1", cluster.job("j1", 3)));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 3)));
+  cluster.clock.run_for(seconds(3));
+  expect_complete(cluster, "n1", "j1", 3, "d1\nd2");
+  EXPECT_EQ(cluster.workers.calls.size(), 3U);
+}
+
+TEST(JobServiceTest, AJobSurvivesTheLossOfAllNodesRightAfterItsAcceptance) {
+  ServingCluster cluster(3);
+  cluster.answer_all(3, milliseconds(50));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 8)));
+  for (const char* node : {"n0", "n1", "n2"}) {
+    cluster.kill_node(node);
+  }
+  for (const char* node : {"n0", "n1", "n2"}) {
+    cluster.start_node(node);
+  }
+  cluster.clock.run_for(seconds(6));
+  expect_complete(cluster, "n1", "j1", 8, "d1\nd2\nd3");
+}
+
+TEST(JobServiceTest, ResultsKeepTheirPositionsWhenAnotherNodeTakesTheJobOver) {
+  ServingCluster cluster(2, 2);
+  cluster.answer_all(2, milliseconds(150));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 20)));
+  cluster.clock.run_for(milliseconds(1200));
+  const std::vector<JobResult> before = read_all(cluster, "n0", "j1");
+  ASSERT_GT(before.size(), 0U);
+  ASSERT_LT(before.size(), 20U);
+  cluster.kill_node("n0");
+  cluster.clock.run_for(seconds(10));
+  expect_complete(cluster, "n1", "j1", 20, "d1\nd2");
+  const std::vector<JobResult> after = read_all(cluster, "n1", "j1");
+  for (size_t position = 0; position < before.size(); ++position) {
+    EXPECT_EQ(after[position].item, before[position].item);
+  }
+}
+
+TEST(JobServiceTest, AnOwnerThatWakesAfterATakeoverListsNothing) {
+  ServingCluster cluster(2, 2);
+  cluster.answer_all(2, milliseconds(150));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 20)));
+  cluster.clock.run_for(milliseconds(700));
+  cluster.nodes.at("n0")->dispatcher.freeze();
+  cluster.clock.run_for(seconds(5));
+  cluster.nodes.at("n0")->dispatcher.thaw();
+  cluster.clock.run_for(seconds(8));
+  expect_complete(cluster, "n0", "j1", 20, "d1\nd2");
+  expect_complete(cluster, "n1", "j1", 20, "d1\nd2");
+}
+
+// A commit whose answer was lost may be applied seconds later, behind the back of a node that has
+// given the job up and taken it again.
+TEST(JobServiceTest, ACommitThatIsAppliedLateDoublesNothing) {
+  ServingCluster cluster(2, 2);
+  cluster.answer_all(2, milliseconds(60));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 20)));
+  cluster.shared.trouble.lose_commits = true;
+  cluster.shared.trouble.late_commits = milliseconds(2500);
+  cluster.clock.run_for(milliseconds(600));
+  cluster.nodes.at("n0")->store.set_cut(true);
+  cluster.shared.trouble.lose_commits = false;
+  cluster.clock.run_for(seconds(8));
+  cluster.nodes.at("n0")->store.set_cut(false);
+  cluster.clock.run_for(seconds(8));
+  expect_complete(cluster, "n0", "j1", 20, "d1\nd2");
+}
+
+TEST(JobServiceTest, LostAnswersOfTheStoreNeitherLoseNorDoubleResults) {
+  ServingCluster cluster(2, 2);
+  cluster.answer_all(2, milliseconds(60));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 12)));
+  cluster.shared.trouble.lose_commits = true;
+  cluster.clock.run_for(seconds(4));
+  cluster.shared.trouble.lose_commits = false;
+  cluster.clock.run_for(seconds(6));
+  expect_complete(cluster, "n1", "j1", 12, "d1\nd2");
+}
+
+TEST(JobServiceTest, WhatTheStoreRefusesIsToldAsNotAcceptedAndNeverRuns) {
+  ServingCluster cluster(1);
+  cluster.shared.trouble.down = true;
+  std::optional<Expected<std::monostate>> answer;
+  cluster.node().jobs().submit(cluster.job("j1", 2),
+                               [&](const Expected<std::monostate>& told) { answer = told; });
+  cluster.clock.run_for(seconds(4));
+  ASSERT_TRUE(answer);
+  ASSERT_FALSE(*answer);
+  EXPECT_EQ(answer->error().ran, Ran::kNo);
+  EXPECT_TRUE(answer->error().retry_after);
+  cluster.shared.trouble.down = false;
+  cluster.clock.run_for(seconds(5));
+  EXPECT_TRUE(cluster.workers.calls.empty());
+}
+
+TEST(JobServiceTest, AnAcceptanceWhoseAnswerIsLostIsNeverToldAsNotRun) {
+  ServingCluster cluster(1);
+  cluster.answer_all(2, milliseconds(20));
+  cluster.shared.trouble.lose_commits = true;
+  std::optional<Expected<std::monostate>> answer;
+  cluster.node().jobs().submit(cluster.job("j1", 2),
+                               [&](const Expected<std::monostate>& told) { answer = told; });
+  cluster.clock.run_for(seconds(12));
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->has_value() || answer->error().ran == Ran::kUnknown);
+  cluster.shared.trouble.lose_commits = false;
+  cluster.clock.run_for(seconds(5));
+  expect_complete(cluster, "n0", "j1", 2, "d1\nd2");
+}
+
+TEST(JobServiceTest, AnEndedJobStartsNothingMoreAndItsListStays) {
+  ServingCluster cluster(2, 1);
+  cluster.answer_all(2, milliseconds(300));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 12)));
+  cluster.clock.run_for(milliseconds(1500));
+  const size_t listed = read_all(cluster, "n0", "j1").size();
+  std::optional<Expected<std::monostate>> ended;
+  cluster.node("n1").jobs().end("j1", [&](const Expected<std::monostate>& told) { ended = told; });
+  cluster.clock.run_for(milliseconds(100));
+  ASSERT_TRUE(ended && *ended);
+  const size_t calls = cluster.workers.calls.size();
+  cluster.clock.run_for(seconds(5));
+  EXPECT_EQ(cluster.workers.calls.size(), calls);
+  EXPECT_GE(read_all(cluster, "n1", "j1").size(), listed);
+  ended.reset();
+  cluster.node("n0").jobs().end("j1", [&](const Expected<std::monostate>& told) { ended = told; });
+  cluster.clock.run_for(milliseconds(100));
+  EXPECT_TRUE(ended && *ended) << "ending again succeeds";
+}
+
+TEST(JobServiceTest, AnItemThatAlwaysFailsIsListedAsErroredAfterItsAttempts) {
+  ServingCluster cluster(1);
+  cluster.workers.on_call = [&](ScriptedCall& call) {
+    call_after(cluster.loop, milliseconds(20), [&call] {
+      call.begin(500);
+      call.end();
+    });
+  };
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 1)));
+  cluster.clock.run_for(seconds(4));
+  const std::vector<JobResult> results = read_all(cluster, "n0", "j1");
+  ASSERT_EQ(results.size(), 1U);
+  EXPECT_EQ(results[0].state, ItemState::kErrored);
+  EXPECT_EQ(cluster.workers.calls.size(), 3U);
+}
+
+TEST(JobServiceTest, AnImpossibleItemIsTriedOnce) {
+  ServingCluster cluster(1);
+  cluster.workers.on_call = [&](ScriptedCall& call) {
+    call_after(cluster.loop, milliseconds(20), [&call] {
+      call.begin(422);
+      call.end();
+    });
+  };
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 1)));
+  cluster.clock.run_for(seconds(2));
+  EXPECT_EQ(read_all(cluster, "n0", "j1").size(), 1U);
+  EXPECT_EQ(cluster.workers.calls.size(), 1U);
+}
+
+TEST(JobServiceTest, ABrokenRunGoesOnBehindItsLastEvent) {
+  ServingCluster cluster(1);
+  cluster.workers.on_call = [&](ScriptedCall& call) {
+    call_after(cluster.loop, milliseconds(20), [&call] {
+      const bool first = call.header(platform::kLastEventId).empty();
+      call.begin();
+      call.event(first ? 1 : 2);
+      if (first) {
+        call.fail(Ran::kUnknown);
+      } else {
+        call.end();
+      }
+    });
+  };
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 1)));
+  cluster.clock.run_for(seconds(2));
+  expect_complete(cluster, "n0", "j1", 1, "d1\nd2");
+}
+
+TEST(JobServiceTest, LargeContentsAndTextsLieInObjects) {
+  ServingCluster cluster(2);
+  cluster.workers.on_call = [&](ScriptedCall& call) {
+    call_after(cluster.loop, milliseconds(20), [&call] {
+      call.begin();
+      call.callbacks->on_body("id: 1\ndata: " + std::string(70000, 'x') + "\n\n");
+      call.end();
+    });
+  };
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 3, 40000)));
+  cluster.clock.run_for(seconds(2));
+  EXPECT_EQ(cluster.shared.objects.size(), 4U);
+  expect_complete(cluster, "n1", "j1", 3, std::string(70000, 'x'));
+}
+
+TEST(JobServiceTest, BodiesOfUnlistedItemsAreReadAtEveryNode) {
+  ServingCluster cluster(2);
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 2)));
+  for (const char* node : {"n0", "n1"}) {
+    std::optional<Expected<std::string>> body;
+    cluster.node(node).jobs().read_body("j1", "j1-1",
+                                        [&](const Expected<std::string>& read) { body = read; });
+    cluster.clock.run_for(milliseconds(100));
+    ASSERT_TRUE(body && *body);
+    EXPECT_EQ(**body, std::string(10, 'b'));
+  }
+}
+
+TEST(JobServiceTest, OnlyWhoCanBeSureSaysThatThereIsNoJob) {
+  ServingCluster cluster(1);
+  const auto read = [&] {
+    std::optional<Expected<ResultPage>> page;
+    cluster.node().jobs().read_results("none", 0, Duration(0),
+                                       [&](const Expected<ResultPage>& told) { page = told; });
+    cluster.clock.run_for(seconds(3));
+    return page ? page->error().kind : ErrorKind::kInternal;
+  };
+  EXPECT_EQ(read(), ErrorKind::kNotFound);
+  cluster.shared.trouble.down = true;
+  EXPECT_EQ(read(), ErrorKind::kStoreUnavailable);
+}
+
+TEST(JobServiceTest, AnOldAnswerOfTheStoreDoesNotHideAResult) {
+  ServingCluster cluster(2);
+  cluster.answer_all(2, milliseconds(20));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 2)));
+  const StoreVersion old = cluster.shared.rows.version();
+  cluster.clock.run_for(seconds(2));
+  cluster.shared.trouble.read_as_of = old;
+  std::optional<Expected<ResultPage>> page;
+  cluster.node("n1").jobs().read_results("j1", 0, Duration(0),
+                                         [&](const Expected<ResultPage>& told) { page = told; });
+  cluster.clock.run_for(milliseconds(100));
+  ASSERT_TRUE(page);
+  ASSERT_FALSE(*page);
+  EXPECT_EQ(page->error().kind, ErrorKind::kStoreUnavailable);
+}
+
+TEST(JobServiceTest, APlannedStopHandsItsJobsOver) {
+  ServingCluster cluster(2, 1);
+  cluster.answer_all(2, milliseconds(400));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 12)));
+  cluster.clock.run_for(milliseconds(500));
+  bool stopped = false;
+  cluster.node("n0").begin_drain([&] { stopped = true; });
+  cluster.clock.run_for(seconds(4));
+  EXPECT_TRUE(stopped);
+  cluster.kill_node("n0");
+  cluster.clock.run_for(seconds(6));
+  expect_complete(cluster, "n1", "j1", 12, "d1\nd2");
+}
+
+TEST(JobServiceTest, WaitingOnlineRequestsTakeThePlacesOfBatchAndTheItemsGoOnLater) {
+  ServingCluster cluster(1, 1);
+  cluster.answer_all(6, milliseconds(300));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 3)));
+  ASSERT_EQ(cluster.workers.calls.size(), 3U);
+  for (int number = 0; number < 4; ++number) {
+    cluster.request("/stream/x", "r" + std::to_string(number));
+  }
+  cluster.clock.run_for(milliseconds(20));
+  size_t online = 0;
+  for (const ScriptedCall& call : cluster.workers.calls) {
+    online += call.open() && call.request.path == "/stream/x" ? 1 : 0;
+  }
+  EXPECT_EQ(online, 4U);
+  cluster.clock.run_for(seconds(15));
+  expect_complete(cluster, "n0", "j1", 3, "d1\nd2\nd3\nd4\nd5\nd6");
+}
+
 }  // namespace
 }  // namespace chalkshed
--- /dev/null
+++ b/tests/jobs/owned_job_test.cc
@@ -0,0 +1,140 @@
+#include "src/jobs/owned_job.h"
+
+#include <gtest/gtest.h>
+
+#include "src/jobs/job_rows.h"
+#include "tests/serving/serving_cluster.h"
+
+namespace chalkshed {
+namespace {
+
+// One owned job over a store that the test writes to behind its back.
+class OwnedJobTest : public testing::Test {
+ protected:
+  OwnedJobTest() {
+    StoredRow configuration;
+    configuration.key = {platform::kOperatorTable, "", platform::kConfigurationKey};
+    configuration.version = 1;
+    configuration.value = R"({"version": 1, "services": [{"name": "engines"}], "routes": [
+        {"name": "batch", "host": "a.example", "path_prefix": "/batch/", "kind": "batch",
+         "service": "engines", "attempts": 3, "run_target_ms": 20000}]})";
+    routes.on_row(configuration);
+    WorkerRecord worker;
+    worker.incarnation = "i-1";
+    worker.service = "engines";
+    worker.slots = 8;
+    workers.update(worker);
+    record.id = "j1";
+    record.host = "a.example";
+    record.path = "/batch/j";
+    record.items = 2;
+    record.owner = "n0#1";
+    record.epoch = 3;
+  }
+  StoreVersion write(const StoredRowKey& key, const std::string& value) {
+    StoreTransaction transaction;
+    transaction.writes.push_back({key, value});
+    return shared.rows.commit(transaction).stamp.version;
+  }
+  std::vector<ServingRequest> items() {
+    return *job_wire().decode_items("a.example", R"({"requests": [
+        {"id": "a", "path": "/batch/x", "body": ""}, {"id": "b", "path": "/batch/x", "body": ""}]})");
+  }
+  void complete(ScriptedCall& call) {
+    call.begin();
+    call.event(1);
+    call.end();
+  }
+
+  VirtualClock clock;
+  VirtualDispatcher dispatcher{clock};
+  SeededRandomGenerator random{1};
+  NullLogger logger;
+  NullMetricsRegistry metrics;
+  SharedStore shared;
+  MemoryWatchedStore store{shared, clock, dispatcher};
+  ScriptedWorkers calls;
+  WorkerSet workers{clock, random, "zone-a"};
+  ServingEnvironment serving{clock,   dispatcher, random,  calls, request_wire(),
+                             workers, logger,     metrics, {}};
+  RouteWatch routes{logger, platform::kConfigurationKey, &platform::decode_routes};
+  StoreClock store_clock{clock};
+  ServiceDraw draw{random};
+  JobEnvironment environment{serving, routes, store, store, store_clock, job_wire(), draw, {}, {}};
+  StoredJob record;
+};
+
+TEST_F(OwnedJobTest, AnAppendThatWasAppliedThoughItsAnswerWasLostIsRecognised) {
+  const StoreVersion version = write(stored_job_key("j1"), encode_job_record(record));
+  std::string lost;
+  OwnedJob job(environment, record, version, items(), {},
+               [&](const std::string& reason) { lost = reason; });
+  ASSERT_TRUE(job.start_item());
+  shared.trouble.lose_commits = true;
+  complete(calls.calls.back());
+  clock.run_for(milliseconds(500));
+  shared.trouble.lose_commits = false;
+  clock.run_for(seconds(4));
+  EXPECT_EQ(lost, "");
+  EXPECT_EQ(job.held().size(), 1U);
+}
+
+// An append of an earlier adoption of the same job, applied late, must not pass for one's own: the
+// item would be listed again at a later position.
+TEST_F(OwnedJobTest, AResultThatIsNotItsOwnEndsTheOwnership) {
+  const StoreVersion version = write(stored_job_key("j1"), encode_job_record(record));
+  JobResult other;
+  other.item = "b";
+  other.state = ItemState::kCompleted;
+  other.text = "from an earlier adoption";
+  std::string lost;
+  OwnedJob job(environment, record, version, items(), {},
+               [&](const std::string& reason) { lost = reason; });
+  ASSERT_TRUE(job.start_item());
+  write(job_result_key("j1", 0), encode_job_result(other));
+  complete(calls.calls.back());
+  clock.run_for(seconds(1));
+  EXPECT_NE(lost, "");
+  EXPECT_TRUE(job.held().empty());
+}
+
+TEST_F(OwnedJobTest, ASupersededOwnerAppendsNothing) {
+  const StoreVersion version = write(stored_job_key("j1"), encode_job_record(record));
+  std::string lost;
+  OwnedJob job(environment, record, version, items(), {},
+               [&](const std::string& reason) { lost = reason; });
+  ASSERT_TRUE(job.start_item());
+  StoredJob taken = record;
+  taken.owner = "n1#1";
+  ++taken.epoch;
+  write(stored_job_key("j1"), encode_job_record(taken));
+  complete(calls.calls.back());
+  clock.run_for(seconds(1));
+  EXPECT_NE(lost, "");
+  EXPECT_TRUE(shared.rows.read(job_result_range("j1", 0, 10)).rows.empty());
+}
+
+TEST_F(OwnedJobTest, AnItemTooOldIsGivenUpAndNotBefore) {
+  const StoreVersion version = write(stored_job_key("j1"), encode_job_record(record));
+  StoredRow configuration;
+  configuration.key = {platform::kOperatorTable, "", platform::kConfigurationKey};
+  configuration.version = 2;
+  configuration.value = R"({"version": 2, "services": [], "routes": [
+      {"name": "batch", "host": "a.example", "path_prefix": "/batch/", "kind": "batch",
+       "service": "engines", "retention_s": 60}]})";
+  routes.on_row(configuration);
+  store_clock.observe({1, clock.monotonic_now().time_since_epoch()});
+  record.accepted = store_clock.now();
+  OwnedJob job(environment, record, version, items(), {}, [](const std::string&) {});
+  clock.run_for(seconds(59));
+  job.give_up_expired();
+  clock.run_for(milliseconds(500));
+  EXPECT_TRUE(job.held().empty());
+  clock.run_for(seconds(1));
+  job.give_up_expired();
+  clock.run_for(milliseconds(500));
+  EXPECT_EQ(job.held().size(), 2U);
+}
+
+}  // namespace
+}  // namespace chalkshed
--- /dev/null
+++ b/tests/peers/peer_exchange_test.cc
@@ -0,0 +1,105 @@
+#include "src/peers/peer_exchange.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/serving/serving_cluster.h"
+
+namespace chalkshed {
+namespace {
+
+class PeerExchangeTest : public testing::Test {
+ protected:
+  PeerExchangeTest() { cluster.clock.run_for(seconds(1)); }
+  SessionView& view(const std::string& node) { return cluster.node(node).peers(); }
+  std::string session(const std::string& node) { return view(node).own_session(); }
+  bool alive(const std::string& observer, const std::string& of) {
+    return view(observer).alive(of, cluster.shared.rows.version());
+  }
+
+  ServingCluster cluster{3, 2};
+};
+
+TEST_F(PeerExchangeTest, NodesSeeEachOther) {
+  EXPECT_TRUE(alive("n0", session("n1")));
+  EXPECT_TRUE(alive("n2", session("n0")));
+  const size_t ranks = view("n0").rank("k") + view("n1").rank("k") + view("n2").rank("k");
+  EXPECT_EQ(ranks, 0U + 1U + 2U);
+}
+
+TEST_F(PeerExchangeTest, ASilentNodeLapsesWithinSeconds) {
+  const std::string dead = session("n1");
+  cluster.kill_node("n1");
+  cluster.clock.run_for(seconds(2));
+  EXPECT_TRUE(alive("n0", dead));
+  cluster.clock.run_for(seconds(1));
+  EXPECT_FALSE(alive("n0", dead));
+}
+
+TEST_F(PeerExchangeTest, ANewStartEndsTheSessionBeforeAtOnce) {
+  const std::string before = session("n1");
+  const StoreVersion seen = cluster.shared.rows.version();
+  cluster.kill_node("n1");
+  cluster.start_node("n1");
+  cluster.clock.run_for(milliseconds(100));
+  EXPECT_FALSE(view("n0").alive(before, seen));
+  EXPECT_TRUE(alive("n0", session("n1")));
+}
+
+TEST_F(PeerExchangeTest, ANodeThatLostTheStoreLapsesForThoseThatHaveIt) {
+  cluster.nodes.at("n1")->store.set_cut(true);
+  cluster.clock.run_for(seconds(6));
+  EXPECT_FALSE(alive("n0", session("n1")));
+  EXPECT_TRUE(alive("n1", session("n0"))) << "the one that is cut off judges nobody";
+}
+
+TEST_F(PeerExchangeTest, NobodyLapsesWhileTheStoreIsDownForAll) {
+  cluster.shared.trouble.silent = true;
+  cluster.clock.run_for(seconds(10));
+  EXPECT_TRUE(alive("n0", session("n1")));
+}
+
+TEST_F(PeerExchangeTest, ANodeThatStoodStillBlamesNobody) {
+  cluster.nodes.at("n0")->dispatcher.freeze();
+  cluster.clock.run_for(seconds(6));
+  cluster.nodes.at("n0")->dispatcher.thaw();
+  EXPECT_TRUE(alive("n0", session("n1")));
+  cluster.clock.run_for(milliseconds(300));
+  EXPECT_TRUE(alive("n0", session("n1")));
+}
+
+TEST_F(PeerExchangeTest, TakenPlacesAreKnownToOtherNodesWithinTensOfMilliseconds) {
+  cluster.request("/stream/x");
+  const std::string worker = cluster.workers.calls.back().header(platform::kExpectInstance);
+  cluster.clock.run_for(milliseconds(50));
+  EXPECT_EQ(cluster.node("n1").workers().find(worker)->others_online, 1);
+  cluster.kill_node("n0");
+  cluster.clock.run_for(seconds(2));
+  EXPECT_EQ(cluster.node("n1").workers().find(worker)->others_online, 0) << "it died with it";
+}
+
+TEST(HeartbeatTest, SurvivesTheWireAndRejectsNoise) {
+  Heartbeat heartbeat;
+  heartbeat.session = "n#1";
+  heartbeat.sequence = 7;
+  heartbeat.draining = true;
+  heartbeat.store_silence = milliseconds(1500);
+  heartbeat.store_version = 99;
+  heartbeat.loads = {{42, 3, 1, 12345}};
+  const std::string datagram = encode_heartbeat(heartbeat);
+  const std::optional<Heartbeat> read = decode_heartbeat(datagram);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->session, "n#1");
+  EXPECT_EQ(read->sequence, 7U);
+  EXPECT_TRUE(read->draining);
+  EXPECT_EQ(read->store_silence, milliseconds(1500));
+  EXPECT_EQ(read->store_version, 99U);
+  ASSERT_EQ(read->loads.size(), 1U);
+  EXPECT_EQ(read->loads[0].prompt_tokens, 12345U);
+  for (size_t size = 0; size < datagram.size(); size += 3) {
+    decode_heartbeat(std::string_view(datagram).substr(0, size));  // must not crash
+  }
+  EXPECT_FALSE(decode_heartbeat("noise"));
+}
+
+}  // namespace
+}  // namespace chalkshed
--- /dev/null
+++ b/tests/platform/platform_settings_test.cc
@@ -0,0 +1,40 @@
+#include "platform/platform_settings.h"
+
+#include <gtest/gtest.h>
+
+namespace chalkshed::platform {
+namespace {
+
+constexpr const char* kSettings =
+    "node=n1\nzone=z\nip=10.0.0.1\nlisten.front=10.0.0.1:80\nlisten.readiness=10.0.0.1:81\n"
+    "port_range=7660,7675\nprovider.address=10.9.0.1:8142\nbounds.grace_s=6.5\nnew.field=1\n";
+
+TEST(PlatformSettingsTest, ReadsWhatItKnowsAndIgnoresTheRest) {
+  const Expected<PlatformSettings> settings = parse_settings(kSettings);
+  ASSERT_TRUE(settings);
+  EXPECT_EQ(settings->node, "n1");
+  EXPECT_EQ(settings->callers, (Address{"10.0.0.1", 80}));
+  EXPECT_EQ(settings->store, (Address{"10.9.0.1", 8142}));
+  EXPECT_EQ(settings->first_peer_port, 7660);
+  EXPECT_EQ(settings->last_peer_port, 7675);
+  EXPECT_EQ(settings->stop_grace, std::chrono::milliseconds(6500));
+}
+
+TEST(PlatformSettingsTest, NamesTheFieldThatIsMissingOrWrong) {
+  const std::string all = kSettings;
+  for (const std::string field : {"node", "zone", "ip", "listen.front", "listen.readiness",
+                                   "port_range", "provider.address"}) {
+    std::string without = all;
+    const size_t begin = without.find(field + "=");
+    without.erase(begin, without.find('\n', begin) - begin + 1);
+    const Expected<PlatformSettings> settings = parse_settings(without);
+    ASSERT_FALSE(settings) << field;
+    EXPECT_NE(settings.error().message.find(field), std::string::npos);
+  }
+  const Expected<PlatformSettings> wrong = parse_settings(all + "port_range=9,3\n");
+  ASSERT_FALSE(wrong);
+  EXPECT_NE(wrong.error().message.find("port_range"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace chalkshed::platform
--- /dev/null
+++ b/tests/platform/record_codec_test.cc
@@ -0,0 +1,87 @@
+#include "platform/record_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace chalkshed::platform {
+namespace {
+
+constexpr const char* kConfiguration = R"({"version": 7, "routes": [
+  {"name": "r1", "host": "a.example", "path_prefix": "/x/", "kind": "streaming",
+   "timeout_ms": 6000, "target_ms": 500, "priority": 1, "service": "s", "attempts": 2,
+   "resumable": true, "gap_target_ms": 500, "new_field": {}},
+  {"name": "r2", "host": "a.example", "path_prefix": "/y/", "kind": "non_idempotent",
+   "timeout_ms": 100, "target_ms": 50, "attempts": 1,
+   "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]},
+  {"name": "r3", "host": "b.example", "path_prefix": "/z/", "kind": "batch", "service": "s",
+   "run_target_ms": 20000, "retention_s": 60}],
+  "services": [{"name": "s", "max_conns": 300, "engine": {"kv_capacity": 171000}},
+               {"name": "t", "max_conns": 110}],
+  "limits": {"max_header_bytes": 100, "max_body_bytes": 200, "idle_timeout_ms": 15000}})";
+
+TEST(DecodeRoutesTest, ReadsRoutesServicesAndLimits) {
+  const Expected<RouteTable> table = decode_routes(kConfiguration);
+  ASSERT_TRUE(table);
+  EXPECT_EQ(table->version(), 7U);
+  const Route* stream = table->find("a.example", "/x/1");
+  ASSERT_NE(stream, nullptr);
+  EXPECT_EQ(stream->kind, RouteKind::kStreaming);
+  EXPECT_EQ(stream->timeout, std::chrono::seconds(6));
+  EXPECT_EQ(stream->target, std::chrono::milliseconds(500));
+  EXPECT_EQ(stream->longest_pause, std::chrono::milliseconds(500));
+  EXPECT_TRUE(is_repeatable(*stream));
+  const Route* split = table->find("a.example", "/y/1");
+  ASSERT_NE(split, nullptr);
+  EXPECT_FALSE(is_repeatable(*split));
+  ASSERT_EQ(split->services.size(), 2U);
+  EXPECT_EQ(split->services[1].weight, 10U);
+  const Route* batch = table->find("b.example", "/z/1");
+  ASSERT_NE(batch, nullptr);
+  EXPECT_EQ(batch->run_target, std::chrono::seconds(20));
+  EXPECT_EQ(batch->retention, std::chrono::seconds(60));
+  EXPECT_TRUE(table->service("s")->generates);
+  EXPECT_FALSE(table->service("t")->generates);
+  EXPECT_EQ(table->limits().max_body_bytes, 200U);
+}
+
+TEST(DecodeRoutesTest, AnUnknownKindRunsAtMostOnce) {
+  const Expected<RouteTable> table = decode_routes(
+      R"({"version": 1, "services": [], "routes": [{"name": "r", "host": "h",
+          "path_prefix": "/", "kind": "something new", "service": "s"}]})");
+  ASSERT_TRUE(table);
+  EXPECT_EQ(table->find("h", "/")->kind, RouteKind::kOnce);
+}
+
+TEST(DecodeRoutesTest, WhatCannotBeReadIsAnErrorThatSaysWhy) {
+  for (const char* broken :
+       {"", "{", "[]", R"({"version": 1})", R"({"version": "x", "routes": [], "services": []})",
+        R"({"version": 1, "routes": [{"name": "r"}], "services": []})"}) {
+    const Expected<RouteTable> table = decode_routes(broken);
+    ASSERT_FALSE(table) << broken;
+    EXPECT_FALSE(table.error().message.empty());
+    EXPECT_FALSE(table.error().remedy.empty());
+  }
+}
+
+TEST(DecodeWorkerTest, ReadsItsRecord) {
+  const Expected<WorkerRecord> record = decode_worker(
+      "i-1", R"({"service": "s", "address": "10.0.0.9:8080", "zone": "z", "version": "v1",
+                 "slots": 19, "state": "draining", "seq": 4})");
+  ASSERT_TRUE(record);
+  EXPECT_EQ(record->incarnation, "i-1");
+  EXPECT_EQ(record->address, (Address{"10.0.0.9", 8080}));
+  EXPECT_EQ(record->slots, 19U);
+  EXPECT_TRUE(record->leaving);
+}
+
+TEST(DecodeWorkerTest, ABadAddressIsAnErrorThatNamesIt) {
+  for (const char* address : {"", "10.0.0.9", "10.0.0.9:", "10.0.0.9:99999", ":80", "x:y"}) {
+    const Expected<WorkerRecord> record =
+        decode_worker("i-1", std::string(R"({"service": "s", "address": ")") + address + "\"}");
+    EXPECT_FALSE(record) << address;
+  }
+  EXPECT_FALSE(decode_worker("i-1", "{}"));
+  EXPECT_FALSE(decode_worker("i-1", "not json"));
+}
+
+}  // namespace
+}  // namespace chalkshed::platform
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -122,13 +122,13 @@
 };
 
 inline platform::JobWire& job_wire() {
-  static platform::JobWire wire;
-  return wire;
+  static platform::JobWire the_wire;
+  return the_wire;
 }
 
 inline const platform::RequestWire& request_wire() {
-  static const platform::RequestWire wire;
-  return wire;
+  static const platform::RequestWire kWire;
+  return kWire;
 }
 
 // One node with its own loop, which can be frozen or destroyed.
