Record the progress of running items, so that another node continues behind it

Change: every 1.5 s the owner records the advanced items of a job in one transaction under its epoch; whoever takes the job over continues at their last event. A planned stop records them before it gives its jobs away. A job whose due has passed is no longer urgent.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,14 @@
   bool in_object = false;
 };
 
+// What the runs of an item have brought so far.
+struct ItemProgress {
+  std::string text;  // data of the events, separated by line feeds
+  bool has_text = false;
+  std::optional<uint64_t> last_event;
+  uint32_t failures = 0;  // answers that count as failed attempts
+};
+
 // Reads a job's stored content. Part of the wire format that jobs are sent in.
 class JobCodec {
  public:
--- a/src/jobs/job_item_run.h
+++ b/src/jobs/job_item_run.h
@@ -11,14 +11,6 @@
 
 namespace chalkshed {
 
-// What the runs of an item have brought so far.
-struct ItemProgress {
-  std::string text;  // data of the events, separated by line feeds
-  bool has_text = false;
-  std::optional<uint64_t> last_event;
-  uint32_t failures = 0;  // answers that count as failed attempts
-};
-
 enum class JobItemRunEnd {
   kCompleted,   // the text is whole
   kImpossible,  // the worker says that it can never be done
--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -12,10 +12,13 @@
   // Contents and results up to this size lie in rows, larger ones in objects.
   size_t most_row_bytes = 60 * 1024;
   // Results of one transaction.
-  size_t most_results_a_commit = 50;
+  size_t most_results_a_commit = 45;
   size_t most_bytes_a_commit = 600 * 1024;
   // Results gather for this long before they are committed together.
   Duration commit_delay = std::chrono::milliseconds(150);
+  // Between two records of what the running items have brought, so that another node continues
+  // behind it. Too short costs the store's bytes, too long the work of a lost node.
+  Duration checkpoint_interval = std::chrono::milliseconds(1500);
   Duration store_retry = std::chrono::milliseconds(250);
   // A submission whose outcome is unknown is settled within this time, or the caller hears so.
   uint32_t most_submit_tries = 4;
--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -82,6 +82,34 @@
           load_listed(job, std::move(loaded), std::move(callback));
           return;
         }
+        load_progress(job, "", std::move(loaded), std::move(callback));
+      }));
+}
+
+void JobLoader::load_progress(const std::string& job, std::string from,
+                              std::shared_ptr<LoadedJob> loaded, Callback<LoadedJob> callback) {
+  RangeRead range = job_progress_range(job);
+  if (!from.empty()) {
+    range.first_key = std::move(from);
+  }
+  environment_.store.read_range(
+      std::move(range),
+      lifetime_.guard([this, job, loaded = std::move(loaded),
+                       callback = std::move(callback)](const Expected<RangePage>& page) mutable {
+        if (!page) {
+          callback(tl::unexpected(page.error()));
+          return;
+        }
+        for (const StoredRow& row : page->rows) {
+          Expected<ItemProgress> progress = decode_item_progress(row.value);
+          if (progress) {
+            loaded->progress[row.key.key.substr(job.size() + 1)] = std::move(*progress);
+          }
+        }
+        if (page->more && page->rows.size() > 1) {
+          load_progress(job, page->rows.back().key.key, std::move(loaded), std::move(callback));
+          return;
+        }
         callback(std::move(*loaded));
       }));
 }
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -1,6 +1,7 @@
 // Reads what a node needs to run a job that it has not accepted itself.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -13,6 +14,7 @@
 struct LoadedJob {
   std::vector<ServingRequest> items;
   std::vector<std::string> listed;  // ids of the items that have results, in their order
+  std::map<std::string, ItemProgress> progress;  // of unfinished items, by id
 };
 
 class JobLoader {
@@ -27,6 +29,8 @@
   void load_content(const StoredJob& record, Callback<std::shared_ptr<const std::string>> callback);
   void load_listed(const std::string& job, std::shared_ptr<LoadedJob> loaded,
                    Callback<LoadedJob> callback);
+  void load_progress(const std::string& job, std::string from, std::shared_ptr<LoadedJob> loaded,
+                     Callback<LoadedJob> callback);
 
   JobEnvironment& environment_;
   Lifetime lifetime_;
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -1,6 +1,7 @@
 #include "src/jobs/job_rows.h"
 
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
@@ -54,6 +55,19 @@
   return {kStoredResultTable, job_partition(job), job + "/" + position_text(position)};
 }
 
+StoredRowKey job_progress_key(const std::string& job, const std::string& item) {
+  return {kStoredProgressTable, job_partition(job), job + "/" + item};
+}
+
+RangeRead job_progress_range(const std::string& job) {
+  RangeRead range;
+  range.table = kStoredProgressTable;
+  range.partition = job_partition(job);
+  range.first_key = job + "/";
+  range.end_key = job + "0";  // '0' follows '/'
+  return range;
+}
+
 RangeRead job_result_range(const std::string& job, uint32_t position, uint32_t limit) {
   RangeRead range;
   range.table = kStoredResultTable;
@@ -106,6 +120,33 @@
   }
 }
 
+std::string encode_item_progress(const ItemProgress& progress) {
+  std::string value = std::to_string(progress.last_event.value_or(0));
+  value += ' ';
+  value += std::to_string(progress.failures);
+  value += '\n';
+  value += progress.text;
+  return value;
+}
+
+Expected<ItemProgress> decode_item_progress(std::string_view value) {
+  ItemProgress progress;
+  uint64_t last_event = 0;
+  const char* end = value.data() + value.size();
+  const auto event = std::from_chars(value.data(), end, last_event);
+  const bool has_blank = event.ec == std::errc() && event.ptr != end && *event.ptr == ' ';
+  const auto failures = has_blank ? std::from_chars(event.ptr + 1, end, progress.failures) : event;
+  if (!has_blank || failures.ec != std::errc() || failures.ptr == end || *failures.ptr != '\n') {
+    return tl::unexpected(unreadable("the progress of an item"));
+  }
+  if (last_event > 0) {
+    progress.last_event = last_event;
+    progress.has_text = true;
+    progress.text.assign(failures.ptr + 1, end);
+  }
+  return progress;
+}
+
 std::string encode_job_result(const JobResult& result) {
   std::string value(result.in_object                        ? kInObject
                     : result.state == ItemState::kCompleted ? kCompleted
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -14,6 +14,8 @@
 inline constexpr const char* kStoredContentTable =
     "job_content";                                               // key: job id; small contents only
 inline constexpr const char* kStoredResultTable = "job_result";  // key: job id, position
+// What unfinished items have brought so far; key: job id, item id.
+inline constexpr const char* kStoredProgressTable = "job_progress";
 
 // @return all partitions that jobs lie in.
 std::vector<std::string> job_partitions();
@@ -21,6 +23,9 @@
 StoredRowKey stored_job_key(const std::string& job);
 StoredRowKey job_content_key(const std::string& job);
 StoredRowKey job_result_key(const std::string& job, uint32_t position);
+StoredRowKey job_progress_key(const std::string& job, const std::string& item);
+// The progress of all items of the job.
+RangeRead job_progress_range(const std::string& job);
 // Results from `position` on.
 RangeRead job_result_range(const std::string& job, uint32_t position, uint32_t limit);
 // Name of the object that holds the content of a large job.
@@ -31,6 +36,9 @@
 std::string encode_job_record(const StoredJob& record);
 // Errors: kInternal.
 Expected<StoredJob> decode_job_record(const std::string& job, std::string_view value);
+std::string encode_item_progress(const ItemProgress& progress);
+// Errors: kInternal.
+Expected<ItemProgress> decode_item_progress(std::string_view value);
 std::string encode_job_result(const JobResult& result);
 Expected<JobResult> decode_job_result(std::string_view value);
 
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -64,16 +64,17 @@
   }
 }
 
-void JobService::adopt(const StoredJob& record, StoreVersion version,
-                       std::vector<ServingRequest> items, const std::vector<std::string>& listed) {
+void JobService::adopt(const StoredJob& record, StoreVersion version, LoadedJob loaded) {
+  log(LogLevel::kInfo, "job_owned", record,
+      std::to_string(loaded.listed.size()) + " results are listed, " +
+          std::to_string(loaded.progress.size()) + " items continue");
   Owned owned;
-  owned.job = std::make_unique<OwnedJob>(environment_, record, version, std::move(items), listed,
+  owned.job = std::make_unique<OwnedJob>(environment_, record, version, std::move(loaded),
                                          [this, id = record.id](const std::string& reason) {
                                            environment_.serving.dispatcher.post(lifetime_.guard(
                                                [this, id, reason] { drop(id, reason); }));
                                          });
   owned_[record.id] = std::move(owned);
-  log(LogLevel::kInfo, "job_owned", record, std::to_string(listed.size()) + " results are listed");
   start_items();
 }
 
@@ -121,7 +122,7 @@
     callback({});
     note(outcome->record, outcome->version);
     if (outcome->accepted_here && !owned_.contains(outcome->record.id)) {
-      adopt(outcome->record, outcome->version, std::move(ended->submission().items), {});
+      adopt(outcome->record, outcome->version, {std::move(ended->submission().items), {}, {}});
     }
   });
 }
@@ -492,7 +493,7 @@
     if (found->second.version != version || owned_.contains(record.id)) {
       return;
     }
-    adopt(record, version, std::move(loaded->items), loaded->listed);
+    adopt(record, version, std::move(*loaded));
   }));
 }
 
@@ -506,17 +507,17 @@
 
 void JobService::check_drained() {
   const Duration elapsed = environment_.serving.time_source.monotonic_now() - drain_began_;
-  std::vector<std::string> ready;
-  for (const auto& [id, owned] : owned_) {
+  std::vector<std::string> finished;
+  for (auto& [id, owned] : owned_) {
     const bool idle = !owned.job->has_running() && !owned.job->has_uncommitted();
     if (owned.job->finished()) {
-      ready.push_back(id);
-    } else if (idle || elapsed > environment_.knobs.longest_drain) {
-      ready.push_back(id);
+      finished.push_back(id);
+    } else if ((idle || elapsed > environment_.knobs.longest_drain) &&
+               !std::exchange(owned.releasing, true)) {
       release(id);
     }
   }
-  for (const std::string& id : ready) {
+  for (const std::string& id : finished) {
     drop(id, "this node stops");
   }
   if (owned_.empty() && submits_.empty()) {
@@ -530,14 +531,24 @@
              lifetime_.guard([this] { check_drained(); }));
 }
 
+// The items' progress is recorded first, so that the next owner continues behind it.
 void JobService::release(const std::string& id) {
-  const OwnedJob& job = *owned_.at(id).job;
-  StoredJob free = job.record();
-  free.owner.clear();
-  StoreTransaction transaction;
-  transaction.conditions.push_back({stored_job_key(id), job.version()});
-  transaction.writes.push_back({stored_job_key(id), encode_job_record(free)});
-  environment_.store.commit(std::move(transaction), [](const Expected<StoreCommit>& /*commit*/) {});
+  owned_.at(id).job->checkpoint(lifetime_.guard([this, id] {
+    const auto found = owned_.find(id);
+    if (found == owned_.end()) {
+      return;
+    }
+    const OwnedJob& job = *found->second.job;
+    StoredJob free = job.record();
+    free.owner.clear();
+    StoreTransaction transaction;
+    transaction.conditions.push_back({stored_job_key(id), job.version()});
+    transaction.writes.push_back({stored_job_key(id), encode_job_record(free)});
+    environment_.store.commit(std::move(transaction),
+                              [](const Expected<StoreCommit>& /*commit*/) {});
+    environment_.serving.dispatcher.post(
+        lifetime_.guard([this, id] { drop(id, "this node stops"); }));
+  }));
 }
 
 void JobService::log(LogLevel level, std::string_view event, const StoredJob& record,
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -68,13 +68,13 @@
   struct Owned {
     std::unique_ptr<OwnedJob> job;
     MonotonicTime finished{};
+    bool releasing = false;
   };
   using Found = std::function<void(Expected<Indexed>)>;
 
   void find(const std::string& job, Found callback);
   void note(const StoredJob& record, StoreVersion version);
-  void adopt(const StoredJob& record, StoreVersion version, std::vector<ServingRequest> items,
-             const std::vector<std::string>& listed);
+  void adopt(const StoredJob& record, StoreVersion version, LoadedJob loaded);
   void drop(const std::string& job, const std::string& reason);
   void sweep();
   void sweep_job(const std::string& id, Indexed& indexed);
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -8,20 +8,26 @@
 namespace chalkshed {
 
 OwnedJob::OwnedJob(JobEnvironment& environment, StoredJob record, StoreVersion version,
-                   std::vector<ServingRequest> items, const std::vector<std::string>& listed,
-                   OnLost on_lost)
+                   LoadedJob loaded, OnLost on_lost)
     : environment_(environment),
       record_(std::move(record)),
       version_(version),
       on_lost_(std::move(on_lost)),
-      first_held_(static_cast<uint32_t>(listed.size())),
-      commit_timer_(environment.serving.dispatcher.create_timer([this] { commit(); })) {
-  const std::set<std::string> done(listed.begin(), listed.end());
-  items_.reserve(items.size());
-  for (ServingRequest& request : items) {
+      first_held_(static_cast<uint32_t>(loaded.listed.size())),
+      commit_timer_(environment.serving.dispatcher.create_timer([this] { commit(); })),
+      checkpoint_timer_(environment.serving.dispatcher.create_timer(
+          [this] { checkpoint([this] { checkpoint_later(); }); })) {
+  const std::set<std::string> done(loaded.listed.begin(), loaded.listed.end());
+  items_.reserve(loaded.items.size());
+  for (ServingRequest& request : loaded.items) {
     Item item;
     item.listed = done.contains(request.id);
     item.phase = item.listed ? Phase::kEnded : Phase::kWaiting;
+    const auto progress = loaded.progress.find(request.id);
+    if (!item.listed && progress != loaded.progress.end()) {
+      item.progress = std::move(progress->second);
+      item.recorded_event = item.progress.last_event;
+    }
     item.request = std::move(request);
     items_.push_back(std::move(item));
   }
@@ -42,7 +48,8 @@
   const auto need = std::chrono::duration_cast<Duration>(environment_.pace.estimate() *
                                                          environment_.knobs.urgent_paces) +
                     environment_.knobs.urgent_slack;
-  return due() - environment_.clock.now() < need;
+  const Duration left = due() - environment_.clock.now();
+  return left > Duration(0) && left < need;
 }
 
 bool OwnedJob::preempt_item() {
@@ -96,6 +103,7 @@
     return false;
   }
   const auto index = static_cast<size_t>(item - items_.data());
+  checkpoint_later();
   item->phase = Phase::kRunning;
   item->started = environment_.serving.time_source.monotonic_now();
   ++running_;
@@ -186,6 +194,41 @@
   }
 }
 
+void OwnedJob::checkpoint_later() {
+  if (!lost_ && !checkpoint_timer_->enabled()) {
+    checkpoint_timer_->enable(environment_.knobs.checkpoint_interval);
+  }
+}
+
+void OwnedJob::checkpoint(std::function<void()> done) {
+  StoreTransaction transaction;
+  transaction.conditions.push_back({stored_job_key(record_.id), version_});
+  size_t bytes = 0;
+  for (Item& item : items_) {
+    const ItemProgress& progress = item.progress;
+    const bool advanced = progress.last_event && progress.last_event != item.recorded_event;
+    const size_t size = progress.text.size();
+    if (item.phase == Phase::kEnded || !advanced || size > environment_.knobs.most_row_bytes ||
+        bytes + size > environment_.knobs.most_bytes_a_commit) {
+      continue;
+    }
+    bytes += size;
+    item.recorded_event = progress.last_event;
+    transaction.writes.push_back(
+        {job_progress_key(record_.id, item.request.id), encode_item_progress(progress)});
+  }
+  if (lost_ || transaction.writes.empty()) {
+    done();
+    return;
+  }
+  // A lost or refused checkpoint is no loss: the next one holds more. One that comes late is
+  // refused with its epoch, or holds less than was there, which costs work and nothing else.
+  environment_.store.commit(
+      std::move(transaction),
+      lifetime_.guard(
+          [done = std::move(done)](const Expected<StoreCommit>& /*commit*/) { done(); }));
+}
+
 void OwnedJob::commit_later() {
   if (committing_.empty() && !commit_timer_->enabled()) {
     commit_timer_->enable(environment_.knobs.commit_delay);
@@ -251,6 +294,14 @@
     transaction.writes.push_back(
         {job_result_key(record_.id, position++), encode_job_result(stored)});
   }
+  for (const Item& item : items_) {
+    const bool ends =
+        std::any_of(committing_.begin(), committing_.end(),
+                    [&](const JobResult& result) { return result.item == item.request.id; });
+    if (ends && item.recorded_event) {
+      transaction.writes.push_back({job_progress_key(record_.id, item.request.id), std::nullopt});
+    }
+  }
   first_committing_value_ = transaction.writes.front().value.value_or("");
   if (commit_finishes_) {
     StoredJob finished = record_;
@@ -339,6 +390,7 @@
 void OwnedJob::cancel() {
   lost_ = true;
   commit_timer_->disable();
+  checkpoint_timer_->disable();
   for (Item& item : items_) {
     item.run.reset();
   }
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -12,6 +12,7 @@
 #include "src/jobs/job.h"
 #include "src/jobs/job_environment.h"
 #include "src/jobs/job_item_run.h"
+#include "src/jobs/job_loader.h"
 
 namespace chalkshed {
 
@@ -21,9 +22,7 @@
   using OnLost = std::function<void(const std::string& reason)>;
 
   // @param version of the record's row.
-  // @param listed ids of the items whose results are in the store already, in their order.
-  OwnedJob(JobEnvironment& environment, StoredJob record, StoreVersion version,
-           std::vector<ServingRequest> items, const std::vector<std::string>& listed,
+  OwnedJob(JobEnvironment& environment, StoredJob record, StoreVersion version, LoadedJob loaded,
            OnLost on_lost);
 
   const StoredJob& record() const { return record_; }
@@ -42,6 +41,9 @@
   bool start_item();
   // Gives up items that are too old or whose route is gone.
   void give_up_expired();
+  // Records what the running items have brought, for whoever takes the job over.
+  // @param done called once, whether or not it could be recorded.
+  void checkpoint(std::function<void()> done);
   // Ends all runs; nothing is appended any more.
   void cancel();
   // Whether all results are in the store.
@@ -67,10 +69,12 @@
     MonotonicTime started{};
     std::unique_ptr<JobItemRun> run;
     bool listed = false;
+    std::optional<uint64_t> recorded_event;  // the last one in its checkpoint
   };
 
   void handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason);
   void end_item(Item& item, ItemState state);
+  void checkpoint_later();
   void commit_later();
   void commit();
   void put_large_results(size_t index, std::function<void()> then);
@@ -97,6 +101,7 @@
   bool commit_finishes_ = false;        // the commit under way holds the last result
   std::vector<std::function<void()>> on_commit_;
   TimerPtr commit_timer_;
+  TimerPtr checkpoint_timer_;
   Lifetime lifetime_;
 };
 
--- a/src/serving/serving_gateway.cc
+++ b/src/serving/serving_gateway.cc
@@ -41,11 +41,10 @@
 }
 
 size_t ServingGateway::waiting_before(const std::string& service, uint32_t priority) const {
-  return static_cast<size_t>(
-      std::count_if(relays_.begin(), relays_.end(), [&](const auto& entry) {
-        const RequestRelay& relay = *entry.second;
-        return relay.waiting() && relay.service() == service && relay.priority() <= priority;
-      }));
+  return static_cast<size_t>(std::count_if(relays_.begin(), relays_.end(), [&](const auto& entry) {
+    const RequestRelay& relay = *entry.second;
+    return relay.waiting() && relay.service() == service && relay.priority() <= priority;
+  }));
 }
 
 void ServingGateway::remove_later(uint64_t id) {
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "src/jobs/job_rows.h"
 #include "tests/serving/serving_cluster.h"
 
 namespace chalkshed {
@@ -363,5 +364,27 @@
   expect_complete(cluster, "n0", "j1", 3, "d1\nd2\nd3\nd4\nd5\nd6");
 }
 
+TEST(JobServiceTest, AnItemContinuesBehindItsCheckpointAfterItsOwnerIsLost) {
+  ServingCluster cluster(2, 1);
+  cluster.answer_all(20, milliseconds(200));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 2)));
+  cluster.clock.run_for(milliseconds(2500));
+  cluster.kill_node("n0");
+  cluster.clock.run_for(seconds(8));
+  ASSERT_EQ(cluster.workers.calls.size(), 4U);
+  for (const ScriptedCall& call : cluster.workers.calls) {
+    const bool first = &call == &cluster.workers.calls.front() ||
+                       &call == &*std::next(cluster.workers.calls.begin());
+    EXPECT_EQ(call.header(platform::kLastEventId).empty(), first);
+  }
+  cluster.clock.run_for(seconds(4));
+  std::string text = "d1";
+  for (int event = 2; event <= 20; ++event) {
+    text += "\nd" + std::to_string(event);
+  }
+  expect_complete(cluster, "n1", "j1", 2, text);
+  EXPECT_TRUE(cluster.shared.rows.read(job_progress_range("j1")).rows.empty());
+}
+
 }  // namespace
 }  // namespace chalkshed
--- a/tests/jobs/owned_job_test.cc
+++ b/tests/jobs/owned_job_test.cc
@@ -67,7 +67,7 @@
 TEST_F(OwnedJobTest, AnAppendThatWasAppliedThoughItsAnswerWasLostIsRecognised) {
   const StoreVersion version = write(stored_job_key("j1"), encode_job_record(record));
   std::string lost;
-  OwnedJob job(environment, record, version, items(), {},
+  OwnedJob job(environment, record, version, {items(), {}, {}},
                [&](const std::string& reason) { lost = reason; });
   ASSERT_TRUE(job.start_item());
   shared.trouble.lose_commits = true;
@@ -88,7 +88,7 @@
   other.state = ItemState::kCompleted;
   other.text = "from an earlier adoption";
   std::string lost;
-  OwnedJob job(environment, record, version, items(), {},
+  OwnedJob job(environment, record, version, {items(), {}, {}},
                [&](const std::string& reason) { lost = reason; });
   ASSERT_TRUE(job.start_item());
   write(job_result_key("j1", 0), encode_job_result(other));
@@ -101,7 +101,7 @@
 TEST_F(OwnedJobTest, ASupersededOwnerAppendsNothing) {
   const StoreVersion version = write(stored_job_key("j1"), encode_job_record(record));
   std::string lost;
-  OwnedJob job(environment, record, version, items(), {},
+  OwnedJob job(environment, record, version, {items(), {}, {}},
                [&](const std::string& reason) { lost = reason; });
   ASSERT_TRUE(job.start_item());
   StoredJob taken = record;
@@ -125,7 +125,7 @@
   routes.on_row(configuration);
   store_clock.observe({1, clock.monotonic_now().time_since_epoch()});
   record.accepted = store_clock.now();
-  OwnedJob job(environment, record, version, items(), {}, [](const std::string&) {});
+  OwnedJob job(environment, record, version, {items(), {}, {}}, [](const std::string&) {});
   clock.run_for(seconds(59));
   job.give_up_expired();
   clock.run_for(milliseconds(500));
--- a/tests/platform/platform_settings_test.cc
+++ b/tests/platform/platform_settings_test.cc
@@ -23,7 +23,7 @@
 TEST(PlatformSettingsTest, NamesTheFieldThatIsMissingOrWrong) {
   const std::string all = kSettings;
   for (const std::string field : {"node", "zone", "ip", "listen.front", "listen.readiness",
-                                   "port_range", "provider.address"}) {
+                                  "port_range", "provider.address"}) {
     std::string without = all;
     const size_t begin = without.find(field + "=");
     without.erase(begin, without.find('\n', begin) - begin + 1);
