--- /dev/null
+++ b/apps/chalkshed_explain_main.cc
@@ -0,0 +1,82 @@
+// chalkshed-explain: one timeline of a request, a job or a worker from the logs of several nodes.
+#include <docopt/docopt.h>
+
+#include <fstream>
+#include <iostream>
+
+#include "src/explain/timeline.h"
+
+namespace chalkshed {
+namespace {
+
+constexpr const char* kUsage = R"(chalkshed-explain: what happened to a request, a job or a worker.
+
+Reads structured logs of any number of nodes (files, or standard input without any) and prints, in
+order of time, the lines that name the id (marked *), and around them what the nodes concerned
+learned of the store, the configuration, other nodes and the workers asked.
+See docs/OPERATIONS.md.
+
+Usage:
+  chalkshed-explain [--json] <id> [<log>...]
+  chalkshed-explain --help
+  chalkshed-explain --version
+
+Options:
+  --json     One JSON object a line.
+  --version  Show the version.
+  --help     Show this text.
+)";
+
+constexpr int kExitNothingFound = 1;
+constexpr int kExitUnreadable = 2;
+
+void read_lines(std::istream& input, std::vector<LogLine>& lines) {
+  std::string text;
+  while (std::getline(input, text)) {
+    if (std::optional<LogLine> line = parse_log_line(text)) {
+      lines.push_back(std::move(*line));
+    }
+  }
+}
+
+int main_with(const std::map<std::string, docopt::value>& arguments) {
+  std::vector<LogLine> lines;
+  for (const std::string& path : arguments.at("<log>").asStringList()) {
+    std::ifstream file(path);
+    if (!file) {
+      std::cerr << "chalkshed-explain: cannot read " << path << "; check its name and rights\n";
+      return kExitUnreadable;
+    }
+    read_lines(file, lines);
+  }
+  if (arguments.at("<log>").asStringList().empty()) {
+    read_lines(std::cin, lines);
+  }
+  const std::string id = arguments.at("<id>").asString();
+  const std::vector<LogLine> timeline = make_timeline(lines, id);
+  if (timeline.empty()) {
+    std::cerr << "chalkshed-explain: no line names " << id
+              << "; successes are logged with --log-level=debug only\n";
+    return kExitNothingFound;
+  }
+  if (arguments.at("--json").asBool()) {
+    print_timeline_json(timeline, std::cout);
+  } else {
+    print_timeline(timeline, std::cout);
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace chalkshed
+
+int main(int argc, char** argv) {
+  try {
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    return chalkshed::main_with(
+        docopt::docopt(chalkshed::kUsage, words, true, "chalkshed-explain 0.1.0"));
+  } catch (const std::exception& exception) {
+    std::cerr << "chalkshed-explain: " << exception.what() << '\n';
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/explain/timeline.cc
@@ -0,0 +1,148 @@
+#include "src/explain/timeline.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <set>
+
+namespace chalkshed {
+namespace {
+
+// Events that change what a node believes, whatever request they concern.
+constexpr std::array<std::string_view, 17> kBeliefs = {
+    "store_lost",          "store_regained",        "table_history_lost",
+    "table_listed",        "configuration_applied", "configuration_rejected",
+    "peer_announced",      "session_lapsed",        "session_regained",
+    "process_stood_still", "node_started",          "node_stopped",
+    "drain_began",         "drain_ended",           "settings_reloaded",
+    "settings_rejected",   "log_lines_dropped"};
+
+bool is_belief(const LogLine& line) {
+  return std::find(kBeliefs.begin(), kBeliefs.end(), line.event) != kBeliefs.end();
+}
+
+// Seconds since 1970 of a time such as 2026-12-02T09:15:35.123456Z; 0 when it is none.
+double seconds_of(const std::string& time) {
+  std::tm parts{};
+  double fraction = 0;
+  const char* rest = strptime(time.c_str(), "%Y-%m-%dT%H:%M:%S", &parts);
+  if (rest == nullptr) {
+    return 0;
+  }
+  if (*rest == '.') {
+    fraction = std::strtod(rest, nullptr);
+  }
+  return static_cast<double>(timegm(&parts)) + fraction;
+}
+
+bool names(const LogLine& line, const std::string& id) {
+  return std::any_of(line.fields.begin(), line.fields.end(),
+                     [&](const LogLineField& field) { return field.value == id; });
+}
+
+std::string text_of(const nlohmann::json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+}  // namespace
+
+std::string_view LogLine::field(std::string_view name) const {
+  const auto found = std::find_if(fields.begin(), fields.end(),
+                                  [&](const LogLineField& entry) { return entry.name == name; });
+  return found == fields.end() ? std::string_view() : std::string_view(found->value);
+}
+
+std::optional<LogLine> parse_log_line(std::string_view text) {
+  const size_t begin = text.find('{');
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto json = nlohmann::ordered_json::parse(text.substr(begin), nullptr, false);
+  if (!json.is_object() || !json.contains("event")) {
+    return std::nullopt;
+  }
+  LogLine line;
+  for (const auto& [name, value] : json.items()) {
+    if (name == "time") {
+      line.time = text_of(value);
+    } else if (name == "level") {
+      line.level = text_of(value);
+    } else if (name == "node") {
+      line.node = text_of(value);
+    } else if (name == "event") {
+      line.event = text_of(value);
+    } else {
+      line.fields.push_back({name, text_of(value)});
+    }
+  }
+  return line;
+}
+
+std::vector<LogLine> make_timeline(const std::vector<LogLine>& lines, const std::string& id) {
+  std::set<std::string> nodes;
+  std::set<std::string> workers;
+  double first = 0;
+  double last = 0;
+  for (const LogLine& line : lines) {
+    if (!names(line, id)) {
+      continue;
+    }
+    nodes.insert(line.node);
+    if (const std::string_view worker = line.field("worker"); !worker.empty()) {
+      workers.emplace(worker);
+    }
+    const double time = seconds_of(line.time);
+    first = first == 0 ? time : std::min(first, time);
+    last = std::max(last, time);
+  }
+  std::vector<LogLine> timeline;
+  for (const LogLine& line : lines) {
+    const double time = seconds_of(line.time);
+    const bool meanwhile = time >= first - kContextSeconds && time <= last + kContextSeconds;
+    const bool of_worker =
+        line.event.starts_with("worker_") && workers.contains(std::string(line.field("worker")));
+    const bool context = meanwhile && nodes.contains(line.node) && (is_belief(line) || of_worker);
+    if (names(line, id) || context) {
+      timeline.push_back(line);
+      timeline.back().names_id = names(line, id);
+    }
+  }
+  std::stable_sort(timeline.begin(), timeline.end(),
+                   [](const LogLine& a, const LogLine& b) { return a.time < b.time; });
+  return timeline;
+}
+
+void print_timeline(const std::vector<LogLine>& timeline, std::ostream& output) {
+  const auto first = std::find_if(timeline.begin(), timeline.end(),
+                                  [](const LogLine& line) { return line.names_id; });
+  const double zero = first == timeline.end() ? 0 : seconds_of(first->time);
+  for (const LogLine& line : timeline) {
+    output << (line.names_id ? "* " : "  ") << std::showpos << std::fixed << std::setprecision(3)
+           << std::setw(9) << seconds_of(line.time) - zero << std::noshowpos << " s  " << line.node
+           << "  " << line.event;
+    for (const LogLineField& field : line.fields) {
+      output << "  " << field.name << '=' << field.value;
+    }
+    output << '\n';
+  }
+}
+
+void print_timeline_json(const std::vector<LogLine>& timeline, std::ostream& output) {
+  for (const LogLine& line : timeline) {
+    nlohmann::ordered_json object = {{"time", line.time},
+                                     {"level", line.level},
+                                     {"node", line.node},
+                                     {"event", line.event},
+                                     {"names_id", line.names_id}};
+    for (const LogLineField& field : line.fields) {
+      object[field.name] = field.value;
+    }
+    output << object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << '\n';
+  }
+}
+
+}  // namespace chalkshed
--- a/src/logging/structured_logger.cc
+++ b/src/logging/structured_logger.cc
@@ -73,14 +73,20 @@
 
 class StructuredLogger::Implementation {
  public:
-  Implementation(LogLevel level, LogLineFormat format, LogStream stream, const LogBudget& budget)
+  Implementation(LogLevel level, LogLineFormat format, LogStream stream, const LogBudget& budget,
+                 const std::string& node)
       : format_(format),
         logger_("chalkshed",
                 std::make_shared<BoundedSink>(
                     stream == LogStream::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO, budget)) {
-    const char* pattern = format == LogLineFormat::kJson
-                              ? R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",%v})"
-                              : "time=%Y-%m-%dT%H:%M:%S.%fZ level=%l %v";
+    std::string source;
+    if (!node.empty()) {
+      source = format == LogLineFormat::kJson ? R"("node":")" + node + "\"," : "node=" + node + " ";
+    }
+    const std::string pattern =
+        format == LogLineFormat::kJson
+            ? R"({"time":"%Y-%m-%dT%H:%M:%S.%fZ","level":"%l",)" + source + "%v}"
+            : "time=%Y-%m-%dT%H:%M:%S.%fZ level=%l " + source + "%v";
     logger_.set_pattern(pattern, spdlog::pattern_time_type::utc);
     logger_.set_level(spdlog_level(level));
   }
@@ -100,8 +106,8 @@
 };
 
 StructuredLogger::StructuredLogger(LogLevel level, LogLineFormat format, LogStream stream,
-                                   const LogBudget& budget)
-    : implementation_(std::make_unique<Implementation>(level, format, stream, budget)) {}
+                                   const LogBudget& budget, const std::string& node)
+    : implementation_(std::make_unique<Implementation>(level, format, stream, budget, node)) {}
 
 StructuredLogger::~StructuredLogger() = default;
 
--- a/src/logging/structured_logger.h
+++ b/src/logging/structured_logger.h
@@ -18,8 +18,10 @@
 
 class StructuredLogger : public Logger {
  public:
+  // @param node stands in every line, unless empty: tells apart the lines of several nodes.
   StructuredLogger(LogLevel level, LogLineFormat format,
-                   LogStream stream = LogStream::kStandardError, const LogBudget& budget = {});
+                   LogStream stream = LogStream::kStandardError, const LogBudget& budget = {},
+                   const std::string& node = "");
   ~StructuredLogger() override;
   StructuredLogger(const StructuredLogger&) = delete;
   StructuredLogger& operator=(const StructuredLogger&) = delete;
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -80,7 +80,7 @@
   peer.announced = time_source_.monotonic_now();
   unannounced_.erase(session);
   logger_.write(LogLevel::kInfo, "peer_announced",
-                {{"node", row.key.key},
+                {{"peer", row.key.key},
                  {"session", session},
                  {"store_version", std::to_string(row.version)}});
   load_changed();
@@ -203,7 +203,7 @@
     const bool now_lapsed = lapsed(peer);
     if (now_lapsed != peer.lapsed) {
       logger_.write(LogLevel::kInfo, now_lapsed ? "session_lapsed" : "session_regained",
-                    {{"node", node},
+                    {{"peer", node},
                      {"session", peer.session},
                      {"heard_ms_ago", std::to_string((now - peer.heard).count() / 1000)},
                      {"its_store_silence_ms", std::to_string(peer.store_silence.count() / 1000)}});
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -29,7 +29,7 @@
   // Between two heartbeats when nothing changes.
   Duration heartbeat_interval = std::chrono::milliseconds(500);
   // Changes of the load are told at most this often.
-  Duration least_interval = std::chrono::milliseconds(40);
+  Duration least_interval = std::chrono::milliseconds(60);
   Duration lapse_after = std::chrono::milliseconds(2500);
   // A node that hears nobody may itself be the one that is cut off.
   Duration lapse_when_alone = std::chrono::milliseconds(6000);
