Let repeatable requests leave a silent worker; log each send and answer

Cause: a repeatable request whose worker ran it and lost the answer waited until its timeout, and its caller had no time left for another try. Requests that must run once wait on.

--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -43,7 +43,8 @@
       deadline_(received_ + std::min(route.timeout, request_.time_limit.value_or(route.timeout))),
       last_event_(request_.resume_after),
       deadline_timer_(environment.dispatcher.create_timer([this] { handle_timeout(); })),
-      wait_timer_(environment.dispatcher.create_timer([this] { give_up_waiting(); })) {}
+      wait_timer_(environment.dispatcher.create_timer([this] { give_up_waiting(); })),
+      silence_timer_(environment.dispatcher.create_timer([this] { check_silence(); })) {}
 
 Duration RequestRelay::elapsed() const {
   return environment_.time_source.monotonic_now() - received_;
@@ -81,6 +82,7 @@
     return false;
   }
   worker_ = place->worker().record.incarnation;
+  expected_reading_ = environment_.workers.reading_time(place->worker());
   tried_.insert(worker_);
   WorkerSend worker_send;
   worker_send.request = &request_;
@@ -97,6 +99,8 @@
   attempt_ = std::make_unique<WorkerAttempt>(environment_.time_source, environment_.worker_client,
                                              environment_.protocol, environment_.workers,
                                              std::move(place), worker_send, options, *this);
+  watch_silence();
+  log(LogLevel::kInfo, "request_sent", even_if_full ? "no place was free" : "");
   return true;
 }
 
@@ -116,6 +120,7 @@
 }
 
 void RequestRelay::on_stream_begun(const HttpHeaders& headers) {
+  last_activity_ = environment_.time_source.monotonic_now();
   if (started_ || ended_) {
     return;  // a resumed stream keeps the head of the worker it began on
   }
@@ -127,6 +132,7 @@
   if (ended_) {
     return;
   }
+  last_activity_ = environment_.time_source.monotonic_now();
   std::string_view rest = events;
   std::string_view fresh = events;
   while (const std::optional<StreamEvent> event = take_event(rest)) {
@@ -149,10 +155,40 @@
   }
 }
 
+Duration RequestRelay::longest_silence() const {
+  const Duration expected = started_ ? route_.longest_pause : route_.target;
+  return std::max(environment_.knobs.repeatable_silence, 2 * expected) + 2 * expected_reading_;
+}
+
+void RequestRelay::watch_silence() {
+  last_activity_ = environment_.time_source.monotonic_now();
+  // One more run must be left behind the one under way.
+  if (is_repeatable(route_) && runs_ + 1 < route_.attempts) {
+    silence_timer_->enable(longest_silence());
+  }
+}
+
+void RequestRelay::check_silence() {
+  const Duration silence = environment_.time_source.monotonic_now() - last_activity_;
+  if (ended_ || !attempt_) {
+    return;
+  }
+  if (silence < longest_silence()) {
+    silence_timer_->enable(longest_silence() - silence);
+    return;
+  }
+  environment_.workers.note_failure(attempt_->worker());
+  attempt_.reset();
+  AttemptEnd end;
+  end.reason = "the worker was silent for " + milliseconds_text(silence) + " ms";
+  handle_broken(end);
+}
+
 void RequestRelay::on_attempt_ended(const AttemptEnd& end) {
   if (ended_) {
     return;
   }
+  silence_timer_->disable();
   // The attempt must outlive its own callback.
   environment_.dispatcher.post([attempt = std::shared_ptr<WorkerAttempt>(std::move(attempt_))] {});
   switch (end.result) {
@@ -271,13 +307,13 @@
   waiting_ = false;
   deadline_timer_->disable();
   wait_timer_->disable();
+  silence_timer_->disable();
   if (attempt_) {
     environment_.dispatcher.post(
         [attempt = std::shared_ptr<WorkerAttempt>(std::move(attempt_))] {});
   }
   const bool good = end == RelayEnd::kAnswered;
-  log(good ? LogLevel::kDebug : LogLevel::kInfo,
-      good ? "request_answered" : "request_ended_without_answer",
+  log(LogLevel::kInfo, good ? "request_answered" : "request_ended_without_answer",
       std::string(relay_end_name(end)) + (reason.empty() ? "" : ": " + reason));
   on_end_(end);
 }
--- a/src/serving/request_relay.h
+++ b/src/serving/request_relay.h
@@ -61,6 +61,10 @@
   void wait_for_place();
   void give_up_waiting();
   void handle_timeout();
+  // The worker has been silent: a repeatable request goes elsewhere.
+  void watch_silence();
+  void check_silence();
+  Duration longest_silence() const;
   void refuse(ErrorKind kind, const std::string& message);
   void fail(ErrorKind kind, const std::string& message);
   void cut_off(const std::string& reason);
@@ -90,6 +94,9 @@
   std::optional<uint64_t> last_event_;
   TimerPtr deadline_timer_;
   TimerPtr wait_timer_;
+  TimerPtr silence_timer_;
+  MonotonicTime last_activity_{};  // of the worker asked last
+  Duration expected_reading_{0};   // that it needed for its prompts when it was asked
   Lifetime lifetime_;
 };
 
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -56,7 +56,7 @@
   WorkerAttempt(const WorkerAttempt&) = delete;
   WorkerAttempt& operator=(const WorkerAttempt&) = delete;
 
-  const ServingWorker& worker() const { return place_->worker(); }
+  ServingWorker& worker() const { return place_->worker(); }
   HttpCall& call() { return *call_; }
 
  private:
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -136,6 +136,8 @@
   const std::map<std::string, WorkerPtr>& workers() const { return workers_; }
   // @return the worker, or null.
   WorkerPtr find(const std::string& incarnation) const;
+  // Time until the worker has read all prompts that were sent there, as far as known.
+  Duration reading_time(const ServingWorker& worker) const;
   // All requests at the worker, of all nodes, as far as known.
   uint32_t load_of(const ServingWorker& worker) const;
 
@@ -146,8 +148,6 @@
   double burst_reserve(const ServingWorker& worker) const;
   void observe_online(const std::string& service);
   void note_place_freed();
-  // Time until the worker has read all that was sent there.
-  Duration reading_time(const ServingWorker& worker) const;
   // Milliseconds until the first token of the request, roughly.
   // @param kept tokens of its prompt that the worker need not read again.
   double cost(const ServingWorker& worker, const PlaceRequest& request, double kept) const;
