Remove stored jobs in time; close idle connections before their servers do

Change: 15 minutes after its acceptance a finished or ended job's results, progress, content and record are removed, the record last, each step conditional on the record's version. And a worker's Keep-Alive header is honoured a second early: a request sent as the worker closes is lost without a trace.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -109,6 +109,12 @@
 
 void ClientConnection::rest(Duration lifetime) {
   state_ = State::kIdle;
+  constexpr Duration kBeforeServer = std::chrono::seconds(1);
+  constexpr Duration kShortest = std::chrono::milliseconds(200);
+  if (const auto seconds = parser_.head().keep_alive_seconds) {
+    const Duration told = std::chrono::seconds(*seconds);
+    lifetime = std::min(lifetime, std::max(told - kBeforeServer, kShortest));
+  }
   const timeval limit = timeval_of(lifetime);
   bufferevent_set_timeouts(socket_, &limit, nullptr);
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -60,7 +60,8 @@
   void resume_reading();
   // Closes without telling the callbacks.
   void close();
-  // Waits in a pool; closes by itself after `lifetime`.
+  // Waits in a pool; closes by itself after `lifetime`, or a second before the server says that it
+  // would: a request sent as the server closes is lost without a trace.
   void rest(Duration lifetime);
 
  private:
--- a/src/http/response_parser.cc
+++ b/src/http/response_parser.cc
@@ -47,6 +47,22 @@
   });
 }
 
+std::optional<uint64_t> parse_number(std::string_view text, int base);
+
+// The timeout of a Keep-Alive header such as "timeout=5, max=100".
+std::optional<uint32_t> parse_keep_alive(std::string_view text) {
+  constexpr std::string_view kName = "timeout=";
+  constexpr uint64_t kMostSeconds = 24 * 3600;
+  const size_t begin = lower_case(text).find(kName);
+  if (begin == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::string_view rest = text.substr(begin + kName.size());
+  const auto seconds = parse_number(trim(rest.substr(0, rest.find(','))), 10);
+  return seconds ? std::optional(static_cast<uint32_t>(std::min(*seconds, kMostSeconds)))
+                 : std::nullopt;
+}
+
 std::optional<uint64_t> parse_number(std::string_view text, int base) {
   uint64_t value = 0;
   const char* end = text.data() + text.size();
@@ -107,6 +123,8 @@
   const std::string_view connection = find_header(head_.headers, "Connection").value_or("");
   head_.keep_alive =
       http_1_0_ ? has_token(connection, "keep-alive") : !has_token(connection, "close");
+  head_.keep_alive_seconds =
+      parse_keep_alive(find_header(head_.headers, "Keep-Alive").value_or(""));
   if (head_only_ || head_.status == kNoContent || head_.status == kNotModified) {
     return Progress::kComplete;
   }
--- a/src/http/response_parser.h
+++ b/src/http/response_parser.h
@@ -19,6 +19,8 @@
   BodyFraming framing = BodyFraming::kNone;
   uint64_t content_length = 0;  // with kLength
   bool keep_alive = false;      // the connection may serve another request
+  // How long the server keeps the connection when it is idle, where it says so.
+  std::optional<uint32_t> keep_alive_seconds;
 };
 
 // Parses one line of a response head, then the next. An empty line ends the head.
--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -36,6 +36,9 @@
   size_t most_answer_bytes = 900 * 1024;
   // Finished jobs stay in the owner's memory for this long.
   Duration keep_finished = std::chrono::seconds(20);
+  // What the store holds of a job is removed this long after its acceptance, at least the longest
+  // retention of its route, unless it still runs.
+  Duration keep_stored = std::chrono::minutes(15);
   // A planned stop lets items under way run on for this long.
   Duration longest_drain = std::chrono::milliseconds(2600);
 };
--- /dev/null
+++ b/src/jobs/job_remover.cc
@@ -0,0 +1,105 @@
+#include "src/jobs/job_remover.h"
+
+#include <utility>
+
+#include "src/jobs/job_rows.h"
+
+namespace chalkshed {
+namespace {
+
+constexpr uint32_t kRowsATime = 90;  // fit one transaction, together with its condition
+
+}  // namespace
+
+void JobRemover::remove(const StoredJob& record, StoreVersion version, std::function<void()> done) {
+  RangeRead results = job_result_range(record.id, 0, kRowsATime);
+  RangeRead progress = job_progress_range(record.id);
+  progress.limit = kRowsATime;
+  auto last = [this, record, version, done] {
+    std::vector<std::string> objects;
+    if (record.content_in_object) {
+      objects.push_back(job_object_name(record.id));
+    }
+    remove_objects(record, std::move(objects), version, done);
+  };
+  auto then = [this, record, version, progress, last, done] {
+    remove_range(record, version, progress, last, done);
+  };
+  remove_range(record, version, std::move(results), std::move(then), done);
+}
+
+void JobRemover::remove_range(const StoredJob& record, StoreVersion version, RangeRead range,
+                              std::function<void()> then, std::function<void()> done) {
+  environment_.store.read_range(
+      range, lifetime_.guard([this, record, version, range, then = std::move(then),
+                              done = std::move(done)](const Expected<RangePage>& page) {
+        if (!page) {
+          done();
+          return;
+        }
+        if (page->rows.empty()) {
+          then();
+          return;
+        }
+        StoreTransaction transaction;
+        transaction.conditions.push_back({stored_job_key(record.id), version});
+        std::vector<std::string> objects;
+        for (const StoredRow& row : page->rows) {
+          transaction.writes.push_back({row.key, std::nullopt});
+          const Expected<JobResult> result = decode_job_result(row.value);
+          if (range.table == kStoredResultTable && result && result->in_object) {
+            objects.push_back(result->text);
+          }
+        }
+        for (std::string& name : objects) {
+          environment_.objects.remove(std::move(name), [](const Expected<std::monostate>&) {});
+        }
+        environment_.store.commit(std::move(transaction),
+                                  lifetime_.guard([this, record, version, range, then,
+                                                   done](const Expected<StoreCommit>& commit) {
+                                    if (!commit || !commit->committed) {
+                                      done();
+                                      return;
+                                    }
+                                    remove_range(record, version, range, then, done);
+                                  }));
+      }));
+}
+
+void JobRemover::remove_objects(const StoredJob& record, std::vector<std::string> names,
+                                StoreVersion version, std::function<void()> done) {
+  if (names.empty()) {
+    remove_record(record, version, std::move(done));
+    return;
+  }
+  std::string name = std::move(names.back());
+  names.pop_back();
+  environment_.objects.remove(
+      std::move(name),
+      lifetime_.guard([this, record, names = std::move(names), version,
+                       done = std::move(done)](const Expected<std::monostate>& removed) {
+        if (!removed) {
+          done();
+          return;
+        }
+        remove_objects(record, names, version, done);
+      }));
+}
+
+void JobRemover::remove_record(const StoredJob& record, StoreVersion version,
+                               std::function<void()> done) {
+  StoreTransaction transaction;
+  transaction.conditions.push_back({stored_job_key(record.id), version});
+  transaction.writes.push_back({stored_job_key(record.id), std::nullopt});
+  transaction.writes.push_back({job_content_key(record.id), std::nullopt});
+  environment_.store.commit(
+      std::move(transaction),
+      lifetime_.guard([this, record, done = std::move(done)](const Expected<StoreCommit>& commit) {
+        if (commit && commit->committed) {
+          environment_.serving.logger.write(LogLevel::kInfo, "job_removed", {{"job", record.id}});
+        }
+        done();
+      }));
+}
+
+}  // namespace chalkshed
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -25,6 +25,7 @@
       sessions_(sessions),
       may_start_(std::move(may_start)),
       loader_(environment),
+      remover_(environment),
       sweep_timer_(environment.serving.dispatcher.create_timer([this] { sweep(); })),
       items_timer_(environment.serving.dispatcher.create_timer([this] { start_items(); })) {}
 
@@ -424,7 +425,11 @@
 
 void JobService::sweep_job(const std::string& id, Indexed& indexed) {
   const StoredJob& record = indexed.record;
-  if (record.ended || record.finished || indexed.busy || draining_) {
+  if (record.ended || record.finished) {
+    remove_if_old(id, indexed);
+    return;
+  }
+  if (indexed.busy || draining_) {
     return;
   }
   if (record.owner == sessions_.own_session()) {
@@ -449,6 +454,16 @@
   }
 }
 
+void JobService::remove_if_old(const std::string& id, const Indexed& indexed) {
+  const Duration age = environment_.clock.now() - indexed.record.accepted;
+  if (removing_ || draining_ || age < environment_.knobs.keep_stored || sessions_.rank(id) > 0) {
+    return;
+  }
+  removing_ = true;
+  owned_.erase(id);
+  remover_.remove(indexed.record, indexed.version, lifetime_.guard([this] { removing_ = false; }));
+}
+
 void JobService::take_over(const std::string& id) {
   Indexed& indexed = index_.at(id);
   indexed.busy = true;
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -12,6 +12,7 @@
 #include "src/core/lifetime.h"
 #include "src/jobs/job_environment.h"
 #include "src/jobs/job_loader.h"
+#include "src/jobs/job_remover.h"
 #include "src/jobs/job_submit.h"
 #include "src/jobs/owned_job.h"
 #include "src/peers/session_view.h"
@@ -78,6 +79,8 @@
   void drop(const std::string& job, const std::string& reason);
   void sweep();
   void sweep_job(const std::string& id, Indexed& indexed);
+  // Removes the job from the store when it is old and this node's turn.
+  void remove_if_old(const std::string& id, const Indexed& indexed);
   void take_over(const std::string& id);
   void load(const StoredJob& record, StoreVersion version);
   void release(const std::string& id);
@@ -94,6 +97,8 @@
   SessionView& sessions_;
   std::function<bool()> may_start_;
   JobLoader loader_;
+  JobRemover remover_;
+  bool removing_ = false;
   std::map<std::string, Indexed> index_;
   std::map<std::string, Owned> owned_;
   std::map<uint64_t, std::unique_ptr<JobSubmit>> submits_;
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -386,5 +386,25 @@
   EXPECT_TRUE(cluster.shared.rows.read(job_progress_range("j1")).rows.empty());
 }
 
+TEST(JobServiceTest, WhatIsStoredOfAJobIsRemovedLongAfterItsEndAndNotBefore) {
+  ServingCluster cluster(2);
+  cluster.workers.on_call = [&](ScriptedCall& call) {
+    call_after(cluster.loop, milliseconds(20), [&call] {
+      call.begin();
+      call.callbacks->on_body("id: 1\ndata: " + std::string(70000, 'x') + "\n\n");
+      call.end();
+    });
+  };
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 3, 40000)));
+  cluster.clock.run_for(std::chrono::minutes(14));
+  EXPECT_EQ(read_all(cluster, "n1", "j1").size(), 3U);
+  cluster.clock.run_for(std::chrono::minutes(2));
+  EXPECT_TRUE(cluster.shared.objects.empty());
+  EXPECT_TRUE(cluster.shared.rows.read(job_result_range("j1", 0, 10)).rows.empty());
+  for (const char* table : {kStoredJobTable, kStoredContentTable, kStoredProgressTable}) {
+    EXPECT_TRUE(cluster.shared.rows.read({table, job_partition("j1"), "", "", 10}).rows.empty());
+  }
+}
+
 }  // namespace
 }  // namespace chalkshed
