Play serving clusters under random faults in virtual time

Change: a campaign of 60 fixed seeds over whole serving nodes, the shared store with its troubles and scripted workers: kills, freezes, cuts from the store and from peers; the store down, silent, with lost and late answers, held changes and dropped history; workers that refuse, break off, fall silent and leave; new configurations; jobs sent again and ended. Checked: items listed once with their whole text at positions that stay; what must run once; true refusals; whole or visibly broken answers; no configuration taken back.

--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -171,20 +171,27 @@
 }
 
 void PeerExchange::take_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads) {
+  std::map<uint64_t, PeerWorkerLoad> told;
+  for (const PeerWorkerLoad& load : loads) {
+    told.emplace(load.worker, load);
+  }
   for (const auto& [worker, load] : peer.loads) {
-    workers_.add_peer_load(worker, -load.online, -load.batch);
+    if (!told.contains(worker)) {
+      workers_.add_peer_load(worker, -load.online, -load.batch);
+    }
   }
-  peer.loads.clear();
-  for (const PeerWorkerLoad& load : loads) {
-    if (!peer.loads.emplace(load.worker, load).second) {
-      continue;
+  for (const auto& [worker, load] : told) {
+    const auto before = peer.loads.find(worker);
+    const PeerWorkerLoad known = before == peer.loads.end() ? PeerWorkerLoad{} : before->second;
+    if (load.online != known.online || load.batch != known.batch) {
+      workers_.add_peer_load(worker, load.online - known.online, load.batch - known.batch);
     }
-    workers_.add_peer_load(load.worker, load.online, load.batch);
-    const auto [told, is_new] = peer.prompt_tokens.try_emplace(load.worker, load.prompt_tokens);
+    const auto [tokens, is_new] = peer.prompt_tokens.try_emplace(worker, load.prompt_tokens);
     // The first sight of a counter says nothing of when its tokens were sent.
-    workers_.add_prompt_tokens(load.worker, is_new ? 0 : load.prompt_tokens - told->second);
-    told->second = load.prompt_tokens;
+    workers_.add_prompt_tokens(worker, is_new ? 0 : load.prompt_tokens - tokens->second);
+    tokens->second = load.prompt_tokens;
   }
+  peer.loads = std::move(told);
 }
 
 bool PeerExchange::lapsed(const Peer& peer) const {
--- /dev/null
+++ b/tests/serving/fault_campaign_test.cc
@@ -0,0 +1,434 @@
+// Whole clusters of serving nodes under random faults in virtual time, checked against what must
+// hold: items are listed once with their whole text and keep their positions; what must run once
+// runs at most once; "not run" is true; answers are whole or visibly broken; configurations and
+// leaving workers are respected. A failing seed replays the same.
+#include <gtest/gtest.h>
+
+#include "src/jobs/job_rows.h"
+#include "tests/serving/serving_cluster.h"
+
+namespace chalkshed {
+namespace {
+
+constexpr uint64_t kSeeds = 60;
+constexpr uint64_t kEvents = 6;
+constexpr Duration kStep = milliseconds(25);
+constexpr Duration kFaultTime = seconds(20);
+constexpr Duration kSettleTime = seconds(25);
+constexpr Duration kSilence = milliseconds(2500);
+constexpr Duration kLeavingGrace = seconds(2);
+
+std::string whole_text() {
+  std::string text = "d1";
+  for (uint64_t event = 2; event <= kEvents; ++event) {
+    text += "\nd" + std::to_string(event);
+  }
+  return text;
+}
+
+std::string whole_stream() {
+  std::string text;
+  for (uint64_t event = 1; event <= kEvents; ++event) {
+    const std::string number = std::to_string(event);
+    text += "id: " + number + "\ndata: d" + number + "\n\n";
+  }
+  return text;
+}
+
+class Campaign {
+ public:
+  explicit Campaign(uint64_t seed) : random_(seed), cluster_(3, 4) {
+    cluster_.workers.on_call = [this](ScriptedCall& call) { receive(call); };
+  }
+
+  void run() {
+    const MonotonicTime end = cluster_.clock.monotonic_now() + kFaultTime;
+    while (cluster_.clock.monotonic_now() < end) {
+      act();
+      cluster_.clock.run_for(milliseconds(20 + static_cast<int64_t>(random_.below(150))));
+      check_configuration();
+    }
+    heal();
+    cluster_.clock.run_for(kSettleTime);
+    check_jobs();
+    check_online();
+  }
+
+ private:
+  struct Online {
+    std::string path;
+    SeenAnswerPtr seen;
+  };
+  struct Job {
+    size_t items = 0;
+    bool accepted = false;
+    bool ended = false;
+    std::vector<std::string> listed;  // as read so far
+  };
+
+  std::string any_node() {
+    std::vector<std::string> alive;
+    for (const auto& [name, node] : cluster_.nodes) {
+      if (node && !node->dispatcher.frozen()) {
+        alive.push_back(name);
+      }
+    }
+    return alive.empty() ? "" : alive[random_.below(alive.size())];
+  }
+
+  void act() {
+    switch (random_.below(16)) {
+      case 0:
+      case 1:
+        submit();
+        break;
+      case 2:
+        read(any_job());
+        break;
+      case 3:
+        if (random_.below(4) == 0) {
+          end_job();
+        }
+        break;
+      case 4:
+        disturb_node();
+        break;
+      case 5:
+        disturb_store();
+        break;
+      case 6:
+        change_workers();
+        break;
+      case 7:
+        cluster_.write_configuration(++version_);
+        break;
+      default:
+        request();
+        break;
+    }
+  }
+
+  void request() {
+    const std::string name = any_node();
+    if (name.empty() || !cluster_.node(name).routes()) {
+      return;
+    }
+    static constexpr std::array<const char*, 4> kPaths = {"/stream/x", "/fixed/x", "/plain/x",
+                                                          "/once/x"};
+    const std::string path = kPaths[random_.below(kPaths.size())];
+    const std::string id = "r" + std::to_string(++requests_);
+    HttpRequest message;
+    message.method = "POST";
+    message.path = path;
+    message.headers = {{platform::kRequestId, id}, {platform::kDeadline, "8000"}};
+    auto seen = std::make_shared<SeenAnswer>();
+    const RouteTablePtr table = cluster_.node(name).routes();
+    online_[id] = {path, seen};
+    cluster_.node(name).gateway().handle(table, *table->find("a.example", path),
+                                         platform::read_request("a.example", std::move(message)),
+                                         std::make_unique<FakeWriter>(seen));
+  }
+
+  void submit() {
+    const std::string name = any_node();
+    const bool again = !jobs_.empty() && random_.below(3) == 0;
+    const std::string id = again ? any_job() : "j" + std::to_string(jobs_.size());
+    Job& job = jobs_[id];
+    if (!again) {
+      job.items = 1 + random_.below(8);
+    }
+    if (!name.empty()) {
+      cluster_.node(name).jobs().submit(cluster_.job(id, job.items),
+                                        [&job](const Expected<std::monostate>& accepted) {
+                                          job.accepted = job.accepted || accepted.has_value();
+                                        });
+    }
+  }
+
+  std::string any_job() {
+    if (jobs_.empty()) {
+      return "j0";
+    }
+    return std::next(jobs_.begin(), static_cast<ptrdiff_t>(random_.below(jobs_.size())))->first;
+  }
+
+  void read(const std::string& id) {
+    const std::string name = any_node();
+    if (name.empty()) {
+      return;
+    }
+    cluster_.node(name).jobs().read_results(id, 0, Duration(0),
+                                            [this, id](const Expected<ResultPage>& page) {
+                                              if (page) {
+                                                note_results(id, page->results);
+                                              }
+                                            });
+  }
+
+  void note_results(const std::string& id, const std::vector<JobResult>& results) {
+    std::vector<std::string>& listed = jobs_[id].listed;
+    for (size_t position = 0; position < results.size(); ++position) {
+      if (position < listed.size()) {
+        EXPECT_EQ(results[position].item, listed[position]) << id << " position " << position;
+      } else {
+        listed.push_back(results[position].item);
+      }
+    }
+  }
+
+  void end_job() {
+    const std::string name = any_node();
+    const std::string id = any_job();
+    if (name.empty() || !jobs_.contains(id)) {
+      return;
+    }
+    jobs_[id].ended = true;  // from now on it may be ended
+    cluster_.node(name).jobs().end(id, [](const Expected<std::monostate>&) {});
+  }
+
+  void disturb_node() {
+    const std::string name = "n" + std::to_string(random_.below(3));
+    ClusterNode* node = cluster_.nodes[name].get();
+    if (node == nullptr) {
+      cluster_.start_node(name);
+      return;
+    }
+    disturbed_[name] = cluster_.clock.monotonic_now();
+    switch (random_.below(4)) {
+      case 0:
+        cluster_.kill_node(name);
+        break;
+      case 1:
+        node->dispatcher.frozen() ? node->dispatcher.thaw() : node->dispatcher.freeze();
+        break;
+      case 2:
+        store_cut_[name] = !store_cut_[name];
+        node->store.set_cut(store_cut_[name]);
+        break;
+      default:
+        if (!cluster_.hub.cut.erase(node->address)) {
+          cluster_.hub.cut.insert(node->address);
+        }
+        break;
+    }
+  }
+
+  void disturb_store() {
+    StoreTrouble& trouble = cluster_.shared.trouble;
+    trouble = StoreTrouble();
+    store_disturbed_ = cluster_.clock.monotonic_now();
+    switch (random_.below(7)) {
+      case 0:
+        trouble.down = true;
+        break;
+      case 1:
+        trouble.silent = true;
+        break;
+      case 2:
+        trouble.lose_commits = true;
+        break;
+      case 3:
+        trouble.lose_commits = true;
+        trouble.late_commits = seconds(static_cast<int64_t>(1 + random_.below(5)));
+        break;
+      case 4:
+        trouble.hold_changes = true;
+        break;
+      case 5:
+        cluster_.shared.rows.drop_history();
+        break;
+      default:
+        break;
+    }
+    cluster_.shared.wake_followers();
+  }
+
+  void change_workers() {
+    const size_t number = random_.below(4);
+    const std::string id = "i-" + std::to_string(number);
+    const bool leaves = !leaving_.contains(id);
+    cluster_.write_worker(id, number, leaves ? "draining" : "ready");
+    if (leaves) {
+      leaving_[id] = cluster_.clock.monotonic_now();
+    } else {
+      leaving_.erase(id);
+    }
+    if (leaving_.size() == 4) {
+      cluster_.write_worker(id, number, "ready");
+      leaving_.erase(id);
+    }
+  }
+
+  void receive(ScriptedCall& call) {
+    const std::string id = call.header(platform::kRequestId);
+    const std::string worker = call.header(platform::kExpectInstance);
+    check_leaving(worker);
+    switch (random_.below(20)) {
+      case 0:
+        call_after(cluster_.loop, kStep, [&call] {
+          if (call.open()) {
+            call.refuse();
+          }
+        });
+        return;
+      case 1:
+        ++runs_[id];
+        call_after(cluster_.loop, kStep, [&call] {
+          if (call.open()) {
+            call.fail(Ran::kUnknown);
+          }
+        });
+        return;
+      case 2:
+        ++runs_[id];  // never answers; the connection's own time-out ends it
+        call_after(cluster_.loop, kSilence, [&call] {
+          if (call.open()) {
+            call.fail(Ran::kUnknown);
+          }
+        });
+        return;
+      default:
+        ++runs_[id];
+        call_after(cluster_.loop, kStep, [this, &call] {
+          if (call.open()) {
+            call.begin();
+            const std::string last = call.header(platform::kLastEventId);
+            play(call, last.empty() ? 1 : std::stoull(last) + 1);
+          }
+        });
+        return;
+    }
+  }
+
+  void play(ScriptedCall& call, uint64_t next) {
+    if (!call.open()) {
+      return;
+    }
+    if (next > kEvents) {
+      call.end();
+      return;
+    }
+    if (random_.below(60) == 0) {
+      call.callbacks->on_body("id: " + std::to_string(next) + "\nda");
+      call.fail(Ran::kUnknown);
+      return;
+    }
+    call.event(next);
+    call_after(cluster_.loop, kStep, [this, &call, next] { play(call, next + 1); });
+  }
+
+  // Holds for senders and a store that were undisturbed meanwhile.
+  void check_leaving(const std::string& worker) {
+    const auto left = leaving_.find(worker);
+    const MonotonicTime now = cluster_.clock.monotonic_now();
+    const StoreTrouble& trouble = cluster_.shared.trouble;
+    const bool store_calm = !trouble.down && !trouble.silent && !trouble.hold_changes &&
+                            now - store_disturbed_ > seconds(6);
+    if (left == leaving_.end() || now - left->second <= kLeavingGrace || !store_calm) {
+      return;
+    }
+    for (const auto& [name, time] : disturbed_) {
+      if (now - time < seconds(6) || store_cut_[name]) {
+        return;
+      }
+    }
+    ADD_FAILURE() << "a leaving worker was sent a request " << (now - left->second).count()
+                  << " us after it said so";
+  }
+
+  void check_configuration() {
+    for (const auto& [name, node] : cluster_.nodes) {
+      if (!node) {
+        continue;
+      }
+      const uint64_t now = node->node.routes() ? node->node.routes()->version() : 0;
+      uint64_t& before = versions_[node->node.peers().own_session()];
+      EXPECT_GE(now, before) << name << " went back";
+      before = now;
+    }
+  }
+
+  void heal() {
+    cluster_.shared.trouble = StoreTrouble();
+    cluster_.hub.cut.clear();
+    for (auto& [name, node] : cluster_.nodes) {
+      if (!node) {
+        cluster_.start_node(name);
+      } else {
+        node->store.set_cut(false);
+        if (node->dispatcher.frozen()) {
+          node->dispatcher.thaw();
+        }
+      }
+    }
+    cluster_.shared.wake_followers();
+    for (size_t number = 0; number < 4; ++number) {
+      cluster_.write_worker("i-" + std::to_string(number), number, "ready");
+    }
+    leaving_.clear();
+  }
+
+  void check_jobs() {
+    for (auto& [id, job] : jobs_) {
+      if (!job.accepted) {
+        continue;
+      }
+      for (const auto& [name, node] : cluster_.nodes) {
+        std::optional<Expected<ResultPage>> page;
+        node->node.jobs().read_results(id, 0, Duration(0),
+                                       [&](const Expected<ResultPage>& told) { page = told; });
+        cluster_.clock.run_for(milliseconds(100));
+        ASSERT_TRUE(page && *page) << id << " cannot be read at " << name;
+        const std::vector<JobResult>& results = (*page)->results;
+        EXPECT_GE(results.size(), job.listed.size()) << id << " lost a result";
+        note_results(id, results);
+        std::set<std::string> items;
+        for (const JobResult& result : results) {
+          EXPECT_EQ(result.state, ItemState::kCompleted) << id;
+          EXPECT_EQ(result.text, whole_text()) << id << " " << result.item;
+          items.insert(result.item);
+        }
+        EXPECT_EQ(items.size(), results.size()) << id << " lists an item twice";
+        EXPECT_TRUE(job.ended || items.size() == job.items)
+            << id << ": " << items.size() << " of " << job.items << " at " << name;
+      }
+    }
+  }
+
+  void check_online() {
+    for (const auto& [id, request] : online_) {
+      const SeenAnswer& seen = *request.seen;
+      EXPECT_TRUE(seen.finished || seen.aborted) << id << " has no end";
+      const bool streams = request.path != "/plain/x" && request.path != "/once/x";
+      if (seen.finished && seen.status == 200) {
+        EXPECT_EQ(seen.body, whole_stream()) << id << (streams ? " streamed" : "");
+      }
+      if (request.path == "/once/x" || request.path == "/fixed/x") {
+        EXPECT_LE(runs_[id], 1) << id << " ran more than once";
+        EXPECT_FALSE(seen.status == 503 && runs_[id] > 0) << id << " ran although 'not run'";
+      }
+    }
+  }
+
+  SeededRandomGenerator random_;
+  std::map<std::string, Online> online_;
+  std::map<std::string, Job> jobs_;
+  std::map<std::string, int> runs_;
+  std::map<std::string, MonotonicTime> leaving_;
+  std::map<std::string, MonotonicTime> disturbed_;
+  std::map<std::string, bool> store_cut_;
+  std::map<std::string, uint64_t> versions_;  // by session
+  MonotonicTime store_disturbed_{};
+  uint64_t version_ = 1;
+  uint64_t requests_ = 0;
+  ServingCluster cluster_;
+};
+
+class FaultCampaignTest : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(FaultCampaignTest, WhatMustHoldHolds) { Campaign(GetParam()).run(); }
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FaultCampaignTest, testing::Range<uint64_t>(1, kSeeds + 1));
+
+}  // namespace
+}  // namespace chalkshed
