--- a/tests/serving/fault_campaign_test.cc
+++ b/tests/serving/fault_campaign_test.cc
@@ -228,7 +228,7 @@
     StoreTrouble& trouble = cluster_.shared.trouble;
     trouble = StoreTrouble();
     disturbed_ = cluster_.clock.monotonic_now();
-    switch (random_.below(7)) {
+    switch (random_.below(8)) {
       case 0:
         trouble.down = true;
         break;
@@ -248,6 +248,13 @@
       case 5:
         cluster_.shared.rows.drop_history();
         break;
+      case 6: {
+        // Old reads, and no history to catch up from.
+        const StoreVersion now = cluster_.shared.rows.version();
+        trouble.read_as_of = now - random_.below(std::min<StoreVersion>(now, 30));
+        cluster_.shared.rows.drop_history();
+        break;
+      }
       default:
         break;
     }
