--- a/src/jobs/job_remover.cc
+++ b/src/jobs/job_remover.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 void JobRemover::remove(const StoredJob& record, StoreVersion version, std::function<void()> done) {
-  RangeRead results = job_result_range(record.id, 0, kRowsATime);
+  const RangeRead results = job_result_range(record.id, 0, kRowsATime);
   RangeRead progress = job_progress_range(record.id);
   progress.limit = kRowsATime;
   auto last = [this, record, version, done] {
@@ -25,10 +25,10 @@
   auto then = [this, record, version, progress, last, done] {
     remove_range(record, version, progress, last, done);
   };
-  remove_range(record, version, std::move(results), std::move(then), done);
+  remove_range(record, version, results, std::move(then), done);
 }
 
-void JobRemover::remove_range(const StoredJob& record, StoreVersion version, RangeRead range,
+void JobRemover::remove_range(const StoredJob& record, StoreVersion version, const RangeRead& range,
                               std::function<void()> then, std::function<void()> done) {
   environment_.store.read_range(
       range, lifetime_.guard([this, record, version, range, then = std::move(then),
--- a/src/jobs/job_remover.h
+++ b/src/jobs/job_remover.h
@@ -18,7 +18,7 @@
 
  private:
   // Removes a page of the range after another, then runs `then`.
-  void remove_range(const StoredJob& record, StoreVersion version, RangeRead range,
+  void remove_range(const StoredJob& record, StoreVersion version, const RangeRead& range,
                     std::function<void()> then, std::function<void()> done);
   void remove_objects(const StoredJob& record, std::vector<std::string> names, StoreVersion version,
                       std::function<void()> done);
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -25,6 +25,7 @@
       sessions_(sessions),
       may_start_(std::move(may_start)),
       loader_(environment),
+      reader_(environment),
       remover_(environment),
       sweep_timer_(environment.serving.dispatcher.create_timer([this] { sweep(); })),
       items_timer_(environment.serving.dispatcher.create_timer([this] { start_items(); })) {}
@@ -164,15 +165,11 @@
   ResultPage page;
   page.total = job.record().items;
   page.next = from;
-  size_t bytes = 0;
   const std::vector<JobResult>& held = job.held();
   for (size_t index = from - job.first_held(); index < held.size(); ++index) {
-    bytes += held[index].text.size();
-    if (!page.results.empty() && bytes > environment_.knobs.most_answer_bytes) {
+    if (!page.add(held[index], environment_.knobs.most_answer_bytes)) {
       break;
     }
-    page.results.push_back(held[index]);
-    ++page.next;
   }
   return page;
 }
@@ -204,77 +201,10 @@
       callback(tl::unexpected(indexed.error()));
       return;
     }
-    read_stored(*indexed, from, wait, callback);
+    reader_.read(indexed->record, from, wait, callback);
   }));
 }
 
-void JobService::read_stored(const Indexed& indexed, uint32_t from, Duration wait,
-                             Callback<ResultPage> callback) {
-  // What one answer holds, at the usual size of a result.
-  constexpr uint32_t kMostResults = 60;
-  const std::string job = indexed.record.id;
-  const uint32_t total = indexed.record.items;
-  environment_.store.read_range(
-      job_result_range(job, from, kMostResults),
-      lifetime_.guard([this, job, total, from, wait,
-                       callback = std::move(callback)](const Expected<RangePage>& page) {
-        if (!page) {
-          callback(tl::unexpected(page.error()));
-          return;
-        }
-        auto answer = std::make_shared<ResultPage>();
-        answer->total = total;
-        answer->next = from;
-        size_t bytes = 0;
-        for (const StoredRow& row : page->rows) {
-          Expected<JobResult> result = decode_job_result(row.value);
-          if (!result) {
-            callback(tl::unexpected(result.error()));
-            return;
-          }
-          bytes += result->text.size();
-          if (!answer->results.empty() && bytes > environment_.knobs.most_answer_bytes) {
-            break;
-          }
-          answer->results.push_back(std::move(*result));
-          ++answer->next;
-        }
-        const bool wait_more = answer->results.empty() && from < total && wait > Duration(0);
-        if (!wait_more) {
-          fetch_large(std::move(answer), 0, callback);
-          return;
-        }
-        call_after(environment_.serving.dispatcher, wait,
-                   lifetime_.guard([this, job, from, callback] {
-                     read_results(job, from, Duration(0), callback);
-                   }));
-      }));
-}
-
-void JobService::fetch_large(std::shared_ptr<ResultPage> page, size_t index,
-                             Callback<ResultPage> callback) {
-  while (index < page->results.size() && !page->results[index].in_object) {
-    ++index;
-  }
-  if (index == page->results.size()) {
-    callback(std::move(*page));
-    return;
-  }
-  std::string name = page->results[index].text;
-  environment_.objects.get(
-      std::move(name),
-      lifetime_.guard([this, page = std::move(page), index, callback = std::move(callback)](
-                          const Expected<std::shared_ptr<const std::string>>& text) mutable {
-        if (!text) {
-          callback(tl::unexpected(text.error()));
-          return;
-        }
-        page->results[index].text = **text;
-        page->results[index].in_object = false;
-        fetch_large(std::move(page), index + 1, std::move(callback));
-      }));
-}
-
 void JobService::read_body(const std::string& job, const std::string& item,
                            Callback<std::string> callback) {
   const auto found = owned_.find(job);
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -15,18 +15,12 @@
 #include "src/jobs/job_remover.h"
 #include "src/jobs/job_submit.h"
 #include "src/jobs/owned_job.h"
+#include "src/jobs/result_reader.h"
 #include "src/peers/session_view.h"
 #include "src/watch/table_watcher.h"
 
 namespace chalkshed {
 
-// A part of a job's list of results.
-struct ResultPage {
-  uint32_t total = 0;  // items of the job
-  uint32_t next = 0;   // position behind the last result here
-  std::vector<JobResult> results;
-};
-
 class JobService : public TableObserver {
  public:
   // @param may_start whether batch may take places now: no online request waits for one.
@@ -85,9 +79,6 @@
   void load(const StoredJob& record, StoreVersion version);
   void release(const std::string& id);
   void check_drained();
-  void read_stored(const Indexed& indexed, uint32_t from, Duration wait,
-                   Callback<ResultPage> callback);
-  void fetch_large(std::shared_ptr<ResultPage> page, size_t index, Callback<ResultPage> callback);
   void try_end(const Indexed& indexed, uint32_t tries, Callback<std::monostate> callback);
   ResultPage page_of(const OwnedJob& job, uint32_t from) const;
   void log(LogLevel level, std::string_view event, const StoredJob& record,
@@ -97,6 +88,7 @@
   SessionView& sessions_;
   std::function<bool()> may_start_;
   JobLoader loader_;
+  ResultReader reader_;
   JobRemover remover_;
   bool removing_ = false;
   std::map<std::string, Indexed> index_;
--- /dev/null
+++ b/src/jobs/result_reader.cc
@@ -0,0 +1,84 @@
+#include "src/jobs/result_reader.h"
+
+#include <utility>
+
+#include "src/core/call_after.h"
+#include "src/jobs/job_rows.h"
+
+namespace chalkshed {
+namespace {
+
+// What one answer holds, at the usual size of a result.
+constexpr uint32_t kMostResults = 60;
+
+}  // namespace
+
+bool ResultPage::add(JobResult result, size_t most_bytes) {
+  if (!results.empty() && bytes_ + result.text.size() > most_bytes) {
+    return false;
+  }
+  bytes_ += result.text.size();
+  results.push_back(std::move(result));
+  ++next;
+  return true;
+}
+
+void ResultReader::read(const StoredJob& record, uint32_t from, Duration wait,
+                        Callback<ResultPage> callback) {
+  environment_.store.read_range(
+      job_result_range(record.id, from, kMostResults),
+      lifetime_.guard([this, record, from, wait,
+                       callback = std::move(callback)](const Expected<RangePage>& rows) {
+        if (!rows) {
+          callback(tl::unexpected(rows.error()));
+          return;
+        }
+        auto page = std::make_shared<ResultPage>();
+        page->total = record.items;
+        page->next = from;
+        for (const StoredRow& row : rows->rows) {
+          Expected<JobResult> result = decode_job_result(row.value);
+          if (!result) {
+            callback(tl::unexpected(result.error()));
+            return;
+          }
+          if (!page->add(std::move(*result), environment_.knobs.most_answer_bytes)) {
+            break;
+          }
+        }
+        if (page->results.empty() && from < record.items && wait > Duration(0)) {
+          call_after(environment_.serving.dispatcher, wait,
+                     lifetime_.guard([this, record, from, callback] {
+                       read(record, from, Duration(0), callback);
+                     }));
+          return;
+        }
+        fetch_large(std::move(page), 0, callback);
+      }));
+}
+
+void ResultReader::fetch_large(std::shared_ptr<ResultPage> page, size_t index,
+                               Callback<ResultPage> callback) {
+  while (index < page->results.size() && !page->results[index].in_object) {
+    ++index;
+  }
+  if (index == page->results.size()) {
+    callback(std::move(*page));
+    return;
+  }
+  std::string name = page->results[index].text;
+  environment_.objects.get(
+      std::move(name),
+      lifetime_.guard([this, page = std::move(page), index, callback = std::move(callback)](
+                          const Expected<std::shared_ptr<const std::string>>& text) mutable {
+        if (!text) {
+          callback(tl::unexpected(text.error()));
+          return;
+        }
+        page->results[index].text = **text;
+        page->results[index].in_object = false;
+        fetch_large(std::move(page), index + 1, std::move(callback));
+      }));
+}
+
+}  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/result_reader.h
@@ -0,0 +1,43 @@
+// Reads a job's results from the store: at nodes that don't own the job, and at its owner for what
+// it does not hold in memory.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "src/core/lifetime.h"
+#include "src/jobs/job_environment.h"
+
+namespace chalkshed {
+
+// A part of a job's list of results.
+struct ResultPage {
+  uint32_t total = 0;  // items of the job
+  uint32_t next = 0;   // position behind the last result here
+  std::vector<JobResult> results;
+
+  // Adds the result unless the page would grow beyond `most_bytes`; the first always fits.
+  // @return whether it was added.
+  bool add(JobResult result, size_t most_bytes);
+
+ private:
+  size_t bytes_ = 0;
+};
+
+class ResultReader {
+ public:
+  explicit ResultReader(JobEnvironment& environment) : environment_(environment) {}
+  // @param from position of the first result wanted.
+  // @param wait how long to wait for a result when there is none.
+  // Errors: kStoreUnavailable.
+  void read(const StoredJob& record, uint32_t from, Duration wait, Callback<ResultPage> callback);
+
+ private:
+  // Fetches the texts that lie in objects, from the result at `index` on.
+  void fetch_large(std::shared_ptr<ResultPage> page, size_t index, Callback<ResultPage> callback);
+
+  JobEnvironment& environment_;
+  Lifetime lifetime_;
+};
+
+}  // namespace chalkshed
