--- a/tests/serving/fault_campaign_test.cc
+++ b/tests/serving/fault_campaign_test.cc
@@ -30,7 +30,7 @@
   std::string text;
   for (uint64_t event = 1; event <= kEvents; ++event) {
     const std::string number = std::to_string(event);
-    text += "id: " + number + "\ndata: d" + number + "\n\n";
+    text.append("id: ").append(number).append("\ndata: d").append(number).append("\n\n");
   }
   return text;
 }
--- a/tests/serving/request_relay_test.cc
+++ b/tests/serving/request_relay_test.cc
@@ -208,8 +208,10 @@
 }
 
 TEST_F(RequestRelayTest, WithoutAFreePlaceRequestsWaitByPriorityAndNoneIsLost) {
+  constexpr int kRequests = 10;
   std::vector<SeenAnswerPtr> seen;
-  for (int number = 0; number < 10; ++number) {
+  seen.reserve(kRequests);
+  for (int number = 0; number < kRequests; ++number) {
     seen.push_back(cluster.request("/once/x", "r" + std::to_string(number)));
   }
   EXPECT_EQ(sends(), 8U);  // two workers of four places
--- a/tests/serving/worker_set_test.cc
+++ b/tests/serving/worker_set_test.cc
@@ -97,8 +97,10 @@
 
 TEST_F(WorkerSetTest, BatchLeavesRoomForTheLastPeakAndForgetsItWithoutFurtherRequests) {
   workers.update(record("i-1", 8));
+  constexpr int kBurst = 4;
   std::vector<WorkerPlacePtr> burst;
-  for (int count = 0; count < 4; ++count) {
+  burst.reserve(kBurst);
+  for (int count = 0; count < kBurst; ++count) {
     burst.push_back(take());
   }
   burst.clear();
@@ -115,8 +117,10 @@
 
 TEST_F(WorkerSetTest, BatchAlwaysHasSomePlacesHoweverHighThePeak) {
   workers.update(record("i-1", 8));
+  constexpr int kBurst = 40;
   std::vector<WorkerPlacePtr> burst;
-  for (int count = 0; count < 40; ++count) {
+  burst.reserve(kBurst);
+  for (int count = 0; count < kBurst; ++count) {
     burst.push_back(take(true));
   }
   burst.clear();
