Adopt no job that was ended before its acceptance was settled

Ruled out: a takeover (the sender was the row's owner all along, by its epoch). Change: a job is adopted only if its row is open and the newest that the node knows. The test was seen to fail before; the campaign now also checks that ended jobs start nothing.

--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -123,7 +123,10 @@
         outcome->accepted_here ? "taken here" : "was there before");
     callback({});
     note(outcome->record, outcome->version);
-    if (outcome->accepted_here && !owned_.contains(outcome->record.id)) {
+    // Settled late, it may have been ended, or even taken over and finished, meanwhile.
+    const bool open = !outcome->record.ended && !outcome->record.finished &&
+                      index_.at(outcome->record.id).version == outcome->version;
+    if (outcome->accepted_here && open && !owned_.contains(outcome->record.id)) {
       adopt(outcome->record, outcome->version, {std::move(ended->submission().items), {}, {}});
     }
   });
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -225,6 +225,24 @@
   EXPECT_TRUE(ended && *ended) << "ending again succeeds";
 }
 
+// The acceptance is settled only seconds after the store had it; meanwhile the caller has sent the
+// job elsewhere and ended it there.
+TEST(JobServiceTest, AJobThatWasEndedBeforeItsAcceptanceWasSettledStartsNothing) {
+  ServingCluster cluster(2);
+  cluster.answer_all(2, milliseconds(20));
+  cluster.shared.trouble.lose_commits = true;
+  cluster.node("n0").jobs().submit(cluster.job("j1", 3), [](const Expected<std::monostate>&) {});
+  cluster.clock.run_for(milliseconds(100));
+  cluster.shared.trouble.lose_commits = false;
+  ASSERT_TRUE(submit(cluster, "n1", cluster.job("j1", 3)));
+  std::optional<Expected<std::monostate>> ended;
+  cluster.node("n1").jobs().end("j1", [&](const Expected<std::monostate>& told) { ended = told; });
+  cluster.clock.run_for(milliseconds(100));
+  ASSERT_TRUE(ended && *ended);
+  cluster.clock.run_for(seconds(8));
+  EXPECT_TRUE(cluster.workers.calls.empty());
+}
+
 TEST(JobServiceTest, AnItemThatAlwaysFailsIsListedAsErroredAfterItsAttempts) {
   ServingCluster cluster(1);
   cluster.workers.on_call = [&](ScriptedCall& call) {
--- a/tests/serving/fault_campaign_test.cc
+++ b/tests/serving/fault_campaign_test.cc
@@ -70,6 +70,7 @@
     size_t items = 0;
     bool accepted = false;
     bool ended = false;
+    std::optional<MonotonicTime> end_acknowledged;
     std::vector<std::string> listed;  // as read so far
   };
 
@@ -93,7 +94,7 @@
         read(any_job());
         break;
       case 3:
-        if (random_.below(4) == 0) {
+        if (random_.below(2) == 0) {
           end_job();
         }
         break;
@@ -194,7 +195,12 @@
       return;
     }
     jobs_[id].ended = true;  // from now on it may be ended
-    cluster_.node(name).jobs().end(id, [](const Expected<std::monostate>&) {});
+    cluster_.node(name).jobs().end(id, [this, id](const Expected<std::monostate>& ended) {
+      Job& job = jobs_[id];
+      if (ended && !job.end_acknowledged) {
+        job.end_acknowledged = cluster_.clock.monotonic_now();
+      }
+    });
   }
 
   void disturb_node() {
@@ -281,6 +287,7 @@
     const std::string id = call.header(platform::kRequestId);
     const std::string worker = call.header(platform::kExpectInstance);
     check_leaving(worker);
+    check_ended(id);
     switch (random_.below(20)) {
       case 0:
         call_after(cluster_.loop, kStep, [&call] {
@@ -352,6 +359,19 @@
         << worker << " was sent a request long after it said that it leaves";
   }
 
+  // An item of a job that was ended is not started any more.
+  void check_ended(const std::string& request) {
+    constexpr Duration kCancelTime = seconds(3);
+    const auto job = jobs_.find(request.substr(0, request.find('-')));
+    const MonotonicTime now = cluster_.clock.monotonic_now();
+    if (job == jobs_.end() || !job->second.end_acknowledged || !calm_ ||
+        now - disturbed_ < kCancelTime) {
+      return;
+    }
+    EXPECT_LE((now - *job->second.end_acknowledged).count(), Duration(kCancelTime).count())
+        << request << " was started although its job had ended";
+  }
+
   void check_configuration() {
     for (const auto& [name, node] : cluster_.nodes) {
       if (!node) {
