Record the progress of many running items in several transactions

Cause: a checkpoint wrote the progress of all running items of a job in one transaction. The store takes 100 entries; a job of over 99 running items was refused whole, at every checkpoint, so that nothing of its progress was ever recorded. Ruled out: commits of results (2 + 45 + 45 + 1 entries at most) and the removal of old jobs (91). Change: checkpoints go through the items in transactions of at most 90; the emulated store refuses what the real one refuses and counts it. Before: the new test sees 3 refused transactions and 0 of 150 items continued; after: 0 and 150.

--- a/emulator/memory_watched_store.cc
+++ b/emulator/memory_watched_store.cc
@@ -14,6 +14,15 @@
   return not_run(ErrorKind::kStoreUnavailable, "the store is down", "send the call again");
 }
 
+bool exceeds_limits(const StoreTransaction& transaction) {
+  size_t bytes = 0;
+  for (const StoreWrite& write : transaction.writes) {
+    bytes += write.value ? write.value->size() : 0;
+  }
+  return transaction.conditions.size() + transaction.writes.size() > kMostTransactionEntries ||
+         bytes > kMostTransactionBytes;
+}
+
 }  // namespace
 
 RangePage VersionedRows::read(const RangeRead& range, StoreVersion version) const {
@@ -206,6 +215,12 @@
   answer_later<StoreCommit>(
       std::move(callback),
       [this, transaction = std::move(transaction)]() -> Expected<StoreCommit> {
+        if (exceeds_limits(transaction)) {
+          ++shared_.refused_transactions;
+          return tl::unexpected(not_run(ErrorKind::kInvalidRequest,
+                                        "the transaction holds too many entries or bytes",
+                                        "split it"));
+        }
         StoreCommit result = shared_.rows.commit(transaction);
         result.stamp.steady_clock = stamp().steady_clock;
         if (result.committed) {
--- a/emulator/memory_watched_store.h
+++ b/emulator/memory_watched_store.h
@@ -57,6 +57,7 @@
   std::map<std::string, std::shared_ptr<const std::string>> objects;
   StoreTrouble trouble;
   uint64_t calls = 0;
+  uint64_t refused_transactions = 0;  // they held more than the store takes
 
   void add_follower(std::function<void()> wake) { followers_.push_back(std::move(wake)); }
   void wake_followers();
--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -14,6 +14,8 @@
   // Results of one transaction.
   size_t most_results_a_commit = 45;
   size_t most_bytes_a_commit = 600 * 1024;
+  // Items whose progress one transaction records.
+  size_t most_checkpoints = 90;
   // Results gather for this long before they are committed together.
   Duration commit_delay = std::chrono::milliseconds(150);
   // Between two records of what the running items have brought, so that another node continues
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -200,18 +200,25 @@
   }
 }
 
-void OwnedJob::checkpoint(std::function<void()> done) {
+void OwnedJob::checkpoint(std::function<void()> done) { checkpoint_from(0, std::move(done)); }
+
+void OwnedJob::checkpoint_from(size_t first, std::function<void()> done) {
   StoreTransaction transaction;
   transaction.conditions.push_back({stored_job_key(record_.id), version_});
   size_t bytes = 0;
-  for (Item& item : items_) {
+  size_t next = first;
+  for (; next < items_.size() && transaction.writes.size() < environment_.knobs.most_checkpoints;
+       ++next) {
+    Item& item = items_[next];
     const ItemProgress& progress = item.progress;
     const bool advanced = progress.last_event && progress.last_event != item.recorded_event;
     const size_t size = progress.text.size();
-    if (item.phase == Phase::kEnded || !advanced || size > environment_.knobs.most_row_bytes ||
-        bytes + size > environment_.knobs.most_bytes_a_commit) {
+    if (item.phase == Phase::kEnded || !advanced || size > environment_.knobs.most_row_bytes) {
       continue;
     }
+    if (bytes + size > environment_.knobs.most_bytes_a_commit) {
+      break;
+    }
     bytes += size;
     item.recorded_event = progress.last_event;
     transaction.writes.push_back(
@@ -225,8 +232,13 @@
   // refused with its epoch, or holds less than was there, which costs work and nothing else.
   environment_.store.commit(
       std::move(transaction),
-      lifetime_.guard(
-          [done = std::move(done)](const Expected<StoreCommit>& /*commit*/) { done(); }));
+      lifetime_.guard([this, next, done = std::move(done)](const Expected<StoreCommit>& commit) {
+        if (commit && next < items_.size()) {
+          checkpoint_from(next, done);
+        } else {
+          done();
+        }
+      }));
 }
 
 void OwnedJob::commit_later() {
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -75,6 +75,8 @@
   void handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason);
   void end_item(Item& item, ItemState state);
   void checkpoint_later();
+  // As many items as one transaction holds, from the `first` on; the rest in further ones.
+  void checkpoint_from(size_t first, std::function<void()> done);
   void commit_later();
   void commit();
   void put_large_results(size_t index, std::function<void()> then);
--- a/src/platform/watched_store.h
+++ b/src/platform/watched_store.h
@@ -69,6 +69,11 @@
   std::optional<std::string> value;
 };
 
+// What one transaction may hold: conditions and writes together, and bytes of the written values.
+// More is refused as a whole. The bytes leave room for their encoding on the wire.
+inline constexpr size_t kMostTransactionEntries = 100;
+inline constexpr size_t kMostTransactionBytes = 700 * 1024;
+
 // Applied as a whole if and only if all conditions hold. All keys share one partition.
 struct StoreTransaction {
   std::vector<StoreCondition> conditions;
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -404,6 +404,28 @@
   EXPECT_TRUE(cluster.shared.rows.read(job_progress_range("j1")).rows.empty());
 }
 
+// A checkpoint of them all in one transaction would be over what the store takes, and refused
+// whole.
+TEST(JobServiceTest, MoreRunningItemsThanOneTransactionHoldsContinueBehindTheirCheckpoints) {
+  constexpr size_t kItems = kMostTransactionEntries + 50;
+  ServingCluster cluster(2, 0);
+  cluster.write_worker("i-many", 0, "ready", 4 * kItems);
+  cluster.clock.run_for(milliseconds(100));
+  cluster.answer_all(20, milliseconds(200));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", kItems)));
+  cluster.clock.run_for(milliseconds(2500));
+  ASSERT_EQ(cluster.workers.calls.size(), kItems);
+  EXPECT_EQ(cluster.shared.refused_transactions, 0U);
+  cluster.kill_node("n0");
+  cluster.clock.run_for(seconds(12));
+  size_t resumed = 0;
+  for (const ScriptedCall& call : cluster.workers.calls) {
+    resumed += call.header(platform::kLastEventId).empty() ? 0 : 1;
+  }
+  EXPECT_EQ(resumed, kItems);
+  EXPECT_EQ(cluster.shared.refused_transactions, 0U);
+}
+
 TEST(JobServiceTest, WhatIsStoredOfAJobIsRemovedLongAfterItsEndAndNotBefore) {
   ServingCluster cluster(2);
   cluster.workers.on_call = [&](ScriptedCall& call) {
