Tell outcomes at workers between nodes; tell loads of other zones seldom

Cause: a worker that resets every request looks idle and draws more of them. Ruled out: retrying (the route allows one attempt); trusting health checks (they say well). Change: heartbeats carry the outcomes that a node has seen itself (when a worker last failed and succeeded, failures in a row); a streak goes on from node to node; until a success follows, only work that may be run again goes there. A node for which a quarter of the workers fails is not heeded. Own sight outweighs what is told. Datagrams are bounded: 250 a second to the own zone, 100 to all others, which hear at once of failures and long prompts; patience grows with the interval.

--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -96,6 +96,7 @@
   PlaceRequest wanted;
   wanted.service = environment_.draw.draw(*route);
   wanted.work = WorkClass::kBatch;
+  wanted.repeatable = true;
   wanted.request = &item->request;
   wanted.urgent = urgent();
   WorkerPlacePtr place = environment_.serving.workers.take_place(wanted);
--- a/src/peers/heartbeat.cc
+++ b/src/peers/heartbeat.cc
@@ -13,6 +13,17 @@
   return static_cast<uint32_t>(std::clamp<int64_t>(count, 0, std::numeric_limits<uint32_t>::max()));
 }
 
+constexpr uint16_t kNever = std::numeric_limits<uint16_t>::max();
+
+uint16_t encode_age(const std::optional<Duration>& age) {
+  return age ? static_cast<uint16_t>(std::min<uint32_t>(milliseconds_of(*age), kNever)) : kNever;
+}
+
+std::optional<Duration> decode_age(uint16_t milliseconds) {
+  return milliseconds == kNever ? std::nullopt
+                                : std::optional<Duration>(std::chrono::milliseconds(milliseconds));
+}
+
 }  // namespace
 
 std::string encode_heartbeat(const Heartbeat& heartbeat) {
@@ -22,10 +33,16 @@
   for (const PeerWorkerLoad& load : heartbeat.loads) {
     loads.emplace_back(load.worker, load.online, load.batch, load.prompt_tokens);
   }
-  builder.Finish(
-      wire::CreateHeartbeat(builder, builder.CreateString(heartbeat.session), heartbeat.sequence,
-                            heartbeat.draining, milliseconds_of(heartbeat.store_silence),
-                            heartbeat.store_version, builder.CreateVectorOfStructs(loads)));
+  std::vector<wire::WorkerOutcomeEntry> outcomes;
+  outcomes.reserve(heartbeat.outcomes.size());
+  for (const PeerWorkerOutcomes& outcome : heartbeat.outcomes) {
+    outcomes.emplace_back(outcome.worker, encode_age(outcome.failed_ago),
+                          encode_age(outcome.succeeded_ago), outcome.failures);
+  }
+  builder.Finish(wire::CreateHeartbeat(
+      builder, builder.CreateString(heartbeat.session), heartbeat.sequence, heartbeat.draining,
+      milliseconds_of(heartbeat.store_silence), heartbeat.store_version,
+      builder.CreateVectorOfStructs(loads), builder.CreateVectorOfStructs(outcomes)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -48,6 +65,12 @@
           {load->worker(), load->online(), load->batch(), load->prompt_tokens()});
     }
   }
+  if (message->outcomes() != nullptr) {
+    for (const wire::WorkerOutcomeEntry* outcome : *message->outcomes()) {
+      heartbeat.outcomes.push_back({outcome->worker(), decode_age(outcome->failed_ms_ago()),
+                                    decode_age(outcome->succeeded_ms_ago()), outcome->failures()});
+    }
+  }
   return heartbeat;
 }
 
--- a/src/peers/heartbeat.h
+++ b/src/peers/heartbeat.h
@@ -20,6 +20,14 @@
   uint32_t prompt_tokens = 0;  // to be read, sent there since the node's session began; wraps
 };
 
+// How requests ended lately at one worker, by the sender's own sight.
+struct PeerWorkerOutcomes {
+  uint64_t worker = 0;
+  std::optional<Duration> failed_ago;  // nothing: never, or too long ago to matter
+  std::optional<Duration> succeeded_ago;
+  uint16_t failures = 0;  // since the last success
+};
+
 struct Heartbeat {
   std::string session;
   uint64_t sequence = 0;  // grows; older ones arrive late and are ignored
@@ -27,6 +35,7 @@
   Duration store_silence{0};
   StoreVersion store_version = 0;
   std::vector<PeerWorkerLoad> loads;
+  std::vector<PeerWorkerOutcomes> outcomes;
 };
 
 std::string encode_heartbeat(const Heartbeat& heartbeat);
--- a/src/peers/heartbeat_generated.h
+++ b/src/peers/heartbeat_generated.h
@@ -18,6 +18,8 @@
 
 struct WorkerLoadEntry;
 
+struct WorkerOutcomeEntry;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 
@@ -56,6 +58,46 @@
 };
 FLATBUFFERS_STRUCT_END(WorkerLoadEntry, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) WorkerOutcomeEntry FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t worker_;
+  uint16_t failed_ms_ago_;
+  uint16_t succeeded_ms_ago_;
+  uint16_t failures_;
+  int16_t padding0__;
+
+ public:
+  WorkerOutcomeEntry()
+      : worker_(0),
+        failed_ms_ago_(0),
+        succeeded_ms_ago_(0),
+        failures_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  WorkerOutcomeEntry(uint64_t _worker, uint16_t _failed_ms_ago, uint16_t _succeeded_ms_ago, uint16_t _failures)
+      : worker_(flatbuffers::EndianScalar(_worker)),
+        failed_ms_ago_(flatbuffers::EndianScalar(_failed_ms_ago)),
+        succeeded_ms_ago_(flatbuffers::EndianScalar(_succeeded_ms_ago)),
+        failures_(flatbuffers::EndianScalar(_failures)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t worker() const {
+    return flatbuffers::EndianScalar(worker_);
+  }
+  uint16_t failed_ms_ago() const {
+    return flatbuffers::EndianScalar(failed_ms_ago_);
+  }
+  uint16_t succeeded_ms_ago() const {
+    return flatbuffers::EndianScalar(succeeded_ms_ago_);
+  }
+  uint16_t failures() const {
+    return flatbuffers::EndianScalar(failures_);
+  }
+};
+FLATBUFFERS_STRUCT_END(WorkerOutcomeEntry, 16);
+
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HeartbeatBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -64,7 +106,8 @@
     VT_DRAINING = 8,
     VT_STORE_SILENCE_MS = 10,
     VT_STORE_VERSION = 12,
-    VT_LOADS = 14
+    VT_LOADS = 14,
+    VT_OUTCOMES = 16
   };
   const flatbuffers::String *session() const {
     return GetPointer<const flatbuffers::String *>(VT_SESSION);
@@ -84,6 +127,9 @@
   const flatbuffers::Vector<const chalkshed::wire::WorkerLoadEntry *> *loads() const {
     return GetPointer<const flatbuffers::Vector<const chalkshed::wire::WorkerLoadEntry *> *>(VT_LOADS);
   }
+  const flatbuffers::Vector<const chalkshed::wire::WorkerOutcomeEntry *> *outcomes() const {
+    return GetPointer<const flatbuffers::Vector<const chalkshed::wire::WorkerOutcomeEntry *> *>(VT_OUTCOMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SESSION) &&
@@ -94,6 +140,8 @@
            VerifyField<uint64_t>(verifier, VT_STORE_VERSION, 8) &&
            VerifyOffset(verifier, VT_LOADS) &&
            verifier.VerifyVector(loads()) &&
+           VerifyOffset(verifier, VT_OUTCOMES) &&
+           verifier.VerifyVector(outcomes()) &&
            verifier.EndTable();
   }
 };
@@ -120,6 +168,9 @@
   void add_loads(flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::WorkerLoadEntry *>> loads) {
     fbb_.AddOffset(Heartbeat::VT_LOADS, loads);
   }
+  void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::WorkerOutcomeEntry *>> outcomes) {
+    fbb_.AddOffset(Heartbeat::VT_OUTCOMES, outcomes);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -139,10 +190,12 @@
     bool draining = false,
     uint32_t store_silence_ms = 0,
     uint64_t store_version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::WorkerLoadEntry *>> loads = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::WorkerLoadEntry *>> loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::WorkerOutcomeEntry *>> outcomes = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_store_version(store_version);
   builder_.add_sequence(sequence);
+  builder_.add_outcomes(outcomes);
   builder_.add_loads(loads);
   builder_.add_store_silence_ms(store_silence_ms);
   builder_.add_session(session);
@@ -157,9 +210,11 @@
     bool draining = false,
     uint32_t store_silence_ms = 0,
     uint64_t store_version = 0,
-    const std::vector<chalkshed::wire::WorkerLoadEntry> *loads = nullptr) {
+    const std::vector<chalkshed::wire::WorkerLoadEntry> *loads = nullptr,
+    const std::vector<chalkshed::wire::WorkerOutcomeEntry> *outcomes = nullptr) {
   auto session__ = session ? _fbb.CreateString(session) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<chalkshed::wire::WorkerLoadEntry>(*loads) : 0;
+  auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<chalkshed::wire::WorkerOutcomeEntry>(*outcomes) : 0;
   return chalkshed::wire::CreateHeartbeat(
       _fbb,
       session__,
@@ -167,7 +222,8 @@
       draining,
       store_silence_ms,
       store_version,
-      loads__);
+      loads__,
+      outcomes__);
 }
 
 inline const chalkshed::wire::Heartbeat *GetHeartbeat(const void *buf) {
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -20,8 +20,8 @@
 
 PeerExchange::PeerExchange(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store,
                            StoreClock& clock, DatagramTransport& datagrams, WorkerSet& workers,
-                           Logger& logger, std::string node, std::string session, Address address,
-                           const PeerKnobs& knobs)
+                           Logger& logger, std::string node, std::string session, std::string zone,
+                           Address address, const PeerKnobs& knobs)
     : time_source_(time_source),
       store_(store),
       clock_(clock),
@@ -30,6 +30,7 @@
       logger_(logger),
       node_(std::move(node)),
       session_(std::move(session)),
+      zone_(std::move(zone)),
       address_(std::move(address)),
       knobs_(knobs),
       tick_timer_(dispatcher.create_timer([this] { tick(); })),
@@ -48,7 +49,7 @@
 
 void PeerExchange::announce() {
   const nlohmann::json value = {
-      {"session", session_}, {"ip", address_.ip}, {"port", address_.port}};
+      {"session", session_}, {"zone", zone_}, {"ip", address_.ip}, {"port", address_.port}};
   StoreTransaction announcement;
   announcement.writes.push_back({{kNodeTable, "", node_}, value.dump()});
   store_.commit(std::move(announcement),
@@ -75,7 +76,9 @@
   peer.session = session;
   if (fields.is_object()) {
     peer.address = {fields.value("ip", ""), fields.value("port", uint16_t{0})};
+    peer.zone = fields.value("zone", "");
   }
+  count_peers();
   peer.announcement = row.version;
   peer.announced = time_source_.monotonic_now();
   unannounced_.erase(session);
@@ -86,8 +89,32 @@
   load_changed();
 }
 
+void PeerExchange::count_peers() {
+  near_peers_ = static_cast<size_t>(std::count_if(
+      peers_.begin(), peers_.end(), [this](const auto& entry) { return near(entry.second); }));
+  far_peers_ = peers_.size() - near_peers_;
+}
+
+Duration PeerExchange::least_interval(bool near) const {
+  const size_t peers = near ? near_peers_ : far_peers_;
+  const bool notable = !near && workers_.notable_changes() != notable_told_;
+  const double far_rate =
+      notable ? knobs_.notable_datagrams_per_second : knobs_.far_datagrams_per_second;
+  const double rate = near ? knobs_.near_datagrams_per_second : far_rate;
+  const std::chrono::duration<double> interval(static_cast<double>(peers) / rate);
+  return std::max(knobs_.least_interval, std::chrono::duration_cast<Duration>(interval));
+}
+
+Duration PeerExchange::idle_interval(bool near) const {
+  const size_t peers = near ? near_peers_ : far_peers_;
+  const double rate = near ? knobs_.near_datagrams_per_second : knobs_.far_datagrams_per_second;
+  const std::chrono::duration<double> interval(static_cast<double>(peers) / rate);
+  return std::max(knobs_.heartbeat_interval, std::chrono::duration_cast<Duration>(interval));
+}
+
 void PeerExchange::begin_drain() {
   draining_ = true;
+  sent_far_ = {};
   send_heartbeats();
 }
 
@@ -96,7 +123,7 @@
     return;
   }
   const Duration since = time_source_.monotonic_now() - sent_;
-  send_timer_->enable(std::max(knobs_.least_interval - since, Duration(0)));
+  send_timer_->enable(std::max(least_interval(true) - since, Duration(0)));
 }
 
 void PeerExchange::tick() {
@@ -115,7 +142,7 @@
     }
   }
   judge_peers();
-  if (now - sent_ >= knobs_.heartbeat_interval) {
+  if (now - sent_ >= idle_interval(true)) {
     send_heartbeats();
   }
 }
@@ -124,29 +151,53 @@
   return time_source_.monotonic_now() - clock_.last_heard();
 }
 
-void PeerExchange::send_heartbeats() {
-  sent_ = time_source_.monotonic_now();
+Heartbeat PeerExchange::make_heartbeat() {
+  const MonotonicTime now = time_source_.monotonic_now();
   Heartbeat heartbeat;
   heartbeat.session = session_;
   heartbeat.sequence = ++sequence_;
   heartbeat.draining = draining_;
   heartbeat.store_silence = own_store_silence();
   heartbeat.store_version = clock_.newest();
-  // The largest datagram holds fewer than this many loads.
-  constexpr size_t kMostLoads = 60;
+  // The largest datagram holds fewer than this many of each.
+  constexpr size_t kMostEntries = 40;
   for (const auto& [incarnation, worker] : workers_.workers()) {
-    if (worker->in_flight() > 0 && heartbeat.loads.size() < kMostLoads) {
+    if (worker->in_flight() > 0 && heartbeat.loads.size() < kMostEntries) {
       heartbeat.loads.push_back({worker->hash, static_cast<uint16_t>(worker->online_in_flight),
                                  static_cast<uint16_t>(worker->batch_in_flight),
                                  worker->prompt_tokens_sent});
     }
+    if (worker->outcomes.worth_telling(now) && heartbeat.outcomes.size() < kMostEntries) {
+      const outcome_times& own = worker->outcomes.own();
+      PeerWorkerOutcomes told;
+      told.worker = worker->hash;
+      told.failed_ago = now - own.failed;
+      told.succeeded_ago = now - own.succeeded;
+      told.failures = static_cast<uint16_t>(std::min<uint32_t>(own.failures, UINT16_MAX));
+      heartbeat.outcomes.push_back(told);
+    }
   }
-  const std::string datagram = encode_heartbeat(heartbeat);
+  return heartbeat;
+}
+
+void PeerExchange::send_heartbeats() {
+  const MonotonicTime now = time_source_.monotonic_now();
+  // Nodes of other zones mostly use other workers: they hear less often, but at once of what
+  // concerns them too.
+  const bool far_due = now - sent_far_ >= least_interval(false);
+  sent_ = now;
+  const std::string datagram = encode_heartbeat(make_heartbeat());
   for (const auto& [node, peer] : peers_) {
-    if (!peer.address.ip.empty()) {
+    if (!peer.address.ip.empty() && (far_due || near(peer))) {
       datagrams_.send(peer.address, datagram);
     }
   }
+  if (far_due) {
+    sent_far_ = now;
+    notable_told_ = workers_.notable_changes();
+  } else if (workers_.notable_changes() != notable_told_) {
+    load_changed();
+  }
 }
 
 void PeerExchange::receive(std::string_view datagram) {
@@ -168,6 +219,28 @@
   peer.store_silence = heartbeat->store_silence;
   clock_.observe_version(heartbeat->store_version);
   take_loads(peer, heartbeat->loads);
+  take_outcomes(heartbeat->outcomes);
+}
+
+void PeerExchange::take_outcomes(const std::vector<PeerWorkerOutcomes>& outcomes) {
+  const auto failing =
+      std::count_if(outcomes.begin(), outcomes.end(), [](const PeerWorkerOutcomes& told) {
+        return told.failed_ago && (!told.succeeded_ago || *told.failed_ago < *told.succeeded_ago);
+      });
+  constexpr double kLeastSuspicious = 3.0;
+  const double most = std::max(
+      kLeastSuspicious, knobs_.most_failing_share * static_cast<double>(workers_.workers().size()));
+  if (static_cast<double>(failing) > most) {
+    return;
+  }
+  const MonotonicTime now = time_source_.monotonic_now();
+  for (const PeerWorkerOutcomes& told : outcomes) {
+    outcome_times times;
+    times.failed = told.failed_ago ? now - *told.failed_ago : MonotonicTime{};
+    times.succeeded = told.succeeded_ago ? now - *told.succeeded_ago : MonotonicTime{};
+    times.failures = told.failures;
+    workers_.add_peer_outcomes(told.worker, times);
+  }
 }
 
 void PeerExchange::take_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads) {
@@ -197,7 +270,8 @@
 bool PeerExchange::lapsed(const Peer& peer) const {
   const MonotonicTime now = time_source_.monotonic_now();
   const bool alone = now - heard_anyone_ > knobs_.lapse_after;
-  const Duration patience = alone ? knobs_.lapse_when_alone : knobs_.lapse_after;
+  const Duration patience = std::max(alone ? knobs_.lapse_when_alone : knobs_.lapse_after,
+                                     knobs_.missed_heartbeats * idle_interval(near(peer)));
   if (now - std::max(peer.heard, peer.announced) > patience) {
     return true;
   }
@@ -216,7 +290,7 @@
                      {"its_store_silence_ms", std::to_string(peer.store_silence.count() / 1000)}});
     }
     peer.lapsed = now_lapsed;
-    if (now - peer.heard > knobs_.load_lifetime) {
+    if (now - peer.heard > std::max(knobs_.load_lifetime, 3 * idle_interval(near(peer)))) {
       take_loads(peer, {});
     }
   }
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -28,15 +28,25 @@
 struct PeerKnobs {
   // Between two heartbeats when nothing changes.
   Duration heartbeat_interval = std::chrono::milliseconds(500);
-  // Changes of the load are told at most this often.
+  // Changes of the load are told at most this often, and less often where there are many peers: a
+  // node sends at most so many datagrams a second to those of its own zone, and to all others.
   Duration least_interval = std::chrono::milliseconds(60);
+  double near_datagrams_per_second = 250;
+  double far_datagrams_per_second = 100;
+  // What nodes far away should hear of at once may take more.
+  double notable_datagrams_per_second = 1000;
   Duration lapse_after = std::chrono::milliseconds(2500);
+  // However seldom a peer sends, it lapses only after so many heartbeats have been missed.
+  int missed_heartbeats = 5;
   // A node that hears nobody may itself be the one that is cut off.
   Duration lapse_when_alone = std::chrono::milliseconds(6000);
   // A peer that the store has not answered for this long loses its work.
   Duration store_silence = std::chrono::milliseconds(2600);
-  // A load that was told longer ago counts no more.
+  // A load that was told longer ago counts no more; nor do three missed heartbeats.
   Duration load_lifetime = std::chrono::milliseconds(1500);
+  // A node for which this share of the workers fails is more likely ill itself: its sight of their
+  // outcomes is left aside.
+  double most_failing_share = 0.25;
   Duration announce_retry = std::chrono::milliseconds(500);
 };
 
@@ -47,7 +57,8 @@
   // @param node unique name of the machine. All references outlive the exchange.
   PeerExchange(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store,
                StoreClock& clock, DatagramTransport& datagrams, WorkerSet& workers, Logger& logger,
-               std::string node, std::string session, Address address, const PeerKnobs& knobs = {});
+               std::string node, std::string session, std::string zone, Address address,
+               const PeerKnobs& knobs = {});
 
   void start();
   // Rows of the node table.
@@ -63,6 +74,7 @@
  private:
   struct Peer {
     std::string session;
+    std::string zone;
     Address address;
     StoreVersion announcement = 0;
     MonotonicTime announced{};
@@ -80,6 +92,14 @@
   void send_heartbeats();
   void receive(std::string_view datagram);
   void take_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads);
+  void take_outcomes(const std::vector<PeerWorkerOutcomes>& outcomes);
+  Heartbeat make_heartbeat();
+  bool near(const Peer& peer) const { return peer.zone == zone_; }
+  // Between two heartbeats to the peers that are `near` (or far) when something changes.
+  Duration least_interval(bool near) const;
+  // Between two of them when nothing changes.
+  Duration idle_interval(bool near) const;
+  void count_peers();
   void judge_peers();
   bool lapsed(const Peer& peer) const;
   Duration own_store_silence() const;
@@ -92,6 +112,7 @@
   Logger& logger_;
   const std::string node_;
   const std::string session_;
+  const std::string zone_;
   const Address address_;
   const PeerKnobs knobs_;
   std::map<std::string, Peer> peers_;  // by node, without this one
@@ -100,6 +121,10 @@
   bool draining_ = false;
   uint64_t sequence_ = 0;
   MonotonicTime sent_{};
+  MonotonicTime sent_far_{};
+  uint64_t notable_told_ = 0;  // changes of the worker set that nodes far away have been told
+  size_t near_peers_ = 0;
+  size_t far_peers_ = 0;
   MonotonicTime ticked_{};
   MonotonicTime heard_anyone_{};
   TimerPtr tick_timer_;
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -77,6 +77,8 @@
   wanted.request = &request_;
   wanted.tried = &tried_;
   wanted.even_if_full = even_if_full;
+  // One more run must be left behind the one that it begins.
+  wanted.repeatable = is_repeatable(route_) && runs_ + 1 < route_.attempts;
   WorkerPlacePtr place = environment_.workers.take_place(wanted);
   if (!place) {
     return false;
@@ -177,7 +179,7 @@
     silence_timer_->enable(longest_silence() - silence);
     return;
   }
-  environment_.workers.note_failure(attempt_->worker());
+  environment_.workers.note_failure(attempt_->worker(), attempt_->sent());
   attempt_.reset();
   AttemptEnd end;
   end.reason = "the worker was silent for " + milliseconds_text(silence) + " ms";
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -41,7 +41,7 @@
     workers_.note_report(worker, *verdict_.load);
   }
   if (verdict_.other_request) {
-    workers_.note_failure(worker);
+    workers_.note_failure(worker, sent_);
     break_off("the worker's answer belongs to another request");
     return;
   }
@@ -49,12 +49,12 @@
     return;  // the rest of the answer is not needed, but its end keeps the connection
   }
   if (!verdict_.authentic) {
-    workers_.note_failure(worker);
+    workers_.note_failure(worker, sent_);
     break_off("the answer of status " + std::to_string(status) + " isn't authentic");
     return;
   }
   if (verdict_.encoded) {
-    workers_.note_failure(worker);
+    workers_.note_failure(worker, sent_);
     break_off("the worker encoded the body unasked");
     return;
   }
@@ -94,7 +94,7 @@
     return;
   }
   if (relays_events_ && splitter_.inside_event()) {
-    workers_.note_failure(worker);
+    workers_.note_failure(worker, sent_);
     end(AttemptResult::kBroken, "the stream ended inside an event");
     return;
   }
@@ -105,7 +105,7 @@
 }
 
 void WorkerAttempt::on_error(const Error& error) {
-  workers_.note_failure(place_->worker());
+  workers_.note_failure(place_->worker(), sent_);
   if (verdict_.not_run) {
     end(AttemptResult::kNotRun, "the worker refused with status " + std::to_string(end_.status));
     return;
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -58,6 +58,7 @@
 
   ServingWorker& worker() const { return place_->worker(); }
   HttpCall& call() { return *call_; }
+  MonotonicTime sent() const { return sent_; }
 
  private:
   void on_headers(int status, const HttpHeaders& headers) override;
--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "chalkshed/worker_outcomes.h"
 #include "src/core/time.h"
 
 namespace chalkshed {
@@ -12,9 +13,7 @@
   Duration report_lifetime = std::chrono::milliseconds(400);
   // A worker that refused is not asked again for this long.
   Duration refusal_pause = std::chrono::milliseconds(60);
-  // A worker that failed is avoided for this long, doubled with each further failure in a row.
-  Duration failure_pause = std::chrono::milliseconds(250);
-  Duration longest_failure_pause = std::chrono::seconds(4);
+  outcome_knobs outcomes;
   // A worker whose record is gone without having said that it leaves serves as a last resort for
   // this long: records also vanish while the store is down.
   Duration unlisted_grace = std::chrono::seconds(10);
@@ -35,6 +34,8 @@
   double other_zone_milliseconds = 2.0;
   // Shared prompt parts below this many tokens don't decide where a request goes.
   uint32_t least_shared_tokens = 1000;
+  // Nodes far away hear at once of a prompt of which a worker has to read this much.
+  double long_prompt_tokens = 3000;
   // How sure it is that the worker to which a shared prompt is sent first still keeps it.
   double prefix_kept = 0.8;
 };
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -52,6 +52,7 @@
   const bool is_new = !worker;
   if (is_new) {
     worker = std::make_shared<ServingWorker>();
+    worker->outcomes = worker_outcomes(knobs_.outcomes);
     worker->hash = content_hash(record.incarnation);
     by_hash_[worker->hash] = worker;
   }
@@ -99,6 +100,13 @@
   }
 }
 
+void WorkerSet::add_peer_outcomes(uint64_t worker, const outcome_times& told) {
+  const auto found = by_hash_.find(worker);
+  if (found != by_hash_.end()) {
+    found->second->outcomes.merge(told);
+  }
+}
+
 void WorkerSet::add_reading(ServingWorker& worker, double tokens) {
   const auto time = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(tokens / prompt_rate_.tokens_per_millisecond()));
@@ -243,8 +251,24 @@
   return owner;
 }
 
-WorkerPtr WorkerSet::choose(const PlaceRequest& request, bool ignore_failures) {
+bool WorkerSet::sound(const ServingWorker& worker, const PlaceRequest& request) const {
   const MonotonicTime now = time_source_.monotonic_now();
+  if (worker.avoided_until > now || worker.outcomes.paused(now)) {
+    return false;
+  }
+  return request.repeatable || !worker.outcomes.suspect(now);
+}
+
+bool WorkerSet::any_sound(const PlaceRequest& request) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& entry) {
+    const ServingWorker& worker = *entry.second;
+    const bool tried = request.tried != nullptr && request.tried->contains(entry.first);
+    return worker.record.service == request.service && worker.listed && !worker.record.leaving &&
+           !tried && sound(worker, request);
+  });
+}
+
+WorkerPtr WorkerSet::choose(const PlaceRequest& request, bool ignore_failures) {
   const ServingWorker* const owner = prefix_owner(request);
   const double kept = owner == nullptr ? 0.0 : knobs_.prefix_kept * shared_tokens(*request.request);
   // All records of a service vanish together only while the store is in trouble.
@@ -253,9 +277,9 @@
   double least_cost = 0;
   for (const auto& [incarnation, worker] : workers_) {
     const bool known = worker->listed || use_unlisted;
-    const bool sound = worker->avoided_until <= now || ignore_failures;
+    const bool good = ignore_failures || sound(*worker, request);
     const bool tried = request.tried != nullptr && request.tried->contains(incarnation);
-    if (!known || !sound || tried || !usable(*worker, request)) {
+    if (!known || !good || tried || !usable(*worker, request)) {
       continue;
     }
     // A random part spreads requests over equal workers.
@@ -271,7 +295,9 @@
 
 WorkerPlacePtr WorkerSet::take_place(const PlaceRequest& request) {
   WorkerPtr worker = choose(request, false);
-  if (!worker && request.work == WorkClass::kOnline) {
+  // What runs once rather waits for a sound worker than goes to one that may lose it.
+  const bool may_risk = request.repeatable || !any_sound(request);
+  if (!worker && request.work == WorkClass::kOnline && may_risk) {
     worker = choose(request, true);
   }
   if (!worker) {
@@ -284,6 +310,7 @@
       request.request == nullptr ? 0.0 : std::max(request.request->prompt_tokens - kept, 0.0);
   const bool was_idle = reading_time(*worker) == Duration(0);
   worker->prompt_tokens_sent += static_cast<uint32_t>(tokens);
+  notable_changes_ += tokens >= knobs_.long_prompt_tokens ? 1 : 0;
   add_reading(*worker, tokens);
   // A place may outlive this node's parts: its request is destroyed in a later turn of the loop.
   auto place = std::make_unique<WorkerPlace>(std::move(worker), request.work,
@@ -314,7 +341,9 @@
 }
 
 void WorkerSet::note_success(ServingWorker& worker) {
-  worker.failures_in_a_row = 0;
+  const MonotonicTime now = time_source_.monotonic_now();
+  notable_changes_ += worker.outcomes.suspect(now) ? 1 : 0;
+  worker.outcomes.note_success(now);
   worker.avoided_until = {};
 }
 
@@ -322,17 +351,17 @@
   worker.avoided_until = time_source_.monotonic_now() + knobs_.refusal_pause;
 }
 
-void WorkerSet::note_failure(ServingWorker& worker) {
-  constexpr uint32_t kMostDoublings = 4;
-  const uint32_t doublings = std::min(worker.failures_in_a_row++, kMostDoublings);
-  const Duration pause =
-      std::min(knobs_.failure_pause * (1U << doublings), knobs_.longest_failure_pause);
-  worker.avoided_until = time_source_.monotonic_now() + pause;
+void WorkerSet::note_failure(ServingWorker& worker, MonotonicTime sent) {
+  worker.outcomes.note_failure(sent, time_source_.monotonic_now());
+  ++notable_changes_;
+  if (on_load_changed_) {
+    on_load_changed_();
+  }
 }
 
 void WorkerSet::note_replaced(ServingWorker& worker) {
   worker.record.leaving = true;
-  worker.avoided_until = time_source_.monotonic_now() + knobs_.longest_failure_pause;
+  worker.avoided_until = time_source_.monotonic_now() + knobs_.outcomes.longest_pause;
 }
 
 }  // namespace chalkshed
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "chalkshed/worker_outcomes.h"
 #include "src/core/address.h"
 #include "src/core/lifetime.h"
 #include "src/core/random.h"
@@ -55,9 +56,9 @@
   std::optional<WorkerLoadReport> report;
   MonotonicTime reported{};
   uint32_t in_flight_when_reported = 0;
-  // Refused or failed lately: not chosen before this time unless nothing else is left.
+  // Refused lately: not chosen before this time unless nothing else is left.
   MonotonicTime avoided_until{};
-  uint32_t failures_in_a_row = 0;
+  worker_outcomes outcomes;
 
   uint32_t in_flight() const { return online_in_flight + batch_in_flight; }
 };
@@ -88,6 +89,8 @@
   const ServingRequest* request = nullptr;
   // Incarnations that were asked before; chosen only when nothing else is left.
   const std::set<std::string>* tried = nullptr;
+  // It may be run again elsewhere, so that it may go to a worker that is suspect.
+  bool repeatable = false;
   // Batch work that is due soon leaves less room for a burst of online work.
   bool urgent = false;
   // Take a worker even when all places of all workers are taken.
@@ -112,6 +115,13 @@
   // Another node has sent the worker prompts of so many tokens.
   void add_prompt_tokens(uint64_t worker, uint32_t tokens);
 
+  // What another node has seen of the outcomes at the worker of that hash.
+  void add_peer_outcomes(uint64_t worker, const outcome_times& told);
+
+  // Counts what nodes far away should hear of at once: long prompts sent, failures, successes that
+  // clear them. The rest may reach them later.
+  uint64_t notable_changes() const { return notable_changes_; }
+
   // The first token of a prompt came after `took`; the worker had nothing else to read.
   void note_first_token(uint32_t prompt_tokens, Duration took) {
     prompt_rate_.add_sample(prompt_tokens, took);
@@ -120,7 +130,8 @@
   void note_report(ServingWorker& worker, const WorkerLoadReport& report);
   void note_success(ServingWorker& worker);
   void note_refusal(ServingWorker& worker);
-  void note_failure(ServingWorker& worker);
+  // @param sent when the failed request was sent.
+  void note_failure(ServingWorker& worker, MonotonicTime sent);
   void note_replaced(ServingWorker& worker);  // another worker has its address
 
   // Called whenever a place at any worker becomes free or a worker appears.
@@ -154,6 +165,9 @@
   // The worker to which requests with this shared prompt are sent first, or null.
   const ServingWorker* prefix_owner(const PlaceRequest& request) const;
   void add_reading(ServingWorker& worker, double tokens);
+  bool sound(const ServingWorker& worker, const PlaceRequest& request) const;
+  // Whether a sound worker exists that was not asked before, with room or without.
+  bool any_sound(const PlaceRequest& request) const;
   WorkerPtr choose(const PlaceRequest& request, bool ignore_failures);
   // Whether the service has a worker that the source of truth names and that stays.
   bool any_listed(std::string_view service) const;
@@ -167,6 +181,7 @@
   std::map<std::string, WorkerPtr> workers_;  // by incarnation
   std::map<uint64_t, WorkerPtr> by_hash_;
   std::map<std::string, OnlinePeak, std::less<>> online_peaks_;  // by service
+  uint64_t notable_changes_ = 0;
   std::function<void()> on_place_freed_;
   std::function<void()> on_load_changed_;
   Lifetime lifetime_;
--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -77,6 +77,86 @@
   EXPECT_EQ(cluster.node("n1").workers().find(worker)->others_online, 0) << "it died with it";
 }
 
+TEST_F(PeerExchangeTest, AWorkerThatFailsAtOneNodeIsAvoidedByAll) {
+  cluster.request("/once/x", "r1");
+  ScriptedCall& call = cluster.workers.calls.back();
+  const std::string failing = call.header(platform::kExpectInstance);
+  call.fail(Ran::kUnknown);
+  cluster.clock.run_for(milliseconds(80));
+  const MonotonicTime now = cluster.clock.monotonic_now();
+  EXPECT_TRUE(cluster.node("n1").workers().find(failing)->outcomes.paused(now));
+  EXPECT_TRUE(cluster.node("n2").workers().find(failing)->outcomes.suspect(now));
+  // A success at any node clears it for all.
+  WorkerSet& workers = cluster.node("n2").workers();
+  workers.note_success(*workers.find(failing));
+  cluster.clock.run_for(milliseconds(600));
+  EXPECT_FALSE(cluster.node("n1").workers().find(failing)->outcomes.suspect(now));
+}
+
+// A node whose own links are ill sees all workers fail; the others must not follow it.
+TEST(PeerOutcomesTest, ANodeForWhichMostWorkersFailIsNotHeeded) {
+  ServingCluster cluster(2, 8);
+  cluster.clock.run_for(seconds(1));
+  WorkerSet& ill = cluster.node("n0").workers();
+  for (const auto& [incarnation, worker] : ill.workers()) {
+    ill.note_failure(*worker, cluster.clock.monotonic_now());
+  }
+  cluster.clock.run_for(milliseconds(100));
+  for (const auto& [incarnation, worker] : cluster.node("n1").workers().workers()) {
+    EXPECT_FALSE(worker->outcomes.suspect(cluster.clock.monotonic_now()));
+  }
+}
+
+// Nodes n0 and n1 in one zone, many more in another.
+class ZonesTest : public testing::Test {
+ protected:
+  static constexpr int kFarNodes = 40;
+  ZonesTest() {
+    for (int number = 0; number < kFarNodes; ++number) {
+      cluster.start_node("far" + std::to_string(number), "zone-b");
+    }
+    cluster.clock.run_for(seconds(3));
+  }
+  int sent(const std::string& to) { return cluster.hub.sent[{"n0", to}]; }
+  // Keeps the load of n0 changing for a second.
+  void keep_busy() {
+    for (int count = 0; count < 50; ++count) {
+      cluster.request("/plain/x", "r" + std::to_string(count));
+      cluster.workers.calls.back().begin();
+      cluster.workers.calls.back().end();
+      cluster.clock.run_for(milliseconds(20));
+    }
+  }
+
+  ServingCluster cluster{2, 8};
+};
+
+TEST_F(ZonesTest, LoadsAreToldOftenInsideTheZoneAndSeldomOutside) {
+  const int near_before = sent("n1");
+  const int far_before = sent("far0");
+  keep_busy();
+  EXPECT_GE(sent("n1") - near_before, 14);
+  EXPECT_LE(sent("far0") - far_before, 3);
+  EXPECT_GE(sent("far0") - far_before, 2) << "it must be seen to live";
+}
+
+TEST_F(ZonesTest, AFailureIsToldEverywhereAtOnce) {
+  cluster.clock.run_for(milliseconds(100));
+  cluster.request("/once/x", "r1");
+  ScriptedCall& call = cluster.workers.calls.back();
+  const std::string failing = call.header(platform::kExpectInstance);
+  call.fail(Ran::kUnknown);
+  cluster.clock.run_for(milliseconds(150));
+  EXPECT_TRUE(
+      cluster.node("far7").workers().find(failing)->outcomes.paused(cluster.clock.monotonic_now()));
+}
+
+TEST_F(ZonesTest, NobodyLapsesHoweverSeldomItIsHeard) {
+  cluster.clock.run_for(seconds(10));
+  SessionView& view = cluster.node("far3").peers();
+  EXPECT_TRUE(view.alive(cluster.node("n0").peers().own_session(), cluster.shared.rows.version()));
+}
+
 TEST(HeartbeatTest, SurvivesTheWireAndRejectsNoise) {
   Heartbeat heartbeat;
   heartbeat.session = "n#1";
@@ -85,6 +165,7 @@
   heartbeat.store_silence = milliseconds(1500);
   heartbeat.store_version = 99;
   heartbeat.loads = {{42, 3, 1, 12345}};
+  heartbeat.outcomes = {{43, milliseconds(120), std::nullopt, 4}};
   const std::string datagram = encode_heartbeat(heartbeat);
   const std::optional<Heartbeat> read = decode_heartbeat(datagram);
   ASSERT_TRUE(read);
@@ -95,6 +176,11 @@
   EXPECT_EQ(read->store_version, 99U);
   ASSERT_EQ(read->loads.size(), 1U);
   EXPECT_EQ(read->loads[0].prompt_tokens, 12345U);
+  ASSERT_EQ(read->outcomes.size(), 1U);
+  EXPECT_EQ(read->outcomes[0].worker, 43U);
+  EXPECT_EQ(read->outcomes[0].failed_ago, milliseconds(120));
+  EXPECT_EQ(read->outcomes[0].succeeded_ago, std::nullopt);
+  EXPECT_EQ(read->outcomes[0].failures, 4U);
   for (size_t size = 0; size < datagram.size(); size += 3) {
     decode_heartbeat(std::string_view(datagram).substr(0, size));  // must not crash
   }
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -91,6 +91,7 @@
  public:
   explicit DatagramHub(Dispatcher& dispatcher) : dispatcher_(dispatcher) {}
   void deliver(const Address& from, const Address& to, std::string datagram) {
+    ++sent[{from.ip, to.ip}];
     call_after(dispatcher_, milliseconds(1), [this, from, to, datagram = std::move(datagram)] {
       const auto found = receivers.find(to);
       if (found != receivers.end() && !cut.contains(from) && !cut.contains(to)) {
@@ -100,6 +101,7 @@
   }
   std::map<Address, DatagramTransport::Receiver> receivers;
   std::set<Address> cut;
+  std::map<std::pair<std::string, std::string>, int> sent;  // by sender and receiver
 
  private:
   Dispatcher& dispatcher_;
@@ -134,13 +136,14 @@
 // One node with its own loop, which can be frozen or destroyed.
 struct ClusterNode {
   ClusterNode(VirtualClock& clock, SharedStore& shared, HttpClient& workers, DatagramHub& hub,
-              const std::string& name, uint64_t start, const ServingNodeKnobs& knobs = {})
+              const std::string& name, uint64_t start, const ServingNodeKnobs& knobs = {},
+              const std::string& zone = "zone-a")
       : address{name, 7660},
         dispatcher(clock),
         random(content_hash(name, start)),
         store(shared, clock, dispatcher),
         datagrams(hub, address),
-        node({name, name + "#" + std::to_string(start), "zone-a", address},
+        node({name, name + "#" + std::to_string(start), zone, address},
              {clock, dispatcher, random, store, store, workers, datagrams, request_wire(),
               job_wire(), logger, metrics},
              {platform::kOperatorTable, platform::kConfigurationKey, &platform::decode_routes,
@@ -215,9 +218,10 @@
     shared.wake_followers();
   }
 
-  ClusterNode& start_node(const std::string& name) {
+  ClusterNode& start_node(const std::string& name, const std::string& zone = "zone-a") {
     nodes[name] = nullptr;
-    nodes[name] = std::make_unique<ClusterNode>(clock, shared, workers, hub, name, ++starts_);
+    nodes[name] = std::make_unique<ClusterNode>(clock, shared, workers, hub, name, ++starts_,
+                                                ServingNodeKnobs{}, zone);
     return *nodes[name];
   }
   void kill_node(const std::string& name) { nodes[name] = nullptr; }
--- a/tests/serving/worker_set_test.cc
+++ b/tests/serving/worker_set_test.cc
@@ -130,12 +130,44 @@
 TEST_F(WorkerSetTest, AWorkerThatFailedIsAvoidedButNotLost) {
   workers.update(record("i-1", 8));
   workers.update(record("i-2", 8));
-  workers.note_failure(*workers.find("i-1"));
+  workers.note_failure(*workers.find("i-1"), clock.monotonic_now());
   for (int count = 0; count < 4; ++count) {
     const WorkerPlacePtr place = take();
     EXPECT_EQ(place->worker().record.incarnation, "i-2");
   }
-  workers.note_failure(*workers.find("i-2"));
+  workers.note_failure(*workers.find("i-2"), clock.monotonic_now());
+  EXPECT_NE(take(), nullptr);
+}
+
+TEST_F(WorkerSetTest, WhatRunsOnceRatherWaitsThanGoesToASuspectWorker) {
+  workers.update(record("i-1", 1));
+  workers.update(record("i-2", 8));
+  workers.note_failure(*workers.find("i-2"), clock.monotonic_now());
+  clock.run_for(std::chrono::seconds(1));  // its pause is over
+  WorkerPlacePtr first = take();
+  EXPECT_EQ(first->worker().record.incarnation, "i-1");
+  EXPECT_EQ(take(), nullptr) << "it waits for the sound worker";
+  EXPECT_EQ(take(true)->worker().record.incarnation, "i-1");
+  workers.note_success(*workers.find("i-2"));
+  EXPECT_EQ(take()->worker().record.incarnation, "i-2");
+}
+
+TEST_F(WorkerSetTest, WhatMayRunAgainTriesASuspectWorkerAfterItsPause) {
+  workers.update(record("i-1", 8));
+  workers.note_failure(*workers.find("i-1"), clock.monotonic_now());
+  clock.run_for(std::chrono::seconds(1));
+  PlaceRequest request;
+  request.service = "engines";
+  request.work = WorkClass::kBatch;
+  EXPECT_EQ(workers.take_place(request), nullptr);
+  request.repeatable = true;
+  EXPECT_NE(workers.take_place(request), nullptr);
+}
+
+TEST_F(WorkerSetTest, SuspectWorkersServeOnWhenNoneIsSound) {
+  workers.update(record("i-1", 8));
+  workers.note_failure(*workers.find("i-1"), clock.monotonic_now());
+  clock.run_for(std::chrono::seconds(1));
   EXPECT_NE(take(), nullptr);
 }
 
