Accept a job by one call; hear of jobs and nodes in fewer calls

Cause: contents over 60 KB went to an object before the job's transaction: two calls, one of them of 25 ms. Change: contents up to 660 KB lie in rows of the job's own transaction. Watchers of jobs and nodes gather changes for 150 ms and wait up to 5 s for them; when the watchers of configuration or workers regain the store, they ask anew, since their answer may have been lost with the others'. A page of results ends before texts from objects grow it beyond its bound (found by the changed test: 30 texts of 70 KB came as one answer of 2.1 MB). The test of large contents now uses a content that is still too large for rows; its old content is covered by the new test of one call.

--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -9,8 +9,11 @@
 namespace chalkshed {
 
 struct JobKnobs {
-  // Contents and results up to this size lie in rows, larger ones in objects.
+  // A row holds at most this much. Larger results lie in objects.
   size_t most_row_bytes = 60 * 1024;
+  // Contents up to this size lie in rows that are written together with the job's record: one call
+  // accepts the job. Larger ones lie in an object that is written before.
+  size_t most_content_in_rows = 660 * 1024;
   // Results of one transaction.
   size_t most_results_a_commit = 45;
   size_t most_bytes_a_commit = 600 * 1024;
--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -10,26 +10,35 @@
     environment_.objects.get(job_object_name(record.id), std::move(callback));
     return;
   }
-  const StoredRowKey key = job_content_key(record.id);
-  RangeRead range;
-  range.table = key.table;
-  range.partition = key.partition;
-  range.first_key = key.key;
-  range.limit = 1;
+  load_pieces(record.id, 0, "", std::move(callback));
+}
+
+void JobLoader::load_pieces(const std::string& job, uint32_t piece, std::string content,
+                            Callback<std::shared_ptr<const std::string>> callback) {
   environment_.store.read_range(
-      std::move(range), [key, callback = std::move(callback)](const Expected<RangePage>& page) {
+      job_content_range(job, piece),
+      lifetime_.guard([this, job, piece, content = std::move(content),
+                       callback = std::move(callback)](const Expected<RangePage>& page) mutable {
         if (!page) {
           callback(tl::unexpected(page.error()));
           return;
         }
-        if (page->rows.empty() || page->rows.front().key.key != key.key) {
+        for (const StoredRow& row : page->rows) {
+          content += row.value;
+        }
+        const auto next = piece + static_cast<uint32_t>(page->rows.size());
+        if (next == 0) {
           callback(tl::unexpected(maybe_run(ErrorKind::kNotFound,
-                                            "the content of job " + key.key + " is not there",
+                                            "the content of job " + job + " is not there",
                                             "check who removed it from the store")));
           return;
         }
-        callback(std::make_shared<const std::string>(page->rows.front().value));
-      });
+        if (page->more && next > piece) {
+          load_pieces(job, next, std::move(content), std::move(callback));
+          return;
+        }
+        callback(std::make_shared<const std::string>(std::move(content)));
+      }));
 }
 
 void JobLoader::load_items(const StoredJob& record,
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -27,6 +27,8 @@
 
  private:
   void load_content(const StoredJob& record, Callback<std::shared_ptr<const std::string>> callback);
+  void load_pieces(const std::string& job, uint32_t piece, std::string content,
+                   Callback<std::shared_ptr<const std::string>> callback);
   void load_listed(const std::string& job, std::shared_ptr<LoadedJob> loaded,
                    Callback<LoadedJob> callback);
   void load_progress(const std::string& job, std::string from, std::shared_ptr<LoadedJob> loaded,
--- a/src/jobs/job_remover.cc
+++ b/src/jobs/job_remover.cc
@@ -22,8 +22,13 @@
     }
     remove_objects(record, std::move(objects), version, done);
   };
-  auto then = [this, record, version, progress, last, done] {
-    remove_range(record, version, progress, last, done);
+  RangeRead content = job_content_range(record.id, 0);
+  content.limit = kRowsATime;
+  auto remove_content = [this, record, version, content, last, done] {
+    remove_range(record, version, content, last, done);
+  };
+  auto then = [this, record, version, progress, remove_content, done] {
+    remove_range(record, version, progress, remove_content, done);
   };
   remove_range(record, version, results, std::move(then), done);
 }
@@ -91,7 +96,6 @@
   StoreTransaction transaction;
   transaction.conditions.push_back({stored_job_key(record.id), version});
   transaction.writes.push_back({stored_job_key(record.id), std::nullopt});
-  transaction.writes.push_back({job_content_key(record.id), std::nullopt});
   environment_.store.commit(
       std::move(transaction),
       lifetime_.guard([this, record, done = std::move(done)](const Expected<StoreCommit>& commit) {
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -29,6 +29,16 @@
   return text.data();
 }
 
+// The rows of a job in one table, from the key that ends in `first` on.
+RangeRead range_of(const char* table, const std::string& job, const std::string& first) {
+  RangeRead range;
+  range.table = table;
+  range.partition = job_partition(job);
+  range.first_key = job + "/" + first;
+  range.end_key = job + "0";  // '0' follows '/'
+  return range;
+}
+
 }  // namespace
 
 std::vector<std::string> job_partitions() {
@@ -47,8 +57,12 @@
   return {kStoredJobTable, job_partition(job), job};
 }
 
-StoredRowKey job_content_key(const std::string& job) {
-  return {kStoredContentTable, job_partition(job), job};
+StoredRowKey job_content_key(const std::string& job, uint32_t piece) {
+  return {kStoredContentTable, job_partition(job), job + "/" + position_text(piece)};
+}
+
+RangeRead job_content_range(const std::string& job, uint32_t piece) {
+  return range_of(kStoredContentTable, job, position_text(piece));
 }
 
 StoredRowKey job_result_key(const std::string& job, uint32_t position) {
@@ -60,20 +74,11 @@
 }
 
 RangeRead job_progress_range(const std::string& job) {
-  RangeRead range;
-  range.table = kStoredProgressTable;
-  range.partition = job_partition(job);
-  range.first_key = job + "/";
-  range.end_key = job + "0";  // '0' follows '/'
-  return range;
+  return range_of(kStoredProgressTable, job, "");
 }
 
 RangeRead job_result_range(const std::string& job, uint32_t position, uint32_t limit) {
-  RangeRead range;
-  range.table = kStoredResultTable;
-  range.partition = job_partition(job);
-  range.first_key = job + "/" + position_text(position);
-  range.end_key = job + "0";  // '0' follows '/'
+  RangeRead range = range_of(kStoredResultTable, job, position_text(position));
   range.limit = limit;
   return range;
 }
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -12,7 +12,7 @@
 
 inline constexpr const char* kStoredJobTable = "job";  // key: job id
 inline constexpr const char* kStoredContentTable =
-    "job_content";                                               // key: job id; small contents only
+    "job_content";  // key: job id, number of the piece; what doesn't fit lies in an object
 inline constexpr const char* kStoredResultTable = "job_result";  // key: job id, position
 // What unfinished items have brought so far; key: job id, item id.
 inline constexpr const char* kStoredProgressTable = "job_progress";
@@ -21,7 +21,10 @@
 std::vector<std::string> job_partitions();
 std::string job_partition(const std::string& job);
 StoredRowKey stored_job_key(const std::string& job);
-StoredRowKey job_content_key(const std::string& job);
+// A job's content lies in pieces, each in a row.
+StoredRowKey job_content_key(const std::string& job, uint32_t piece);
+// The pieces from `piece` on.
+RangeRead job_content_range(const std::string& job, uint32_t piece);
 StoredRowKey job_result_key(const std::string& job, uint32_t position);
 StoredRowKey job_progress_key(const std::string& job, const std::string& item);
 // The progress of all items of the job.
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -19,7 +19,7 @@
   record_.items = static_cast<uint32_t>(submission_.items.size());
   record_.owner = std::move(owner);
   record_.epoch = 1;
-  record_.content_in_object = submission_.content.size() > environment_.knobs.most_row_bytes;
+  record_.content_in_object = submission_.content.size() > environment_.knobs.most_content_in_rows;
   record_.accepted = environment_.clock.now();
 }
 
@@ -49,13 +49,22 @@
   transaction.conditions.push_back({stored_job_key(record_.id), 0});
   transaction.writes.push_back({stored_job_key(record_.id), encode_job_record(record_)});
   if (!record_.content_in_object) {
-    transaction.writes.push_back({job_content_key(record_.id), submission_.content});
+    add_content(transaction);
   }
   environment_.store.commit(
       std::move(transaction),
       lifetime_.guard([this](const Expected<StoreCommit>& commit) { handle_commit(commit); }));
 }
 
+void JobSubmit::add_content(StoreTransaction& transaction) const {
+  const size_t piece_bytes = environment_.knobs.most_row_bytes;
+  uint32_t piece = 0;
+  for (size_t at = 0; at < submission_.content.size(); at += piece_bytes) {
+    transaction.writes.push_back(
+        {job_content_key(record_.id, piece++), submission_.content.substr(at, piece_bytes)});
+  }
+}
+
 void JobSubmit::handle_commit(const Expected<StoreCommit>& commit) {
   if (!commit) {
     may_be_applied_ = may_be_applied_ || commit.error().ran == Ran::kUnknown;
--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -28,6 +28,8 @@
  private:
   void put_content();
   void commit();
+  // The content in pieces that fit a row.
+  void add_content(StoreTransaction& transaction) const;
   void handle_commit(const Expected<StoreCommit>& commit);
   void retry(const Error& error, std::function<void()> action);
 
--- a/src/jobs/result_reader.cc
+++ b/src/jobs/result_reader.cc
@@ -23,6 +23,20 @@
   return true;
 }
 
+bool ResultPage::replace(size_t index, std::string text, size_t most_bytes) {
+  JobResult& result = results[index];
+  const size_t bytes = bytes_ - result.text.size() + text.size();
+  if (index > 0 && bytes > most_bytes) {
+    next -= static_cast<uint32_t>(results.size() - index);
+    results.resize(index);
+    return false;
+  }
+  bytes_ = bytes;
+  result.text = std::move(text);
+  result.in_object = false;
+  return true;
+}
+
 void ResultReader::read(const StoredJob& record, uint32_t from, Duration wait,
                         Callback<ResultPage> callback) {
   environment_.store.read_range(
@@ -75,8 +89,10 @@
           callback(tl::unexpected(text.error()));
           return;
         }
-        page->results[index].text = **text;
-        page->results[index].in_object = false;
+        if (!page->replace(index, **text, environment_.knobs.most_answer_bytes)) {
+          callback(std::move(*page));
+          return;
+        }
         fetch_large(std::move(page), index + 1, std::move(callback));
       }));
 }
--- a/src/jobs/result_reader.h
+++ b/src/jobs/result_reader.h
@@ -19,6 +19,10 @@
   // Adds the result unless the page would grow beyond `most_bytes`; the first always fits.
   // @return whether it was added.
   bool add(JobResult result, size_t most_bytes);
+  // Puts the text of a result in place of the name of its object. When the page would exceed
+  // `most_bytes`, it ends before that result instead.
+  // @return false when the page was ended.
+  bool replace(size_t index, std::string text, size_t most_bytes);
 
  private:
   size_t bytes_ = 0;
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -33,12 +33,20 @@
       worker_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                     dependencies.logger, tables.worker_table, {""}, worker_watch_, knobs.watchers),
       job_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                 dependencies.logger, kStoredJobTable, job_partitions(), jobs_, knobs.watchers),
+                 dependencies.logger, kStoredJobTable, job_partitions(), jobs_, knobs.job_watchers),
       node_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                  dependencies.logger, kNodeTable, {""}, peers_, knobs.watchers) {
+                  dependencies.logger, kNodeTable, {""}, peers_, knobs.job_watchers) {
   workers_.set_on_place_freed([this] { place_soon(); });
   gateway_.set_on_short_of_places([this](size_t count) { jobs_.preempt_items(count); });
   workers_.set_on_load_changed([this] { peers_.load_changed(); });
+  // Their long questions may have been lost together with the short ones.
+  route_table_.set_on_regained([this] { refresh_job_watchers(); });
+  worker_table_.set_on_regained([this] { refresh_job_watchers(); });
+}
+
+void ServingNode::refresh_job_watchers() {
+  job_table_.refresh();
+  node_table_.refresh();
 }
 
 // The requests that end now free their places; nobody is left to take them.
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -52,6 +52,9 @@
   JobKnobs jobs;
   PeerKnobs peers;
   TableWatcherKnobs watchers;
+  // Jobs and nodes change more often, and may be heard of a little later.
+  TableWatcherKnobs job_watchers{.longest_wait = std::chrono::seconds(5),
+                                 .gather = std::chrono::milliseconds(150)};
   // A planned stop serves on for this long, until callers are sent elsewhere.
   Duration least_drain = std::chrono::milliseconds(2600);
   // It ends after this long whatever still runs: the process is killed soon after.
@@ -87,6 +90,7 @@
 
  private:
   void place_soon();
+  void refresh_job_watchers();
   void check_drained();
 
   ServingNodeDependencies dependencies_;
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -98,12 +98,33 @@
 }
 
 void TableWatcher::follow() {
-  store_.read_changes(
-      table_, followed_, knobs_.longest_wait,
-      lifetime_.guard([this](const Expected<TableChanges>& changes) { handle_changes(changes); }));
+  const uint64_t asked = ++asked_;
+  following_ = true;
+  store_.read_changes(table_, followed_, knobs_.longest_wait,
+                      lifetime_.guard([this, asked](const Expected<TableChanges>& changes) {
+                        if (asked == asked_) {
+                          handle_changes(changes);
+                        }
+                      }));
+}
+
+void TableWatcher::follow_later(bool changed) {
+  if (!changed || knobs_.gather <= Duration(0)) {
+    follow();
+    return;
+  }
+  retry_action_ = [this] { follow(); };
+  retry_timer_->enable(knobs_.gather);
+}
+
+void TableWatcher::refresh() {
+  if (following_) {
+    follow();
+  }
 }
 
 void TableWatcher::handle_changes(const Expected<TableChanges>& changes) {
+  following_ = false;
   if (!changes && changes.error().kind == ErrorKind::kNotFound) {
     heard();
     logger_.write(LogLevel::kWarning, "table_history_lost",
@@ -120,7 +141,7 @@
     tell(row);
   }
   followed_ = std::max(followed_, changes->stamp.version);
-  follow();
+  follow_later(!changes->rows.empty());
 }
 
 void TableWatcher::tell(const StoredRow& row) {
@@ -139,6 +160,9 @@
   last_heard_ = time_source_.monotonic_now();
   if (std::exchange(failures_, 0U) > 0) {
     logger_.write(LogLevel::kInfo, "store_regained", {{"table", table_}});
+    if (on_regained_) {
+      on_regained_();
+    }
   }
 }
 
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -29,6 +29,9 @@
   // How long the store may hold the answer back when nothing changes. Bounds how long a lost
   // connection goes unnoticed.
   Duration longest_wait = std::chrono::milliseconds(1500);
+  // After changes have come, the next are asked for this much later, so that they come together.
+  // Every change of a table goes to every node: a change each would cost a call of each node.
+  Duration gather{0};
   Duration first_retry = std::chrono::milliseconds(100);
   Duration longest_retry = std::chrono::milliseconds(800);
 };
@@ -42,6 +45,10 @@
                const TableWatcherKnobs& knobs = {});
 
   void start();
+  // Asks for changes anew if an answer is awaited: it may be lost.
+  void refresh();
+  // Called when the store answers again after a failure.
+  void set_on_regained(std::function<void()> callback) { on_regained_ = std::move(callback); }
   // Whether the table has been listed once.
   bool listed() const { return listed_; }
   // Whether the last call failed, and since when the store has not answered.
@@ -59,6 +66,7 @@
   void handle_page(size_t index, const RangePage& page);
   void finish_list();
   void follow();
+  void follow_later(bool changed);
   void handle_changes(const Expected<TableChanges>& changes);
   void tell(const StoredRow& row);
   void retry(const Error& error, std::function<void()> action);
@@ -79,6 +87,9 @@
   StoreVersion followed_ = 0;  // all changes up to here are known
   bool listed_ = false;
   uint32_t failures_ = 0;
+  bool following_ = false;  // an answer with changes is awaited
+  uint64_t asked_ = 0;      // follow calls made; answers to any but the last are left aside
+  std::function<void()> on_regained_;
   MonotonicTime last_heard_{};
   std::function<void()> retry_action_;
   TimerPtr retry_timer_;
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -301,10 +301,42 @@
       call.end();
     });
   };
-  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 3, 40000)));
-  cluster.clock.run_for(seconds(2));
-  EXPECT_EQ(cluster.shared.objects.size(), 4U);
-  expect_complete(cluster, "n1", "j1", 3, std::string(70000, 'x'));
+  ASSERT_TRUE(submit(cluster, "n0", cluster.job("j1", 30, 40000)));
+  cluster.clock.run_for(seconds(4));
+  EXPECT_EQ(cluster.shared.objects.size(), 31U);
+  std::optional<Expected<ResultPage>> page;
+  cluster.node("n1").jobs().read_results("j1", 0, Duration(0),
+                                         [&](const auto& read) { page = read; });
+  cluster.clock.run_for(milliseconds(200));
+  ASSERT_TRUE(page && *page);
+  EXPECT_EQ((*page)->results.size(), JobKnobs().most_answer_bytes / 70000);
+  EXPECT_EQ((*page)->next, (*page)->results.size());
+  EXPECT_EQ(cluster.shared.refused_transactions, 0U);
+  expect_complete(cluster, "n1", "j1", 30, std::string(70000, 'x'));
+}
+
+// While the store is slow, each further call could cost the time within which a job is accepted.
+TEST(JobServiceTest, AJobOfUsualSizeIsAcceptedByOneCallAndReadInWholeByAnotherNode) {
+  ServingCluster cluster(2);
+  cluster.answer_all(2, milliseconds(20));
+  const std::string body(40000, 'b');
+  std::optional<Expected<std::monostate>> accepted;
+  const uint64_t calls = cluster.shared.calls;
+  cluster.node("n0").jobs().submit(cluster.job("j1", 10, body.size()),
+                                   [&](const auto& answer) { accepted = answer; });
+  EXPECT_EQ(cluster.shared.calls, calls + 1);
+  cluster.clock.run_for(milliseconds(5));
+  ASSERT_TRUE(accepted && *accepted);
+  std::optional<Expected<std::string>> read;
+  cluster.node("n1").jobs().read_body("j1", "j1-9", [&](const auto& answer) { read = answer; });
+  cluster.clock.run_for(milliseconds(20));
+  ASSERT_TRUE(read && *read);
+  EXPECT_EQ(**read, body);
+  cluster.kill_node("n0");
+  cluster.clock.run_for(seconds(8));
+  expect_complete(cluster, "n1", "j1", 10, "d1\nd2");
+  EXPECT_TRUE(cluster.shared.objects.empty());
+  EXPECT_EQ(cluster.shared.refused_transactions, 0U);
 }
 
 TEST(JobServiceTest, BodiesOfUnlistedItemsAreReadAtEveryNode) {
--- a/tests/watch/table_watcher_test.cc
+++ b/tests/watch/table_watcher_test.cc
@@ -77,6 +77,39 @@
   EXPECT_EQ(observer.values["a"], "1");
 }
 
+TEST_F(TableWatcherTest, ChangesThatComeCloseTogetherCostOneCall) {
+  TableWatcherKnobs knobs;
+  knobs.gather = milliseconds(150);
+  TableWatcher gathering{clock, dispatcher, store, logger, "t", {""}, observer, knobs};
+  gathering.start();
+  clock.run_for(milliseconds(50));
+  const uint64_t calls = shared.calls;
+  for (int number = 0; number < 20; ++number) {
+    put("k" + std::to_string(number), "v");
+    clock.run_for(milliseconds(7));
+  }
+  clock.run_for(milliseconds(160));
+  EXPECT_EQ(observer.values.size(), 20U);
+  EXPECT_LE(shared.calls - calls, 3U);
+}
+
+TEST_F(TableWatcherTest, AnAnswerThatWasLostIsAskedForAnew) {
+  TableWatcherKnobs knobs;
+  knobs.longest_wait = seconds(60);
+  TableWatcher patient{clock, dispatcher, store, logger, "t", {""}, observer, knobs};
+  patient.start();
+  clock.run_for(milliseconds(50));
+  store.set_cut(true);
+  put("a", "1");
+  clock.run_for(milliseconds(50));
+  store.set_cut(false);
+  clock.run_for(milliseconds(50));
+  EXPECT_TRUE(observer.values.empty());
+  patient.refresh();
+  clock.run_for(milliseconds(50));
+  EXPECT_EQ(observer.values["a"], "1");
+}
+
 TEST_F(TableWatcherTest, ListsAgainWhenTheHistoryIsGoneAndHearsOfRemovals) {
   put("a", "1");
   put("b", "1");
