Add a randomized fault soak of real processes

It checks that items are listed once with their whole text at stable positions, once-only requests run at most once, 'not run' is true, streams are whole or visibly broken, leaving workers and old configurations get nothing, ended jobs start nothing, and planned stops end in time and cut nothing.

--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,150 @@
+#ifndef CHALKSHED_TESTS_SOAK_SOAK_H
+#define CHALKSHED_TESTS_SOAK_SOAK_H
+
+/** \file
+ * A randomized fault soak: real node processes before a stand-in of the platform and workers, with
+ * callers, jobs and an operator. Faults come at random from a seed; what callers, workers and the
+ * store have seen is checked against what must hold.
+ *
+ * The processes run in real time, so that a seed repeats the faults but not every interleaving.
+ */
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/core/lifetime.h"
+#include "src/core/random.h"
+#include "src/event/event_dispatcher.h"
+#include "src/event/system_time_source.h"
+#include "src/http/event_http_client.h"
+#include "tests/platform/store_stand_in.h"
+#include "tests/soak/node_process.h"
+#include "tests/soak/soak_worker.h"
+
+namespace chalkshed::soak {
+
+struct soak_options {
+    std::string program;
+    std::string folder;
+    uint64_t seed = 1;
+    size_t nodes = 5;
+    size_t workers = 6;
+    Duration length = std::chrono::seconds(60);
+};
+
+struct soak_result {
+    uint64_t faults = 0;
+    uint64_t requests = 0;
+    uint64_t answered = 0;
+    uint64_t jobs = 0;
+    uint64_t items_listed = 0;
+    std::vector<std::string> violations;
+};
+
+class soak_run {
+public:
+    explicit soak_run(soak_options options);
+    ~soak_run();
+    soak_run(const soak_run &) = delete;
+    soak_run &operator=(const soak_run &) = delete;
+    soak_result run();
+
+private:
+    struct online_call;
+    struct job {
+        std::string id;
+        size_t items = 0;
+        bool accepted = false;
+        bool refused = false; // at every try so far
+        std::optional<MonotonicTime> ended;
+        std::vector<std::string> listed;
+    };
+    struct move {
+        uint64_t version = 0;
+        std::string service;
+        MonotonicTime written{};
+    };
+    struct fault {
+        const char *name;
+        void (soak_run::*begin)();
+    };
+    static const std::vector<fault> &faults();
+
+    // The operator.
+    void write_configuration(const std::string &service);
+    void write_worker(const soak_worker &worker, const char *state);
+    void add_worker(const std::string &service);
+
+    // Faults.
+    void kill_node();
+    void kill_all_nodes();
+    void freeze_node();
+    void stop_node();
+    void reload_node();
+    void refuse_at_store();
+    void lose_commits();
+    void drop_history();
+    void break_worker();
+    void overload_worker();
+    void replace_worker();
+    void crash_worker();
+    void move_route();
+
+    // Load.
+    void send_request();
+    void submit_job();
+    void send_job(const std::string &id, int tries);
+    void read_job(const std::string &id);
+    void end_job();
+    HttpRequest message(const std::string &method, const std::string &path, const std::string &id);
+
+    // Checks.
+    run_record *note_run(run_record run);
+    void check_online(online_call &call);
+    void check_page(job &of, uint32_t from, const std::string &body);
+    void check_end();
+    void violate(const std::string &what);
+
+    void act();
+    void keep_nodes_running();
+    void heal();
+    void store_disturbed();
+    bool calm(const node_process &node) const;
+    node_process &any_node();
+    soak_worker *any_worker();
+    MonotonicTime now() const {
+        return time_source_.monotonic_now();
+    }
+    /** Runs `function` after `delay` unless the run has ended. */
+    void later(Duration delay, std::function<void()> function);
+
+    soak_options options_;
+    SystemTimeSource time_source_;
+    EventDispatcher dispatcher_;
+    SeededRandomGenerator random_;
+    EventHttpClient client_;
+    std::unique_ptr<platform::StoreStandIn> store_;
+    std::vector<std::unique_ptr<node_process>> nodes_;
+    std::vector<std::unique_ptr<soak_worker>> workers_;
+    std::map<uint64_t, std::unique_ptr<online_call>> calls_;
+    std::map<std::string, job> jobs_;
+    std::vector<std::unique_ptr<run_record>> runs_;
+    std::map<std::string, size_t> runs_of_;
+    std::set<std::string> refused_;
+    std::vector<move> moves_;
+    MonotonicTime store_disturbed_{};
+    MonotonicTime began_{};
+    uint64_t version_ = 0;
+    uint64_t next_id_ = 0;
+    bool ending_ = false;
+    soak_result result_;
+    Lifetime lifetime_;
+};
+
+} // namespace chalkshed::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_main.cc
@@ -0,0 +1,58 @@
+/** \file
+ * chalkshed-soak: runs the randomized fault soak of real processes and prints one JSON object last.
+ */
+
+#include <docopt/docopt.h>
+
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "tests/soak/soak.h"
+
+namespace {
+
+constexpr const char *kUsage = R"(chalkshed-soak: random faults on real chalkshed-serve processes.
+
+Usage:
+  chalkshed-soak --program=<file> --folder=<folder> [options]
+
+Options:
+  --program=<file>    chalkshed-serve.
+  --folder=<folder>   For settings and logs; made if it isn't there.
+  --seed=<n>          Of the faults and the load [default: 1].
+  --seconds=<n>       How long faults come; 40 more follow in which all must settle [default: 60].
+  --nodes=<n>         Processes [default: 5].
+  --workers=<n>       Workers, served by this program [default: 6].
+  --help              Show this text.
+)";
+
+} // namespace
+
+int main(int argc, char **argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
+    chalkshed::soak::soak_options options;
+    options.program = arguments.at("--program").asString();
+    options.folder = arguments.at("--folder").asString();
+    options.seed = static_cast<uint64_t>(arguments.at("--seed").asLong());
+    options.length = std::chrono::seconds(arguments.at("--seconds").asLong());
+    options.nodes = static_cast<size_t>(arguments.at("--nodes").asLong());
+    options.workers = static_cast<size_t>(arguments.at("--workers").asLong());
+    std::filesystem::create_directories(options.folder);
+    const chalkshed::soak::soak_result result = chalkshed::soak::soak_run(options).run();
+    for (const std::string &violation : result.violations) {
+        std::cout << "violation at " << violation << '\n';
+    }
+    std::cout << nlohmann::json{{"seed", options.seed},
+                                {"faults", result.faults},
+                                {"requests", result.requests},
+                                {"answered", result.answered},
+                                {"jobs", result.jobs},
+                                {"items_listed", result.items_listed},
+                                {"violations", result.violations.size()}}
+                     .dump()
+              << '\n';
+    return result.violations.empty() ? 0 : 1;
+}
