Give a shared prompt three workers in a fixed order instead of one

Change: a shared prompt has three workers in rendezvous order; what the first has no room for goes to the second, which keeps it from the last such time. A test now lets time pass between the requests that must return to the first worker, and a new one holds that the overflow goes to one and the same.

--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -1,6 +1,7 @@
 // Tunables of the choice of workers.
 #pragma once
 
+#include <array>
 #include <cstdint>
 
 #include "chalkshed/worker_outcomes.h"
@@ -40,8 +41,9 @@
   double long_prompt_tokens = 3000;
   // So they do of each so many requests sent.
   uint64_t notable_places = 4;
-  // How sure it is that the worker to which a shared prompt is sent first still keeps it.
-  double prefix_kept = 0.8;
+  // How sure it is that the worker to which a shared prompt is sent first still keeps it, and those
+  // to which it is sent when the ones before have no room: they keep it from the last such time.
+  std::array<double, 3> prefix_kept = {0.8, 0.5, 0.3};
 };
 
 }  // namespace chalkshed
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -235,22 +235,40 @@
   });
 }
 
-const ServingWorker* WorkerSet::prefix_owner(const PlaceRequest& request) const {
+WorkerSet::PrefixOwners WorkerSet::prefix_owners(const PlaceRequest& request) const {
   if (request.request == nullptr || shared_tokens(*request.request) < knobs_.least_shared_tokens) {
-    return nullptr;
+    return {};
   }
+  struct Ranked {
+    uint64_t rank = 0;
+    const ServingWorker* worker = nullptr;
+  };
   const uint64_t prefix = prefix_hash(*request.request);
-  const ServingWorker* owner = nullptr;
-  uint64_t highest = 0;
+  std::vector<Ranked> ranked;
   for (const auto& [incarnation, worker] : workers_) {
-    const uint64_t rank = content_hash(incarnation, prefix);
     const bool stays = worker->listed && !worker->record.leaving;
-    if (worker->record.service == request.service && stays && rank >= highest) {
-      owner = worker.get();
-      highest = rank;
+    if (worker->record.service == request.service && stays) {
+      ranked.push_back({content_hash(incarnation, prefix), worker.get()});
     }
   }
-  return owner;
+  const size_t count = std::min(ranked.size(), knobs_.prefix_kept.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count), ranked.end(),
+                    [](const Ranked& a, const Ranked& b) { return a.rank > b.rank; });
+  PrefixOwners owners;
+  for (size_t index = 0; index < count; ++index) {
+    owners.push_back(ranked[index].worker);
+  }
+  return owners;
+}
+
+double WorkerSet::kept_tokens(const PlaceRequest& request, const PrefixOwners& owners,
+                              const ServingWorker& worker) const {
+  const auto owner = std::find(owners.begin(), owners.end(), &worker);
+  if (owner == owners.end()) {
+    return 0.0;
+  }
+  const double share = knobs_.prefix_kept[static_cast<size_t>(owner - owners.begin())];
+  return share * shared_tokens(*request.request);
 }
 
 bool WorkerSet::sound(const ServingWorker& worker, const PlaceRequest& request) const {
@@ -271,8 +289,7 @@
 }
 
 WorkerPtr WorkerSet::choose(const PlaceRequest& request, bool ignore_failures) {
-  const ServingWorker* const owner = prefix_owner(request);
-  const double kept = owner == nullptr ? 0.0 : knobs_.prefix_kept * shared_tokens(*request.request);
+  const PrefixOwners owners = prefix_owners(request);
   // All records of a service vanish together only while the store is in trouble.
   const bool use_unlisted = ignore_failures && !any_listed(request.service);
   WorkerPtr best;
@@ -286,7 +303,7 @@
     }
     // A random part spreads requests over equal workers.
     const double total =
-        cost(*worker, request, worker.get() == owner ? kept : 0.0) + random_.unit();
+        cost(*worker, request, kept_tokens(request, owners, *worker)) + random_.unit();
     if (!best || total < least_cost) {
       best = worker;
       least_cost = total;
@@ -305,9 +322,7 @@
   if (!worker) {
     return nullptr;
   }
-  const double kept = prefix_owner(request) == worker.get()
-                          ? knobs_.prefix_kept * shared_tokens(*request.request)
-                          : 0.0;
+  const double kept = kept_tokens(request, prefix_owners(request), *worker);
   const double tokens =
       request.request == nullptr ? 0.0 : std::max(request.request->prompt_tokens - kept, 0.0);
   const bool was_idle = reading_time(*worker) == Duration(0);
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -162,8 +162,12 @@
   // Milliseconds until the first token of the request, roughly.
   // @param kept tokens of its prompt that the worker need not read again.
   double cost(const ServingWorker& worker, const PlaceRequest& request, double kept) const;
-  // The worker to which requests with this shared prompt are sent first, or null.
-  const ServingWorker* prefix_owner(const PlaceRequest& request) const;
+  // The workers to which requests with this shared prompt are sent first, the first one first.
+  using PrefixOwners = std::vector<const ServingWorker*>;
+  PrefixOwners prefix_owners(const PlaceRequest& request) const;
+  // Tokens of the prompt that the worker likely need not read again.
+  double kept_tokens(const PlaceRequest& request, const PrefixOwners& owners,
+                     const ServingWorker& worker) const;
   void add_reading(ServingWorker& worker, double tokens);
   bool sound(const ServingWorker& worker, const PlaceRequest& request) const;
   // Whether a sound worker exists that was not asked before, with room or without.
--- a/tests/serving/worker_set_test.cc
+++ b/tests/serving/worker_set_test.cc
@@ -207,8 +207,25 @@
 
 TEST_F(SharedPromptTest, ReturnsToTheWorkerThatKeepsIt) {
   const std::string first = next();
-  EXPECT_EQ(next(), first);
-  EXPECT_EQ(next(), first);
+  for (int count = 0; count < 5; ++count) {
+    clock.run_for(std::chrono::milliseconds(500));
+    EXPECT_EQ(next(), first);
+    places.erase(places.begin());
+  }
+}
+
+// What doesn't fit there goes to one other worker, which keeps the prompt too from then on.
+TEST_F(SharedPromptTest, OverflowsToTheSameSecondWorkerEachTime) {
+  const std::string first = next();
+  std::set<std::string> second;
+  for (int count = 0; count < 5; ++count) {
+    workers.add_prompt_tokens(workers.find(first)->hash, 60000);
+    second.insert(next());
+    clock.run_for(std::chrono::seconds(5));
+    places.clear();
+  }
+  EXPECT_EQ(second.size(), 1U);
+  EXPECT_FALSE(second.contains(first));
 }
 
 TEST_F(SharedPromptTest, GoesElsewhereWhenReadingItAgainIsSooner) {
