--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -34,9 +34,9 @@
   double urgent_paces = 2.0;
   Duration urgent_slack = std::chrono::milliseconds(1500);
   Duration item_pause = std::chrono::milliseconds(200);  // before an item is tried again
-  // A node starts at most so many items at a time, and the next after this long: meanwhile its peers
-  // hear of them. Otherwise nodes that take over the jobs of others at the same moment all fill the
-  // same workers, and online requests queue there behind batch.
+  // A node starts at most so many items at a time, and the next after this long: meanwhile its
+  // peers hear of them. Otherwise nodes that take over the jobs of others at the same moment all
+  // fill the same workers, and online requests queue there behind batch.
   size_t most_items_at_a_time = 4;
   Duration item_burst_interval = std::chrono::milliseconds(60);
   // The next node in line waits this much longer before it takes a free job over.
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -219,10 +219,11 @@
   peer.store_silence = heartbeat->store_silence;
   clock_.observe_version(heartbeat->store_version);
   take_loads(peer, heartbeat->loads);
-  take_outcomes(heartbeat->outcomes);
+  take_outcomes(peer, heartbeat->outcomes);
 }
 
-void PeerExchange::take_outcomes(const std::vector<PeerWorkerOutcomes>& outcomes) {
+void PeerExchange::take_outcomes(const Peer& peer,
+                                 const std::vector<PeerWorkerOutcomes>& outcomes) {
   const auto failing =
       std::count_if(outcomes.begin(), outcomes.end(), [](const PeerWorkerOutcomes& told) {
         return told.failed_ago && (!told.succeeded_ago || *told.failed_ago < *told.succeeded_ago);
@@ -239,7 +240,13 @@
     times.failed = told.failed_ago ? now - *told.failed_ago : MonotonicTime{};
     times.succeeded = told.succeeded_ago ? now - *told.succeeded_ago : MonotonicTime{};
     times.failures = told.failures;
-    workers_.add_peer_outcomes(told.worker, times);
+    if (const WorkerPtr suspect = workers_.add_peer_outcomes(told.worker, times)) {
+      logger_.write(LogLevel::kInfo, "worker_suspected",
+                    {{"worker", suspect->record.incarnation},
+                     {"told_by", peer.session},
+                     {"failed_ms_ago", std::to_string((now - times.failed).count() / 1000)},
+                     {"failures", std::to_string(told.failures)}});
+    }
   }
 }
 
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -92,7 +92,7 @@
   void send_heartbeats();
   void receive(std::string_view datagram);
   void take_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads);
-  void take_outcomes(const std::vector<PeerWorkerOutcomes>& outcomes);
+  void take_outcomes(const Peer& peer, const std::vector<PeerWorkerOutcomes>& outcomes);
   Heartbeat make_heartbeat();
   bool near(const Peer& peer) const { return peer.zone == zone_; }
   // Between two heartbeats to the peers that are `near` (or far) when something changes.
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -101,11 +101,16 @@
   }
 }
 
-void WorkerSet::add_peer_outcomes(uint64_t worker, const outcome_times& told) {
+WorkerPtr WorkerSet::add_peer_outcomes(uint64_t worker, const outcome_times& told) {
   const auto found = by_hash_.find(worker);
-  if (found != by_hash_.end()) {
-    found->second->outcomes.merge(told);
+  if (found == by_hash_.end()) {
+    return nullptr;
   }
+  const MonotonicTime now = time_source_.monotonic_now();
+  worker_outcomes& outcomes = found->second->outcomes;
+  const bool was_suspect = outcomes.suspect(now);
+  outcomes.merge(told);
+  return !was_suspect && outcomes.suspect(now) ? found->second : nullptr;
 }
 
 void WorkerSet::add_reading(ServingWorker& worker, double tokens) {
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -116,7 +116,8 @@
   void add_prompt_tokens(uint64_t worker, uint32_t tokens);
 
   // What another node has seen of the outcomes at the worker of that hash.
-  void add_peer_outcomes(uint64_t worker, const outcome_times& told);
+  // @return the worker if it became suspect by it, else null.
+  WorkerPtr add_peer_outcomes(uint64_t worker, const outcome_times& told);
 
   // Counts what nodes far away should hear of at once: long prompts sent, many requests sent,
   // failures, successes that clear them. The rest may reach them later.
--- a/tests/soak/node_process.cc
+++ b/tests/soak/node_process.cc
@@ -18,8 +18,7 @@
 
 } // namespace
 
-node_process::node_process(node_options options) : options_(std::move(options)) {
-}
+node_process::node_process(node_options options) : options_(std::move(options)) {}
 
 node_process::~node_process() {
     if (process_ != 0) {
--- /dev/null
+++ b/tests/soak/online_call.h
@@ -0,0 +1,57 @@
+#ifndef CHALKSHED_TESTS_SOAK_ONLINE_CALL_H
+#define CHALKSHED_TESTS_SOAK_ONLINE_CALL_H
+
+/** \file
+ * One online request of the soak as its caller sees it, and the paths that the soak's routes have.
+ */
+
+#include "tests/soak/soak.h"
+
+namespace chalkshed::soak {
+
+constexpr const char *kHost = "a.example";
+constexpr const char *kRepeatablePath = "/stream/x";
+constexpr const char *kOncePath = "/once/x";
+constexpr const char *kMovedPath = "/moved/x";
+
+/** Whether an answer of that status promises that the request has not run and never will. */
+inline bool says_not_run(int status) {
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+/** One online request as its caller sees it. */
+struct soak_run::online_call : public HttpCallCallbacks {
+    std::string id;
+    std::string path;
+    node_process *node = nullptr;
+    MonotonicTime sent{};
+    int status = 0;
+    std::string body;
+    bool whole = false;
+    bool ended = false;
+    std::function<void()> on_ended;
+    HttpCallPtr call;
+
+    void on_headers(int answer, const HttpHeaders & /*headers*/) override {
+        status = answer;
+    }
+    void on_body(std::string_view data) override {
+        body.append(data);
+    }
+    void on_end() override {
+        whole = true;
+        finish();
+    }
+    void on_error(const Error & /*error*/) override {
+        finish();
+    }
+    void finish() {
+        if (!std::exchange(ended, true)) {
+            on_ended();
+        }
+    }
+};
+
+} // namespace chalkshed::soak
+
+#endif
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -4,11 +4,9 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 
-#include "platform/header_names.h"
 #include "platform/record_codec.h"
-#include "src/core/base64.h"
 #include "src/core/call_after.h"
-#include "src/serving/event_stream.h"
+#include "tests/soak/online_call.h"
 
 namespace chalkshed::soak {
 namespace {
@@ -16,66 +14,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr const char *kHost = "a.example";
-constexpr const char *kRepeatablePath = "/stream/x";
-constexpr const char *kOncePath = "/once/x";
-constexpr const char *kMovedPath = "/moved/x";
-constexpr Duration kLeavingGrace = seconds(3);
-constexpr Duration kConfigurationGrace = seconds(3);
-constexpr Duration kEndGrace = seconds(4);
-/** What happens to a node or the store excuses what happens this long afterwards. */
-constexpr Duration kAftermath = seconds(6);
 constexpr Duration kStopGrace = seconds(8);
 constexpr Duration kSettle = seconds(40);
-constexpr int kMostJobTries = 6;
-
-std::string whole_text(const std::string &item) {
-    std::string text = event_data(item, 1);
-    for (uint64_t event = 2; event <= kEvents; ++event) {
-        text += "\n" + event_data(item, event);
-    }
-    return text;
-}
-
-bool says_not_run(int status) {
-    return status == 429 || status == 503 || status == 408 || status == 421;
-}
 
 } // namespace
 
-/** One online request as its caller sees it. */
-struct soak_run::online_call : public HttpCallCallbacks {
-    std::string id;
-    std::string path;
-    node_process *node = nullptr;
-    MonotonicTime sent{};
-    int status = 0;
-    std::string body;
-    bool whole = false;
-    bool ended = false;
-    std::function<void()> on_ended;
-    HttpCallPtr call;
-
-    void on_headers(int answer, const HttpHeaders & /*headers*/) override {
-        status = answer;
-    }
-    void on_body(std::string_view data) override {
-        body.append(data);
-    }
-    void on_end() override {
-        whole = true;
-        finish();
-    }
-    void on_error(const Error & /*error*/) override {
-        finish();
-    }
-    void finish() {
-        if (!std::exchange(ended, true)) {
-            on_ended();
-        }
-    }
-};
-
 const std::vector<soak_run::fault> &soak_run::faults() {
     static const std::vector<fault> kFaults = {
         {"kill_node", &soak_run::kill_node},           {"kill_node", &soak_run::kill_node},
@@ -128,12 +71,11 @@
 }
 
 void soak_run::later(Duration delay, std::function<void()> function) {
-    call_after(dispatcher_, delay,
-               lifetime_.guard([this, function = std::move(function)] {
-                   if (!ending_) {
-                       function();
-                   }
-               }));
+    call_after(dispatcher_, delay, lifetime_.guard([this, function = std::move(function)] {
+        if (!ending_) {
+            function();
+        }
+    }));
 }
 
 void soak_run::violate(const std::string &what) {
@@ -178,9 +120,9 @@
 
 void soak_run::add_worker(const std::string &service) {
     const std::string incarnation = "i-" + std::to_string(++next_id_);
-    workers_.push_back(std::make_unique<soak_worker>(
-        dispatcher_, random_, incarnation, service,
-        [this](run_record run) { return note_run(std::move(run)); }));
+    workers_.push_back(
+        std::make_unique<soak_worker>(dispatcher_, random_, incarnation, service,
+                                      [this](run_record run) { return note_run(std::move(run)); }));
     write_worker(*workers_.back(), "ready");
 }
 
@@ -361,239 +303,4 @@
     later(milliseconds(20), [this] { keep_nodes_running(); });
 }
 
-/* Load. */
-
-HttpRequest soak_run::message(const std::string &method, const std::string &path,
-                              const std::string &id) {
-    HttpRequest request;
-    request.method = method;
-    request.path = path;
-    request.headers = {{platform::kRequestId, id}, {platform::kDeadline, "8000"}};
-    return request;
-}
-
-void soak_run::send_request() {
-    static constexpr std::array<const char *, 3> kPaths = {kRepeatablePath, kOncePath, kMovedPath};
-    node_process &node = any_node();
-    if (node.stopping != MonotonicTime{} || now() - began_ > options_.length + seconds(15)) {
-        return;
-    }
-    auto call = std::make_unique<online_call>();
-    call->id = "r" + std::to_string(++next_id_);
-    call->path = kPaths[random_.below(kPaths.size())];
-    call->node = &node;
-    call->sent = now();
-    ++result_.requests;
-    const uint64_t number = next_id_;
-    online_call &sent = *call;
-    sent.on_ended = [this, number] {
-        check_online(*calls_.at(number));
-        dispatcher_.post(lifetime_.guard([this, number] { calls_.erase(number); }));
-    };
-    calls_.emplace(number, std::move(call));
-    HttpCallOptions how;
-    how.fresh_connection = true;
-    how.host = kHost;
-    sent.call = client_.send(node.callers(), message("POST", sent.path, sent.id), how, sent);
-}
-
-void soak_run::submit_job() {
-    job added;
-    added.id = "j" + std::to_string(++next_id_);
-    added.items = 1 + random_.below(20);
-    const std::string id = added.id;
-    jobs_.emplace(id, std::move(added));
-    ++result_.jobs;
-    send_job(id, 0);
-}
-
-void soak_run::send_job(const std::string &id, int tries) {
-    const job &sent = jobs_.at(id);
-    nlohmann::json items = nlohmann::json::array();
-    for (size_t number = 0; number < sent.items; ++number) {
-        items.push_back({{"id", id + "-" + std::to_string(number)},
-                         {"path", "/batch/x"},
-                         {"headers", nlohmann::json::object()},
-                         {"body", encode_base64("body")},
-                         {"tokens", 10}});
-    }
-    HttpRequest request = message("POST", "/batch/" + id, id);
-    request.body = nlohmann::json{{"requests", items}}.dump();
-    HttpCallOptions how;
-    how.fresh_connection = true;
-    how.host = kHost;
-    client_.fetch(any_node().callers(), request, how,
-                  lifetime_.guard([this, id, tries](const Expected<HttpResponse> &answer) {
-                      job &of = jobs_.at(id);
-                      of.accepted = of.accepted || (answer && answer->status == 202);
-                      const bool refused = answer && says_not_run(answer->status);
-                      of.refused = (tries == 0 || of.refused) && refused;
-                      if (of.accepted) {
-                          read_job(id);
-                      } else if (tries < kMostJobTries) {
-                          later(milliseconds(300), [this, id, tries] { send_job(id, tries + 1); });
-                      }
-                  }));
-}
-
-void soak_run::read_job(const std::string &id) {
-    const auto from = static_cast<uint32_t>(random_.below(3) == 0 ? 0 : jobs_.at(id).listed.size());
-    HttpRequest request = message("GET", "/lots/" + id, "read-" + std::to_string(++next_id_));
-    request.query = "since_rev=" + std::to_string(from);
-    HttpCallOptions how;
-    how.fresh_connection = true;
-    how.host = kHost;
-    node_process &node = any_node();
-    client_.fetch(node.callers(), request, how,
-                  lifetime_.guard([this, id, from](const Expected<HttpResponse> &answer) {
-                      job &of = jobs_.at(id);
-                      if (answer && answer->status == 404) {
-                          violate("job " + id + " was accepted, and is not there");
-                      }
-                      if (answer && answer->status == 200) {
-                          check_page(of, from, answer->body);
-                      }
-                      const bool done = of.listed.size() == of.items || of.ended;
-                      later(milliseconds(done ? 5000 : 400), [this, id] { read_job(id); });
-                  }));
-}
-
-void soak_run::end_job() {
-    for (auto &[id, of] : jobs_) {
-        if (of.accepted && !of.ended && of.listed.size() < of.items) {
-            HttpRequest request = message("DELETE", "/lots/" + id, "end-" + id);
-            HttpCallOptions how;
-            how.fresh_connection = true;
-            how.host = kHost;
-            client_.fetch(any_node().callers(), request, how,
-                          lifetime_.guard([this, id](const Expected<HttpResponse> &answer) {
-                              job &ended = jobs_.at(id);
-                              if (answer && answer->status == 200 && !ended.ended) {
-                                  ended.ended = now();
-                              }
-                          }));
-            return;
-        }
-    }
-}
-
-/* Checks. */
-
-bool soak_run::calm(const node_process &node) const {
-    return now() - node.disturbed > kAftermath && now() - store_disturbed_ > kAftermath &&
-           !node.frozen;
-}
-
-run_record *soak_run::note_run(run_record run) {
-    runs_.push_back(std::make_unique<run_record>(run));
-    const size_t times = ++runs_of_[run.request];
-    if (run.path == kOncePath && times > 1) {
-        violate("request " + run.request + " must run once and ran again");
-    }
-    if (refused_.contains(run.request)) {
-        violate("request " + run.request + " ran after 'not run' was told");
-    }
-    const auto worker = std::find_if(workers_.begin(), workers_.end(), [&](const auto &entry) {
-        return entry->incarnation() == run.worker;
-    });
-    const MonotonicTime left = worker == workers_.end() ? MonotonicTime{} : (*worker)->leaving;
-    const bool all_calm = std::all_of(nodes_.begin(), nodes_.end(),
-                                      [this](const auto &node) { return calm(*node); });
-    if (left != MonotonicTime{} && now() - left > kLeavingGrace && all_calm) {
-        violate("worker " + run.worker + " is leaving and got " + run.request);
-    }
-    const move &newest = moves_.back();
-    const bool settled = now() - newest.written > kConfigurationGrace;
-    if (run.path == kMovedPath && settled && all_calm && run.service != newest.service) {
-        violate("request " + run.request + " ran by a configuration older than " +
-                std::to_string(newest.version));
-    }
-    const auto of = jobs_.find(run.request.substr(0, run.request.find('-')));
-    if (of != jobs_.end() && of->second.ended && now() - *of->second.ended > kEndGrace &&
-        all_calm) {
-        violate("item " + run.request + " ran after its job was ended");
-    }
-    return runs_.back().get();
-}
-
-void soak_run::check_online(online_call &call) {
-    const bool broke_at_worker = std::any_of(runs_.begin(), runs_.end(), [&](const auto &run) {
-        return run->request == call.id && run->broken;
-    });
-    if (call.whole && says_not_run(call.status)) {
-        refused_.insert(call.id);
-        if (runs_of_.contains(call.id)) {
-            violate("request " + call.id + " was told 'not run', and ran");
-        }
-        return;
-    }
-    uint64_t expected = 0;
-    EventSplitter splitter;
-    std::string_view events = splitter.add(call.body);
-    while (call.status == 200) {
-        const std::optional<StreamEvent> event = take_event(events);
-        if (!event) {
-            break;
-        }
-        ++expected;
-        if (event->id != expected || event->data != event_data(call.id, expected)) {
-            violate("request " + call.id + " got another event at " + std::to_string(expected));
-            return;
-        }
-    }
-    if (call.whole && call.status == 200 && expected != kEvents) {
-        violate("request " + call.id + " ended as whole after " + std::to_string(expected));
-    }
-    const bool whole = call.whole && call.status == 200;
-    result_.answered += whole ? 1 : 0;
-    // A planned stop cuts nothing off; nor does anything else while all is calm.
-    const bool excused = broke_at_worker || !calm(*call.node);
-    if (!whole && !excused && call.status != 502 && call.status != 504) {
-        violate("request " + call.id + " at " + call.node->name() + " was cut off in a calm time" +
-                ", status " + std::to_string(call.status));
-    }
-}
-
-void soak_run::check_page(job &of, uint32_t from, const std::string &body) {
-    const nlohmann::json page = nlohmann::json::parse(body, nullptr, false);
-    if (!page.is_object() || page.value("total", size_t{0}) != of.items) {
-        violate("the results of job " + of.id + " cannot be read");
-        return;
-    }
-    size_t position = from;
-    for (const nlohmann::json &result : page.at("results")) {
-        const std::string item = result.at("id");
-        const bool completed = result.at("state") == "completed";
-        if (completed && result.at("message") != whole_text(item)) {
-            violate("item " + item + " has not its whole text");
-        }
-        if (position < of.listed.size() && of.listed[position] != item) {
-            violate("job " + of.id + " changed its position " + std::to_string(position));
-        }
-        if (position == of.listed.size()) {
-            if (std::find(of.listed.begin(), of.listed.end(), item) != of.listed.end()) {
-                violate("item " + item + " is listed twice");
-            }
-            of.listed.push_back(item);
-            ++result_.items_listed;
-        }
-        ++position;
-    }
-}
-
-void soak_run::check_end() {
-    for (const auto &[id, of] : jobs_) {
-        if (of.accepted && !of.ended && of.listed.size() != of.items) {
-            violate("job " + id + " lists " + std::to_string(of.listed.size()) + " of " +
-                    std::to_string(of.items) + " items at the end");
-        }
-        const bool ran = std::any_of(runs_.begin(), runs_.end(), [&](const auto &run) {
-            return run->request.starts_with(id + "-");
-        });
-        if (of.refused && !of.accepted && ran) {
-            violate("job " + id + " was refused at every try, and ran");
-        }
-    }
-}
-
 } // namespace chalkshed::soak
--- /dev/null
+++ b/tests/soak/soak_checks.cc
@@ -0,0 +1,151 @@
+/** \file
+ * What must hold, checked on what callers, workers and the store have seen.
+ */
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "src/serving/event_stream.h"
+#include "tests/soak/online_call.h"
+
+namespace chalkshed::soak {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Duration kLeavingGrace = seconds(3);
+constexpr Duration kConfigurationGrace = seconds(3);
+constexpr Duration kEndGrace = seconds(4);
+/** What happens to a node or the store excuses what happens this long afterwards. */
+constexpr Duration kAftermath = seconds(6);
+
+std::string whole_text(const std::string &item) {
+    std::string text = event_data(item, 1);
+    for (uint64_t event = 2; event <= kEvents; ++event) {
+        text += "\n" + event_data(item, event);
+    }
+    return text;
+}
+
+} // namespace
+
+bool soak_run::calm(const node_process &node) const {
+    return now() - node.disturbed > kAftermath && now() - store_disturbed_ > kAftermath &&
+           !node.frozen;
+}
+
+run_record *soak_run::note_run(run_record run) {
+    runs_.push_back(std::make_unique<run_record>(run));
+    const size_t times = ++runs_of_[run.request];
+    if (run.path == kOncePath && times > 1) {
+        violate("request " + run.request + " must run once and ran again");
+    }
+    if (refused_.contains(run.request)) {
+        violate("request " + run.request + " ran after 'not run' was told");
+    }
+    const auto worker = std::find_if(workers_.begin(), workers_.end(), [&](const auto &entry) {
+        return entry->incarnation() == run.worker;
+    });
+    const MonotonicTime left = worker == workers_.end() ? MonotonicTime{} : (*worker)->leaving;
+    const bool all_calm =
+        std::all_of(nodes_.begin(), nodes_.end(), [this](const auto &node) { return calm(*node); });
+    if (left != MonotonicTime{} && now() - left > kLeavingGrace && all_calm) {
+        violate("worker " + run.worker + " is leaving and got " + run.request);
+    }
+    const move &newest = moves_.back();
+    const bool settled = now() - newest.written > kConfigurationGrace;
+    if (run.path == kMovedPath && settled && all_calm && run.service != newest.service) {
+        violate("request " + run.request + " ran by a configuration older than " +
+                std::to_string(newest.version));
+    }
+    const auto of = jobs_.find(run.request.substr(0, run.request.find('-')));
+    if (of != jobs_.end() && of->second.ended && now() - *of->second.ended > kEndGrace &&
+        all_calm) {
+        violate("item " + run.request + " ran after its job was ended");
+    }
+    return runs_.back().get();
+}
+
+void soak_run::check_online(online_call &call) {
+    const bool broke_at_worker = std::any_of(runs_.begin(), runs_.end(), [&](const auto &run) {
+        return run->request == call.id && run->broken;
+    });
+    if (call.whole && says_not_run(call.status)) {
+        refused_.insert(call.id);
+        if (runs_of_.contains(call.id)) {
+            violate("request " + call.id + " was told 'not run', and ran");
+        }
+        return;
+    }
+    uint64_t expected = 0;
+    EventSplitter splitter;
+    std::string_view events = splitter.add(call.body);
+    while (call.status == 200) {
+        const std::optional<StreamEvent> event = take_event(events);
+        if (!event) {
+            break;
+        }
+        ++expected;
+        if (event->id != expected || event->data != event_data(call.id, expected)) {
+            violate("request " + call.id + " got another event at " + std::to_string(expected));
+            return;
+        }
+    }
+    if (call.whole && call.status == 200 && expected != kEvents) {
+        violate("request " + call.id + " ended as whole after " + std::to_string(expected));
+    }
+    const bool whole = call.whole && call.status == 200;
+    result_.answered += whole ? 1 : 0;
+    // A planned stop cuts nothing off; nor does anything else while all is calm.
+    const bool excused = broke_at_worker || !calm(*call.node);
+    if (!whole && !excused && call.status != 502 && call.status != 504) {
+        violate("request " + call.id + " at " + call.node->name() + " was cut off in a calm time" +
+                ", status " + std::to_string(call.status));
+    }
+}
+
+void soak_run::check_page(job &of, uint32_t from, const std::string &body) {
+    const nlohmann::json page = nlohmann::json::parse(body, nullptr, false);
+    if (!page.is_object() || page.value("total", size_t{0}) != of.items) {
+        violate("the results of job " + of.id + " cannot be read");
+        return;
+    }
+    size_t position = from;
+    for (const nlohmann::json &result : page.at("results")) {
+        const std::string item = result.at("id");
+        const bool completed = result.at("state") == "completed";
+        if (completed && result.at("message") != whole_text(item)) {
+            violate("item " + item + " has not its whole text");
+        }
+        if (position < of.listed.size() && of.listed[position] != item) {
+            violate("job " + of.id + " changed its position " + std::to_string(position));
+        }
+        if (position == of.listed.size()) {
+            if (std::find(of.listed.begin(), of.listed.end(), item) != of.listed.end()) {
+                violate("item " + item + " is listed twice");
+            }
+            of.listed.push_back(item);
+            ++result_.items_listed;
+        }
+        ++position;
+    }
+}
+
+void soak_run::check_end() {
+    for (const auto &entry : jobs_) {
+        const std::string &id = entry.first;
+        const job &of = entry.second;
+        if (of.accepted && !of.ended && of.listed.size() != of.items) {
+            violate("job " + id + " lists " + std::to_string(of.listed.size()) + " of " +
+                    std::to_string(of.items) + " items at the end");
+        }
+        const bool ran = std::any_of(runs_.begin(), runs_.end(), [&](const auto &run) {
+            return run->request.starts_with(id + "-");
+        });
+        if (of.refused && !of.accepted && ran) {
+            violate("job " + id + " was refused at every try, and ran");
+        }
+    }
+}
+
+} // namespace chalkshed::soak
--- a/tests/soak/soak_worker.cc
+++ b/tests/soak/soak_worker.cc
@@ -25,8 +25,7 @@
                          std::string incarnation, std::string service, run_observer observer)
     : dispatcher_(dispatcher), random_(random), incarnation_(std::move(incarnation)),
       service_(std::move(service)), observer_(std::move(observer)),
-      server_(dispatcher, {"127.0.0.1", 0}, *this) {
-}
+      server_(dispatcher, {"127.0.0.1", 0}, *this) {}
 
 void soak_worker::handle(HttpRequest request, ResponseWriterPtr writer) {
     const std::string id = header(request, platform::kRequestId);
@@ -81,8 +80,8 @@
         return;
     }
     const std::string event = std::to_string(current.next);
-    current.writer->write("id: " + event + "\ndata: " +
-                          event_data(current.request, current.next++) + "\n\n");
+    current.writer->write("id: " + event +
+                          "\ndata: " + event_data(current.request, current.next++) + "\n\n");
     call_after(dispatcher_, kBetweenEvents,
                lifetime_.guard([this, number] { send_event(number); }));
 }
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -2,7 +2,8 @@
 #define CHALKSHED_TESTS_SOAK_SOAK_WORKER_H
 
 /** \file
- * A worker of the soak: streams the events of each request, and fails in the ways that real ones do.
+ * A worker of the soak: streams the events of each request, and fails in the ways that real ones
+ * do.
  */
 
 #include <functional>
