Excuse the store for the time in which the node itself stood still

Ruled out: a real loss of the store (all of them heard it 0.2 s after waking). Change: the pause is noticed before a heartbeat is sent as well as at a tick, and the store's last answer moves on by it. The test fails without the change (n1 is held for gone 10 ms after waking) and passes with it.

--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -126,23 +126,30 @@
   send_timer_->enable(std::max(least_interval(true) - since, Duration(0)));
 }
 
-void PeerExchange::tick() {
-  tick_timer_->enable(kTickInterval);
+// Nothing could be heard while this process stood still; nobody is to blame for it, and what it
+// tells its peers must not blame its store either.
+void PeerExchange::excuse_own_pause() {
   const MonotonicTime now = time_source_.monotonic_now();
   const Duration pause = now - ticked_;
   ticked_ = now;
-  if (pause > kOwnPause) {
-    // Nothing could be heard meanwhile; nobody is to blame for it.
-    logger_.write(LogLevel::kWarning, "process_stood_still",
-                  {{"milliseconds", std::to_string(pause.count() / 1000)}});
-    heard_anyone_ += pause;
-    for (auto& [node, peer] : peers_) {
-      peer.heard += pause;
-      peer.announced += pause;
-    }
+  if (pause <= kOwnPause) {
+    return;
+  }
+  logger_.write(LogLevel::kWarning, "process_stood_still",
+                {{"milliseconds", std::to_string(pause.count() / 1000)}});
+  clock_.excuse(pause);
+  heard_anyone_ += pause;
+  for (auto& [node, peer] : peers_) {
+    peer.heard += pause;
+    peer.announced += pause;
   }
+}
+
+void PeerExchange::tick() {
+  tick_timer_->enable(kTickInterval);
+  excuse_own_pause();
   judge_peers();
-  if (now - sent_ >= idle_interval(true)) {
+  if (time_source_.monotonic_now() - sent_ >= idle_interval(true)) {
     send_heartbeats();
   }
 }
@@ -181,6 +188,7 @@
 }
 
 void PeerExchange::send_heartbeats() {
+  excuse_own_pause();
   const MonotonicTime now = time_source_.monotonic_now();
   // Nodes of other zones mostly use other workers: they hear less often, but at once of what
   // concerns them too.
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -100,6 +100,7 @@
   // Between two of them when nothing changes.
   Duration idle_interval(bool near) const;
   void count_peers();
+  void excuse_own_pause();
   void judge_peers();
   bool lapsed(const Peer& peer) const;
   Duration own_store_silence() const;
--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -67,6 +67,23 @@
   EXPECT_TRUE(alive("n0", session("n1")));
 }
 
+// Many nodes that stood still together would otherwise take each other's jobs when they wake.
+TEST_F(PeerExchangeTest, ANodeThatStoodStillDoesNotBlameItsStore) {
+  for (const char* node : {"n0", "n1"}) {
+    cluster.nodes.at(node)->dispatcher.freeze();
+  }
+  cluster.clock.run_for(seconds(6));
+  for (const char* node : {"n0", "n1"}) {
+    cluster.nodes.at(node)->dispatcher.thaw();
+  }
+  for (int step = 0; step < 100; ++step) {
+    cluster.clock.run_for(milliseconds(10));
+    ASSERT_TRUE(alive("n0", session("n1"))) << step;
+    ASSERT_TRUE(alive("n1", session("n0"))) << step;
+  }
+  EXPECT_TRUE(alive("n2", session("n0")));
+}
+
 TEST_F(PeerExchangeTest, TakenPlacesAreKnownToOtherNodesWithinTensOfMilliseconds) {
   cluster.request("/stream/x");
   const std::string worker = cluster.workers.calls.back().header(platform::kExpectInstance);
