--- a/src/watch/store_clock.h
+++ b/src/watch/store_clock.h
@@ -21,7 +21,8 @@
     offset_ = known_ ? std::max(offset_, offset) : offset;
     known_ = true;
   }
-  // This process stood still for so long: that the store was not heard meanwhile says nothing of it.
+  // This process stood still for so long: that the store was not heard meanwhile says nothing of
+  // the store.
   void excuse(Duration pause) { last_heard_ += pause; }
   // From another node that has seen it.
   void observe_version(StoreVersion version) { newest_ = std::max(newest_, version); }
