Leave batch the places that online work cannot take before batch yields

Requests of a burst waited 20 to 200 ms in nodes that ran no batch themselves, while other nodes held the places: only the node that a request reached stopped runs of its own.

Change: batch_room leaves free, over the whole service, a multiple of how far the online requests have grown within 150 ms of late; each node stops its share of runs once too little of that is free, whoever the request reached; which run stops, and which item starts, follows the time an item may still wait (item_slack), late ones behind all others; items draw their worker by lot, with the squares of the free places as chances.

Tests: BatchOfOneNodeGivesWayToOnlineRequestsOfAnother fails on the old code. The mechanism "urgent batch takes at most 0.75 of a worker" went with the reserve it belonged to.

--- /dev/null
+++ b/src/batch_room/batch_room.cc
@@ -0,0 +1,35 @@
+#include "chalkshed/batch_room.h"
+
+#include <algorithm>
+
+namespace chalkshed {
+
+batch_room::batch_room(MonotonicTime started, const batch_room_knobs &knobs)
+    : knobs_(knobs), started_(started), online_growth_(knobs.reaction, knobs.memory) {}
+
+void batch_room::observe_online(uint32_t in_flight, MonotonicTime now) {
+    online_growth_.observe(in_flight, now);
+}
+
+double batch_room::headroom(const service_load &load, MonotonicTime now) {
+    double wanted = online_growth_.value(now);
+    if (now - started_ < knobs_.memory) {
+        wanted = std::max(wanted, knobs_.unknown * load.places);
+    }
+    return std::clamp(wanted, knobs_.least * load.places, knobs_.most * load.places);
+}
+
+bool batch_room::may_start(const service_load &load, bool urgent, MonotonicTime now) {
+    const double multiple = urgent ? knobs_.start_urgent : knobs_.start;
+    return load.free >= 1 + multiple * headroom(load, now);
+}
+
+double batch_room::runs_to_stop(const service_load &load, MonotonicTime now) {
+    const double wanted = knobs_.yield * headroom(load, now);
+    if (load.own_batch == 0 || load.free >= wanted) {
+        return 0;
+    }
+    return (wanted - load.free) * load.own_batch / std::max(load.batch, load.own_batch);
+}
+
+} // namespace chalkshed
--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -30,9 +30,12 @@
   // A worker that sends nothing for this long has failed the item's run.
   Duration item_silence = std::chrono::milliseconds(2500);
   Duration preemption_pause = std::chrono::milliseconds(500);  // after it made room for online work
-  // A job is urgent once the time to its due is under this many times what an item takes.
-  double urgent_paces = 2.0;
+  // How often it is looked whether runs should stop for online work.
+  Duration yield_interval = std::chrono::milliseconds(30);
+  // An item is urgent once it may wait no longer than what an item takes and this.
   Duration urgent_slack = std::chrono::milliseconds(1500);
+  // Callers read results now and then: an item so much late may still be in time.
+  Duration late_grace = std::chrono::milliseconds(400);
   Duration item_pause = std::chrono::milliseconds(200);  // before an item is tried again
   // A node starts at most so many items at a time, and the next after this long: meanwhile its
   // peers hear of them. Otherwise nodes that take over the jobs of others at the same moment all
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -1,6 +1,7 @@
 #include "src/jobs/job_service.h"
 
 #include <algorithm>
+#include <set>
 
 #include "src/core/call_after.h"
 #include "src/jobs/job_rows.h"
@@ -28,9 +29,13 @@
       reader_(environment),
       remover_(environment),
       sweep_timer_(environment.serving.dispatcher.create_timer([this] { sweep(); })),
-      items_timer_(environment.serving.dispatcher.create_timer([this] { start_items(); })) {}
+      items_timer_(environment.serving.dispatcher.create_timer([this] { start_items(); })),
+      yield_timer_(environment.serving.dispatcher.create_timer([this] { yield_places(); })) {}
 
-void JobService::start() { sweep_timer_->enable(environment_.knobs.sweep_interval); }
+void JobService::start() {
+  sweep_timer_->enable(environment_.knobs.sweep_interval);
+  yield_timer_->enable(environment_.knobs.yield_interval);
+}
 
 void JobService::on_row(const StoredRow& row) {
   if (row.removed) {
@@ -310,9 +315,12 @@
   bool waiting = false;
   while (may_start_()) {
     OwnedJob* next = nullptr;
+    std::optional<item_slack> least;
     for (const auto& [id, owned] : owned_) {
-      if (owned.job->has_waiting() && (next == nullptr || owned.job->due() < next->due())) {
+      const std::optional<item_slack> slack = owned.job->next_slack();
+      if (slack && (!least || slack->starts_before(*least))) {
         next = owned.job.get();
+        least = slack;
       }
     }
     waiting = next != nullptr;
@@ -328,20 +336,51 @@
   }
 }
 
+bool JobService::preempt_one(const OwnedJob::AtWorker& at) {
+  OwnedJob* owner = nullptr;
+  std::optional<OwnedJob::Preemptible> first;
+  for (const auto& [id, owned] : owned_) {
+    const auto run = owned.job->first_to_yield(at);
+    if (run && (!first || run->slack.yields_before(first->slack))) {
+      owner = owned.job.get();
+      first = run;
+    }
+  }
+  if (owner != nullptr) {
+    owner->preempt(*first);
+  }
+  return owner != nullptr;
+}
+
+// Online work never waits behind batch: what must start soon gives way too, after all else.
 void JobService::preempt_items(size_t count) {
-  while (count > 0) {
-    // Online work never waits behind batch: jobs that are due soon give way too, after all others.
-    OwnedJob* latest = nullptr;
-    for (const auto& [id, owned] : owned_) {
-      OwnedJob& job = *owned.job;
-      if (job.has_running() && (latest == nullptr || job.due() > latest->due())) {
-        latest = &job;
-      }
+  while (count > 0 && preempt_one([](const ServingWorker&) { return true; })) {
+    --count;
+  }
+}
+
+void JobService::yield_places() {
+  yield_timer_->enable(environment_.knobs.yield_interval);
+  WorkerSet& workers = environment_.serving.workers;
+  std::set<std::string> services;
+  for (const auto& [incarnation, worker] : workers.workers()) {
+    if (worker->batch_in_flight > 0) {
+      services.insert(worker->record.service);
     }
-    if (latest == nullptr || !latest->preempt_item()) {
-      return;
+  }
+  for (const std::string& service : services) {
+    // Rounded by lot, so that the nodes together stop as many as are wanted.
+    auto count = static_cast<size_t>(workers.batch_runs_to_stop(service) +
+                                     environment_.serving.random.unit());
+    const auto of_service = [&](const ServingWorker& worker) {
+      return worker.record.service == service;
+    };
+    const auto at_full_worker = [&](const ServingWorker& worker) {
+      return of_service(worker) && workers.load_of(worker) >= worker.record.slots;
+    };
+    while (count > 0 && (preempt_one(at_full_worker) || preempt_one(of_service))) {
+      --count;
     }
-    --count;
   }
 }
 
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -45,7 +45,7 @@
 
   // Starts waiting items while workers have room.
   void start_items();
-  // Stops up to `count` runs of jobs that are not urgent: online requests wait for their places.
+  // Stops up to `count` runs: online requests wait for their places.
   void preempt_items(size_t count);
   // Planned stop: starts nothing more, lets items under way end, gives the jobs to other nodes,
   // then calls `done` once.
@@ -71,6 +71,10 @@
   void note(const StoredJob& record, StoreVersion version);
   void adopt(const StoredJob& record, StoreVersion version, LoadedJob loaded);
   void drop(const std::string& job, const std::string& reason);
+  // Stops this node's share of the runs that leave online work too few places.
+  void yield_places();
+  // Stops the run at such a worker that is the first to give way. @return whether there was one.
+  bool preempt_one(const OwnedJob::AtWorker& at);
   void sweep();
   void sweep_job(const std::string& id, Indexed& indexed);
   // Removes the job from the store when it is old and this node's turn.
@@ -103,6 +107,7 @@
   std::function<void()> on_drained_;
   TimerPtr sweep_timer_;
   TimerPtr items_timer_;
+  TimerPtr yield_timer_;
   Lifetime lifetime_;
 };
 
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -44,51 +44,73 @@
   return record_.accepted + (route == nullptr ? Duration(0) : route->run_target);
 }
 
-bool OwnedJob::urgent() const {
-  const auto need = std::chrono::duration_cast<Duration>(environment_.pace.estimate() *
-                                                         environment_.knobs.urgent_paces) +
-                    environment_.knobs.urgent_slack;
-  const Duration left = due() - environment_.clock.now();
-  return left > Duration(0) && left < need;
+item_slack OwnedJob::slack_of(const Item& item) const {
+  Duration ran = item.ran;
+  if (item.phase == Phase::kRunning) {
+    ran += environment_.serving.time_source.monotonic_now() - item.started;
+  }
+  // However long it ran, its end is not known.
+  constexpr int kLeastPart = 8;
+  const Duration pace = environment_.pace.estimate();
+  const Duration needed = std::max(pace - ran, pace / kLeastPart);
+  return item_slack(due() - environment_.clock.now() - needed, environment_.knobs.late_grace);
 }
 
-bool OwnedJob::preempt_item() {
-  // The one that has come least far loses least when its prompt is read again.
-  Item* youngest = nullptr;
-  for (Item& item : items_) {
-    const bool younger = youngest == nullptr || item.started > youngest->started;
-    if (item.phase == Phase::kRunning && younger) {
-      youngest = &item;
+std::optional<size_t> OwnedJob::next_waiting() const {
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  std::optional<size_t> next;
+  for (size_t index = 0; index < items_.size(); ++index) {
+    const Item& item = items_[index];
+    if (item.phase != Phase::kWaiting || item.not_before > now) {
+      continue;
+    }
+    if (!next || slack_of(item).starts_before(slack_of(items_[*next]))) {
+      next = index;
     }
   }
-  if (youngest == nullptr) {
-    return false;
-  }
-  youngest->run.reset();
-  --running_;
-  youngest->phase = Phase::kWaiting;
-  youngest->not_before =
-      environment_.serving.time_source.monotonic_now() + environment_.knobs.preemption_pause;
-  environment_.serving.logger.write(LogLevel::kInfo, "item_preempted",
-                                    {{"job", record_.id}, {"request", youngest->request.id}});
-  return true;
+  return next;
 }
 
-OwnedJob::Item* OwnedJob::next_waiting() {
-  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
-  const auto found = std::find_if(items_.begin(), items_.end(), [&](const Item& item) {
-    return item.phase == Phase::kWaiting && item.not_before <= now;
-  });
-  return found == items_.end() ? nullptr : &*found;
+std::optional<item_slack> OwnedJob::next_slack() const {
+  const std::optional<size_t> next = lost_ ? std::nullopt : next_waiting();
+  return next ? std::optional(slack_of(items_[*next])) : std::nullopt;
 }
 
-bool OwnedJob::has_waiting() const {
-  return !lost_ && const_cast<OwnedJob*>(this)->next_waiting() != nullptr;
+std::optional<OwnedJob::Preemptible> OwnedJob::first_to_yield(const AtWorker& at) const {
+  std::optional<Preemptible> first;
+  for (size_t index = 0; index < items_.size(); ++index) {
+    const Item& item = items_[index];
+    if (item.phase != Phase::kRunning) {
+      continue;
+    }
+    const WorkerPtr worker = environment_.serving.workers.find(item.run->worker());
+    const item_slack slack = slack_of(item);
+    if (worker && at(*worker) && (!first || slack.yields_before(first->slack))) {
+      first = Preemptible{index, slack};
+    }
+  }
+  return first;
+}
+
+void OwnedJob::preempt(const Preemptible& run) {
+  Item& item = items_[run.item];
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  item.run.reset();
+  --running_;
+  item.phase = Phase::kWaiting;
+  item.ran += now - item.started;
+  item.not_before = now + environment_.knobs.preemption_pause;
+  environment_.serving.logger.write(
+      LogLevel::kInfo, "item_preempted",
+      {{"job", record_.id},
+       {"request", item.request.id},
+       {"slack_ms", std::to_string(run.slack.left() / std::chrono::milliseconds(1))}});
 }
 
 bool OwnedJob::start_item() {
   const RouteTablePtr table = environment_.routes.current();
-  Item* item = lost_ || !table ? nullptr : next_waiting();
+  const std::optional<size_t> next = lost_ || !table ? std::nullopt : next_waiting();
+  Item* item = next ? &items_[*next] : nullptr;
   const Route* route = item == nullptr ? nullptr : route_of(*table, *item);
   if (route == nullptr) {
     return false;
@@ -98,12 +120,14 @@
   wanted.work = WorkClass::kBatch;
   wanted.repeatable = true;
   wanted.request = &item->request;
-  wanted.urgent = urgent();
+  const item_slack slack = slack_of(*item);
+  wanted.urgent = !slack.late() &&
+                  slack.left() < environment_.pace.estimate() + environment_.knobs.urgent_slack;
   WorkerPlacePtr place = environment_.serving.workers.take_place(wanted);
   if (!place) {
     return false;
   }
-  const auto index = static_cast<size_t>(item - items_.data());
+  const size_t index = *next;
   checkpoint_later();
   item->phase = Phase::kRunning;
   item->started = environment_.serving.time_source.monotonic_now();
@@ -130,6 +154,7 @@
   // The run must outlive its own callback.
   environment_.serving.dispatcher.post([run = std::shared_ptr<JobItemRun>(std::move(item.run))] {});
   --running_;
+  item.ran += environment_.serving.time_source.monotonic_now() - item.started;
   if (lost_) {
     return;
   }
@@ -148,7 +173,7 @@
     ++item.progress.failures;
   }
   if (end == JobItemRunEnd::kCompleted) {
-    environment_.pace.note(environment_.serving.time_source.monotonic_now() - item.started);
+    environment_.pace.note(item.ran);
     end_item(item, ItemState::kCompleted);
   } else if (end == JobItemRunEnd::kImpossible || item.progress.failures >= attempts) {
     end_item(item, ItemState::kErrored);
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -5,9 +5,11 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "chalkshed/item_slack.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job.h"
 #include "src/jobs/job_environment.h"
@@ -29,13 +31,19 @@
   StoreVersion version() const { return version_; }
   // When all results are due, by the store's clock.
   Duration due() const;
-  // Whether its items must be run soon to be in time.
-  bool urgent() const;
-  // Stops a run, to make room for online work; its item waits again and continues later.
-  // @return whether there was one.
-  bool preempt_item();
-  // Whether an item waits to be run now.
-  bool has_waiting() const;
+  // The slack of the waiting item that is to start next; nothing when none waits.
+  std::optional<item_slack> next_slack() const;
+
+  // A run that may be stopped to make room for online work.
+  struct Preemptible {
+    size_t item = 0;
+    item_slack slack;
+  };
+  using AtWorker = std::function<bool(const ServingWorker&)>;
+  // @return the run that is the first to give way among those at such workers, if any.
+  std::optional<Preemptible> first_to_yield(const AtWorker& at) const;
+  // Stops the run; its item waits again and continues later.
+  void preempt(const Preemptible& run);
   bool has_running() const { return running_ > 0; }
   // Starts the next waiting item. @return false when no worker has room for it.
   bool start_item();
@@ -67,6 +75,7 @@
     ItemProgress progress;
     MonotonicTime not_before{};
     MonotonicTime started{};
+    Duration ran{0};  // in the runs that have ended
     std::unique_ptr<JobItemRun> run;
     bool listed = false;
     std::optional<uint64_t> recorded_event;  // the last one in its checkpoint
@@ -85,7 +94,9 @@
   void handle_conflict(const StoreCommit& commit);
   void accept_commit(StoreVersion version);
   void lose(const std::string& reason);
-  Item* next_waiting();
+  item_slack slack_of(const Item& item) const;
+  // @return the index of the waiting item that is to start next, or nothing.
+  std::optional<size_t> next_waiting() const;
   const Route* route_of(const RouteTable& table, const Item& item) const;
 
   JobEnvironment& environment_;
--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 
+#include "chalkshed/batch_room.h"
 #include "chalkshed/worker_outcomes.h"
 #include "src/core/time.h"
 
@@ -18,14 +19,8 @@
   // A worker whose record is gone without having said that it leaves serves as a last resort for
   // this long: records also vanish while the store is down.
   Duration unlisted_grace = std::chrono::seconds(10);
-  // Urgent batch work takes at most this share of a worker's places.
-  double batch_share = 0.75;
-  // Other batch work leaves room for the most online requests of this last time, times the margin.
-  Duration peak_span = std::chrono::seconds(12);
-  double peak_margin = 1.1;
-  double least_batch_share = 0.25;
-  // A node that has just started knows no peak: for that long, batch leaves this share free.
-  double unknown_peak_share = 0.5;
+  // How much of a service batch work takes.
+  batch_room_knobs batch_room;
   // Prompt tokens that an engine reads in a millisecond, until it has been measured.
   double prompt_tokens_per_millisecond = 60.0;
   // What each further request at a worker costs a new one, in milliseconds.
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -161,39 +161,35 @@
           worker->online_in_flight + static_cast<uint32_t>(std::max(worker->others_online, 0));
     }
   }
-  online_peaks_.try_emplace(service, knobs_.peak_span)
-      .first->second.observe(online, time_source_.monotonic_now());
+  room_of(service).observe_online(online, time_source_.monotonic_now());
 }
 
-double WorkerSet::burst_reserve(const ServingWorker& worker) {
-  const MonotonicTime now = time_source_.monotonic_now();
-  const auto peak = online_peaks_.find(worker.record.service);
-  const uint32_t known_peak = peak == online_peaks_.end() ? 0 : peak->second.value(now);
-  uint32_t slots = 0;
-  for (const auto& [incarnation, other] : workers_) {
-    const bool counts = other->listed && !other->record.leaving;
-    slots += counts && other->record.service == worker.record.service ? other->record.slots : 0;
-  }
-  const double share = slots == 0 ? 0.0 : static_cast<double>(worker.record.slots) / slots;
-  const double online = worker.online_in_flight + std::max(worker.others_online, 0);
-  double wanted = knobs_.peak_margin * share * known_peak;
-  if (now - started_ < knobs_.peak_span) {
-    wanted = std::max(wanted, knobs_.unknown_peak_share * worker.record.slots);
-  }
-  // However high the peak, batch has some places, or it would never end.
-  const double most = (1.0 - knobs_.least_batch_share) * worker.record.slots;
-  return std::max(std::min(wanted, most) - online, 0.0);
+batch_room& WorkerSet::room_of(const std::string& service) {
+  return batch_rooms_.try_emplace(service, started_, knobs_.batch_room).first->second;
 }
 
-bool WorkerSet::has_room(const ServingWorker& worker, const PlaceRequest& request) {
-  const uint32_t load = load_of(worker);
-  if (request.work == WorkClass::kOnline) {
-    return load < worker.record.slots;
-  }
-  if (load >= static_cast<uint32_t>(knobs_.batch_share * worker.record.slots)) {
-    return false;
+service_load WorkerSet::load_of_service(const std::string& service) const {
+  service_load sum;
+  for (const auto& [incarnation, worker] : workers_) {
+    const bool counts = worker->listed && !worker->record.leaving;
+    if (!counts || worker->record.service != service) {
+      continue;
+    }
+    const uint32_t load = load_of(*worker);
+    sum.places += worker->record.slots;
+    sum.free += worker->record.slots - std::min(load, worker->record.slots);
+    sum.batch += worker->batch_in_flight + static_cast<uint32_t>(std::max(worker->others_batch, 0));
+    sum.own_batch += worker->batch_in_flight;
   }
-  return request.urgent || load + 1 + burst_reserve(worker) <= worker.record.slots;
+  return sum;
+}
+
+double WorkerSet::batch_runs_to_stop(const std::string& service) {
+  return room_of(service).runs_to_stop(load_of_service(service), time_source_.monotonic_now());
+}
+
+bool WorkerSet::has_room(const ServingWorker& worker) const {
+  return load_of(worker) < worker.record.slots;
 }
 
 uint32_t WorkerSet::free_places(std::string_view service) const {
@@ -207,9 +203,9 @@
   return places;
 }
 
-bool WorkerSet::usable(const ServingWorker& worker, const PlaceRequest& request) {
+bool WorkerSet::usable(const ServingWorker& worker, const PlaceRequest& request) const {
   return worker.record.service == request.service && !worker.record.leaving &&
-         (request.even_if_full || has_room(worker, request));
+         (request.even_if_full || has_room(worker));
 }
 
 Duration WorkerSet::reading_time(const ServingWorker& worker) const {
@@ -293,12 +289,23 @@
   });
 }
 
+// The random part spreads requests over equal workers.
+double WorkerSet::online_rank(double cost) { return cost + random_.unit(); }
+
+// Drawn by lot, the chances as the squares of the free places: items start in heaps, many at the
+// same moment at several nodes, which would all take the emptiest worker.
+double WorkerSet::batch_rank(const ServingWorker& worker) {
+  const double room = worker.record.slots - std::min(load_of(worker), worker.record.slots);
+  constexpr double kNearlyNone = 0.01;
+  return -std::log(1.0 - random_.unit()) / (room * room + kNearlyNone);
+}
+
 WorkerPtr WorkerSet::choose(const PlaceRequest& request, bool ignore_failures) {
   const PrefixOwners owners = prefix_owners(request);
   // All records of a service vanish together only while the store is in trouble.
   const bool use_unlisted = ignore_failures && !any_listed(request.service);
   WorkerPtr best;
-  double least_cost = 0;
+  double least_rank = 0;
   for (const auto& [incarnation, worker] : workers_) {
     const bool known = worker->listed || use_unlisted;
     const bool good = ignore_failures || sound(*worker, request);
@@ -306,18 +313,25 @@
     if (!known || !good || tried || !usable(*worker, request)) {
       continue;
     }
-    // A random part spreads requests over equal workers.
-    const double total =
-        cost(*worker, request, kept_tokens(request, owners, *worker)) + random_.unit();
-    if (!best || total < least_cost) {
+    const double rank =
+        request.work == WorkClass::kBatch
+            ? batch_rank(*worker)
+            : online_rank(cost(*worker, request, kept_tokens(request, owners, *worker)));
+    if (!best || rank < least_rank) {
       best = worker;
-      least_cost = total;
+      least_rank = rank;
     }
   }
   return best;
 }
 
 WorkerPlacePtr WorkerSet::take_place(const PlaceRequest& request) {
+  if (request.work == WorkClass::kBatch &&
+      !room_of(request.service)
+           .may_start(load_of_service(request.service), request.urgent,
+                      time_source_.monotonic_now())) {
+    return nullptr;
+  }
   WorkerPtr worker = choose(request, false);
   // What runs once rather waits for a sound worker than goes to one that may lose it.
   const bool may_risk = request.repeatable || !any_sound(request);
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -12,12 +12,12 @@
 #include <string_view>
 #include <vector>
 
+#include "chalkshed/batch_room.h"
 #include "chalkshed/worker_outcomes.h"
 #include "src/core/address.h"
 #include "src/core/lifetime.h"
 #include "src/core/random.h"
 #include "src/core/time.h"
-#include "src/serving/online_peak.h"
 #include "src/serving/prompt_rate.h"
 #include "src/serving/serving_protocol.h"
 #include "src/serving/serving_request.h"
@@ -91,7 +91,7 @@
   const std::set<std::string>* tried = nullptr;
   // It may be run again elsewhere, so that it may go to a worker that is suspect.
   bool repeatable = false;
-  // Batch work that is due soon leaves less room for a burst of online work.
+  // Batch work that must start soon to be in time leaves less room for online work.
   bool urgent = false;
   // Take a worker even when all places of all workers are taken.
   bool even_if_full = false;
@@ -145,6 +145,8 @@
   // Places of the service that are free by this node's view.
   uint32_t free_places(std::string_view service) const;
   bool knows(std::string_view service) const;
+  // How many batch runs of this node at the service should stop now, in the mean.
+  double batch_runs_to_stop(const std::string& service);
   const std::map<std::string, WorkerPtr>& workers() const { return workers_; }
   // @return the worker, or null.
   WorkerPtr find(const std::string& incarnation) const;
@@ -154,10 +156,10 @@
   uint32_t load_of(const ServingWorker& worker) const;
 
  private:
-  bool usable(const ServingWorker& worker, const PlaceRequest& request);
-  bool has_room(const ServingWorker& worker, const PlaceRequest& request);
-  // Places of one worker that batch leaves free for a burst.
-  double burst_reserve(const ServingWorker& worker);
+  bool usable(const ServingWorker& worker, const PlaceRequest& request) const;
+  bool has_room(const ServingWorker& worker) const;
+  service_load load_of_service(const std::string& service) const;
+  batch_room& room_of(const std::string& service);
   void observe_online(const std::string& service);
   void note_place_freed();
   // Milliseconds until the first token of the request, roughly.
@@ -174,6 +176,9 @@
   // Whether a sound worker exists that was not asked before, with room or without.
   bool any_sound(const PlaceRequest& request) const;
   WorkerPtr choose(const PlaceRequest& request, bool ignore_failures);
+  // What decides among workers; the least is chosen.
+  double online_rank(double cost);
+  double batch_rank(const ServingWorker& worker);
   // Whether the service has a worker that the source of truth names and that stays.
   bool any_listed(std::string_view service) const;
   void forget_old();
@@ -186,7 +191,7 @@
   PromptRate prompt_rate_;
   std::map<std::string, WorkerPtr> workers_;  // by incarnation
   std::map<uint64_t, WorkerPtr> by_hash_;
-  std::map<std::string, OnlinePeak, std::less<>> online_peaks_;  // by service
+  std::map<std::string, batch_room, std::less<>> batch_rooms_;  // by service
   uint64_t notable_changes_ = 0;
   uint64_t places_taken_ = 0;
   std::function<void()> on_place_freed_;
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -415,6 +415,25 @@
   expect_complete(cluster, "n0", "j1", 3, "d1\nd2\nd3\nd4\nd5\nd6");
 }
 
+// The node that online requests reach need not be the one that runs the batch.
+TEST(JobServiceTest, BatchOfOneNodeGivesWayToOnlineRequestsOfAnother) {
+  ServingCluster cluster(2, 1);
+  cluster.answer_all(30, milliseconds(300));
+  cluster.clock.run_for(seconds(13));
+  ASSERT_TRUE(submit(cluster, "n1", cluster.job("j1", 3)));
+  for (int number = 0; number < 3; ++number) {
+    cluster.request("/stream/x", "r" + std::to_string(number));
+  }
+  cluster.clock.run_for(milliseconds(250));
+  size_t online = 0;
+  size_t batch = 0;
+  for (const ScriptedCall& call : cluster.workers.calls) {
+    (call.request.path == "/stream/x" ? online : batch) += call.open() ? 1 : 0;
+  }
+  EXPECT_EQ(online, 3U);
+  EXPECT_LE(online + batch, 4U) << "more than the worker has places";
+}
+
 // Online requests never wait behind batch, however soon it is due.
 TEST(JobServiceTest, ItemsThatAreDueSoonGiveWayToWaitingOnlineRequestsToo) {
   ServingCluster cluster(1, 1);
