Give each node an order of its own among the workers

Cause: nodes see the loads of workers 60 to 400 ms late.

Hypothesis: where views are late, nearly equal workers are equal; a node that begins in an order of its own meets fewer others, and knows its own requests at the workers it prefers exactly.

Change: the choice for online requests adds up to 6 ms by a hash of node and worker. Reading a long prompt, a full worker or a kept prompt still outweigh it.

Test: ManyNodesWithTheSameViewSpreadOverNearlyEqualWorkers fails on the old code (60 of 60 nodes chose the same worker). RequestsGoWhereFewestAreInFlight demanded it of a difference of one request and demands it now of one that an order must not outweigh, for both workers.

--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -25,6 +25,9 @@
   return hash;
 }
 
+// @return a number in [0, 1) that the hash stands for.
+double unit_of(uint64_t hash) { return static_cast<double>(hash >> 11U) * 0x1.0p-53; }
+
 }  // namespace
 
 WorkerPlace::WorkerPlace(WorkerPtr worker, WorkClass work, std::function<void()> on_freed)
@@ -46,6 +49,7 @@
       own_zone_(std::move(own_zone)),
       knobs_(knobs),
       started_(time_source.monotonic_now()),
+      own_order_(random.next()),
       prompt_rate_(knobs.prompt_tokens_per_millisecond) {}
 
 void WorkerSet::update(const WorkerRecord& record) {
@@ -289,8 +293,11 @@
   });
 }
 
-// The random part spreads requests over equal workers.
-double WorkerSet::online_rank(double cost) { return cost + random_.unit(); }
+// The random part spreads requests of this node over equal workers, the order those of many nodes.
+double WorkerSet::online_rank(const ServingWorker& worker, double cost) {
+  const double place = unit_of(content_hash(worker.record.incarnation, own_order_));
+  return cost + knobs_.own_order_milliseconds * place + random_.unit();
+}
 
 // Drawn by lot, the chances as the squares of the free places: items start in heaps, many at the
 // same moment at several nodes, which would all take the emptiest worker.
@@ -316,7 +323,7 @@
     const double rank =
         request.work == WorkClass::kBatch
             ? batch_rank(*worker)
-            : online_rank(cost(*worker, request, kept_tokens(request, owners, *worker)));
+            : online_rank(*worker, cost(*worker, request, kept_tokens(request, owners, *worker)));
     if (!best || rank < least_rank) {
       best = worker;
       least_rank = rank;
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -177,7 +177,7 @@
   bool any_sound(const PlaceRequest& request) const;
   WorkerPtr choose(const PlaceRequest& request, bool ignore_failures);
   // What decides among workers; the least is chosen.
-  double online_rank(double cost);
+  double online_rank(const ServingWorker& worker, double cost);
   double batch_rank(const ServingWorker& worker);
   // Whether the service has a worker that the source of truth names and that stays.
   bool any_listed(std::string_view service) const;
@@ -188,6 +188,7 @@
   std::string own_zone_;
   WorkerKnobs knobs_;
   const MonotonicTime started_;
+  const uint64_t own_order_;  // seed of this node's order among the workers
   PromptRate prompt_rate_;
   std::map<std::string, WorkerPtr> workers_;  // by incarnation
   std::map<uint64_t, WorkerPtr> by_hash_;
--- a/tests/serving/worker_set_test.cc
+++ b/tests/serving/worker_set_test.cc
@@ -45,6 +45,27 @@
   }
 }
 
+// All see the same worker with one request fewer; it has no room for a request of each of them.
+TEST_F(WorkerSetTest, ManyNodesWithTheSameViewSpreadOverNearlyEqualWorkers) {
+  constexpr uint64_t kNodes = 60;
+  constexpr int kWorkers = 10;
+  std::map<std::string, int> chosen;
+  for (uint64_t node = 0; node < kNodes; ++node) {
+    SeededRandomGenerator chance{node};
+    WorkerSet view{clock, chance, "zone-a"};
+    for (int number = 0; number < kWorkers; ++number) {
+      const std::string incarnation = "i-" + std::to_string(number);
+      view.update(record(incarnation, 8));
+      view.add_peer_load(view.find(incarnation)->hash, number == 0 ? 3 : 4, 0);
+    }
+    PlaceRequest request;
+    request.service = "engines";
+    ++chosen[view.take_place(request)->worker().record.incarnation];
+  }
+  EXPECT_LT(chosen["i-0"], 30);
+  EXPECT_GE(chosen.size(), 8U);
+}
+
 TEST_F(WorkerSetTest, NoPlaceIsGivenBeyondTheSlots) {
   workers.update(record("i-1"));
   const WorkerPlacePtr first = take();
