Remove the order by lateness; widen each node's own order; ignore what is heard at a start

The own order counts up to 12 ms. A node that has just started hears of its peers' requests one peer after the other; taken for a burst, this kept half of the places free for 12 s.

Tests: WhatPeersHadInFlightAtAStartIsNoBurst fails without set_level. The burst of BatchLeavesRoomForTheLastBurst comes two seconds after the start.

--- a/include/chalkshed/recent_growth.h
+++ b/include/chalkshed/recent_growth.h
@@ -22,6 +22,8 @@
     recent_growth(Duration window, Duration span);
 
     void observe(uint32_t value, MonotonicTime now);
+    /** Takes a new level without counting it as growth. */
+    void set_level(uint32_t value, MonotonicTime now);
     uint32_t value(MonotonicTime now);
 
 private:
--- a/src/batch_room/batch_room.cc
+++ b/src/batch_room/batch_room.cc
@@ -8,7 +8,11 @@
     : knobs_(knobs), started_(started), online_growth_(knobs.reaction, knobs.memory) {}
 
 void batch_room::observe_online(uint32_t in_flight, MonotonicTime now) {
-    online_growth_.observe(in_flight, now);
+    if (now - started_ < knobs_.first_hearing) {
+        online_growth_.set_level(in_flight, now);
+    } else {
+        online_growth_.observe(in_flight, now);
+    }
 }
 
 double batch_room::headroom(const service_load &load, MonotonicTime now) {
--- a/src/batch_room/recent_growth.cc
+++ b/src/batch_room/recent_growth.cc
@@ -27,6 +27,12 @@
     growth_.observe(value - *std::min_element(least_.begin(), least_.end()), now);
 }
 
+void recent_growth::set_level(uint32_t value, MonotonicTime now) {
+    advance(now);
+    least_.fill(value);
+    last_ = value;
+}
+
 uint32_t recent_growth::value(MonotonicTime now) {
     return growth_.value(now);
 }
--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -34,8 +34,6 @@
   Duration yield_interval = std::chrono::milliseconds(30);
   // An item is urgent once it may wait no longer than what an item takes and this.
   Duration urgent_slack = std::chrono::milliseconds(1500);
-  // Callers read results now and then: an item so much late may still be in time.
-  Duration late_grace = std::chrono::milliseconds(400);
   Duration item_pause = std::chrono::milliseconds(200);  // before an item is tried again
   // A node starts at most so many items at a time, and the next after this long: meanwhile its
   // peers hear of them. Otherwise nodes that take over the jobs of others at the same moment all
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -315,10 +315,10 @@
   bool waiting = false;
   while (may_start_()) {
     OwnedJob* next = nullptr;
-    std::optional<item_slack> least;
+    std::optional<Duration> least;
     for (const auto& [id, owned] : owned_) {
-      const std::optional<item_slack> slack = owned.job->next_slack();
-      if (slack && (!least || slack->starts_before(*least))) {
+      const std::optional<Duration> slack = owned.job->next_slack();
+      if (slack && (!least || *slack < *least)) {
         next = owned.job.get();
         least = slack;
       }
@@ -341,7 +341,7 @@
   std::optional<OwnedJob::Preemptible> first;
   for (const auto& [id, owned] : owned_) {
     const auto run = owned.job->first_to_yield(at);
-    if (run && (!first || run->slack.yields_before(first->slack))) {
+    if (run && (!first || run->slack > first->slack)) {
       owner = owned.job.get();
       first = run;
     }
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -44,7 +44,7 @@
   return record_.accepted + (route == nullptr ? Duration(0) : route->run_target);
 }
 
-item_slack OwnedJob::slack_of(const Item& item) const {
+Duration OwnedJob::slack_of(const Item& item) const {
   Duration ran = item.ran;
   if (item.phase == Phase::kRunning) {
     ran += environment_.serving.time_source.monotonic_now() - item.started;
@@ -53,7 +53,7 @@
   constexpr int kLeastPart = 8;
   const Duration pace = environment_.pace.estimate();
   const Duration needed = std::max(pace - ran, pace / kLeastPart);
-  return item_slack(due() - environment_.clock.now() - needed, environment_.knobs.late_grace);
+  return due() - environment_.clock.now() - needed;
 }
 
 std::optional<size_t> OwnedJob::next_waiting() const {
@@ -64,14 +64,14 @@
     if (item.phase != Phase::kWaiting || item.not_before > now) {
       continue;
     }
-    if (!next || slack_of(item).starts_before(slack_of(items_[*next]))) {
+    if (!next || slack_of(item) < slack_of(items_[*next])) {
       next = index;
     }
   }
   return next;
 }
 
-std::optional<item_slack> OwnedJob::next_slack() const {
+std::optional<Duration> OwnedJob::next_slack() const {
   const std::optional<size_t> next = lost_ ? std::nullopt : next_waiting();
   return next ? std::optional(slack_of(items_[*next])) : std::nullopt;
 }
@@ -84,8 +84,8 @@
       continue;
     }
     const WorkerPtr worker = environment_.serving.workers.find(item.run->worker());
-    const item_slack slack = slack_of(item);
-    if (worker && at(*worker) && (!first || slack.yields_before(first->slack))) {
+    const Duration slack = slack_of(item);
+    if (worker && at(*worker) && (!first || slack > first->slack)) {
       first = Preemptible{index, slack};
     }
   }
@@ -104,7 +104,7 @@
       LogLevel::kInfo, "item_preempted",
       {{"job", record_.id},
        {"request", item.request.id},
-       {"slack_ms", std::to_string(run.slack.left() / std::chrono::milliseconds(1))}});
+       {"slack_ms", std::to_string(run.slack / std::chrono::milliseconds(1))}});
 }
 
 bool OwnedJob::start_item() {
@@ -120,9 +120,7 @@
   wanted.work = WorkClass::kBatch;
   wanted.repeatable = true;
   wanted.request = &item->request;
-  const item_slack slack = slack_of(*item);
-  wanted.urgent = !slack.late() &&
-                  slack.left() < environment_.pace.estimate() + environment_.knobs.urgent_slack;
+  wanted.urgent = slack_of(*item) < environment_.pace.estimate() + environment_.knobs.urgent_slack;
   WorkerPlacePtr place = environment_.serving.workers.take_place(wanted);
   if (!place) {
     return false;
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -9,7 +9,6 @@
 #include <string>
 #include <vector>
 
-#include "chalkshed/item_slack.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job.h"
 #include "src/jobs/job_environment.h"
@@ -31,13 +30,14 @@
   StoreVersion version() const { return version_; }
   // When all results are due, by the store's clock.
   Duration due() const;
-  // The slack of the waiting item that is to start next; nothing when none waits.
-  std::optional<item_slack> next_slack() const;
+  // How long the waiting item that is to start next may still wait and be in time; negative once it
+  // can't be. Nothing when none waits.
+  std::optional<Duration> next_slack() const;
 
   // A run that may be stopped to make room for online work.
   struct Preemptible {
     size_t item = 0;
-    item_slack slack;
+    Duration slack{0};  // the run with the most gives way first
   };
   using AtWorker = std::function<bool(const ServingWorker&)>;
   // @return the run that is the first to give way among those at such workers, if any.
@@ -94,7 +94,7 @@
   void handle_conflict(const StoreCommit& commit);
   void accept_commit(StoreVersion version);
   void lose(const std::string& reason);
-  item_slack slack_of(const Item& item) const;
+  Duration slack_of(const Item& item) const;
   // @return the index of the waiting item that is to start next, or nothing.
   std::optional<size_t> next_waiting() const;
   const Route* route_of(const RouteTable& table, const Item& item) const;
--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -32,7 +32,7 @@
   double other_zone_milliseconds = 2.0;
   // Each node has an order of its own among the workers, which counts up to this many milliseconds.
   // Many nodes see the same free places a little late; without it they all take the same one.
-  double own_order_milliseconds = 6.0;
+  double own_order_milliseconds = 12.0;
   // Shared prompt parts below this many tokens don't decide where a request goes.
   uint32_t least_shared_tokens = 1000;
   // Nodes far away hear at once of a prompt of which a worker has to read this much.
--- a/tests/batch_room/batch_room_test.cc
+++ b/tests/batch_room/batch_room_test.cc
@@ -76,6 +76,13 @@
     EXPECT_TRUE(room.may_start(load_of(15), false, kKnown));
 }
 
+TEST(BatchRoomTest, WhatPeersHadInFlightAtAStartIsNoBurst) {
+    batch_room room(kStart);
+    play_burst(room, 0, 80, kStart + milliseconds(200));
+    EXPECT_FALSE(room.may_start(load_of(18), false, kStart + seconds(2)));
+    EXPECT_TRUE(room.may_start(load_of(20), false, kStart + seconds(2)));
+}
+
 TEST(BatchRoomTest, NodesTogetherStopAsManyRunsAsPlacesAreMissing) {
     batch_room room(kStart);
     play_burst(room, 0, 40, kKnown);
--- a/tests/serving/worker_set_test.cc
+++ b/tests/serving/worker_set_test.cc
@@ -136,6 +136,7 @@
 }
 
 TEST_F(WorkerSetTest, BatchLeavesRoomForTheLastBurstAndForgetsItWithoutFurtherRequests) {
+  clock.run_for(std::chrono::seconds(2));  // what it hears first is no burst
   workers.update(record("i-1", 8));
   constexpr int kBurst = 4;
   std::vector<WorkerPlacePtr> burst;
