Hand a job that this node cannot store to a peer that reaches the store

Ruled out: the store's own silence.

Change: heartbeats tell whose store answers; after a refusal, or 120 ms without an answer, the job goes in one hop to a peer (of two drawn, the one whose store answered last; three peers at most), while the own attempt goes on. Jobs are taken once under their id, so both may succeed. The peer does not hand it on again and answers after one try.

Tests: AJobThatANodeCannotStoreIsAcceptedThroughAPeerWithinItsTarget and AJobThatWasHandedOnIsTakenOnceThoughTheFirstNodeStoredItToo; refusals stay true without a peer.

--- /dev/null
+++ b/src/forwarding/job_forwarder.cc
@@ -0,0 +1,72 @@
+#include "chalkshed/job_forwarder.h"
+
+#include "src/core/digest.h"
+
+namespace chalkshed {
+namespace {
+
+constexpr int kAccepted = 202;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+
+/** A peer promises only by these two that it took nothing. */
+forward_outcome judge(const Expected<HttpResponse> &answer) {
+    if (!answer) {
+        return answer.error().ran == Ran::kNo ? forward_outcome::not_accepted
+                                              : forward_outcome::unknown;
+    }
+    switch (answer->status) {
+    case kAccepted:
+        return forward_outcome::accepted;
+    case kTooManyRequests:
+    case kUnavailable:
+        return forward_outcome::not_accepted;
+    default:
+        return forward_outcome::unknown;
+    }
+}
+
+} // namespace
+
+const char *forward_outcome_name(forward_outcome outcome) {
+    switch (outcome) {
+    case forward_outcome::accepted:
+        return "accepted";
+    case forward_outcome::not_accepted:
+        return "not accepted";
+    case forward_outcome::unknown:
+        return "unknown";
+    case forward_outcome::no_peer:
+        return "no peer";
+    }
+    return "unknown";
+}
+
+job_forwarder::job_forwarder(HttpClient &client, const JobCodec &codec, const SessionView &peers,
+                             Logger &logger, const forward_knobs &knobs)
+    : client_(client), codec_(codec), peers_(peers), logger_(logger), knobs_(knobs) {}
+
+void job_forwarder::forward(const RequestJob &job, uint64_t attempt,
+                            std::function<void(forward_outcome)> done) {
+    const std::optional<Address> peer = peers_.peer_with_store(content_hash(job.id, attempt));
+    if (!peer) {
+        done(forward_outcome::no_peer);
+        return;
+    }
+    HttpCallOptions options;
+    options.pool = "peers";
+    options.connect_timeout = knobs_.connect_timeout;
+    options.idle_timeout = knobs_.answer_timeout;
+    options.host = job.host;
+    client_.fetch(*peer, codec_.encode_submission(job), options,
+                  lifetime_.guard([this, id = job.id, to = to_string(*peer),
+                                   done = std::move(done)](const Expected<HttpResponse> &answer) {
+                      const forward_outcome outcome = judge(answer);
+                      logger_.write(
+                          LogLevel::kInfo, "job_forwarded",
+                          {{"job", id}, {"peer", to}, {"outcome", forward_outcome_name(outcome)}});
+                      done(outcome);
+                  }));
+}
+
+} // namespace chalkshed
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/core/error.h"
+#include "src/core/http_message.h"
 #include "src/core/time.h"
 #include "src/platform/watched_store.h"
 #include "src/serving/serving_request.h"
@@ -20,6 +21,7 @@
   std::string path;                   // selects the job's route together with the host
   std::vector<ServingRequest> items;  // each with its own id
   std::string content;                // the items as sent; what is stored
+  bool forwarded = false;             // by a peer: it is not handed on once more
 };
 
 // The state of a job that all nodes share. Only its owner may append results; whoever takes it over
@@ -55,13 +57,15 @@
   uint32_t failures = 0;  // answers that count as failed attempts
 };
 
-// Reads a job's stored content. Part of the wire format that jobs are sent in.
+// Part of the wire format that jobs are sent in.
 class JobCodec {
  public:
   virtual ~JobCodec() = default;
   // Errors: kInvalidRequest, naming what is wrong.
   virtual Expected<std::vector<ServingRequest>> decode_items(const std::string& host,
                                                              std::string_view content) const = 0;
+  // The call by which one node hands the job to another.
+  virtual HttpRequest encode_submission(const RequestJob& job) const = 0;
 };
 
 }  // namespace chalkshed
--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -27,6 +27,10 @@
   Duration store_retry = std::chrono::milliseconds(250);
   // A submission whose outcome is unknown is settled within this time, or the caller hears so.
   uint32_t most_submit_tries = 4;
+  // A job is handed to a peer that reaches the store once the store has refused it or has said
+  // nothing for this long; to so many peers, one after the other.
+  Duration forward_after = std::chrono::milliseconds(120);
+  uint32_t most_hops = 3;
   // A worker that sends nothing for this long has failed the item's run.
   Duration item_silence = std::chrono::milliseconds(2500);
   Duration preemption_pause = std::chrono::milliseconds(500);  // after it made room for online work
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -28,6 +28,8 @@
       loader_(environment),
       reader_(environment),
       remover_(environment),
+      forwarder_(environment.serving.worker_client, environment.codec, sessions,
+                 environment.serving.logger),
       sweep_timer_(environment.serving.dispatcher.create_timer([this] { sweep(); })),
       items_timer_(environment.serving.dispatcher.create_timer([this] { start_items(); })),
       yield_timer_(environment.serving.dispatcher.create_timer([this] { yield_places(); })) {}
@@ -103,8 +105,8 @@
     return;
   }
   const uint64_t number = next_submit_++;
-  auto submit =
-      std::make_unique<JobSubmit>(environment_, std::move(submission), sessions_.own_session());
+  auto submit = std::make_unique<JobSubmit>(environment_, std::move(submission),
+                                            sessions_.own_session(), forwarder_);
   JobSubmit& started = *submit;
   ++submitting_[started.submission().id];
   submits_.emplace(number, std::move(submit));
@@ -124,6 +126,10 @@
       callback(tl::unexpected(outcome.error()));
       return;
     }
+    if (outcome->accepted_by_peer) {
+      callback({});
+      return;
+    }
     log(LogLevel::kInfo, "job_accepted", outcome->record,
         outcome->accepted_here ? "taken here" : "was there before");
     callback({});
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -94,6 +94,7 @@
   JobLoader loader_;
   ResultReader reader_;
   JobRemover remover_;
+  job_forwarder forwarder_;
   bool removing_ = false;
   std::map<std::string, Indexed> index_;
   std::map<std::string, Owned> owned_;
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -6,13 +6,16 @@
 
 namespace chalkshed {
 
-JobSubmit::JobSubmit(JobEnvironment& environment, RequestJob submission, std::string owner)
+JobSubmit::JobSubmit(JobEnvironment& environment, RequestJob submission, std::string owner,
+                     job_forwarder& forwarder)
     : environment_(environment),
       submission_(std::move(submission)),
+      forwarder_(forwarder),
       retry_timer_(environment.serving.dispatcher.create_timer([this] {
         const std::function<void()> action = std::move(retry_action_);
         action();
-      })) {
+      })),
+      forward_timer_(environment.serving.dispatcher.create_timer([this] { forward(); })) {
   record_.id = submission_.id;
   record_.host = submission_.host;
   record_.path = submission_.path;
@@ -25,6 +28,7 @@
 
 void JobSubmit::start(Callback<SubmitOutcome> callback) {
   callback_ = std::move(callback);
+  forward_timer_->enable(environment_.knobs.forward_after);
   if (record_.content_in_object) {
     put_content();
   } else {
@@ -66,6 +70,9 @@
 }
 
 void JobSubmit::handle_commit(const Expected<StoreCommit>& commit) {
+  if (ended_) {
+    return;
+  }
   if (!commit) {
     may_be_applied_ = may_be_applied_ || commit.error().ran == Ran::kUnknown;
     retry(commit.error(), [this] { this->commit(); });
@@ -76,7 +83,7 @@
     outcome.record = record_;
     outcome.version = commit->stamp.version;
     outcome.accepted_here = true;
-    callback_(std::move(outcome));
+    finish(std::move(outcome));
     return;
   }
   // There already: sent before, here or elsewhere, or an earlier send of this one was applied.
@@ -87,33 +94,82 @@
                                                 "send the job again"))
                      : decode_job_record(record_.id, row->value);
   if (!record) {
-    callback_(tl::unexpected(record.error()));
+    finish(tl::unexpected(record.error()));
     return;
   }
   outcome.record = *record;
   outcome.version = row->version;
   outcome.accepted_here = record->owner == record_.owner && record->epoch == record_.epoch;
-  callback_(std::move(outcome));
+  finish(std::move(outcome));
+}
+
+void JobSubmit::forward() {
+  const bool may =
+      !ended_ && !submission_.forwarded && !forwarding_ && hops_ < environment_.knobs.most_hops;
+  if (!may) {
+    return;
+  }
+  forwarding_ = true;
+  forwarder_.forward(submission_, hops_++, lifetime_.guard([this](forward_outcome outcome) {
+    handle_forwarded(outcome);
+  }));
+}
+
+void JobSubmit::handle_forwarded(forward_outcome outcome) {
+  forwarding_ = false;
+  may_be_applied_ = may_be_applied_ || outcome == forward_outcome::unknown;
+  if (outcome == forward_outcome::accepted) {
+    SubmitOutcome accepted;
+    accepted.record = record_;
+    accepted.accepted_by_peer = true;
+    finish(std::move(accepted));
+    return;
+  }
+  if (outcome != forward_outcome::no_peer) {
+    forward();
+  }
+  if (last_error_ && !forwarding_) {
+    give_up();
+  }
 }
 
 void JobSubmit::retry(const Error& error, std::function<void()> action) {
-  if (++tries_ < environment_.knobs.most_submit_tries) {
+  const uint32_t most = submission_.forwarded ? 1 : environment_.knobs.most_submit_tries;
+  const bool last = ++tries_ >= most;
+  if (last) {
+    last_error_ = error;
+  } else {
     retry_action_ = std::move(action);
     retry_timer_->enable(
         std::max(environment_.knobs.store_retry, error.retry_after.value_or(Duration(0))));
+  }
+  forward();
+  if (last && !forwarding_) {
+    give_up();
+  }
+}
+
+void JobSubmit::finish(Expected<SubmitOutcome> outcome) {
+  if (std::exchange(ended_, true)) {
     return;
   }
+  retry_timer_->disable();
+  forward_timer_->disable();
+  callback_(std::move(outcome));
+}
+
+void JobSubmit::give_up() {
   if (may_be_applied_) {
-    callback_(tl::unexpected(maybe_run(ErrorKind::kOutcomeUnknown,
-                                       "the store did not say whether it took the job",
-                                       "send the job again under the same id")));
+    finish(tl::unexpected(maybe_run(ErrorKind::kOutcomeUnknown,
+                                    "the store did not say whether it took the job",
+                                    "send the job again under the same id")));
     return;
   }
   Error refused =
-      not_run(ErrorKind::kStoreUnavailable, "the job was not accepted: " + error.message,
+      not_run(ErrorKind::kStoreUnavailable, "the job was not accepted: " + last_error_->message,
               "send it again after the time given");
   refused.retry_after = environment_.serving.knobs.retry_after;
-  callback_(tl::unexpected(std::move(refused)));
+  finish(tl::unexpected(std::move(refused)));
 }
 
 }  // namespace chalkshed
--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -4,7 +4,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
+#include "chalkshed/job_forwarder.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job_environment.h"
 
@@ -13,13 +15,15 @@
 struct SubmitOutcome {
   StoredJob record;
   StoreVersion version = 0;
-  bool accepted_here = false;  // by this submission; false: it was there before
+  bool accepted_here = false;     // by this submission; false: it was there before
+  bool accepted_by_peer = false;  // its record is not known here yet
 };
 
 class JobSubmit {
  public:
   // @param owner session of this node, which runs the job.
-  JobSubmit(JobEnvironment& environment, RequestJob submission, std::string owner);
+  JobSubmit(JobEnvironment& environment, RequestJob submission, std::string owner,
+            job_forwarder& forwarder);
 
   // Calls `callback` once; it may destroy this. Errors as of JobService::submit.
   void start(Callback<SubmitOutcome> callback);
@@ -32,6 +36,13 @@
   void add_content(StoreTransaction& transaction) const;
   void handle_commit(const Expected<StoreCommit>& commit);
   void retry(const Error& error, std::function<void()> action);
+  // Hands the job to a peer while the store leaves this node without an answer.
+  void forward();
+  void handle_forwarded(forward_outcome outcome);
+  // The caller hears that it was not accepted, or that this is not known.
+  void give_up();
+  // What comes first, the store's answer or the peer's, ends the submission.
+  void finish(Expected<SubmitOutcome> outcome);
 
   JobEnvironment& environment_;
   RequestJob submission_;
@@ -39,8 +50,14 @@
   Callback<SubmitOutcome> callback_;
   uint32_t tries_ = 0;
   bool may_be_applied_ = false;  // an earlier send got no answer
+  job_forwarder& forwarder_;
+  uint32_t hops_ = 0;
+  bool forwarding_ = false;
+  bool ended_ = false;
+  std::optional<Error> last_error_;  // of the last try, once no further one follows
   std::function<void()> retry_action_;
   TimerPtr retry_timer_;
+  TimerPtr forward_timer_;
   Lifetime lifetime_;
 };
 
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -19,7 +19,8 @@
   std::string node;     // unique name of the machine
   std::string session;  // unique for this start: NODE#START
   std::string zone;
-  Address peer_address;  // where datagrams of other nodes arrive
+  Address peer_address;      // where datagrams of other nodes arrive
+  uint16_t caller_port = 0;  // where callers, and jobs that peers hand on, arrive
 };
 
 // Where the store holds what operators and workers write, and how it is read.
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -21,7 +21,7 @@
 PeerExchange::PeerExchange(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store,
                            StoreClock& clock, DatagramTransport& datagrams, WorkerSet& workers,
                            Logger& logger, std::string node, std::string session, std::string zone,
-                           Address address, const PeerKnobs& knobs)
+                           Address address, uint16_t caller_port, const PeerKnobs& knobs)
     : time_source_(time_source),
       store_(store),
       clock_(clock),
@@ -32,6 +32,7 @@
       session_(std::move(session)),
       zone_(std::move(zone)),
       address_(std::move(address)),
+      caller_port_(caller_port),
       knobs_(knobs),
       tick_timer_(dispatcher.create_timer([this] { tick(); })),
       send_timer_(dispatcher.create_timer([this] { send_heartbeats(); })),
@@ -48,8 +49,11 @@
 }
 
 void PeerExchange::announce() {
-  const nlohmann::json value = {
-      {"session", session_}, {"zone", zone_}, {"ip", address_.ip}, {"port", address_.port}};
+  const nlohmann::json value = {{"session", session_},
+                                {"zone", zone_},
+                                {"ip", address_.ip},
+                                {"port", address_.port},
+                                {"caller_port", caller_port_}};
   StoreTransaction announcement;
   announcement.writes.push_back({{kNodeTable, "", node_}, value.dump()});
   store_.commit(std::move(announcement),
@@ -77,6 +81,7 @@
   if (fields.is_object()) {
     peer.address = {fields.value("ip", ""), fields.value("port", uint16_t{0})};
     peer.zone = fields.value("zone", "");
+    peer.caller_port = fields.value("caller_port", uint16_t{0});
   }
   count_peers();
   peer.announcement = row.version;
@@ -328,6 +333,37 @@
   return now - entry->second <= knobs_.lapse_after;
 }
 
+// Of two that are drawn, the one whose store answered it last: a peer that has lost the store only
+// now still looks well, and the nodes that ask should not all come to the same peer.
+std::optional<Address> PeerExchange::peer_with_store(uint64_t seed) const {
+  struct Candidate {
+    const Peer* peer = nullptr;
+    uint64_t draw = 0;
+    Duration store_silence{0};
+  };
+  const MonotonicTime now = time_source_.monotonic_now();
+  std::vector<Candidate> candidates;
+  for (const auto& [node, peer] : peers_) {
+    const Duration silence = peer.store_silence + (now - peer.heard);
+    const bool serves = peer.caller_port != 0 && !peer.draining && !lapsed(peer);
+    if (serves && silence < knobs_.store_contact) {
+      candidates.push_back({&peer, content_hash(node, seed), silence});
+    }
+  }
+  constexpr size_t kDrawn = 2;
+  const auto drawn =
+      candidates.begin() + static_cast<ptrdiff_t>(std::min(kDrawn, candidates.size()));
+  std::partial_sort(candidates.begin(), drawn, candidates.end(),
+                    [](const Candidate& a, const Candidate& b) { return a.draw < b.draw; });
+  const auto best = std::min_element(
+      candidates.begin(), drawn,
+      [](const Candidate& a, const Candidate& b) { return a.store_silence < b.store_silence; });
+  if (best == drawn) {
+    return std::nullopt;
+  }
+  return Address{best->peer->address.ip, best->peer->caller_port};
+}
+
 size_t PeerExchange::rank(const std::string& key) const {
   const uint64_t seed = content_hash(key);
   const uint64_t own = content_hash(node_, seed);
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -47,6 +47,9 @@
   // A node for which this share of the workers fails is more likely ill itself: its sight of their
   // outcomes is left aside.
   double most_failing_share = 0.25;
+  // A peer whose store answered it within this time probably reaches it: with nothing to tell, the
+  // store holds its answers for most of it.
+  Duration store_contact = std::chrono::milliseconds(2000);
   Duration announce_retry = std::chrono::milliseconds(500);
 };
 
@@ -55,10 +58,11 @@
 class PeerExchange : public TableObserver, public SessionView {
  public:
   // @param node unique name of the machine. All references outlive the exchange.
+  // @param caller_port where callers reach this node, at the same IP address.
   PeerExchange(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store,
                StoreClock& clock, DatagramTransport& datagrams, WorkerSet& workers, Logger& logger,
                std::string node, std::string session, std::string zone, Address address,
-               const PeerKnobs& knobs = {});
+               uint16_t caller_port, const PeerKnobs& knobs = {});
 
   void start();
   // Rows of the node table.
@@ -69,6 +73,7 @@
   const std::string& own_session() const override { return session_; }
   bool alive(const std::string& session, StoreVersion seen) override;
   size_t rank(const std::string& key) const override;
+  std::optional<Address> peer_with_store(uint64_t seed) const override;
   void begin_drain() override;
 
  private:
@@ -76,6 +81,7 @@
     std::string session;
     std::string zone;
     Address address;
+    uint16_t caller_port = 0;  // 0: not told
     StoreVersion announcement = 0;
     MonotonicTime announced{};
     MonotonicTime heard{};  // the last heartbeat of this session
@@ -115,6 +121,7 @@
   const std::string session_;
   const std::string zone_;
   const Address address_;
+  const uint16_t caller_port_;
   const PeerKnobs knobs_;
   std::map<std::string, Peer> peers_;  // by node, without this one
   // Sessions that work is said to belong to, but that have not been announced: since when.
--- a/src/peers/session_view.h
+++ b/src/peers/session_view.h
@@ -1,8 +1,11 @@
 // Which nodes are alive, as far as the taking over of work is concerned.
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
+#include "src/core/address.h"
 #include "src/platform/watched_store.h"
 
 namespace chalkshed {
@@ -18,6 +21,9 @@
   virtual bool alive(const std::string& session, StoreVersion seen) = 0;
   // Position of this node among those that may take the key over; 0 is the first.
   virtual size_t rank(const std::string& key) const = 0;
+  // @param seed draws one of several.
+  // @return where callers reach a peer that probably reaches the store, or nothing.
+  virtual std::optional<Address> peer_with_store(uint64_t seed) const = 0;
   // Tells the others that this node takes nothing over any more.
   virtual void begin_drain() = 0;
 };
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -190,6 +190,57 @@
   EXPECT_TRUE(cluster.workers.calls.empty());
 }
 
+// The store turns one node away, without a word, and serves the others.
+TEST(JobServiceTest, AJobThatANodeCannotStoreIsAcceptedThroughAPeerWithinItsTarget) {
+  ServingCluster cluster(3);
+  cluster.answer_all(2, milliseconds(20));
+  cluster.clock.run_for(seconds(1));
+  cluster.nodes.at("n0")->store.set_cut(true);
+  std::optional<Expected<std::monostate>> answer;
+  cluster.node("n0").jobs().submit(cluster.job("j1", 2),
+                                   [&](const Expected<std::monostate>& told) { answer = told; });
+  cluster.clock.run_for(milliseconds(300));
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->has_value());
+  cluster.clock.run_for(seconds(2));
+  expect_complete(cluster, "n1", "j1", 2, "d1\nd2");
+  EXPECT_EQ(cluster.workers.calls.size(), 2U) << "each item ran once";
+}
+
+TEST(JobServiceTest, AJobThatWasHandedOnIsTakenOnceThoughTheFirstNodeStoredItToo) {
+  ServingCluster cluster(3);
+  cluster.answer_all(2, milliseconds(20));
+  cluster.clock.run_for(seconds(1));
+  cluster.shared.trouble.lose_commits = true;
+  std::optional<Expected<std::monostate>> answer;
+  cluster.node("n0").jobs().submit(cluster.job("j1", 3),
+                                   [&](const Expected<std::monostate>& told) { answer = told; });
+  cluster.clock.run_for(milliseconds(100));
+  cluster.shared.trouble.lose_commits = false;
+  cluster.clock.run_for(seconds(8));
+  ASSERT_TRUE(answer);
+  EXPECT_TRUE(answer->has_value());
+  expect_complete(cluster, "n1", "j1", 3, "d1\nd2");
+  EXPECT_EQ(cluster.workers.calls.size(), 3U);
+}
+
+TEST(JobServiceTest, WithoutAPeerThatReachesTheStoreAJobIsHandedToFewAndRefusedTruthfully) {
+  ServingCluster cluster(3);
+  cluster.clock.run_for(seconds(1));
+  cluster.shared.trouble.down = true;
+  std::optional<Expected<std::monostate>> answer;
+  cluster.node("n0").jobs().submit(cluster.job("j1", 2),
+                                   [&](const Expected<std::monostate>& told) { answer = told; });
+  cluster.clock.run_for(seconds(4));
+  ASSERT_TRUE(answer);
+  ASSERT_FALSE(*answer);
+  EXPECT_EQ(answer->error().ran, Ran::kNo);
+  EXPECT_LE(cluster.forwarded_jobs, static_cast<int>(JobKnobs().most_hops));
+  cluster.shared.trouble.down = false;
+  cluster.clock.run_for(seconds(5));
+  EXPECT_TRUE(cluster.workers.calls.empty());
+}
+
 TEST(JobServiceTest, AnAcceptanceWhoseAnswerIsLostIsNeverToldAsNotRun) {
   ServingCluster cluster(1);
   cluster.answer_all(2, milliseconds(20));
--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "tests/serving/serving_cluster.h"
 
 namespace chalkshed {
@@ -52,6 +54,25 @@
   EXPECT_TRUE(alive("n1", session("n0"))) << "the one that is cut off judges nobody";
 }
 
+TEST_F(PeerExchangeTest, OnlyAPeerThatReachesTheStoreIsNamed) {
+  cluster.nodes.at("n1")->store.set_cut(true);
+  cluster.clock.run_for(seconds(6));
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    EXPECT_EQ(view("n0").peer_with_store(seed), (Address{"n2", kCallerPort}));
+  }
+  cluster.shared.trouble.silent = true;
+  cluster.clock.run_for(seconds(6));
+  EXPECT_EQ(view("n0").peer_with_store(0), std::nullopt);
+}
+
+TEST_F(PeerExchangeTest, PeersThatReachTheStoreTakeTurns) {
+  std::set<std::string> named;
+  for (uint64_t seed = 0; seed < 40; ++seed) {
+    named.insert(view("n0").peer_with_store(seed)->ip);
+  }
+  EXPECT_EQ(named, (std::set<std::string>{"n1", "n2"}));
+}
+
 TEST_F(PeerExchangeTest, NobodyLapsesWhileTheStoreIsDownForAll) {
   cluster.shared.trouble.silent = true;
   cluster.clock.run_for(seconds(10));
--- a/tests/platform/job_wire_test.cc
+++ b/tests/platform/job_wire_test.cc
@@ -57,6 +57,19 @@
   EXPECT_TRUE(JobWire().decode_items("a.example", job_of(200)));
 }
 
+TEST(JobWireTest, AJobIsHandedOnWithTheBytesItCameWith) {
+  RequestJob job;
+  job.id = "j1";
+  job.path = "/batch/j";
+  job.content = job_of(3);
+  const HttpRequest call = JobWire().encode_submission(job);
+  EXPECT_EQ(call.method, "POST");
+  EXPECT_EQ(call.path, job.path);
+  EXPECT_EQ(call.body, job.content);
+  EXPECT_EQ(find_header(call.headers, kRequestId), "j1");
+  EXPECT_TRUE(find_header(call.headers, kForwarded));
+}
+
 TEST(JobWireTest, ResultsTellTotalNextAndTexts) {
   ResultPage page;
   page.total = 40;
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -67,11 +67,16 @@
     }
     return std::make_unique<Handle>(call);
   }
-  void fetch(const Address&, const HttpRequest&, const HttpCallOptions&,
-             Callback<HttpResponse>) override {}
+  void fetch(const Address& server, const HttpRequest& request, const HttpCallOptions&,
+             Callback<HttpResponse> callback) override {
+    if (on_fetch) {
+      on_fetch(server, request, std::move(callback));
+    }
+  }
 
   std::list<ScriptedCall> calls;
   std::function<void(ScriptedCall&)> on_call;  // must not use the callbacks at once
+  std::function<void(const Address&, const HttpRequest&, Callback<HttpResponse>)> on_fetch;
 
  private:
   class Handle : public HttpCall {
@@ -138,6 +143,8 @@
   return kWire;
 }
 
+inline constexpr uint16_t kCallerPort = 8144;
+
 // One node with its own loop, which can be frozen or destroyed.
 struct ClusterNode {
   ClusterNode(VirtualClock& clock, SharedStore& shared, HttpClient& workers, DatagramHub& hub,
@@ -148,7 +155,7 @@
         random(content_hash(name, start)),
         store(shared, clock, dispatcher),
         datagrams(hub, address),
-        node({name, name + "#" + std::to_string(start), zone, address},
+        node({name, name + "#" + std::to_string(start), zone, address, kCallerPort},
              {clock, dispatcher, random, store, store, workers, datagrams, request_wire(),
               job_wire(), logger, metrics},
              {platform::kOperatorTable, platform::kConfigurationKey, &platform::decode_routes,
@@ -170,6 +177,10 @@
  public:
   explicit ServingCluster(size_t node_count = 1, size_t worker_count = 2) {
     write_configuration(1);
+    workers.on_fetch = [this](const Address& server, const HttpRequest& request,
+                              Callback<HttpResponse> callback) {
+      hand_on(server, request, std::move(callback));
+    };
     for (size_t index = 0; index < worker_count; ++index) {
       write_worker("i-" + std::to_string(index), index, "ready");
     }
@@ -278,6 +289,7 @@
   DatagramHub hub{loop};
   ScriptedWorkers workers;
   std::map<std::string, std::unique_ptr<ClusterNode>> nodes;
+  int forwarded_jobs = 0;
 
  private:
   void play(ScriptedCall& call, uint64_t events, Duration step) {
@@ -300,6 +312,30 @@
     call_after(loop, step,
                [this, &call, next, events, step] { play_event(call, next + 1, events, step); });
   }
+  // A job that one node hands to another, which answers as its ingress does.
+  void hand_on(const Address& server, const HttpRequest& request, Callback<HttpResponse> callback) {
+    ++forwarded_jobs;
+    const auto found = nodes.find(server.ip);
+    if (found == nodes.end() || !found->second || server.port != kCallerPort) {
+      callback(tl::unexpected(not_run(ErrorKind::kUnavailable, "nobody listens", "none")));
+      return;
+    }
+    RequestJob job;
+    job.id = std::string(find_header(request.headers, platform::kRequestId).value_or(""));
+    job.host = "a.example";
+    job.path = request.path;
+    job.content = request.body;
+    job.forwarded = find_header(request.headers, platform::kForwarded).has_value();
+    job.items = *job_wire().decode_items(job.host, job.content);
+    found->second->node.jobs().submit(
+        std::move(job), [callback](const Expected<std::monostate>& accepted) {
+          const bool refused = !accepted && accepted.error().ran == Ran::kNo;
+          constexpr int kAccepted = 202;
+          constexpr int kRefused = 503;
+          constexpr int kUnknown = 500;
+          callback(HttpResponse{accepted ? kAccepted : refused ? kRefused : kUnknown, {}, ""});
+        });
+  }
   uint64_t starts_ = 0;
 };
 
