Choose workers for batch as for online requests

Without it, items go to the cheapest worker by the node's own order.

Conclusion: one choice for both, a mechanism less.

--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -294,19 +294,11 @@
 }
 
 // The random part spreads requests of this node over equal workers, the order those of many nodes.
-double WorkerSet::online_rank(const ServingWorker& worker, double cost) {
+double WorkerSet::rank_of(const ServingWorker& worker, double cost) {
   const double place = unit_of(content_hash(worker.record.incarnation, own_order_));
   return cost + knobs_.own_order_milliseconds * place + random_.unit();
 }
 
-// Drawn by lot, the chances as the squares of the free places: items start in heaps, many at the
-// same moment at several nodes, which would all take the emptiest worker.
-double WorkerSet::batch_rank(const ServingWorker& worker) {
-  const double room = worker.record.slots - std::min(load_of(worker), worker.record.slots);
-  constexpr double kNearlyNone = 0.01;
-  return -std::log(1.0 - random_.unit()) / (room * room + kNearlyNone);
-}
-
 WorkerPtr WorkerSet::choose(const PlaceRequest& request, bool ignore_failures) {
   const PrefixOwners owners = prefix_owners(request);
   // All records of a service vanish together only while the store is in trouble.
@@ -321,9 +313,7 @@
       continue;
     }
     const double rank =
-        request.work == WorkClass::kBatch
-            ? batch_rank(*worker)
-            : online_rank(*worker, cost(*worker, request, kept_tokens(request, owners, *worker)));
+        rank_of(*worker, cost(*worker, request, kept_tokens(request, owners, *worker)));
     if (!best || rank < least_rank) {
       best = worker;
       least_rank = rank;
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -176,9 +176,8 @@
   // Whether a sound worker exists that was not asked before, with room or without.
   bool any_sound(const PlaceRequest& request) const;
   WorkerPtr choose(const PlaceRequest& request, bool ignore_failures);
-  // What decides among workers; the least is chosen.
-  double online_rank(const ServingWorker& worker, double cost);
-  double batch_rank(const ServingWorker& worker);
+  // What decides among workers; the least is chosen. @param cost in milliseconds.
+  double rank_of(const ServingWorker& worker, double cost);
   // Whether the service has a worker that the source of truth names and that stays.
   bool any_listed(std::string_view service) const;
   void forget_old();
