--- a/include/chalkshed/job_forwarder.h
+++ b/include/chalkshed/job_forwarder.h
@@ -21,12 +21,12 @@
 namespace chalkshed {
 
 enum class forward_outcome {
-    accepted,
+    kAccepted,
     /** Certainly not taken by this hop. */
-    not_accepted,
-    unknown,
+    kNotAccepted,
+    kUnknown,
     /** No peer is known to reach the store. */
-    no_peer,
+    kNoPeer,
 };
 
 /** Stable name used in logs. */
--- a/src/forwarding/job_forwarder.cc
+++ b/src/forwarding/job_forwarder.cc
@@ -12,17 +12,17 @@
 /** A peer promises only by these two that it took nothing. */
 forward_outcome judge(const Expected<HttpResponse> &answer) {
     if (!answer) {
-        return answer.error().ran == Ran::kNo ? forward_outcome::not_accepted
-                                              : forward_outcome::unknown;
+        return answer.error().ran == Ran::kNo ? forward_outcome::kNotAccepted
+                                              : forward_outcome::kUnknown;
     }
     switch (answer->status) {
     case kAccepted:
-        return forward_outcome::accepted;
+        return forward_outcome::kAccepted;
     case kTooManyRequests:
     case kUnavailable:
-        return forward_outcome::not_accepted;
+        return forward_outcome::kNotAccepted;
     default:
-        return forward_outcome::unknown;
+        return forward_outcome::kUnknown;
     }
 }
 
@@ -30,13 +30,13 @@
 
 const char *forward_outcome_name(forward_outcome outcome) {
     switch (outcome) {
-    case forward_outcome::accepted:
+    case forward_outcome::kAccepted:
         return "accepted";
-    case forward_outcome::not_accepted:
+    case forward_outcome::kNotAccepted:
         return "not accepted";
-    case forward_outcome::unknown:
+    case forward_outcome::kUnknown:
         return "unknown";
-    case forward_outcome::no_peer:
+    case forward_outcome::kNoPeer:
         return "no peer";
     }
     return "unknown";
@@ -50,7 +50,7 @@
                             std::function<void(forward_outcome)> done) {
     const std::optional<Address> peer = peers_.peer_with_store(content_hash(job.id, attempt));
     if (!peer) {
-        done(forward_outcome::no_peer);
+        done(forward_outcome::kNoPeer);
         return;
     }
     HttpCallOptions options;
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -117,15 +117,15 @@
 
 void JobSubmit::handle_forwarded(forward_outcome outcome) {
   forwarding_ = false;
-  may_be_applied_ = may_be_applied_ || outcome == forward_outcome::unknown;
-  if (outcome == forward_outcome::accepted) {
+  may_be_applied_ = may_be_applied_ || outcome == forward_outcome::kUnknown;
+  if (outcome == forward_outcome::kAccepted) {
     SubmitOutcome accepted;
     accepted.record = record_;
     accepted.accepted_by_peer = true;
     finish(std::move(accepted));
     return;
   }
-  if (outcome != forward_outcome::no_peer) {
+  if (outcome != forward_outcome::kNoPeer) {
     forward();
   }
   if (last_error_ && !forwarding_) {
