Hold the queue limit of a batch route over all nodes

Cause: max_queued_tokens of a batch route was read nowhere, so that a job beyond it was accepted, and once more was queued than could be done, the earliest due first made everything begin just too late.

Ruled out: a counter row that every acceptance and every result writes (one part takes 200 writes a second, and results would conflict with acceptances); the limit split over the eight partitions of the jobs (a job that fits would be refused where its own partition is full); one node that grants (one more thing to fail, and its count is no better than the reports).

Change: owners report beside their heartbeats what is left of their jobs; with the records of the job table every node knows what is queued, across deaths and takeovers, because what is left only ever shrinks. Far below the limit a node decides by that alone. Near it, it first reserves the job's tokens in a row that all nodes write conditionally; a reservation lapses after five seconds. A refusal is 429 with the time by the rate at which the queue drains, after a look at the job's record, so that a job that was accepted before is never refused. Limits that are no whole number are rejected with their reason. Items that can still be in time start before those that cannot.

Also found: a heartbeat with many loads and many outcomes exceeded the largest datagram and was dropped without a word; its entries are bounded by the bytes now.

--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -93,6 +93,7 @@
   const nlohmann::json fields = {{"host", record.host},
                                  {"path", record.path},
                                  {"items", record.items},
+                                 {"tokens", record.tokens},
                                  {"owner", record.owner},
                                  {"epoch", record.epoch},
                                  {"ended", record.ended},
@@ -113,6 +114,7 @@
     record.host = fields.at("host").get<std::string>();
     record.path = fields.at("path").get<std::string>();
     record.items = fields.at("items").get<uint32_t>();
+    record.tokens = fields.value("tokens", uint64_t{0});
     record.owner = fields.at("owner").get<std::string>();
     record.epoch = fields.at("epoch").get<uint64_t>();
     record.ended = fields.at("ended").get<bool>();
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -36,6 +36,10 @@
 // Name of the object that holds the text of a large result; unique to the owner's epoch.
 std::string result_object_name(const StoredJob& record, uint32_t position);
 
+// A version that no row has: a transaction under the condition that a row has it changes nothing,
+// and its answer tells the row as it is now, however old other reads may be.
+inline constexpr StoreVersion kNoVersion = UINT64_MAX >> 12U;
+
 std::string encode_job_record(const StoredJob& record);
 // Errors: kInternal.
 Expected<StoredJob> decode_job_record(const std::string& job, std::string_view value);
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <set>
+#include <unordered_set>
 
 #include "src/core/call_after.h"
+#include "src/core/digest.h"
 #include "src/jobs/job_rows.h"
 
 namespace chalkshed {
@@ -30,6 +32,7 @@
       remover_(environment),
       forwarder_(environment.serving.worker_client, environment.codec, sessions,
                  environment.serving.logger),
+      admission_(environment, *this),
       sweep_timer_(environment.serving.dispatcher.create_timer([this] { sweep(); })),
       items_timer_(environment.serving.dispatcher.create_timer([this] { start_items(); })),
       yield_timer_(environment.serving.dispatcher.create_timer([this] { yield_places(); })) {}
@@ -41,6 +44,7 @@
 
 void JobService::on_row(const StoredRow& row) {
   if (row.removed) {
+    close_queued(row.key.key);
     index_.erase(row.key.key);
     return;
   }
@@ -61,6 +65,9 @@
   indexed.record = record;
   indexed.version = version;
   indexed.orphan = false;
+  if (record.ended || record.finished) {
+    close_queued(record.id);
+  }
   const auto owned = owned_.find(record.id);
   if (owned == owned_.end() || owned->second.job->version() >= version) {
     return;
@@ -84,6 +91,9 @@
                                                [this, id, reason] { drop(id, reason); }));
                                          });
   owned_[record.id] = std::move(owned);
+  if (on_queue_changed_) {
+    on_queue_changed_();
+  }
   start_items();
 }
 
@@ -106,7 +116,7 @@
   }
   const uint64_t number = next_submit_++;
   auto submit = std::make_unique<JobSubmit>(environment_, std::move(submission),
-                                            sessions_.own_session(), forwarder_);
+                                            sessions_.own_session(), forwarder_, admission_);
   JobSubmit& started = *submit;
   ++submitting_[started.submission().id];
   submits_.emplace(number, std::move(submit));
@@ -149,10 +159,8 @@
     callback(known->second);
     return;
   }
-  // A transaction without effect reads the row as it is now, however old other reads may be.
   StoreTransaction transaction;
-  constexpr StoreVersion kNever = UINT64_MAX >> 12U;
-  transaction.conditions.push_back({stored_job_key(job), kNever});
+  transaction.conditions.push_back({stored_job_key(job), kNoVersion});
   environment_.store.commit(
       std::move(transaction), lifetime_.guard([this, job, callback = std::move(callback)](
                                                   const Expected<StoreCommit>& commit) {
@@ -321,12 +329,12 @@
   bool waiting = false;
   while (may_start_()) {
     OwnedJob* next = nullptr;
-    std::optional<Duration> least;
+    std::optional<Duration> first;
     for (const auto& [id, owned] : owned_) {
       const std::optional<Duration> slack = owned.job->next_slack();
-      if (slack && (!least || *slack < *least)) {
+      if (slack && (!first || starts_before(*slack, *first))) {
         next = owned.job.get();
-        least = slack;
+        first = slack;
       }
     }
     waiting = next != nullptr;
@@ -406,6 +414,7 @@
   for (auto& [id, indexed] : index_) {
     sweep_job(id, indexed);
   }
+  show_queues();
   start_items();
 }
 
@@ -498,6 +507,89 @@
   }));
 }
 
+const Route* JobService::limited_route_of(const StoredJob& record) const {
+  const RouteTablePtr& table = environment_.routes.current();
+  const Route* route = table ? table->find(record.host, record.path) : nullptr;
+  return route != nullptr && route->max_queued_tokens > 0 ? route : nullptr;
+}
+
+std::vector<job_remainder> JobService::remainders() {
+  std::vector<job_remainder> own;
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  for (const auto& [id, owned] : owned_) {
+    const Route* route = limited_route_of(owned.job->record());
+    if (route != nullptr && !owned.job->finished()) {
+      own.push_back({content_hash(id), route_queue_id(*route), owned.job->tokens_left()});
+      queued_.note(own.back(), now);
+    }
+  }
+  return own;
+}
+
+void JobService::note_remainder(const job_remainder& reported) {
+  queued_.note(reported, environment_.serving.time_source.monotonic_now());
+}
+
+void JobService::close_queued(const std::string& job) {
+  queued_.close(content_hash(job), environment_.serving.time_source.monotonic_now());
+}
+
+bool JobService::complete() const { return listed_; }
+
+bool JobService::counts(const std::string& job) const { return index_.contains(job); }
+
+double JobService::drain_rate() const {
+  return queued_.drain_rate(environment_.serving.time_source.monotonic_now());
+}
+
+uint64_t JobService::queued(const Route& route) const {
+  const uint64_t queue = route_queue_id(route);
+  std::unordered_set<uint64_t> listed;
+  uint64_t sum = 0;
+  for (const auto& [id, indexed] : index_) {
+    const uint64_t hash = content_hash(id);
+    listed.insert(hash);
+    const StoredJob& record = indexed.record;
+    const Route* of_job =
+        record.ended || record.finished ? nullptr : limited_route_of(record);
+    if (of_job == nullptr || route_queue_id(*of_job) != queue) {
+      continue;
+    }
+    const auto owned = owned_.find(id);
+    sum += owned == owned_.end() ? queued_.left_of(hash, record.tokens)
+                                 : owned->second.job->tokens_left();
+  }
+  return sum + queued_.unlisted(
+                   queue, [&](uint64_t job) { return listed.contains(job); },
+                   environment_.serving.time_source.monotonic_now());
+}
+
+void JobService::show_queues() {
+  std::unordered_set<uint64_t> listed;
+  for (const auto& [id, indexed] : index_) {
+    listed.insert(content_hash(id));
+  }
+  queued_.prune(environment_.serving.time_source.monotonic_now(),
+                [&](uint64_t job) { return listed.contains(job); });
+  const RouteTablePtr& table = environment_.routes.current();
+  if (!table) {
+    return;
+  }
+  for (const Route& route : table->routes()) {
+    if (route.max_queued_tokens > 0) {
+      const MetricLabels labels = {{"route", route.name}};
+      environment_.serving.metrics
+          .gauge("chalkshed_queued_tokens", "Tokens of accepted batch items that have not ended.",
+                 labels)
+          .set(static_cast<double>(queued(route)));
+      environment_.serving.metrics
+          .gauge("chalkshed_queued_tokens_limit", "The most that may be queued, over all nodes.",
+                 labels)
+          .set(static_cast<double>(route.max_queued_tokens));
+    }
+  }
+}
+
 void JobService::drain(std::function<void()> done) {
   draining_ = true;
   drain_began_ = environment_.serving.time_source.monotonic_now();
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -9,6 +9,8 @@
 #include <variant>
 #include <vector>
 
+#include "chalkshed/queue_admission.h"
+#include "chalkshed/queued_tokens.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job_environment.h"
 #include "src/jobs/job_loader.h"
@@ -21,7 +23,7 @@
 
 namespace chalkshed {
 
-class JobService : public TableObserver {
+class JobService : public TableObserver, public queue_view {
  public:
   // @param may_start whether batch may take places now: no online request waits for one.
   JobService(JobEnvironment& environment, SessionView& sessions, std::function<bool()> may_start);
@@ -29,6 +31,7 @@
   void start();
   // Changes of the job table.
   void on_row(const StoredRow& row) override;
+  void on_listed() override { listed_ = true; }
 
   // Accepts the job durably. Sending it again under its id succeeds again.
   // Errors: kStoreUnavailable with Ran::kNo when certainly nothing was accepted; kOutcomeUnknown.
@@ -52,6 +55,20 @@
   void drain(std::function<void()> done);
   size_t owned_jobs() const { return owned_.size(); }
 
+  // What is left of the jobs that this node owns on routes whose queue is limited.
+  std::vector<job_remainder> remainders();
+  // What another node reports of a job that it owns.
+  void note_remainder(const job_remainder& reported);
+  // Called when this node owns a further job, so that peers hear of it soon.
+  void set_on_queue_changed(std::function<void()> callback) {
+    on_queue_changed_ = std::move(callback);
+  }
+
+  bool complete() const override;
+  uint64_t queued(const Route& route) const override;
+  bool counts(const std::string& job) const override;
+  double drain_rate() const override;
+
  private:
   struct Indexed {
     StoredJob record;
@@ -84,6 +101,11 @@
   void release(const std::string& id);
   void check_drained();
   void try_end(const Indexed& indexed, uint32_t tries, Callback<std::monostate> callback);
+  // @return the job's route if its queue is limited, or null.
+  const Route* limited_route_of(const StoredJob& record) const;
+  void close_queued(const std::string& job);
+  // Shows what is queued in the metrics, and forgets old reports.
+  void show_queues();
   ResultPage page_of(const OwnedJob& job, uint32_t from) const;
   void log(LogLevel level, std::string_view event, const StoredJob& record,
            const std::string& reason) const;
@@ -95,6 +117,10 @@
   ResultReader reader_;
   JobRemover remover_;
   job_forwarder forwarder_;
+  queue_admission admission_;
+  queued_tokens queued_;
+  std::function<void()> on_queue_changed_;
+  bool listed_ = false;  // all jobs that the store holds have been read once
   bool removing_ = false;
   std::map<std::string, Indexed> index_;
   std::map<std::string, Owned> owned_;
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -7,10 +7,11 @@
 namespace chalkshed {
 
 JobSubmit::JobSubmit(JobEnvironment& environment, RequestJob submission, std::string owner,
-                     job_forwarder& forwarder)
+                     job_forwarder& forwarder, queue_admission& admission)
     : environment_(environment),
       submission_(std::move(submission)),
       forwarder_(forwarder),
+      admission_(admission),
       retry_timer_(environment.serving.dispatcher.create_timer([this] {
         const std::function<void()> action = std::move(retry_action_);
         action();
@@ -20,6 +21,9 @@
   record_.host = submission_.host;
   record_.path = submission_.path;
   record_.items = static_cast<uint32_t>(submission_.items.size());
+  for (const ServingRequest& item : submission_.items) {
+    record_.tokens += item.queue_tokens;
+  }
   record_.owner = std::move(owner);
   record_.epoch = 1;
   record_.content_in_object = submission_.content.size() > environment_.knobs.most_content_in_rows;
@@ -29,6 +33,68 @@
 void JobSubmit::start(Callback<SubmitOutcome> callback) {
   callback_ = std::move(callback);
   forward_timer_->enable(environment_.knobs.forward_after);
+  admit();
+}
+
+void JobSubmit::admit() {
+  admission_.admit(submission_,
+                   lifetime_.guard([this](const Expected<admission_verdict>& verdict) {
+                     handle_verdict(verdict);
+                   }));
+}
+
+void JobSubmit::handle_verdict(const Expected<admission_verdict>& verdict) {
+  if (ended_) {
+    return;
+  }
+  if (!verdict) {
+    retry(verdict.error(), [this] { admit(); });
+  } else if (verdict->admitted) {
+    store();
+  } else {
+    refuse_unless_stored(*verdict);
+  }
+}
+
+// A caller may send a job again whose acceptance it did not hear of. Refusing it would be untrue,
+// so that its record is read first, by a condition that never holds.
+void JobSubmit::refuse_unless_stored(const admission_verdict& verdict) {
+  StoreTransaction transaction;
+  transaction.conditions.push_back({stored_job_key(record_.id), kNoVersion});
+  environment_.store.commit(
+      std::move(transaction),
+      lifetime_.guard([this, verdict](const Expected<StoreCommit>& commit) {
+        if (ended_) {
+          return;
+        }
+        if (!commit) {
+          retry(commit.error(), [this] { admit(); });
+          return;
+        }
+        if (!commit->current.empty() && commit->current.front().version > 0) {
+          handle_commit(commit);
+          return;
+        }
+        environment_.serving.logger.write(
+            LogLevel::kInfo, "job_over_limit",
+            {{"request", record_.id},
+             {"job", record_.id},
+             {"tokens", std::to_string(record_.tokens)},
+             {"queued", std::to_string(verdict.queued)},
+             {"limit", std::to_string(verdict.limit)},
+             {"retry_after_ms", std::to_string(verdict.retry_after / std::chrono::milliseconds(1))}});
+        Error refused = not_run(ErrorKind::kLimitExceeded,
+                                "the job's " + std::to_string(record_.tokens) +
+                                    " tokens do not fit beside the " +
+                                    std::to_string(verdict.queued) + " queued; the limit is " +
+                                    std::to_string(verdict.limit),
+                                "send it again after the time given, or in smaller jobs");
+        refused.retry_after = verdict.retry_after;
+        finish(tl::unexpected(std::move(refused)));
+      }));
+}
+
+void JobSubmit::store() {
   if (record_.content_in_object) {
     put_content();
   } else {
--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "chalkshed/job_forwarder.h"
+#include "chalkshed/queue_admission.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job_environment.h"
 
@@ -23,13 +24,19 @@
  public:
   // @param owner session of this node, which runs the job.
   JobSubmit(JobEnvironment& environment, RequestJob submission, std::string owner,
-            job_forwarder& forwarder);
+            job_forwarder& forwarder, queue_admission& admission);
 
   // Calls `callback` once; it may destroy this. Errors as of JobService::submit.
   void start(Callback<SubmitOutcome> callback);
   RequestJob& submission() { return submission_; }
 
  private:
+  // Whether it fits into the queue of its route; if it does, it is stored.
+  void admit();
+  void handle_verdict(const Expected<admission_verdict>& verdict);
+  // Refuses the job for the limit, unless it has been accepted before.
+  void refuse_unless_stored(const admission_verdict& verdict);
+  void store();
   void put_content();
   void commit();
   // The content in pieces that fit a row.
@@ -51,6 +58,7 @@
   uint32_t tries_ = 0;
   bool may_be_applied_ = false;  // an earlier send got no answer
   job_forwarder& forwarder_;
+  queue_admission& admission_;
   uint32_t hops_ = 0;
   bool forwarding_ = false;
   bool ended_ = false;
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -64,7 +64,7 @@
     if (item.phase != Phase::kWaiting || item.not_before > now) {
       continue;
     }
-    if (!next || slack_of(item) < slack_of(items_[*next])) {
+    if (!next || starts_before(slack_of(item), slack_of(items_[*next]))) {
       next = index;
     }
   }
@@ -446,6 +446,14 @@
   on_commit_.push_back(std::move(callback));
 }
 
+uint64_t OwnedJob::tokens_left() const {
+  uint64_t sum = 0;
+  for (const Item& item : items_) {
+    sum += item.phase == Phase::kEnded ? 0 : item.request.queue_tokens;
+  }
+  return sum;
+}
+
 const ServingRequest* OwnedJob::unlisted_item(const std::string& id) const {
   const auto found = std::find_if(items_.begin(), items_.end(), [&](const Item& item) {
     return item.request.id == id && !item.listed;
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -64,6 +64,8 @@
   const std::vector<JobResult>& held() const { return held_; }
   // Calls `callback` once, upon the next commit.
   void on_next_commit(std::function<void()> callback);
+  // Tokens of the items that have not ended.
+  uint64_t tokens_left() const;
   // @return the item while it has no listed result, or null.
   const ServingRequest* unlisted_item(const std::string& id) const;
 
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -39,6 +39,10 @@
   workers_.set_on_place_freed([this] { place_soon(); });
   gateway_.set_on_short_of_places([this](size_t count) { jobs_.preempt_items(count); });
   workers_.set_on_load_changed([this] { peers_.load_changed(); });
+  jobs_.set_on_queue_changed([this] { peers_.load_changed(); });
+  peers_.set_job_remainders(
+      [this] { return jobs_.remainders(); },
+      [this](const job_remainder& reported) { jobs_.note_remainder(reported); });
   // Their long questions may have been lost together with the short ones.
   route_table_.set_on_regained([this] { refresh_job_watchers(); });
   worker_table_.set_on_regained([this] { refresh_job_watchers(); });
--- a/src/peers/heartbeat.cc
+++ b/src/peers/heartbeat.cc
@@ -39,10 +39,16 @@
     outcomes.emplace_back(outcome.worker, encode_age(outcome.failed_ago),
                           encode_age(outcome.succeeded_ago), outcome.failures);
   }
+  std::vector<wire::JobRemainderEntry> remainders;
+  remainders.reserve(heartbeat.remainders.size());
+  for (const job_remainder& remainder : heartbeat.remainders) {
+    remainders.emplace_back(remainder.job, remainder.queue, remainder.tokens);
+  }
   builder.Finish(wire::CreateHeartbeat(
       builder, builder.CreateString(heartbeat.session), heartbeat.sequence, heartbeat.draining,
       milliseconds_of(heartbeat.store_silence), heartbeat.store_version,
-      builder.CreateVectorOfStructs(loads), builder.CreateVectorOfStructs(outcomes)));
+      builder.CreateVectorOfStructs(loads), builder.CreateVectorOfStructs(outcomes),
+      builder.CreateVectorOfStructs(remainders)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -71,6 +77,11 @@
                                     decode_age(outcome->succeeded_ms_ago()), outcome->failures()});
     }
   }
+  if (message->remainders() != nullptr) {
+    for (const wire::JobRemainderEntry* remainder : *message->remainders()) {
+      heartbeat.remainders.push_back({remainder->job(), remainder->queue(), remainder->tokens()});
+    }
+  }
   return heartbeat;
 }
 
--- a/src/peers/heartbeat.h
+++ b/src/peers/heartbeat.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "chalkshed/queued_tokens.h"
 #include "src/core/time.h"
 #include "src/platform/watched_store.h"
 
@@ -36,6 +37,7 @@
   StoreVersion store_version = 0;
   std::vector<PeerWorkerLoad> loads;
   std::vector<PeerWorkerOutcomes> outcomes;
+  std::vector<job_remainder> remainders;
 };
 
 std::string encode_heartbeat(const Heartbeat& heartbeat);
--- a/src/peers/heartbeat_generated.h
+++ b/src/peers/heartbeat_generated.h
@@ -18,6 +18,8 @@
 
 struct WorkerOutcomeEntry;
 
+struct JobRemainderEntry;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 
@@ -71,6 +73,24 @@
 };
 FLATBUFFERS_STRUCT_END(WorkerOutcomeEntry, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) JobRemainderEntry FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t job_;
+  uint64_t queue_;
+  uint64_t tokens_;
+
+ public:
+  JobRemainderEntry() : job_(0), queue_(0), tokens_(0) {}
+  JobRemainderEntry(uint64_t _job, uint64_t _queue, uint64_t _tokens)
+      : job_(flatbuffers::EndianScalar(_job)),
+        queue_(flatbuffers::EndianScalar(_queue)),
+        tokens_(flatbuffers::EndianScalar(_tokens)) {}
+  uint64_t job() const { return flatbuffers::EndianScalar(job_); }
+  uint64_t queue() const { return flatbuffers::EndianScalar(queue_); }
+  uint64_t tokens() const { return flatbuffers::EndianScalar(tokens_); }
+};
+FLATBUFFERS_STRUCT_END(JobRemainderEntry, 24);
+
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HeartbeatBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -80,7 +100,8 @@
     VT_STORE_SILENCE_MS = 10,
     VT_STORE_VERSION = 12,
     VT_LOADS = 14,
-    VT_OUTCOMES = 16
+    VT_OUTCOMES = 16,
+    VT_REMAINDERS = 18
   };
   const flatbuffers::String* session() const {
     return GetPointer<const flatbuffers::String*>(VT_SESSION);
@@ -97,6 +118,10 @@
     return GetPointer<const flatbuffers::Vector<const chalkshed::wire::WorkerOutcomeEntry*>*>(
         VT_OUTCOMES);
   }
+  const flatbuffers::Vector<const chalkshed::wire::JobRemainderEntry*>* remainders() const {
+    return GetPointer<const flatbuffers::Vector<const chalkshed::wire::JobRemainderEntry*>*>(
+        VT_REMAINDERS);
+  }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) && VerifyOffsetRequired(verifier, VT_SESSION) &&
            verifier.VerifyString(session()) && VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -105,6 +130,7 @@
            VerifyField<uint64_t>(verifier, VT_STORE_VERSION, 8) &&
            VerifyOffset(verifier, VT_LOADS) && verifier.VerifyVector(loads()) &&
            VerifyOffset(verifier, VT_OUTCOMES) && verifier.VerifyVector(outcomes()) &&
+           VerifyOffset(verifier, VT_REMAINDERS) && verifier.VerifyVector(remainders()) &&
            verifier.EndTable();
   }
 };
@@ -137,6 +163,11 @@
           outcomes) {
     fbb_.AddOffset(Heartbeat::VT_OUTCOMES, outcomes);
   }
+  void add_remainders(
+      flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::JobRemainderEntry*>>
+          remainders) {
+    fbb_.AddOffset(Heartbeat::VT_REMAINDERS, remainders);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder& _fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -154,10 +185,13 @@
     uint64_t store_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::WorkerLoadEntry*>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::WorkerOutcomeEntry*>> outcomes =
+        0,
+    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::JobRemainderEntry*>> remainders =
         0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_store_version(store_version);
   builder_.add_sequence(sequence);
+  builder_.add_remainders(remainders);
   builder_.add_outcomes(outcomes);
   builder_.add_loads(loads);
   builder_.add_store_silence_ms(store_silence_ms);
@@ -170,13 +204,16 @@
     flatbuffers::FlatBufferBuilder& _fbb, const char* session = nullptr, uint64_t sequence = 0,
     bool draining = false, uint32_t store_silence_ms = 0, uint64_t store_version = 0,
     const std::vector<chalkshed::wire::WorkerLoadEntry>* loads = nullptr,
-    const std::vector<chalkshed::wire::WorkerOutcomeEntry>* outcomes = nullptr) {
+    const std::vector<chalkshed::wire::WorkerOutcomeEntry>* outcomes = nullptr,
+    const std::vector<chalkshed::wire::JobRemainderEntry>* remainders = nullptr) {
   auto session__ = session ? _fbb.CreateString(session) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<chalkshed::wire::WorkerLoadEntry>(*loads) : 0;
   auto outcomes__ =
       outcomes ? _fbb.CreateVectorOfStructs<chalkshed::wire::WorkerOutcomeEntry>(*outcomes) : 0;
+  auto remainders__ =
+      remainders ? _fbb.CreateVectorOfStructs<chalkshed::wire::JobRemainderEntry>(*remainders) : 0;
   return chalkshed::wire::CreateHeartbeat(_fbb, session__, sequence, draining, store_silence_ms,
-                                          store_version, loads__, outcomes__);
+                                          store_version, loads__, outcomes__, remainders__);
 }
 
 inline const chalkshed::wire::Heartbeat* GetHeartbeat(const void* buf) {
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -13,6 +13,15 @@
 // A longer time between two ticks means that this process itself stood still.
 constexpr Duration kOwnPause = std::chrono::milliseconds(1000);
 
+// What the largest datagram holds beside its head (the session's name and some numbers): an entry of
+// load or outcome takes 16 bytes, one of a job 24. Loads matter most and come first.
+constexpr size_t kHeadBytes = 200;
+constexpr size_t kEntryBytes = DatagramTransport::kMaxDatagramBytes - kHeadBytes;
+constexpr size_t kBytesOfLoad = 16;
+constexpr size_t kBytesOfRemainder = 24;
+constexpr size_t kMostLoads = 40;
+constexpr size_t kMostOutcomes = 16;
+
 // Sessions are named NODE#START.
 std::string node_of(const std::string& session) { return session.substr(0, session.rfind('#')); }
 
@@ -171,15 +180,13 @@
   heartbeat.draining = draining_;
   heartbeat.store_silence = own_store_silence();
   heartbeat.store_version = clock_.newest();
-  // The largest datagram holds fewer than this many of each.
-  constexpr size_t kMostEntries = 40;
   for (const auto& [incarnation, worker] : workers_.workers()) {
-    if (worker->in_flight() > 0 && heartbeat.loads.size() < kMostEntries) {
+    if (worker->in_flight() > 0 && heartbeat.loads.size() < kMostLoads) {
       heartbeat.loads.push_back({worker->hash, static_cast<uint16_t>(worker->online_in_flight),
                                  static_cast<uint16_t>(worker->batch_in_flight),
                                  worker->prompt_tokens_sent});
     }
-    if (worker->outcomes.worth_telling(now) && heartbeat.outcomes.size() < kMostEntries) {
+    if (worker->outcomes.worth_telling(now) && heartbeat.outcomes.size() < kMostOutcomes) {
       const outcome_times& own = worker->outcomes.own();
       PeerWorkerOutcomes told;
       told.worker = worker->hash;
@@ -189,9 +196,24 @@
       heartbeat.outcomes.push_back(told);
     }
   }
+  add_remainders(heartbeat);
   return heartbeat;
 }
 
+void PeerExchange::add_remainders(Heartbeat& heartbeat) {
+  if (!own_remainders_) {
+    return;
+  }
+  const std::vector<job_remainder> own = own_remainders_();
+  const size_t used = kBytesOfLoad * (heartbeat.loads.size() + heartbeat.outcomes.size());
+  const size_t most = (kEntryBytes - used) / kBytesOfRemainder;
+  const size_t count = std::min(own.size(), most);
+  for (size_t index = 0; index < count; ++index) {
+    heartbeat.remainders.push_back(own[(next_remainder_ + index) % own.size()]);
+  }
+  next_remainder_ = own.size() > most ? (next_remainder_ + count) % own.size() : 0;
+}
+
 void PeerExchange::send_heartbeats() {
   excuse_own_pause();
   const MonotonicTime now = time_source_.monotonic_now();
@@ -233,6 +255,11 @@
   clock_.observe_version(heartbeat->store_version);
   take_loads(peer, heartbeat->loads);
   take_outcomes(peer, heartbeat->outcomes);
+  for (const job_remainder& remainder : heartbeat->remainders) {
+    if (on_remainder_) {
+      on_remainder_(remainder);
+    }
+  }
 }
 
 void PeerExchange::take_outcomes(const Peer& peer,
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -67,6 +68,12 @@
   void start();
   // Rows of the node table.
   void on_row(const StoredRow& row) override;
+  // What this node reports of its jobs, and what happens with the reports of others.
+  void set_job_remainders(std::function<std::vector<job_remainder>()> own,
+                          std::function<void(const job_remainder&)> on_reported) {
+    own_remainders_ = std::move(own);
+    on_remainder_ = std::move(on_reported);
+  }
   // What this node has in flight has changed.
   void load_changed();
 
@@ -100,6 +107,7 @@
   void take_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads);
   void take_outcomes(const Peer& peer, const std::vector<PeerWorkerOutcomes>& outcomes);
   Heartbeat make_heartbeat();
+  void add_remainders(Heartbeat& heartbeat);
   bool near(const Peer& peer) const { return peer.zone == zone_; }
   // Between two heartbeats to the peers that are `near` (or far) when something changes.
   Duration least_interval(bool near) const;
@@ -126,6 +134,9 @@
   std::map<std::string, Peer> peers_;  // by node, without this one
   // Sessions that work is said to belong to, but that have not been announced: since when.
   std::map<std::string, MonotonicTime> unannounced_;
+  std::function<std::vector<job_remainder>()> own_remainders_;
+  std::function<void(const job_remainder&)> on_remainder_;
+  size_t next_remainder_ = 0;  // more jobs than a datagram holds take turns
   bool draining_ = false;
   uint64_t sequence_ = 0;
   MonotonicTime sent_{};
--- a/src/serving/route_table.h
+++ b/src/serving/route_table.h
@@ -44,6 +44,8 @@
   std::vector<WeightedService> services;
   Duration run_target{0};  // batch: all results are due this long after the job was first sent
   Duration retention{0};   // batch: an unfinished item may be given up after this long
+  // Batch: tokens of accepted items that have not ended, of all callers and nodes; 0: no limit.
+  uint64_t max_queued_tokens = 0;
 };
 
 // @return whether requests of the route may run more than once.
--- a/src/serving/serving_request.h
+++ b/src/serving/serving_request.h
@@ -28,6 +28,8 @@
   std::vector<PromptPart> prompt;
   uint32_t prompt_tokens = 0;
   uint32_t max_output_tokens = 0;
+  // What an item of a batch job counts against the queue limit of its route, in tokens.
+  uint64_t queue_tokens = 0;
   // The caller continues a stream behind this event.
   std::optional<uint64_t> resume_after;
 };
--- /dev/null
+++ b/tests/job_queue/queue_admission_test.cc
@@ -0,0 +1,183 @@
+// The queue limit of a batch route over all nodes, as callers and the store see it.
+#include "chalkshed/queue_admission.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/serving/serving_cluster.h"
+
+namespace chalkshed {
+namespace {
+
+// Items of ServingCluster::job() count ten tokens each.
+constexpr uint64_t kLimit = 1000;
+constexpr uint64_t kTokensOfAnItem = 10;
+
+struct Answer {
+  std::optional<Expected<std::monostate>> told;
+  bool accepted() const { return told && told->has_value(); }
+  bool over_limit() const {
+    return told && !*told && told->error().kind == ErrorKind::kLimitExceeded &&
+           told->error().ran == Ran::kNo && told->error().retry_after;
+  }
+};
+using AnswerPtr = std::shared_ptr<Answer>;
+
+class QueueAdmissionTest : public testing::Test {
+ protected:
+  QueueAdmissionTest() { set_limit(2, kLimit); }
+
+  void set_limit(uint64_t version, uint64_t limit) {
+    cluster.write_configuration(version, [limit](nlohmann::json& configuration) {
+      for (nlohmann::json& route : configuration["routes"]) {
+        if (route["kind"] == "batch") {
+          route["max_queued_tokens"] = limit;
+        }
+      }
+    });
+    cluster.clock.run_for(seconds(1));
+  }
+  AnswerPtr send(const std::string& node, const std::string& id, size_t items) {
+    auto answer = std::make_shared<Answer>();
+    cluster.node(node).jobs().submit(
+        cluster.job(id, items),
+        [answer](const Expected<std::monostate>& told) { answer->told = told; });
+    return answer;
+  }
+  bool accepts(const std::string& node, const std::string& id, size_t items) {
+    const AnswerPtr answer = send(node, id, items);
+    cluster.clock.run_for(milliseconds(400));
+    return answer->accepted();
+  }
+  uint64_t queued(const std::string& node) {
+    const RouteTablePtr table = cluster.node(node).routes();
+    return cluster.node(node).jobs().queued(*table->find("a.example", "/batch/j"));
+  }
+
+  // Workers answer nothing: what is accepted stays queued.
+  ServingCluster cluster{3, 2};
+};
+
+TEST_F(QueueAdmissionTest, AJobThatDoesNotFitIsRefusedWithATimeToComeBackAndNeverRuns) {
+  ASSERT_TRUE(accepts("n0", "j1", 95));
+  const size_t calls = cluster.workers.calls.size();
+  const AnswerPtr refused = send("n1", "j2", 6);
+  cluster.clock.run_for(milliseconds(400));
+  EXPECT_TRUE(refused->over_limit());
+  cluster.clock.run_for(seconds(5));
+  for (const ScriptedCall& call : cluster.workers.calls) {
+    EXPECT_FALSE(call.header(platform::kRequestId).starts_with("j2")) << calls;
+  }
+  EXPECT_TRUE(accepts("n1", "j3", 5)) << "one that fits is taken";
+}
+
+TEST_F(QueueAdmissionTest, NodesThatDecideAtTheSameMomentDoNotShareTheLastRoom) {
+  ASSERT_TRUE(accepts("n0", "j0", 80));
+  std::vector<AnswerPtr> answers;
+  for (const char* node : {"n0", "n1", "n2"}) {
+    answers.push_back(send(node, std::string("at-once-") + node, 15));
+  }
+  cluster.clock.run_for(seconds(1));
+  const auto accepted = std::count_if(answers.begin(), answers.end(),
+                                      [](const AnswerPtr& answer) { return answer->accepted(); });
+  const auto refused = std::count_if(answers.begin(), answers.end(),
+                                     [](const AnswerPtr& answer) { return answer->over_limit(); });
+  EXPECT_EQ(accepted, 1);
+  EXPECT_EQ(refused, 2);
+}
+
+TEST_F(QueueAdmissionTest, FarBelowTheLimitAnAcceptanceCostsOneCall) {
+  cluster.clock.run_for(seconds(2));
+  uint64_t before = cluster.shared.rows.version();
+  ASSERT_TRUE(accepts("n0", "j1", 5));
+  EXPECT_EQ(cluster.shared.rows.version(), before + 1);
+}
+
+TEST_F(QueueAdmissionTest, AJobSentAgainIsAcceptedThoughTheQueueIsFull) {
+  ASSERT_TRUE(accepts("n0", "j1", 98));
+  EXPECT_TRUE(accepts("n1", "j1", 98));
+  // Its record has not arrived at the node that is asked.
+  cluster.shared.trouble.hold_changes = true;
+  ASSERT_TRUE(accepts("n0", "j2", 2));
+  EXPECT_TRUE(accepts("n2", "j2", 2));
+  EXPECT_EQ(queued("n0"), kLimit);
+}
+
+TEST_F(QueueAdmissionTest, ANodeLostAfterItsReservationLeavesTheRoomAfterAFewSeconds) {
+  ASSERT_TRUE(accepts("n0", "j0", 70));
+  // The reservation is written; the node dies before it stores the job.
+  send("n1", "j1", 25);
+  // Its first write meets the reservation before, the second is applied after 8 ms.
+  cluster.clock.run_for(milliseconds(10));
+  cluster.kill_node("n1");
+  cluster.clock.run_for(milliseconds(50));
+  EXPECT_FALSE(accepts("n2", "j2", 25)) << "it may still be stored";
+  cluster.clock.run_for(seconds(6));
+  EXPECT_TRUE(accepts("n2", "j2", 25));
+}
+
+TEST_F(QueueAdmissionTest, TheCountIsRightAfterTheOwnerIsLost) {
+  ASSERT_TRUE(accepts("n0", "j1", 90));
+  // Three items end at the workers, and are reported before the owner is lost.
+  size_t ended = 0;
+  for (ScriptedCall& call : cluster.workers.calls) {
+    if (call.open() && ended < 3) {
+      call.begin();
+      call.event(1);
+      call.end();
+      ++ended;
+    }
+  }
+  ASSERT_EQ(ended, 3U);
+  cluster.clock.run_for(seconds(1));
+  const uint64_t left = kTokensOfAnItem * 87;
+  EXPECT_EQ(queued("n0"), left);
+  EXPECT_EQ(queued("n2"), left);
+  cluster.kill_node("n0");
+  cluster.clock.run_for(seconds(1));
+  EXPECT_EQ(queued("n2"), left);
+  cluster.clock.run_for(seconds(8));
+  EXPECT_EQ(queued("n1"), left);
+  EXPECT_EQ(queued("n2"), left);
+}
+
+TEST_F(QueueAdmissionTest, AfterTheLossOfAllNodesNothingFitsThatDidNotBefore) {
+  ASSERT_TRUE(accepts("n0", "j1", 95));
+  for (const char* node : {"n0", "n1", "n2"}) {
+    cluster.kill_node(node);
+  }
+  for (const char* node : {"n0", "n1", "n2"}) {
+    cluster.start_node(node);
+  }
+  const AnswerPtr at_once = send("n1", "j2", 10);
+  cluster.clock.run_for(seconds(2));
+  EXPECT_FALSE(at_once->accepted());
+  EXPECT_FALSE(accepts("n2", "j3", 10));
+}
+
+TEST_F(QueueAdmissionTest, AnEndedJobLeavesItsRoomAtOnce) {
+  ASSERT_TRUE(accepts("n0", "j1", 95));
+  cluster.node("n1").jobs().end("j1", [](const Expected<std::monostate>&) {});
+  cluster.clock.run_for(milliseconds(400));
+  EXPECT_EQ(queued("n2"), 0U);
+  EXPECT_TRUE(accepts("n2", "j2", 95));
+}
+
+TEST_F(QueueAdmissionTest, ALowerLimitTakesBackNothingThatWasAccepted) {
+  cluster.answer_all(1, milliseconds(20));
+  ASSERT_TRUE(accepts("n0", "j1", 60));
+  set_limit(3, 100);
+  EXPECT_TRUE(accepts("n1", "j1", 60));
+  cluster.clock.run_for(seconds(20));
+  EXPECT_EQ(queued("n1"), 0U) << "all of it has run";
+  EXPECT_TRUE(accepts("n1", "j2", 10));
+  EXPECT_FALSE(accepts("n1", "j3", 11)) << "more than the limit never fits";
+}
+
+TEST_F(QueueAdmissionTest, WithoutALimitNothingIsRefused) {
+  set_limit(3, 0);
+  EXPECT_TRUE(accepts("n0", "j1", 190));
+  EXPECT_TRUE(accepts("n1", "j2", 190));
+}
+
+}  // namespace
+}  // namespace chalkshed
--- a/tests/jobs/owned_job_test.cc
+++ b/tests/jobs/owned_job_test.cc
@@ -136,5 +136,27 @@
   EXPECT_EQ(job.held().size(), 2U);
 }
 
+// More is queued than can be done: what still can be in time is not held up by what can't.
+TEST_F(OwnedJobTest, ItemsThatCanBeInTimeStartBeforeThoseThatCannot) {
+  store_clock.observe({1, clock.monotonic_now().time_since_epoch()});
+  clock.run_for(seconds(60));
+  record.accepted = store_clock.now() - seconds(18);
+  StoredJob timely = record;
+  timely.id = "j2";
+  timely.accepted = store_clock.now() - seconds(12);
+  OwnedJob late_job(environment, record, 1, {items(), {}, {}}, [](const std::string&) {});
+  OwnedJob timely_job(environment, timely, 1, {items(), {}, {}}, [](const std::string&) {});
+  ASSERT_LT(*late_job.next_slack(), Duration(0));
+  ASSERT_GT(*timely_job.next_slack(), Duration(0));
+  EXPECT_TRUE(starts_before(*timely_job.next_slack(), *late_job.next_slack()));
+}
+
+TEST(StartsBeforeTest, TheMostUrgentOfThoseThatCanBeInTimeThenTheLeastLate) {
+  EXPECT_TRUE(starts_before(seconds(1), seconds(5)));
+  EXPECT_TRUE(starts_before(seconds(5), seconds(-1)));
+  EXPECT_TRUE(starts_before(seconds(-1), seconds(-5)));
+  EXPECT_FALSE(starts_before(seconds(-1), Duration(0)));
+}
+
 }  // namespace
 }  // namespace chalkshed
--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -196,6 +196,18 @@
   EXPECT_TRUE(view.alive(cluster.node("n0").peers().own_session(), cluster.shared.rows.version()));
 }
 
+TEST(HeartbeatTest, CarriesWhatIsLeftOfJobs) {
+  Heartbeat heartbeat;
+  heartbeat.session = "n1#1";
+  heartbeat.remainders.push_back({1, 2, uint64_t{1} << 40U});
+  const std::optional<Heartbeat> read = decode_heartbeat(encode_heartbeat(heartbeat));
+  ASSERT_TRUE(read);
+  ASSERT_EQ(read->remainders.size(), 1U);
+  EXPECT_EQ(read->remainders.front().job, 1U);
+  EXPECT_EQ(read->remainders.front().queue, 2U);
+  EXPECT_EQ(read->remainders.front().tokens, uint64_t{1} << 40U);
+}
+
 TEST(HeartbeatTest, SurvivesTheWireAndRejectsNoise) {
   Heartbeat heartbeat;
   heartbeat.session = "n#1";
--- a/tests/platform/record_codec_test.cc
+++ b/tests/platform/record_codec_test.cc
@@ -18,6 +18,34 @@
                {"name": "t", "max_conns": 110}],
   "limits": {"max_header_bytes": 100, "max_body_bytes": 200, "idle_timeout_ms": 15000}})";
 
+// The configuration with one batch route whose queue limit is that text.
+std::string with_queue_limit(const std::string& limit) {
+  return R"({"version": 7, "services": [], "routes": [{"name": "r", "host": "a.example",
+      "path_prefix": "/z/", "kind": "batch", "service": "s", "max_queued_tokens": )" +
+         limit + "}]}";
+}
+
+TEST(DecodeRoutesTest, AQueueLimitIsAWholeNumberOfTokens) {
+  const auto limit_of = [](const std::string& text) {
+    const Expected<RouteTable> table = decode_routes(with_queue_limit(text));
+    return table ? table->find("a.example", "/z/1")->max_queued_tokens : 12345;
+  };
+  EXPECT_EQ(limit_of("1400000"), 1400000U);
+  EXPECT_EQ(limit_of("4800000.0"), 4800000U);
+  EXPECT_EQ(limit_of("0"), 0U);
+  EXPECT_EQ(limit_of("null"), 0U);
+  EXPECT_EQ(limit_of("18446744073709551615"), UINT64_MAX);
+  EXPECT_EQ(limit_of("1e300"), UINT64_MAX);
+}
+
+TEST(DecodeRoutesTest, AQueueLimitThatMeansNothingIsRejectedWithItsReason) {
+  for (const char* limit : {"-1", "0.5", "\"many\"", "[]", "true"}) {
+    const Expected<RouteTable> table = decode_routes(with_queue_limit(limit));
+    ASSERT_FALSE(table) << limit;
+    EXPECT_NE(table.error().message.find("max_queued_tokens"), std::string::npos) << limit;
+  }
+}
+
 TEST(DecodeRoutesTest, ReadsRoutesServicesAndLimits) {
   const Expected<RouteTable> table = decode_routes(kConfiguration);
   ASSERT_TRUE(table);
