Let batch runs that are late yield first and leave more room

What could still be in time lost its slots to them.

Change: the run that would start last stops first. Before a late run starts, 1.0 times the headroom must be free in place of the 0.4 of urgent runs; other nodes may have something that can be in time.

--- a/include/chalkshed/batch_room.h
+++ b/include/chalkshed/batch_room.h
@@ -27,6 +27,9 @@
      * 0.5 batch lost more than online gained. */
     double start = 0.6;
     double start_urgent = 0.4;
+    /** Before a run starts that can't be in time any more: what other nodes have to run may still
+     * be. */
+    double start_late = 1.0;
     double yield = 0.25;
     /** Bounds of the headroom, as shares of all places. */
     double least = 0.04;
@@ -39,6 +42,15 @@
     double unknown = 0.3;
 };
 
+/** How soon a batch run must start. */
+enum class batch_urgency {
+    /** It can't be in time any more. */
+    kLate,
+    kNormal,
+    /** It must start soon to be in time. */
+    kUrgent,
+};
+
 /** The places of a service, as far as this node knows. */
 struct service_load {
     uint32_t places = 0;
@@ -55,15 +67,15 @@
     /** The online requests of all nodes in flight at the service. */
     void observe_online(uint32_t in_flight, MonotonicTime now);
 
-    /** Whether a batch run may take a place now.
-     * \param urgent It must start soon to be in time. */
-    bool may_start(const service_load &load, bool urgent, MonotonicTime now);
+    /** Whether a batch run may take a place now. */
+    bool may_start(const service_load &load, batch_urgency urgency, MonotonicTime now);
 
     /** How many runs of this node should stop now, in the mean: each node stops its share of what
      * is missing, so that together they stop no more than that. */
     double runs_to_stop(const service_load &load, MonotonicTime now);
 
 private:
+    double multiple_of(batch_urgency urgency) const;
     double headroom(const service_load &load, MonotonicTime now);
 
     batch_room_knobs knobs_;
--- a/include/chalkshed/queue_admission.h
+++ b/include/chalkshed/queue_admission.h
@@ -4,8 +4,8 @@
 /** \file
  * Decides whether a job fits into the queue of its route, whose limit holds over all nodes.
  *
- * Far below the limit a node decides by what it knows, without a call. Near it, nodes that decide at
- * the same moment would each take the last room, so that each first reserves its tokens in a row
+ * Far below the limit a node decides by what it knows, without a call. Near it, nodes that decide
+ * at the same moment would each take the last room, so that each first reserves its tokens in a row
  * of the store that all of them write conditionally. A reservation counts until the job is known
  * to whoever decides next, and lapses after some seconds: by then the job's record has arrived
  * everywhere, or the job was not stored.
--- a/src/batch_room/batch_room.cc
+++ b/src/batch_room/batch_room.cc
@@ -23,9 +23,20 @@
     return std::clamp(wanted, knobs_.least * load.places, knobs_.most * load.places);
 }
 
-bool batch_room::may_start(const service_load &load, bool urgent, MonotonicTime now) {
-    const double multiple = urgent ? knobs_.start_urgent : knobs_.start;
-    return load.free >= 1 + multiple * headroom(load, now);
+double batch_room::multiple_of(batch_urgency urgency) const {
+    switch (urgency) {
+    case batch_urgency::kLate:
+        return knobs_.start_late;
+    case batch_urgency::kNormal:
+        return knobs_.start;
+    case batch_urgency::kUrgent:
+        return knobs_.start_urgent;
+    }
+    return knobs_.start;
+}
+
+bool batch_room::may_start(const service_load &load, batch_urgency urgency, MonotonicTime now) {
+    return load.free >= 1 + multiple_of(urgency) * headroom(load, now);
 }
 
 double batch_room::runs_to_stop(const service_load &load, MonotonicTime now) {
--- a/src/job_queue/queue_admission.cc
+++ b/src/job_queue/queue_admission.cc
@@ -51,10 +51,9 @@
         const double excess = static_cast<double>(wanted - verdict.limit);
         const double seconds = excess / std::max(view_.drain_rate(), 1.0);
         const double most = std::chrono::duration<double>(knobs_.most_retry_after).count();
-        verdict.retry_after =
-            std::max(knobs_.least_retry_after,
-                     std::chrono::duration_cast<Duration>(
-                         std::chrono::duration<double>(std::min(seconds, most))));
+        verdict.retry_after = std::max(knobs_.least_retry_after,
+                                       std::chrono::duration_cast<Duration>(
+                                           std::chrono::duration<double>(std::min(seconds, most))));
     }
     return verdict;
 }
--- a/src/job_queue/queued_tokens.cc
+++ b/src/job_queue/queued_tokens.cc
@@ -8,8 +8,8 @@
 queued_tokens::queued_tokens(const queued_tokens_knobs &knobs) : knobs_(knobs) {}
 
 void queued_tokens::note(const job_remainder &reported, MonotonicTime now) {
-    const auto [entry, is_new] = reports_.try_emplace(
-        reported.job, report{reported.queue, reported.tokens, now});
+    const auto [entry, is_new] =
+        reports_.try_emplace(reported.job, report{reported.queue, reported.tokens, now});
     report &known = entry->second;
     known.heard = now;
     if (!is_new && reported.tokens < known.tokens) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -32,7 +32,7 @@
   std::string path;
   uint32_t items = 0;
   uint64_t tokens = 0;  // of all items, as they count against the queue limit of the route
-  std::string owner;  // session of a node; empty: free to be taken
+  std::string owner;    // session of a node; empty: free to be taken
   uint64_t epoch = 0;
   bool ended = false;     // by its caller
   bool finished = false;  // every item has its result
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -355,7 +355,7 @@
   std::optional<OwnedJob::Preemptible> first;
   for (const auto& [id, owned] : owned_) {
     const auto run = owned.job->first_to_yield(at);
-    if (run && (!first || run->slack > first->slack)) {
+    if (run && (!first || starts_before(first->slack, run->slack))) {
       owner = owned.job.get();
       first = run;
     }
@@ -550,8 +550,7 @@
     const uint64_t hash = content_hash(id);
     listed.insert(hash);
     const StoredJob& record = indexed.record;
-    const Route* of_job =
-        record.ended || record.finished ? nullptr : limited_route_of(record);
+    const Route* of_job = record.ended || record.finished ? nullptr : limited_route_of(record);
     if (of_job == nullptr || route_queue_id(*of_job) != queue) {
       continue;
     }
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -37,10 +37,9 @@
 }
 
 void JobSubmit::admit() {
-  admission_.admit(submission_,
-                   lifetime_.guard([this](const Expected<admission_verdict>& verdict) {
-                     handle_verdict(verdict);
-                   }));
+  admission_.admit(submission_, lifetime_.guard([this](const Expected<admission_verdict>& verdict) {
+    handle_verdict(verdict);
+  }));
 }
 
 void JobSubmit::handle_verdict(const Expected<admission_verdict>& verdict) {
@@ -62,8 +61,7 @@
   StoreTransaction transaction;
   transaction.conditions.push_back({stored_job_key(record_.id), kNoVersion});
   environment_.store.commit(
-      std::move(transaction),
-      lifetime_.guard([this, verdict](const Expected<StoreCommit>& commit) {
+      std::move(transaction), lifetime_.guard([this, verdict](const Expected<StoreCommit>& commit) {
         if (ended_) {
           return;
         }
@@ -82,13 +80,14 @@
              {"tokens", std::to_string(record_.tokens)},
              {"queued", std::to_string(verdict.queued)},
              {"limit", std::to_string(verdict.limit)},
-             {"retry_after_ms", std::to_string(verdict.retry_after / std::chrono::milliseconds(1))}});
-        Error refused = not_run(ErrorKind::kLimitExceeded,
-                                "the job's " + std::to_string(record_.tokens) +
-                                    " tokens do not fit beside the " +
-                                    std::to_string(verdict.queued) + " queued; the limit is " +
-                                    std::to_string(verdict.limit),
-                                "send it again after the time given, or in smaller jobs");
+             {"retry_after_ms",
+              std::to_string(verdict.retry_after / std::chrono::milliseconds(1))}});
+        Error refused =
+            not_run(ErrorKind::kLimitExceeded,
+                    "the job's " + std::to_string(record_.tokens) +
+                        " tokens do not fit beside the " + std::to_string(verdict.queued) +
+                        " queued; the limit is " + std::to_string(verdict.limit),
+                    "send it again after the time given, or in smaller jobs");
         refused.retry_after = verdict.retry_after;
         finish(tl::unexpected(std::move(refused)));
       }));
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -56,6 +56,15 @@
   return due() - environment_.clock.now() - needed;
 }
 
+batch_urgency OwnedJob::urgency_of(const Item& item) const {
+  const Duration slack = slack_of(item);
+  if (slack < Duration(0)) {
+    return batch_urgency::kLate;
+  }
+  const bool soon = slack < environment_.pace.estimate() + environment_.knobs.urgent_slack;
+  return soon ? batch_urgency::kUrgent : batch_urgency::kNormal;
+}
+
 std::optional<size_t> OwnedJob::next_waiting() const {
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
   std::optional<size_t> next;
@@ -85,7 +94,7 @@
     }
     const WorkerPtr worker = environment_.serving.workers.find(item.run->worker());
     const Duration slack = slack_of(item);
-    if (worker && at(*worker) && (!first || slack > first->slack)) {
+    if (worker && at(*worker) && (!first || starts_before(first->slack, slack))) {
       first = Preemptible{index, slack};
     }
   }
@@ -120,7 +129,7 @@
   wanted.work = WorkClass::kBatch;
   wanted.repeatable = true;
   wanted.request = &item->request;
-  wanted.urgent = slack_of(*item) < environment_.pace.estimate() + environment_.knobs.urgent_slack;
+  wanted.urgency = urgency_of(*item);
   WorkerPlacePtr place = environment_.serving.workers.take_place(wanted);
   if (!place) {
     return false;
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -37,7 +37,7 @@
   // A run that may be stopped to make room for online work.
   struct Preemptible {
     size_t item = 0;
-    Duration slack{0};  // the run with the most gives way first
+    Duration slack{0};  // the run that would start last stops first
   };
   using AtWorker = std::function<bool(const ServingWorker&)>;
   // @return the run that is the first to give way among those at such workers, if any.
@@ -97,6 +97,7 @@
   void accept_commit(StoreVersion version);
   void lose(const std::string& reason);
   Duration slack_of(const Item& item) const;
+  batch_urgency urgency_of(const Item& item) const;
   // @return the index of the waiting item that is to start next, or nothing.
   std::optional<size_t> next_waiting() const;
   const Route* route_of(const RouteTable& table, const Item& item) const;
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -325,7 +325,7 @@
 WorkerPlacePtr WorkerSet::take_place(const PlaceRequest& request) {
   if (request.work == WorkClass::kBatch &&
       !room_of(request.service)
-           .may_start(load_of_service(request.service), request.urgent,
+           .may_start(load_of_service(request.service), request.urgency,
                       time_source_.monotonic_now())) {
     return nullptr;
   }
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -91,8 +91,8 @@
   const std::set<std::string>* tried = nullptr;
   // It may be run again elsewhere, so that it may go to a worker that is suspect.
   bool repeatable = false;
-  // Batch work that must start soon to be in time leaves less room for online work.
-  bool urgent = false;
+  // Of batch work: what must start soon to be in time leaves less room for online work.
+  batch_urgency urgency = batch_urgency::kNormal;
   // Take a worker even when all places of all workers are taken.
   bool even_if_full = false;
 };
--- a/tests/batch_room/batch_room_test.cc
+++ b/tests/batch_room/batch_room_test.cc
@@ -48,18 +48,18 @@
 
 TEST(BatchRoomTest, LeavesFreeWhatABurstTakesInItsFirstMoments) {
     batch_room room(kStart);
-    EXPECT_TRUE(room.may_start(load_of(4), false, kKnown));
+    EXPECT_TRUE(room.may_start(load_of(4), batch_urgency::kNormal, kKnown));
     play_burst(room, 0, 30, kKnown);
-    EXPECT_FALSE(room.may_start(load_of(18), false, kKnown + milliseconds(100)));
-    EXPECT_TRUE(room.may_start(load_of(20), false, kKnown + milliseconds(100)));
+    EXPECT_FALSE(room.may_start(load_of(18), batch_urgency::kNormal, kKnown + milliseconds(100)));
+    EXPECT_TRUE(room.may_start(load_of(20), batch_urgency::kNormal, kKnown + milliseconds(100)));
 }
 
 TEST(BatchRoomTest, UrgentRunsLeaveLess) {
     batch_room room(kStart);
     play_burst(room, 0, 30, kKnown);
     const MonotonicTime now = kKnown + milliseconds(100);
-    EXPECT_FALSE(room.may_start(load_of(14), false, now));
-    EXPECT_TRUE(room.may_start(load_of(14), true, now));
+    EXPECT_FALSE(room.may_start(load_of(14), batch_urgency::kNormal, now));
+    EXPECT_TRUE(room.may_start(load_of(14), batch_urgency::kUrgent, now));
 }
 
 TEST(BatchRoomTest, AHighLevelOfOnlineRequestsIsNoBurst) {
@@ -67,20 +67,20 @@
     for (int step = 0; step < 200; ++step) {
         room.observe_online(70 + step % 2, kStart + step * milliseconds(100));
     }
-    EXPECT_TRUE(room.may_start(load_of(6), false, kKnown));
+    EXPECT_TRUE(room.may_start(load_of(6), batch_urgency::kNormal, kKnown));
 }
 
 TEST(BatchRoomTest, KeepsMoreFreeWhileItKnowsNoBurst) {
     batch_room room(kStart);
-    EXPECT_FALSE(room.may_start(load_of(15), false, kStart + seconds(1)));
-    EXPECT_TRUE(room.may_start(load_of(15), false, kKnown));
+    EXPECT_FALSE(room.may_start(load_of(15), batch_urgency::kNormal, kStart + seconds(1)));
+    EXPECT_TRUE(room.may_start(load_of(15), batch_urgency::kNormal, kKnown));
 }
 
 TEST(BatchRoomTest, WhatPeersHadInFlightAtAStartIsNoBurst) {
     batch_room room(kStart);
     play_burst(room, 0, 80, kStart + milliseconds(200));
-    EXPECT_FALSE(room.may_start(load_of(18), false, kStart + seconds(2)));
-    EXPECT_TRUE(room.may_start(load_of(20), false, kStart + seconds(2)));
+    EXPECT_FALSE(room.may_start(load_of(18), batch_urgency::kNormal, kStart + seconds(2)));
+    EXPECT_TRUE(room.may_start(load_of(20), batch_urgency::kNormal, kStart + seconds(2)));
 }
 
 TEST(BatchRoomTest, NodesTogetherStopAsManyRunsAsPlacesAreMissing) {
@@ -106,7 +106,7 @@
     play_burst(room, 0, 30, kKnown);
     const MonotonicTime now = kKnown + milliseconds(100);
     for (uint32_t free = 0; free < 100; ++free) {
-        if (room.may_start(load_of(free, 50, 50), true, now)) {
+        if (room.may_start(load_of(free, 50, 50), batch_urgency::kUrgent, now)) {
             EXPECT_EQ(room.runs_to_stop(load_of(free - 1, 51, 51), now), 0.0) << free;
         }
     }
