Report loads by relays and follow the store's tables less often where nodes are many

Each node also made 5.4 calls a second to the store.

Change: beyond 48 peers the nodes of a zone report to its two relays, chosen by every node for itself from those that it takes for alive, the most capable machines first. The first relay sends each node the sum of all others each 100 ms, and the sum of its zone to the relays of the others; the second does so while it doesn't hear the first. Digests are absolute, so that lost, repeated or reordered ones leave nothing wrong behind. Relays also say which sessions are gone; direct heartbeats become rare. Heartbeats and digests name the newest rows of configuration and workers that their sender knows: a node whose own question is lost asks again within 150 ms, and may therefore ask seldom.

--- /dev/null
+++ b/src/load_relay/reported_loads.cc
@@ -0,0 +1,58 @@
+#include "chalkshed/load_relay.h"
+
+namespace chalkshed {
+
+void reported_loads::replace(WorkerSet &workers, const std::vector<digest_entry> &entries,
+                             uint32_t first, uint32_t last) {
+    std::map<uint32_t, digest_entry> reported;
+    for (const digest_entry &entry : entries) {
+        reported[entry.worker] = entry;
+    }
+    for (auto known = loads_.lower_bound(first); known != loads_.end() && known->first <= last;) {
+        if (reported.contains(known->first)) {
+            ++known;
+            continue;
+        }
+        workers.add_peer_load(known->first, -known->second.online, -known->second.batch);
+        known = loads_.erase(known);
+    }
+    for (const auto &[worker, entry] : reported) {
+        const auto known = loads_.find(worker);
+        const digest_entry before = known == loads_.end() ? digest_entry{} : known->second;
+        const bool changed = entry.online != before.online || entry.batch != before.batch;
+        // A worker that this node does not know yet counts once it does.
+        if (!changed || workers.add_peer_load(worker, entry.online - before.online,
+                                              entry.batch - before.batch)) {
+            loads_[worker] = entry;
+        }
+    }
+}
+
+void reported_loads::add_prompts(WorkerSet &workers, const std::vector<digest_entry> &entries,
+                                 std::map<uint32_t, uint16_t> &total) {
+    // A counter that has gone back is another one, of a relay that has begun anew.
+    constexpr uint16_t kBackwards = 0x8000;
+    for (const digest_entry &entry : entries) {
+        const auto [known, is_new] = prompt_units_.try_emplace(entry.worker, entry.prompt_units);
+        const auto added = static_cast<uint16_t>(entry.prompt_units - known->second);
+        known->second = entry.prompt_units;
+        if (is_new || added == 0 || added >= kBackwards) {
+            continue;
+        }
+        workers.add_prompt_tokens(entry.worker, uint32_t{added} * kPromptUnit);
+        added_[entry.worker] = static_cast<uint16_t>(added_[entry.worker] + added);
+        total[entry.worker] = static_cast<uint16_t>(total[entry.worker] + added);
+    }
+}
+
+const digest_entry *reported_loads::find(uint32_t worker) const {
+    const auto found = loads_.find(worker);
+    return found == loads_.end() ? nullptr : &found->second;
+}
+
+uint16_t reported_loads::added_prompts(uint32_t worker) const {
+    const auto found = added_.find(worker);
+    return found == added_.end() ? uint16_t{0} : found->second;
+}
+
+} // namespace chalkshed
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -5,9 +5,8 @@
 
 namespace chalkshed {
 
-ServingNode::ServingNode(const ServingNodeIdentity& identity,
-                         const ServingNodeDependencies& dependencies, const WatchedTables& tables,
-                         const ServingNodeKnobs& knobs)
+ServingNode::ServingNode(const PeerIdentity& identity, const ServingNodeDependencies& dependencies,
+                         const WatchedTables& tables, const ServingNodeKnobs& knobs)
     : dependencies_(dependencies),
       knobs_(knobs),
       clock_(dependencies.time_source),
@@ -22,20 +21,22 @@
       gateway_(serving_),
       batch_draw_(dependencies.random),
       peers_(dependencies.time_source, dependencies.dispatcher, watched_store_, clock_,
-             dependencies.datagrams, workers_, dependencies.logger, identity.node, identity.session,
-             identity.zone, identity.peer_address, identity.caller_port, knobs.peers),
+             dependencies.datagrams, workers_, dependencies.logger, dependencies.metrics, identity,
+             knobs.peers),
       job_environment_{serving_, route_watch_,           fresh_store_, dependencies.objects,
                        clock_,   dependencies.job_codec, batch_draw_,  knobs.jobs},
       jobs_(job_environment_, peers_, [this] { return !gateway_.any_waiting(); }),
       route_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                    dependencies.logger, tables.configuration_table, {""}, route_watch_,
-                   knobs.watchers),
+                   {.pace = knobs.watch.configuration}),
       worker_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                    dependencies.logger, tables.worker_table, {""}, worker_watch_, knobs.watchers),
+                    dependencies.logger, tables.worker_table, {""}, worker_watch_,
+                    {.pace = knobs.watch.workers}),
       job_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                 dependencies.logger, kStoredJobTable, job_partitions(), jobs_, knobs.job_watchers),
+                 dependencies.logger, kStoredJobTable, job_partitions(), jobs_,
+                 {.pace = knobs.watch.jobs}),
       node_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                  dependencies.logger, kNodeTable, {""}, peers_, knobs.job_watchers) {
+                  dependencies.logger, kNodeTable, {""}, peers_, {.pace = knobs.watch.jobs}) {
   workers_.set_on_place_freed([this] { place_soon(); });
   gateway_.set_on_short_of_places([this](size_t count) { jobs_.preempt_items(count); });
   workers_.set_on_load_changed([this] { peers_.load_changed(); });
@@ -43,12 +44,33 @@
   peers_.set_job_remainders(
       [this] { return jobs_.remainders(); },
       [this](const job_remainder& reported) { jobs_.note_remainder(reported); });
+  peers_.set_known_versions(
+      [this] {
+        return KnownVersions{route_table_.newest_row(), worker_table_.newest_row()};
+      },
+      [this](const KnownVersions& known) {
+        route_table_.note_newer(known.configuration);
+        worker_table_.note_newer(known.workers);
+      });
+  peers_.set_on_role_changed([this] { pace_watchers(); });
   // Their long questions may have been lost together with the short ones.
-  route_table_.set_on_regained([this] { refresh_job_watchers(); });
-  worker_table_.set_on_regained([this] { refresh_job_watchers(); });
+  route_table_.set_on_regained([this] { refresh_watchers(worker_table_); });
+  worker_table_.set_on_regained([this] { refresh_watchers(route_table_); });
 }
 
-void ServingNode::refresh_job_watchers() {
+void ServingNode::pace_watchers() {
+  const WatchKnobs& watch = knobs_.watch;
+  const bool member = peers_.is_relay_member();
+  const WatchPace& configuration = member ? watch.member_configuration : watch.configuration;
+  route_table_.set_pace(configuration);
+  worker_table_.set_pace(member ? watch.member_workers : watch.workers);
+  job_table_.set_pace(peers_.relayed() ? watch.member_jobs : watch.jobs);
+  node_table_.set_pace(peers_.relayed() ? watch.member_jobs : watch.jobs);
+  peers_.set_store_wait(configuration.longest_wait - watch.configuration.longest_wait);
+}
+
+void ServingNode::refresh_watchers(TableWatcher& other) {
+  other.refresh();
   job_table_.refresh();
   node_table_.refresh();
 }
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -15,14 +15,6 @@
 
 namespace chalkshed {
 
-struct ServingNodeIdentity {
-  std::string node;     // unique name of the machine
-  std::string session;  // unique for this start: NODE#START
-  std::string zone;
-  Address peer_address;      // where datagrams of other nodes arrive
-  uint16_t caller_port = 0;  // where callers, and jobs that peers hand on, arrive
-};
-
 // Where the store holds what operators and workers write, and how it is read.
 struct WatchedTables {
   std::string configuration_table;
@@ -47,15 +39,31 @@
   MetricsRegistry& metrics;
 };
 
+// How the store's tables are followed. What a node costs the store should not grow with the number
+// of nodes: where they are many, jobs change all the time, and each change goes to every node.
+struct WatchKnobs {
+  // The configuration is also how a node notices that it has lost the store: its question is never
+  // held for longer than this.
+  WatchPace configuration{.longest_wait = std::chrono::milliseconds(1500)};
+  WatchPace workers{.longest_wait = std::chrono::milliseconds(1500)};
+  // Jobs and nodes change more often, and may be known a little later.
+  WatchPace jobs{.longest_wait = std::chrono::seconds(5), .gather = std::chrono::milliseconds(150)};
+  // While this node is one of many that learn from a relay what has changed: a lost question does
+  // not go unnoticed for longer. A job that was ended must start nothing after three seconds.
+  WatchPace member_configuration{.longest_wait = std::chrono::seconds(3)};
+  // Some worker's row changes every second. A worker that leaves may get new work for two seconds.
+  WatchPace member_workers{.longest_wait = std::chrono::seconds(10),
+                           .gather = std::chrono::seconds(1)};
+  WatchPace member_jobs{.longest_wait = std::chrono::seconds(10),
+                        .gather = std::chrono::milliseconds(1500)};
+};
+
 struct ServingNodeKnobs {
   WorkerKnobs workers;
   ServingKnobs serving;
   JobKnobs jobs;
   PeerKnobs peers;
-  TableWatcherKnobs watchers;
-  // Jobs and nodes change more often, and may be heard of a little later.
-  TableWatcherKnobs job_watchers{.longest_wait = std::chrono::seconds(5),
-                                 .gather = std::chrono::milliseconds(150)};
+  WatchKnobs watch;
   // A planned stop serves on for this long, until callers are sent elsewhere.
   Duration least_drain = std::chrono::milliseconds(2600);
   // It ends after this long whatever still runs: the process is killed soon after.
@@ -64,7 +72,7 @@
 
 class ServingNode {
  public:
-  ServingNode(const ServingNodeIdentity& identity, const ServingNodeDependencies& dependencies,
+  ServingNode(const PeerIdentity& identity, const ServingNodeDependencies& dependencies,
               const WatchedTables& tables, const ServingNodeKnobs& knobs = {});
 
   ~ServingNode();
@@ -91,7 +99,9 @@
 
  private:
   void place_soon();
-  void refresh_job_watchers();
+  // The store answers again: asks it anew for all that may have been lost meanwhile.
+  void refresh_watchers(TableWatcher& other);
+  void pace_watchers();
   void check_drained();
 
   ServingNodeDependencies dependencies_;
--- a/src/peers/heartbeat.cc
+++ b/src/peers/heartbeat.cc
@@ -48,7 +48,9 @@
       builder, builder.CreateString(heartbeat.session), heartbeat.sequence, heartbeat.draining,
       milliseconds_of(heartbeat.store_silence), heartbeat.store_version,
       builder.CreateVectorOfStructs(loads), builder.CreateVectorOfStructs(outcomes),
-      builder.CreateVectorOfStructs(remainders)));
+      builder.CreateVectorOfStructs(remainders), heartbeat.known.configuration,
+      heartbeat.known.workers),
+      wire::HeartbeatIdentifier());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
@@ -65,6 +67,7 @@
   heartbeat.draining = message->draining();
   heartbeat.store_silence = std::chrono::milliseconds(message->store_silence_ms());
   heartbeat.store_version = message->store_version();
+  heartbeat.known = {message->configuration_version(), message->workers_version()};
   if (message->loads() != nullptr) {
     for (const wire::WorkerLoadEntry* load : *message->loads()) {
       heartbeat.loads.push_back(
--- a/src/peers/heartbeat.h
+++ b/src/peers/heartbeat.h
@@ -29,12 +29,19 @@
   uint16_t failures = 0;  // since the last success
 };
 
+// The newest rows that a node knows of the tables on which every node's decisions rest.
+struct KnownVersions {
+  StoreVersion configuration = 0;
+  StoreVersion workers = 0;
+};
+
 struct Heartbeat {
   std::string session;
   uint64_t sequence = 0;  // grows; older ones arrive late and are ignored
   bool draining = false;
   Duration store_silence{0};
   StoreVersion store_version = 0;
+  KnownVersions known;
   std::vector<PeerWorkerLoad> loads;
   std::vector<PeerWorkerOutcomes> outcomes;
   std::vector<job_remainder> remainders;
--- a/src/peers/heartbeat_generated.h
+++ b/src/peers/heartbeat_generated.h
@@ -101,7 +101,9 @@
     VT_STORE_VERSION = 12,
     VT_LOADS = 14,
     VT_OUTCOMES = 16,
-    VT_REMAINDERS = 18
+    VT_REMAINDERS = 18,
+    VT_CONFIGURATION_VERSION = 20,
+    VT_WORKERS_VERSION = 22
   };
   const flatbuffers::String* session() const {
     return GetPointer<const flatbuffers::String*>(VT_SESSION);
@@ -122,6 +124,8 @@
     return GetPointer<const flatbuffers::Vector<const chalkshed::wire::JobRemainderEntry*>*>(
         VT_REMAINDERS);
   }
+  uint64_t configuration_version() const { return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0); }
+  uint64_t workers_version() const { return GetField<uint64_t>(VT_WORKERS_VERSION, 0); }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) && VerifyOffsetRequired(verifier, VT_SESSION) &&
            verifier.VerifyString(session()) && VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -131,7 +135,8 @@
            VerifyOffset(verifier, VT_LOADS) && verifier.VerifyVector(loads()) &&
            VerifyOffset(verifier, VT_OUTCOMES) && verifier.VerifyVector(outcomes()) &&
            VerifyOffset(verifier, VT_REMAINDERS) && verifier.VerifyVector(remainders()) &&
-           verifier.EndTable();
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_WORKERS_VERSION, 8) && verifier.EndTable();
   }
 };
 
@@ -168,6 +173,12 @@
           remainders) {
     fbb_.AddOffset(Heartbeat::VT_REMAINDERS, remainders);
   }
+  void add_configuration_version(uint64_t configuration_version) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  }
+  void add_workers_version(uint64_t workers_version) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_WORKERS_VERSION, workers_version, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder& _fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -187,8 +198,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::WorkerOutcomeEntry*>> outcomes =
         0,
     flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::JobRemainderEntry*>> remainders =
-        0) {
+        0,
+    uint64_t configuration_version = 0, uint64_t workers_version = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_workers_version(workers_version);
+  builder_.add_configuration_version(configuration_version);
   builder_.add_store_version(store_version);
   builder_.add_sequence(sequence);
   builder_.add_remainders(remainders);
@@ -205,7 +219,8 @@
     bool draining = false, uint32_t store_silence_ms = 0, uint64_t store_version = 0,
     const std::vector<chalkshed::wire::WorkerLoadEntry>* loads = nullptr,
     const std::vector<chalkshed::wire::WorkerOutcomeEntry>* outcomes = nullptr,
-    const std::vector<chalkshed::wire::JobRemainderEntry>* remainders = nullptr) {
+    const std::vector<chalkshed::wire::JobRemainderEntry>* remainders = nullptr,
+    uint64_t configuration_version = 0, uint64_t workers_version = 0) {
   auto session__ = session ? _fbb.CreateString(session) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<chalkshed::wire::WorkerLoadEntry>(*loads) : 0;
   auto outcomes__ =
@@ -213,7 +228,8 @@
   auto remainders__ =
       remainders ? _fbb.CreateVectorOfStructs<chalkshed::wire::JobRemainderEntry>(*remainders) : 0;
   return chalkshed::wire::CreateHeartbeat(_fbb, session__, sequence, draining, store_silence_ms,
-                                          store_version, loads__, outcomes__, remainders__);
+                                          store_version, loads__, outcomes__, remainders__,
+                                          configuration_version, workers_version);
 }
 
 inline const chalkshed::wire::Heartbeat* GetHeartbeat(const void* buf) {
@@ -224,22 +240,32 @@
   return flatbuffers::GetSizePrefixedRoot<chalkshed::wire::Heartbeat>(buf);
 }
 
+inline const char* HeartbeatIdentifier() { return "CHBT"; }
+
+inline bool HeartbeatBufferHasIdentifier(const void* buf) {
+  return flatbuffers::BufferHasIdentifier(buf, HeartbeatIdentifier());
+}
+
+inline bool SizePrefixedHeartbeatBufferHasIdentifier(const void* buf) {
+  return flatbuffers::BufferHasIdentifier(buf, HeartbeatIdentifier(), true);
+}
+
 inline bool VerifyHeartbeatBuffer(flatbuffers::Verifier& verifier) {
-  return verifier.VerifyBuffer<chalkshed::wire::Heartbeat>(nullptr);
+  return verifier.VerifyBuffer<chalkshed::wire::Heartbeat>(HeartbeatIdentifier());
 }
 
 inline bool VerifySizePrefixedHeartbeatBuffer(flatbuffers::Verifier& verifier) {
-  return verifier.VerifySizePrefixedBuffer<chalkshed::wire::Heartbeat>(nullptr);
+  return verifier.VerifySizePrefixedBuffer<chalkshed::wire::Heartbeat>(HeartbeatIdentifier());
 }
 
 inline void FinishHeartbeatBuffer(flatbuffers::FlatBufferBuilder& fbb,
                                   flatbuffers::Offset<chalkshed::wire::Heartbeat> root) {
-  fbb.Finish(root);
+  fbb.Finish(root, HeartbeatIdentifier());
 }
 
 inline void FinishSizePrefixedHeartbeatBuffer(
     flatbuffers::FlatBufferBuilder& fbb, flatbuffers::Offset<chalkshed::wire::Heartbeat> root) {
-  fbb.FinishSizePrefixed(root);
+  fbb.FinishSizePrefixed(root, HeartbeatIdentifier());
 }
 
 }  // namespace wire
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -13,8 +13,8 @@
 // A longer time between two ticks means that this process itself stood still.
 constexpr Duration kOwnPause = std::chrono::milliseconds(1000);
 
-// What the largest datagram holds beside its head (the session's name and some numbers): an entry of
-// load or outcome takes 16 bytes, one of a job 24. Loads matter most and come first.
+// What the largest datagram holds beside its head (the session's name and some numbers): an entry
+// of load or outcome takes 16 bytes, one of a job 24. Loads matter most and come first.
 constexpr size_t kHeadBytes = 200;
 constexpr size_t kEntryBytes = DatagramTransport::kMaxDatagramBytes - kHeadBytes;
 constexpr size_t kBytesOfLoad = 16;
@@ -29,20 +29,20 @@
 
 PeerExchange::PeerExchange(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store,
                            StoreClock& clock, DatagramTransport& datagrams, WorkerSet& workers,
-                           Logger& logger, std::string node, std::string session, std::string zone,
-                           Address address, uint16_t caller_port, const PeerKnobs& knobs)
+                           Logger& logger, MetricsRegistry& metrics, PeerIdentity identity,
+                           const PeerKnobs& knobs)
     : time_source_(time_source),
       store_(store),
       clock_(clock),
       datagrams_(datagrams),
       workers_(workers),
       logger_(logger),
-      node_(std::move(node)),
-      session_(std::move(session)),
-      zone_(std::move(zone)),
-      address_(std::move(address)),
-      caller_port_(caller_port),
+      identity_(std::move(identity)),
       knobs_(knobs),
+      relay_(time_source, dispatcher, datagrams, workers, clock, logger, metrics,
+             {identity_.node, identity_.session, identity_.zone, identity_.address,
+              identity_.capacity, true, false},
+             knobs.relays),
       tick_timer_(dispatcher.create_timer([this] { tick(); })),
       send_timer_(dispatcher.create_timer([this] { send_heartbeats(); })),
       announce_timer_(dispatcher.create_timer([this] { announce(); })) {
@@ -58,13 +58,12 @@
 }
 
 void PeerExchange::announce() {
-  const nlohmann::json value = {{"session", session_},
-                                {"zone", zone_},
-                                {"ip", address_.ip},
-                                {"port", address_.port},
-                                {"caller_port", caller_port_}};
+  const nlohmann::json value = {
+      {"session", identity_.session},         {"zone", identity_.zone},
+      {"ip", identity_.address.ip},           {"port", identity_.address.port},
+      {"caller_port", identity_.caller_port}, {"capacity", identity_.capacity}};
   StoreTransaction announcement;
-  announcement.writes.push_back({{kNodeTable, "", node_}, value.dump()});
+  announcement.writes.push_back({{kNodeTable, "", identity_.node}, value.dump()});
   store_.commit(std::move(announcement),
                 lifetime_.guard([this](const Expected<StoreCommit>& commit) {
                   if (!commit) {
@@ -74,7 +73,7 @@
 }
 
 void PeerExchange::on_row(const StoredRow& row) {
-  if (row.key.key == node_) {
+  if (row.key.key == identity_.node) {
     return;
   }
   Peer& peer = peers_[row.key.key];
@@ -91,7 +90,9 @@
     peer.address = {fields.value("ip", ""), fields.value("port", uint16_t{0})};
     peer.zone = fields.value("zone", "");
     peer.caller_port = fields.value("caller_port", uint16_t{0});
+    peer.capacity = fields.value("capacity", 0.0);
   }
+  ++announcements_;
   count_peers();
   peer.announcement = row.version;
   peer.announced = time_source_.monotonic_now();
@@ -103,10 +104,59 @@
   load_changed();
 }
 
+void PeerExchange::set_known_versions(std::function<KnownVersions()> own,
+                                      std::function<void(const KnownVersions&)> on_reported) {
+  relay_.set_known_versions(own, on_reported);
+  own_versions_ = std::move(own);
+  on_versions_ = std::move(on_reported);
+}
+
+void PeerExchange::set_on_role_changed(std::function<void()> callback) {
+  relay_.set_on_role_changed(callback);
+  on_role_changed_ = std::move(callback);
+}
+
 void PeerExchange::count_peers() {
   near_peers_ = static_cast<size_t>(std::count_if(
       peers_.begin(), peers_.end(), [this](const auto& entry) { return near(entry.second); }));
   far_peers_ = peers_.size() - near_peers_;
+  if (relayed() != was_relayed_) {
+    was_relayed_ = relayed();
+    for (auto& [node, peer] : peers_) {
+      take_loads(peer, {});
+    }
+    if (on_role_changed_) {
+      on_role_changed_();
+    }
+  }
+  update_relays();
+}
+
+bool PeerExchange::may_relay(const Peer& peer) const {
+  const Duration patience = knobs_.missed_heartbeats * expected_interval(peer);
+  const Duration silence = time_source_.monotonic_now() - std::max(peer.heard, peer.announced);
+  return silence <= patience && !peer.lapsed && !peer.draining;
+}
+
+void PeerExchange::update_relays() {
+  relay_.forget_silent();
+  // Mostly nothing has changed since the last time.
+  uint64_t seen = announcements_;
+  for (const auto& [node, peer] : peers_) {
+    const bool reported = peer.lapsed && relay_.reported_lapsed(peer.session);
+    seen = seen * 31 + (may_relay(peer) ? 1 : 0) + (peer.lapsed && !reported ? 2 : 0);
+  }
+  if (std::exchange(relay_view_, seen) == seen) {
+    return;
+  }
+  std::vector<relay_candidate> candidates;
+  for (const auto& [node, peer] : peers_) {
+    if (relayed() && !peer.session.empty()) {
+      candidates.push_back({node, peer.session, peer.zone, peer.address, peer.capacity,
+                            may_relay(peer), peer.lapsed && !relay_.reported_lapsed(peer.session)});
+    }
+  }
+  relay_.set_peers(std::move(candidates));
 }
 
 Duration PeerExchange::least_interval(bool near) const {
@@ -121,14 +171,23 @@
 
 Duration PeerExchange::idle_interval(bool near) const {
   const size_t peers = near ? near_peers_ : far_peers_;
-  const double rate = near ? knobs_.near_datagrams_per_second : knobs_.far_datagrams_per_second;
+  const double direct = near ? knobs_.near_datagrams_per_second : knobs_.far_datagrams_per_second;
+  const double rate = relayed() ? knobs_.relayed_datagrams_per_second : direct;
   const std::chrono::duration<double> interval(static_cast<double>(peers) / rate);
   return std::max(knobs_.heartbeat_interval, std::chrono::duration_cast<Duration>(interval));
 }
 
+// The nodes of a zone report to its relays as often as to all in a small fleet. They may not take
+// this node for a relay though it does itself, so that what counts is how often they do report.
+Duration PeerExchange::expected_interval(const Peer& peer) const {
+  const Duration idle = idle_interval(near(peer));
+  return relayed() ? std::clamp(peer.usual_gap, knobs_.heartbeat_interval, idle) : idle;
+}
+
 void PeerExchange::begin_drain() {
   draining_ = true;
   sent_far_ = {};
+  sent_near_ = {};
   send_heartbeats();
 }
 
@@ -137,7 +196,8 @@
     return;
   }
   const Duration since = time_source_.monotonic_now() - sent_;
-  send_timer_->enable(std::max(least_interval(true) - since, Duration(0)));
+  const Duration least = relayed() ? knobs_.least_interval : least_interval(true);
+  send_timer_->enable(std::max(least - since, Duration(0)));
 }
 
 // Nothing could be heard while this process stood still; nobody is to blame for it, and what it
@@ -163,23 +223,29 @@
   tick_timer_->enable(kTickInterval);
   excuse_own_pause();
   judge_peers();
-  if (time_source_.monotonic_now() - sent_ >= idle_interval(true)) {
+  update_relays();
+  const Duration idle = relayed() ? knobs_.heartbeat_interval : idle_interval(true);
+  if (time_source_.monotonic_now() - sent_ >= idle) {
     send_heartbeats();
   }
 }
 
 Duration PeerExchange::own_store_silence() const {
-  return time_source_.monotonic_now() - clock_.last_heard();
+  const Duration silence = time_source_.monotonic_now() - clock_.last_heard();
+  return std::max(silence - store_wait_, Duration(0));
 }
 
 Heartbeat PeerExchange::make_heartbeat() {
   const MonotonicTime now = time_source_.monotonic_now();
   Heartbeat heartbeat;
-  heartbeat.session = session_;
+  heartbeat.session = identity_.session;
   heartbeat.sequence = ++sequence_;
   heartbeat.draining = draining_;
   heartbeat.store_silence = own_store_silence();
   heartbeat.store_version = clock_.newest();
+  if (own_versions_) {
+    heartbeat.known = own_versions_();
+  }
   for (const auto& [incarnation, worker] : workers_.workers()) {
     if (worker->in_flight() > 0 && heartbeat.loads.size() < kMostLoads) {
       heartbeat.loads.push_back({worker->hash, static_cast<uint16_t>(worker->online_in_flight),
@@ -216,17 +282,17 @@
 
 void PeerExchange::send_heartbeats() {
   excuse_own_pause();
+  if (relayed()) {
+    send_relayed();
+    return;
+  }
   const MonotonicTime now = time_source_.monotonic_now();
   // Nodes of other zones mostly use other workers: they hear less often, but at once of what
   // concerns them too.
   const bool far_due = now - sent_far_ >= least_interval(false);
   sent_ = now;
   const std::string datagram = encode_heartbeat(make_heartbeat());
-  for (const auto& [node, peer] : peers_) {
-    if (!peer.address.ip.empty() && (far_due || near(peer))) {
-      datagrams_.send(peer.address, datagram);
-    }
-  }
+  send_to_peers(datagram, true, far_due);
   if (far_due) {
     sent_far_ = now;
     notable_told_ = workers_.notable_changes();
@@ -235,25 +301,68 @@
   }
 }
 
+void PeerExchange::send_to_peers(const std::string& datagram, bool to_near, bool to_far) {
+  for (const auto& [node, peer] : peers_) {
+    if (!peer.address.ip.empty() && (near(peer) ? to_near : to_far)) {
+      datagrams_.send(peer.address, datagram);
+    }
+  }
+}
+
+// The relays of the zone learn of every change. All others hear seldom, but at once of failures at
+// workers, as far as the rate for what is notable allows.
+void PeerExchange::send_relayed() {
+  const MonotonicTime now = time_source_.monotonic_now();
+  const std::chrono::duration<double> notable(static_cast<double>(peers_.size()) /
+                                              knobs_.notable_datagrams_per_second);
+  const bool outcomes_due = workers_.outcome_changes() != outcomes_told_ &&
+                            now - outcomes_sent_ >= std::chrono::duration_cast<Duration>(notable);
+  const bool near_due = outcomes_due || now - sent_near_ >= idle_interval(true);
+  const bool far_due = outcomes_due || now - sent_far_ >= idle_interval(false);
+  sent_ = now;
+  const std::string datagram = encode_heartbeat(make_heartbeat());
+  for (const Address& relay : relay_.report_to()) {
+    datagrams_.send(relay, datagram);
+  }
+  send_to_peers(datagram, near_due, far_due);
+  sent_near_ = near_due ? now : sent_near_;
+  sent_far_ = far_due ? now : sent_far_;
+  if (outcomes_due) {
+    outcomes_sent_ = now;
+    outcomes_told_ = workers_.outcome_changes();
+  } else if (workers_.outcome_changes() != outcomes_told_) {
+    load_changed();
+  }
+}
+
 void PeerExchange::receive(std::string_view datagram) {
+  if (relay_.receive(datagram)) {
+    heard_anyone_ = time_source_.monotonic_now();
+    return;
+  }
   const std::optional<Heartbeat> heartbeat = decode_heartbeat(datagram);
   if (!heartbeat) {
     return;
   }
-  const auto found = std::find_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
-    return entry.second.session == heartbeat->session;
-  });
-  if (found == peers_.end() || heartbeat->sequence <= found->second.sequence) {
+  const auto found = peers_.find(node_of(heartbeat->session));
+  const bool known = found != peers_.end() && found->second.session == heartbeat->session;
+  if (!known || heartbeat->sequence <= found->second.sequence) {
     return;
   }
   Peer& peer = found->second;
   peer.sequence = heartbeat->sequence;
-  peer.heard = time_source_.monotonic_now();
-  heard_anyone_ = peer.heard;
+  note_heard(peer);
   peer.draining = heartbeat->draining;
   peer.store_silence = heartbeat->store_silence;
   clock_.observe_version(heartbeat->store_version);
-  take_loads(peer, heartbeat->loads);
+  if (on_versions_) {
+    on_versions_(heartbeat->known);
+  }
+  if (!relayed()) {
+    take_loads(peer, heartbeat->loads);
+  } else if (relay_.relaying() && near(peer)) {
+    relay_.collect(found->first, heartbeat->loads);
+  }
   take_outcomes(peer, heartbeat->outcomes);
   for (const job_remainder& remainder : heartbeat->remainders) {
     if (on_remainder_) {
@@ -262,6 +371,19 @@
   }
 }
 
+void PeerExchange::note_heard(Peer& peer) {
+  constexpr double kWeight = 0.3;  // some eight heartbeats until a new rate counts
+  const MonotonicTime now = time_source_.monotonic_now();
+  const Duration gap = peer.heard == MonotonicTime{} ? idle_interval(near(peer)) : now - peer.heard;
+  peer.usual_gap =
+      std::chrono::duration_cast<Duration>(peer.usual_gap * (1 - kWeight) + gap * kWeight);
+  if (peer.heard == MonotonicTime{}) {
+    peer.usual_gap = gap;
+  }
+  peer.heard = now;
+  heard_anyone_ = now;
+}
+
 void PeerExchange::take_outcomes(const Peer& peer,
                                  const std::vector<PeerWorkerOutcomes>& outcomes) {
   const auto failing =
@@ -318,10 +440,13 @@
   const MonotonicTime now = time_source_.monotonic_now();
   const bool alone = now - heard_anyone_ > knobs_.lapse_after;
   const Duration patience = std::max(alone ? knobs_.lapse_when_alone : knobs_.lapse_after,
-                                     knobs_.missed_heartbeats * idle_interval(near(peer)));
+                                     knobs_.missed_heartbeats * expected_interval(peer));
   if (now - std::max(peer.heard, peer.announced) > patience) {
     return true;
   }
+  if (relayed() && relay_.reported_lapsed(peer.session)) {
+    return true;
+  }
   return peer.store_silence > knobs_.store_silence && own_store_silence() < knobs_.lapse_after;
 }
 
@@ -337,14 +462,14 @@
                      {"its_store_silence_ms", std::to_string(peer.store_silence.count() / 1000)}});
     }
     peer.lapsed = now_lapsed;
-    if (now - peer.heard > std::max(knobs_.load_lifetime, 3 * idle_interval(near(peer)))) {
+    if (now - peer.heard > std::max(knobs_.load_lifetime, 3 * expected_interval(peer))) {
       take_loads(peer, {});
     }
   }
 }
 
 bool PeerExchange::alive(const std::string& session, StoreVersion seen) {
-  if (session == session_) {
+  if (session == identity_.session) {
     return true;
   }
   const auto peer = peers_.find(node_of(session));
@@ -393,7 +518,7 @@
 
 size_t PeerExchange::rank(const std::string& key) const {
   const uint64_t seed = content_hash(key);
-  const uint64_t own = content_hash(node_, seed);
+  const uint64_t own = content_hash(identity_.node, seed);
   return static_cast<size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
     const Peer& peer = entry.second;
     return !peer.draining && !peer.session.empty() && !lapsed(peer) &&
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <string>
 
+#include "chalkshed/load_relay.h"
 #include "src/core/address.h"
 #include "src/core/dispatcher.h"
 #include "src/core/lifetime.h"
@@ -26,6 +27,16 @@
 
 namespace chalkshed {
 
+// This node, as it announces itself to the others.
+struct PeerIdentity {
+  std::string node;     // unique name of the machine
+  std::string session;  // unique for this start: NODE#START
+  std::string zone;
+  Address address;           // where datagrams of other nodes arrive
+  uint16_t caller_port = 0;  // where callers, and jobs that peers hand on, arrive
+  double capacity = 1;       // share of a processor core
+};
+
 struct PeerKnobs {
   // Between two heartbeats when nothing changes.
   Duration heartbeat_interval = std::chrono::milliseconds(500);
@@ -34,6 +45,11 @@
   Duration least_interval = std::chrono::milliseconds(60);
   double near_datagrams_per_second = 250;
   double far_datagrams_per_second = 100;
+  // With more peers than this, loads go by the relays of each zone instead, and this node's
+  // heartbeats to all others only show that it lives: so many datagrams a second to those of its
+  // zone, and to all others. The relays notice a silent node sooner.
+  size_t most_peers_without_relays = 48;
+  double relayed_datagrams_per_second = 20;
   // What nodes far away should hear of at once may take more.
   double notable_datagrams_per_second = 1000;
   Duration lapse_after = std::chrono::milliseconds(2500);
@@ -52,18 +68,17 @@
   // store holds its answers for most of it.
   Duration store_contact = std::chrono::milliseconds(2000);
   Duration announce_retry = std::chrono::milliseconds(500);
+  load_relay_knobs relays;
 };
 
 inline constexpr const char* kNodeTable = "node";  // key: the node's name
 
 class PeerExchange : public TableObserver, public SessionView {
  public:
-  // @param node unique name of the machine. All references outlive the exchange.
-  // @param caller_port where callers reach this node, at the same IP address.
+  // All references outlive the exchange.
   PeerExchange(TimeSource& time_source, Dispatcher& dispatcher, WatchedStore& store,
                StoreClock& clock, DatagramTransport& datagrams, WorkerSet& workers, Logger& logger,
-               std::string node, std::string session, std::string zone, Address address,
-               uint16_t caller_port, const PeerKnobs& knobs = {});
+               MetricsRegistry& metrics, PeerIdentity identity, const PeerKnobs& knobs = {});
 
   void start();
   // Rows of the node table.
@@ -74,10 +89,20 @@
     own_remainders_ = std::move(own);
     on_remainder_ = std::move(on_reported);
   }
+  // What this node knows of the store's tables, and what happens with what others know.
+  void set_known_versions(std::function<KnownVersions()> own,
+                          std::function<void(const KnownVersions&)> on_reported);
+  // Called when loads begin or cease to go by relays, and when this node's part in it changes.
+  void set_on_role_changed(std::function<void()> callback);
+  // Whether the loads of other nodes come from a relay, because there are many nodes.
+  bool is_relay_member() const { return relayed() && !relay_.relaying(); }
+  bool relayed() const { return peers_.size() > knobs_.most_peers_without_relays; }
+  // The store may hold answers to this node for so long; only a longer silence says anything.
+  void set_store_wait(Duration wait) { store_wait_ = wait; }
   // What this node has in flight has changed.
   void load_changed();
 
-  const std::string& own_session() const override { return session_; }
+  const std::string& own_session() const override { return identity_.session; }
   bool alive(const std::string& session, StoreVersion seen) override;
   size_t rank(const std::string& key) const override;
   std::optional<Address> peer_with_store(uint64_t seed) const override;
@@ -89,9 +114,11 @@
     std::string zone;
     Address address;
     uint16_t caller_port = 0;  // 0: not told
+    double capacity = 0;
     StoreVersion announcement = 0;
     MonotonicTime announced{};
     MonotonicTime heard{};  // the last heartbeat of this session
+    Duration usual_gap{0};  // between two of them, of late
     uint64_t sequence = 0;
     bool draining = false;
     Duration store_silence{0};
@@ -104,15 +131,23 @@
   void tick();
   void send_heartbeats();
   void receive(std::string_view datagram);
+  void note_heard(Peer& peer);
   void take_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads);
   void take_outcomes(const Peer& peer, const std::vector<PeerWorkerOutcomes>& outcomes);
   Heartbeat make_heartbeat();
   void add_remainders(Heartbeat& heartbeat);
-  bool near(const Peer& peer) const { return peer.zone == zone_; }
+  bool near(const Peer& peer) const { return peer.zone == identity_.zone; }
+  bool may_relay(const Peer& peer) const;
+  // Tells the relays who is there, if that has changed.
+  void update_relays();
+  void send_to_peers(const std::string& datagram, bool to_near, bool to_far);
+  void send_relayed();
   // Between two heartbeats to the peers that are `near` (or far) when something changes.
   Duration least_interval(bool near) const;
   // Between two of them when nothing changes.
   Duration idle_interval(bool near) const;
+  // Between two heartbeats of the peer that this node hears, when nothing changes.
+  Duration expected_interval(const Peer& peer) const;
   void count_peers();
   void excuse_own_pause();
   void judge_peers();
@@ -125,11 +160,7 @@
   DatagramTransport& datagrams_;
   WorkerSet& workers_;
   Logger& logger_;
-  const std::string node_;
-  const std::string session_;
-  const std::string zone_;
-  const Address address_;
-  const uint16_t caller_port_;
+  const PeerIdentity identity_;
   const PeerKnobs knobs_;
   std::map<std::string, Peer> peers_;  // by node, without this one
   // Sessions that work is said to belong to, but that have not been announced: since when.
@@ -137,15 +168,26 @@
   std::function<std::vector<job_remainder>()> own_remainders_;
   std::function<void(const job_remainder&)> on_remainder_;
   size_t next_remainder_ = 0;  // more jobs than a datagram holds take turns
+  std::function<KnownVersions()> own_versions_;
+  std::function<void(const KnownVersions&)> on_versions_;
+  std::function<void()> on_role_changed_;
+  Duration store_wait_{0};
   bool draining_ = false;
   uint64_t sequence_ = 0;
   MonotonicTime sent_{};
   MonotonicTime sent_far_{};
+  MonotonicTime sent_near_{};  // to the whole zone, while loads go by relays
   uint64_t notable_told_ = 0;  // changes of the worker set that nodes far away have been told
+  uint64_t outcomes_told_ = 0;
+  MonotonicTime outcomes_sent_{};
   size_t near_peers_ = 0;
   size_t far_peers_ = 0;
   MonotonicTime ticked_{};
   MonotonicTime heard_anyone_{};
+  load_relay relay_;
+  bool was_relayed_ = false;
+  uint64_t announcements_ = 0;
+  uint64_t relay_view_ = 0;  // digest of what the relays were told last
   TimerPtr tick_timer_;
   TimerPtr send_timer_;
   TimerPtr announce_timer_;
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -58,7 +58,8 @@
   if (is_new) {
     worker = std::make_shared<ServingWorker>();
     worker->outcomes = worker_outcomes(knobs_.outcomes);
-    worker->hash = content_hash(record.incarnation);
+    // Two workers that share a hash, one pair in a thousand fleets of 3,000, share their load.
+    worker->hash = content_hash(record.incarnation) & UINT32_MAX;
     by_hash_[worker->hash] = worker;
   }
   worker->record = record;
@@ -90,10 +91,10 @@
   });
 }
 
-void WorkerSet::add_peer_load(uint64_t worker, int32_t online, int32_t batch) {
+bool WorkerSet::add_peer_load(uint64_t worker, int32_t online, int32_t batch) {
   const auto found = by_hash_.find(worker);
   if (found == by_hash_.end()) {
-    return;
+    return false;
   }
   found->second->others_online += online;
   found->second->others_batch += batch;
@@ -103,6 +104,7 @@
   if (online + batch < 0 && on_place_freed_) {
     on_place_freed_();
   }
+  return true;
 }
 
 WorkerPtr WorkerSet::add_peer_outcomes(uint64_t worker, const outcome_times& told) {
@@ -376,7 +378,10 @@
 
 void WorkerSet::note_success(ServingWorker& worker) {
   const MonotonicTime now = time_source_.monotonic_now();
-  notable_changes_ += worker.outcomes.suspect(now) ? 1 : 0;
+  if (worker.outcomes.suspect(now)) {
+    ++notable_changes_;
+    ++outcome_changes_;
+  }
   worker.outcomes.note_success(now);
   worker.avoided_until = {};
 }
@@ -388,6 +393,7 @@
 void WorkerSet::note_failure(ServingWorker& worker, MonotonicTime sent) {
   worker.outcomes.note_failure(sent, time_source_.monotonic_now());
   ++notable_changes_;
+  ++outcome_changes_;
   if (on_load_changed_) {
     on_load_changed_();
   }
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -40,7 +40,7 @@
 // One worker as this node sees it.
 struct ServingWorker {
   WorkerRecord record;
-  uint64_t hash = 0;   // of the incarnation; names the worker between nodes
+  uint64_t hash = 0;   // 32 bits of the incarnation's; names the worker between nodes
   bool listed = true;  // false: its record is gone
   MonotonicTime unlisted_since{};
   uint32_t online_in_flight = 0;  // of this node
@@ -110,7 +110,8 @@
   WorkerPlacePtr take_place(const PlaceRequest& request);
 
   // What another node has in flight at the worker of that hash has changed by so much.
-  void add_peer_load(uint64_t worker, int32_t online, int32_t batch);
+  // @return false when the worker is not known (yet): nothing has been counted.
+  bool add_peer_load(uint64_t worker, int32_t online, int32_t batch);
 
   // Another node has sent the worker prompts of so many tokens.
   void add_prompt_tokens(uint64_t worker, uint32_t tokens);
@@ -122,6 +123,8 @@
   // Counts what nodes far away should hear of at once: long prompts sent, many requests sent,
   // failures, successes that clear them. The rest may reach them later.
   uint64_t notable_changes() const { return notable_changes_; }
+  // The failures, and successes that clear them, among these.
+  uint64_t outcome_changes() const { return outcome_changes_; }
 
   // The first token of a prompt came after `took`; the worker had nothing else to read.
   void note_first_token(uint32_t prompt_tokens, Duration took) {
@@ -193,6 +196,7 @@
   std::map<uint64_t, WorkerPtr> by_hash_;
   std::map<std::string, batch_room, std::less<>> batch_rooms_;  // by service
   uint64_t notable_changes_ = 0;
+  uint64_t outcome_changes_ = 0;
   uint64_t places_taken_ = 0;
   std::function<void()> on_place_freed_;
   std::function<void()> on_load_changed_;
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -15,10 +15,12 @@
       partitions_(std::move(partitions)),
       observer_(observer),
       knobs_(knobs),
+      pace_(knobs.pace),
       retry_timer_(dispatcher.create_timer([this] {
         const std::function<void()> action = std::move(retry_action_);
         action();
-      })) {}
+      })),
+      hint_timer_(dispatcher.create_timer([this] { check_hint(); })) {}
 
 void TableWatcher::start() { list(); }
 
@@ -100,7 +102,7 @@
 void TableWatcher::follow() {
   const uint64_t asked = ++asked_;
   following_ = true;
-  store_.read_changes(table_, followed_, knobs_.longest_wait,
+  store_.read_changes(table_, followed_, pace_.longest_wait,
                       lifetime_.guard([this, asked](const Expected<TableChanges>& changes) {
                         if (asked == asked_) {
                           handle_changes(changes);
@@ -109,12 +111,12 @@
 }
 
 void TableWatcher::follow_later(bool changed) {
-  if (!changed || knobs_.gather <= Duration(0)) {
+  if (!changed || pace_.gather <= Duration(0)) {
     follow();
     return;
   }
   retry_action_ = [this] { follow(); };
-  retry_timer_->enable(knobs_.gather);
+  retry_timer_->enable(pace_.gather);
 }
 
 void TableWatcher::refresh() {
@@ -123,6 +125,24 @@
   }
 }
 
+void TableWatcher::note_newer(StoreVersion version) {
+  newest_hint_ = std::max(newest_hint_, version);
+  if (newest_hint_ > newest_row_ && !hint_timer_->enabled()) {
+    hint_timer_->enable(knobs_.hint_patience);
+  }
+}
+
+void TableWatcher::check_hint() {
+  if (newest_hint_ <= newest_row_ || newest_hint_ <= followed_ || !following_) {
+    return;
+  }
+  logger_.write(LogLevel::kInfo, "change_missed",
+                {{"table", table_},
+                 {"known", std::to_string(newest_row_)},
+                 {"peers_know", std::to_string(newest_hint_)}});
+  follow();
+}
+
 void TableWatcher::handle_changes(const Expected<TableChanges>& changes) {
   following_ = false;
   if (!changes && changes.error().kind == ErrorKind::kNotFound) {
@@ -145,6 +165,7 @@
 }
 
 void TableWatcher::tell(const StoredRow& row) {
+  newest_row_ = std::max(newest_row_, row.version);
   Known& known = known_[row.key];
   if (row.version <= known.version) {
     return;
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -25,13 +25,22 @@
   virtual void on_listed() {}
 };
 
-struct TableWatcherKnobs {
+// How often a table is asked for.
+struct WatchPace {
   // How long the store may hold the answer back when nothing changes. Bounds how long a lost
-  // connection goes unnoticed.
+  // connection goes unnoticed where no other sign tells of it.
   Duration longest_wait = std::chrono::milliseconds(1500);
   // After changes have come, the next are asked for this much later, so that they come together.
   // Every change of a table goes to every node: a change each would cost a call of each node.
   Duration gather{0};
+};
+
+struct TableWatcherKnobs {
+  WatchPace pace;
+  // Other nodes know of a change for this long before this one takes its own question for lost.
+  // The store answers all nodes within some 10 ms of each other; while it is slow, this costs one
+  // call more.
+  Duration hint_patience = std::chrono::milliseconds(150);
   Duration first_retry = std::chrono::milliseconds(100);
   Duration longest_retry = std::chrono::milliseconds(800);
 };
@@ -47,6 +56,12 @@
   void start();
   // Asks for changes anew if an answer is awaited: it may be lost.
   void refresh();
+  void set_pace(const WatchPace& pace) { pace_ = pace; }
+  // Another node knows a row of the table in this version. If it does not arrive here too, the
+  // answer that this node waits for is lost: it asks again.
+  void note_newer(StoreVersion version);
+  // The newest version of a row that is known.
+  StoreVersion newest_row() const { return newest_row_; }
   // Called when the store answers again after a failure.
   void set_on_regained(std::function<void()> callback) { on_regained_ = std::move(callback); }
   // Whether the table has been listed once.
@@ -71,6 +86,7 @@
   void tell(const StoredRow& row);
   void retry(const Error& error, std::function<void()> action);
   void heard();
+  void check_hint();
 
   TimeSource& time_source_;
   WatchedStore& store_;
@@ -79,6 +95,9 @@
   const std::vector<std::string> partitions_;
   TableObserver& observer_;
   const TableWatcherKnobs knobs_;
+  WatchPace pace_;
+  StoreVersion newest_row_ = 0;
+  StoreVersion newest_hint_ = 0;
   std::map<StoredRowKey, Known> known_;
   // Of the list under way: the keys seen and the oldest version of its pages.
   std::map<StoredRowKey, StoreVersion> listing_;
@@ -93,6 +112,7 @@
   MonotonicTime last_heard_{};
   std::function<void()> retry_action_;
   TimerPtr retry_timer_;
+  TimerPtr hint_timer_;
   Lifetime lifetime_;
 };
 
--- a/tests/watch/table_watcher_test.cc
+++ b/tests/watch/table_watcher_test.cc
@@ -79,7 +79,7 @@
 
 TEST_F(TableWatcherTest, ChangesThatComeCloseTogetherCostOneCall) {
   TableWatcherKnobs knobs;
-  knobs.gather = milliseconds(150);
+  knobs.pace.gather = milliseconds(150);
   TableWatcher gathering{clock, dispatcher, store, logger, "t", {""}, observer, knobs};
   gathering.start();
   clock.run_for(milliseconds(50));
@@ -95,7 +95,7 @@
 
 TEST_F(TableWatcherTest, AnAnswerThatWasLostIsAskedForAnew) {
   TableWatcherKnobs knobs;
-  knobs.longest_wait = seconds(60);
+  knobs.pace.longest_wait = seconds(60);
   TableWatcher patient{clock, dispatcher, store, logger, "t", {""}, observer, knobs};
   patient.start();
   clock.run_for(milliseconds(50));
@@ -110,6 +110,35 @@
   EXPECT_EQ(observer.values["a"], "1");
 }
 
+// Other nodes know a row that has not arrived here: the answer that would bring it is lost.
+TEST_F(TableWatcherTest, AChangeThatOthersKnowIsAskedForAnew) {
+  TableWatcherKnobs knobs;
+  knobs.pace.longest_wait = seconds(60);
+  TableWatcher patient{clock, dispatcher, store, logger, "t", {""}, observer, knobs};
+  patient.start();
+  clock.run_for(milliseconds(50));
+  store.set_cut(true);
+  put("a", "1");
+  clock.run_for(milliseconds(50));
+  store.set_cut(false);
+  patient.note_newer(shared.rows.version());
+  clock.run_for(milliseconds(200));
+  EXPECT_EQ(observer.values["a"], "1");
+}
+
+TEST_F(TableWatcherTest, WhatOthersKnowCostsNoCallWhenItArrivesHereToo) {
+  watcher.start();
+  clock.run_for(milliseconds(50));
+  const uint64_t calls = shared.calls;
+  watcher.note_newer(shared.rows.version() + 1);
+  put("a", "1");
+  clock.run_for(milliseconds(200));
+  EXPECT_EQ(observer.values["a"], "1");
+  watcher.note_newer(1);
+  clock.run_for(milliseconds(200));
+  EXPECT_LE(shared.calls - calls, 2U);
+}
+
 TEST_F(TableWatcherTest, ListsAgainWhenTheHistoryIsGoneAndHearsOfRemovals) {
   put("a", "1");
   put("b", "1");
