Count a load that a peer reports before its worker is known

Cause: in a mesh, too, a report about a worker whose record had not arrived was remembered as counted. The later difference was then taken from nothing: the worker looked emptier than it was, for good. The test shows 0 in place of 3 requests, then -3 in place of 0, on the code before.

Change: heartbeats in a mesh are applied by the same class as digests, which counts what the set of workers has taken and nothing else. The logic stood twice.

--- a/include/chalkshed/load_relay.h
+++ b/include/chalkshed/load_relay.h
@@ -66,6 +66,9 @@
     bool lapsed = false;
 };
 
+/** The loads of a heartbeat as entries of a digest. */
+std::vector<digest_entry> to_entries(const std::vector<PeerWorkerLoad> &loads);
+
 /** What one source last reported, as it stands in the WorkerSet. */
 class reported_loads {
 public:
@@ -74,9 +77,9 @@
                  uint32_t last = UINT32_MAX);
     /** Adds the prompts that have been sent to workers since the source reported before. The first
      * sight of a counter says nothing of when its prompts were sent.
-     * \param total Takes what was added, in units, by worker. */
+     * \param total If given, takes what was added, in units, by worker. */
     void add_prompts(WorkerSet &workers, const std::vector<digest_entry> &entries,
-                     std::map<uint32_t, uint16_t> &total);
+                     std::map<uint32_t, uint16_t> *total = nullptr);
     void forget_prompts() {
         prompt_units_.clear();
     }
--- a/src/load_relay/load_relay.cc
+++ b/src/load_relay/load_relay.cc
@@ -171,15 +171,10 @@
 }
 
 void load_relay::collect(const std::string &node, const std::vector<PeerWorkerLoad> &loads) {
-    std::vector<digest_entry> entries;
-    entries.reserve(loads.size());
-    for (const PeerWorkerLoad &load : loads) {
-        entries.push_back({static_cast<uint32_t>(load.worker), to_byte(load.online),
-                           to_byte(load.batch), to_units(load.prompt_tokens)});
-    }
+    const std::vector<digest_entry> entries = to_entries(loads);
     reported_loads &known = collected_[node];
     known.replace(workers_, entries);
-    known.add_prompts(workers_, entries, zone_prompts_);
+    known.add_prompts(workers_, entries, &zone_prompts_);
 }
 
 // Two relays may send for a while. The loads are those of the newest digest of either; prompts are
@@ -196,7 +191,7 @@
     source.sequence = digest.sequence;
     source.heard = time_source_.monotonic_now();
     source.loads.replace(workers_, digest.entries, digest.first, digest.last);
-    source.loads.add_prompts(workers_, digest.entries, far_prompts_);
+    source.loads.add_prompts(workers_, digest.entries, &far_prompts_);
 }
 
 bool load_relay::receive(std::string_view datagram) {
--- a/src/load_relay/reported_loads.cc
+++ b/src/load_relay/reported_loads.cc
@@ -1,7 +1,23 @@
 #include "chalkshed/load_relay.h"
 
+#include <algorithm>
+
 namespace chalkshed {
 
+std::vector<digest_entry> to_entries(const std::vector<PeerWorkerLoad> &loads) {
+    const auto to_byte = [](uint16_t count) {
+        return static_cast<uint8_t>(std::min<uint16_t>(count, UINT8_MAX));
+    };
+    std::vector<digest_entry> entries;
+    entries.reserve(loads.size());
+    for (const PeerWorkerLoad &load : loads) {
+        entries.push_back({static_cast<uint32_t>(load.worker), to_byte(load.online),
+                           to_byte(load.batch),
+                           static_cast<uint16_t>(load.prompt_tokens / kPromptUnit)});
+    }
+    return entries;
+}
+
 void reported_loads::replace(WorkerSet &workers, const std::vector<digest_entry> &entries,
                              uint32_t first, uint32_t last) {
     std::map<uint32_t, digest_entry> reported;
@@ -29,7 +45,7 @@
 }
 
 void reported_loads::add_prompts(WorkerSet &workers, const std::vector<digest_entry> &entries,
-                                 std::map<uint32_t, uint16_t> &total) {
+                                 std::map<uint32_t, uint16_t> *total) {
     // A counter that has gone back is another one, of a relay that has begun anew.
     constexpr uint16_t kBackwards = 0x8000;
     for (const digest_entry &entry : entries) {
@@ -41,7 +57,9 @@
         }
         workers.add_prompt_tokens(entry.worker, uint32_t{added} * kPromptUnit);
         added_[entry.worker] = static_cast<uint16_t>(added_[entry.worker] + added);
-        total[entry.worker] = static_cast<uint16_t>(total[entry.worker] + added);
+        if (total != nullptr) {
+            (*total)[entry.worker] = static_cast<uint16_t>((*total)[entry.worker] + added);
+        }
     }
 }
 
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -413,27 +413,9 @@
 }
 
 void PeerExchange::take_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads) {
-  std::map<uint64_t, PeerWorkerLoad> told;
-  for (const PeerWorkerLoad& load : loads) {
-    told.emplace(load.worker, load);
-  }
-  for (const auto& [worker, load] : peer.loads) {
-    if (!told.contains(worker)) {
-      workers_.add_peer_load(worker, -load.online, -load.batch);
-    }
-  }
-  for (const auto& [worker, load] : told) {
-    const auto before = peer.loads.find(worker);
-    const PeerWorkerLoad known = before == peer.loads.end() ? PeerWorkerLoad{} : before->second;
-    if (load.online != known.online || load.batch != known.batch) {
-      workers_.add_peer_load(worker, load.online - known.online, load.batch - known.batch);
-    }
-    const auto [tokens, is_new] = peer.prompt_tokens.try_emplace(worker, load.prompt_tokens);
-    // The first sight of a counter says nothing of when its tokens were sent.
-    workers_.add_prompt_tokens(worker, is_new ? 0 : load.prompt_tokens - tokens->second);
-    tokens->second = load.prompt_tokens;
-  }
-  peer.loads = std::move(told);
+  const std::vector<digest_entry> entries = to_entries(loads);
+  peer.loads.replace(workers_, entries);
+  peer.loads.add_prompts(workers_, entries);
 }
 
 bool PeerExchange::lapsed(const Peer& peer) const {
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -123,8 +123,7 @@
     bool draining = false;
     Duration store_silence{0};
     bool lapsed = false;
-    std::map<uint64_t, PeerWorkerLoad> loads;    // by worker
-    std::map<uint64_t, uint32_t> prompt_tokens;  // told last, by worker
+    reported_loads loads;
   };
 
   void announce();
--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -115,6 +115,27 @@
   EXPECT_EQ(cluster.node("n1").workers().find(worker)->others_online, 0) << "it died with it";
 }
 
+// A peer may use a new worker before its record has arrived here.
+TEST_F(PeerExchangeTest, ALoadThatIsReportedBeforeTheWorkerIsKnownCountsOnceItIs) {
+  Heartbeat heartbeat;
+  heartbeat.session = session("n0");
+  heartbeat.loads = {{content_hash("i-new") & UINT32_MAX, 3, 0, 0}};
+  const auto deliver = [&](uint64_t sequence) {
+    heartbeat.sequence = sequence;
+    cluster.hub.receivers.at({"n1", 7660})({"n0", 7660}, encode_heartbeat(heartbeat));
+  };
+  deliver(1000000);
+  cluster.write_worker("i-new", 9, "ready");
+  cluster.clock.run_for(milliseconds(100));
+  deliver(1000001);
+  const WorkerPtr worker = cluster.node("n1").workers().find("i-new");
+  ASSERT_TRUE(worker);
+  EXPECT_EQ(worker->others_online, 3);
+  heartbeat.loads.clear();
+  deliver(1000002);
+  EXPECT_EQ(worker->others_online, 0);
+}
+
 TEST_F(PeerExchangeTest, AWorkerThatFailsAtOneNodeIsAvoidedByAll) {
   cluster.request("/once/x", "r1");
   ScriptedCall& call = cluster.workers.calls.back();
