Reserve room for several jobs at once and pause after a conflict

Each job wrote the row of reservations by itself; of all nodes that wrote at one moment one succeeded, the others wrote again at once, and the store refused them for their number (200 writes a second and partition).

Ruled out: late reports of what is left (no refusal named the limit); a share of the room for each node (its bound is loose, and a job larger than the share would still be reserved).

Change: a node has one write under way for a queue, for all jobs that wait there; after a conflict it waits for a random time, doubled each time; reservations lie in a partition of their own; nothing is reserved below 0.75 of the limit in place of 0.6.

--- a/include/chalkshed/queue_admission.h
+++ b/include/chalkshed/queue_admission.h
@@ -47,7 +47,7 @@
 struct admission_knobs {
     /** Up to this share of the limit nothing is reserved: the rest covers what other nodes accept
      * before this one learns of it, which is at most a second or two of arrivals. */
-    double unreserved_share = 0.6;
+    double unreserved_share = 0.75;
     /** Nor is anything reserved where this many more jobs of the same size would fit: so many may
      * be accepted elsewhere at the same moment. */
     uint64_t unseen_jobs = 8;
@@ -56,6 +56,12 @@
     Duration reservation_lifetime = std::chrono::seconds(5);
     /** Conditional writes of the row that may fail because other nodes were first. */
     uint32_t most_conflicts = 8;
+    /** After a write that failed so, a node waits for a random part of this, doubled each time:
+     * about what the store takes for a write and its answer. Without it all nodes that want room
+     * write at the same moments, one succeeds, and the store refuses the rest for their number. */
+    Duration conflict_pause = std::chrono::milliseconds(15);
+    /** One write reserves room for so many jobs that wait at this node. */
+    size_t most_jobs_a_write = 20;
     /** Bounds of the time after which a refused caller should come back. */
     Duration least_retry_after = std::chrono::milliseconds(200);
     Duration most_retry_after = std::chrono::seconds(4);
@@ -89,17 +95,31 @@
     struct candidate {
         std::string job;
         uint64_t tokens = 0;
-        uint64_t queue = 0;
         std::string host;
         std::string path;
+        Callback<admission_verdict> callback;
+    };
+    /** The reservations of one queue by this node: one write at a time, for all jobs that wait. */
+    struct lane {
+        ledger newest;
+        std::vector<candidate> waiting;
+        /** Of the write under way. */
+        std::vector<candidate> reserving;
+        bool busy = false;
+        uint32_t conflicts = 0;
+        TimerPtr pause;
     };
 
     const Route *route_of(const RouteTablePtr &table, const candidate &wanted) const;
-    void reserve(const candidate &wanted, uint32_t conflicts,
-                 const Callback<admission_verdict> &callback);
-    void handle_reserved(const candidate &wanted, uint32_t conflicts, ledger sent,
-                         const Expected<StoreCommit> &commit,
-                         const Callback<admission_verdict> &callback);
+    void reserve(uint64_t queue, candidate wanted);
+    /** Writes the reservations of the jobs that wait and fit; the others are answered. */
+    void write_reservations(uint64_t queue);
+    /** \return The row to write, with a reservation for each job that fits. */
+    ledger add_reservations(lane &own, std::vector<candidate> waiting);
+    void handle_written(uint64_t queue, ledger sent, const Expected<StoreCommit> &commit);
+    void handle_conflict(uint64_t queue, const StoreCommit &commit);
+    /** The write is over: answers the jobs in it and begins the next. */
+    void finish_write(uint64_t queue, const Expected<admission_verdict> &verdict);
     admission_verdict judge(const Route &route, uint64_t tokens, uint64_t reserved) const;
     static std::string encode(const ledger &entries);
     /** What cannot be read is logged and counts as no reservation. */
@@ -108,8 +128,7 @@
     JobEnvironment &environment_;
     const queue_view &view_;
     admission_knobs knobs_;
-    /** As last seen in the store, by queue. */
-    std::map<uint64_t, ledger> ledgers_;
+    std::map<uint64_t, lane> lanes_;
     Lifetime lifetime_;
 };
 
--- a/include/chalkshed/queued_tokens.h
+++ b/include/chalkshed/queued_tokens.h
@@ -49,6 +49,9 @@
      * \return What is left of it, as far as reported. */
     uint64_t left_of(uint64_t job, uint64_t tokens) const;
 
+    /** Whether the job is known by a report that still counts. */
+    bool reported(uint64_t job, MonotonicTime now) const;
+
     /** Tokens of the queue's jobs that are known by reports alone.
      * \param listed Whether the job's record is known, open or not. */
     uint64_t unlisted(uint64_t queue, const std::function<bool(uint64_t job)> &listed,
--- a/src/job_queue/queue_admission.cc
+++ b/src/job_queue/queue_admission.cc
@@ -1,6 +1,7 @@
 #include "chalkshed/queue_admission.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "src/core/digest.h"
@@ -10,8 +11,10 @@
 
 constexpr const char *kReservationTable = "job_queue";
 
+// Each queue has a partition of its own: a partition takes a limited number of writes.
 StoredRowKey reservation_key(uint64_t queue) {
-    return {kReservationTable, "", std::to_string(queue)};
+    const std::string name = std::to_string(queue);
+    return {kReservationTable, "queue-" + name, name};
 }
 
 uint64_t saturating_sum(uint64_t a, uint64_t b) {
@@ -59,7 +62,7 @@
 }
 
 void queue_admission::admit(const RequestJob &job, const Callback<admission_verdict> &callback) {
-    candidate wanted{job.id, tokens_of(job), 0, job.host, job.path};
+    candidate wanted{job.id, tokens_of(job), job.host, job.path, callback};
     const RouteTablePtr table = environment_.routes.current();
     const Route *route = route_of(table, wanted);
     const bool limited = route != nullptr && route->max_queued_tokens > 0;
@@ -82,82 +85,127 @@
         callback(verdict);
         return;
     }
-    wanted.queue = route_queue_id(*route);
-    reserve(wanted, 0, callback);
+    reserve(route_queue_id(*route), std::move(wanted));
 }
 
-void queue_admission::reserve(const candidate &wanted, uint32_t conflicts,
-                              const Callback<admission_verdict> &callback) {
-    const RouteTablePtr table = environment_.routes.current();
-    const Route *route = route_of(table, wanted);
-    if (route == nullptr) {
-        callback(tl::unexpected(not_run(ErrorKind::kNotFound, "the route of the job is gone",
-                                        "check the host and the path")));
-        return;
+void queue_admission::reserve(uint64_t queue, candidate wanted) {
+    lane &own = lanes_[queue];
+    own.waiting.push_back(std::move(wanted));
+    if (!std::exchange(own.busy, true)) {
+        write_reservations(queue);
     }
-    ledger entries = ledgers_[wanted.queue];
+}
+
+queue_admission::ledger queue_admission::add_reservations(lane &own,
+                                                          std::vector<candidate> waiting) {
+    ledger entries = own.newest;
     const Duration now = environment_.clock.now();
     std::erase_if(entries.reservations, [&](const reservation &made) {
         return now - made.made > knobs_.reservation_lifetime;
     });
-    uint64_t reserved = 0;
-    bool own_is_there = false;
-    for (const reservation &made : entries.reservations) {
-        own_is_there = own_is_there || made.job == wanted.job;
-        if (made.job != wanted.job && !view_.counts(made.job)) {
-            reserved = saturating_sum(reserved, made.tokens);
+    const RouteTablePtr table = environment_.routes.current();
+    for (candidate &wanted : waiting) {
+        const Route *route = route_of(table, wanted);
+        if (route == nullptr) {
+            wanted.callback(
+                tl::unexpected(not_run(ErrorKind::kNotFound, "the route of the job is gone",
+                                       "check the host and the path")));
+            continue;
+        }
+        uint64_t reserved = 0;
+        for (const reservation &made : entries.reservations) {
+            if (made.job != wanted.job && !view_.counts(made.job)) {
+                reserved = saturating_sum(reserved, made.tokens);
+            }
         }
+        // The row may be older than the newest, which holds more: a refusal may rest on it, an
+        // admission has to be written on top of the newest.
+        const admission_verdict verdict = judge(*route, wanted.tokens, reserved);
+        if (!verdict.admitted) {
+            wanted.callback(verdict);
+            continue;
+        }
+        std::erase_if(entries.reservations,
+                      [&](const reservation &made) { return made.job == wanted.job; });
+        entries.reservations.push_back({wanted.job, wanted.tokens, now});
+        own.reserving.push_back(std::move(wanted));
     }
-    const admission_verdict verdict = judge(*route, wanted.tokens, reserved);
-    // A cached row may lack the newest reservations, but never invents one: a refusal may rest on
-    // it, an admission has to be written on top of the newest.
-    if (!verdict.admitted) {
-        callback(verdict);
+    return entries;
+}
+
+void queue_admission::write_reservations(uint64_t queue) {
+    lane &own = lanes_[queue];
+    const size_t count = std::min(own.waiting.size(), knobs_.most_jobs_a_write);
+    const auto end = own.waiting.begin() + static_cast<ptrdiff_t>(count);
+    std::vector<candidate> waiting(std::make_move_iterator(own.waiting.begin()),
+                                   std::make_move_iterator(end));
+    own.waiting.erase(own.waiting.begin(), end);
+    ledger entries = add_reservations(own, std::move(waiting));
+    if (own.reserving.empty()) {
+        finish_write(queue, admission_verdict{true, 0, 0, {}});
         return;
     }
-    if (!own_is_there) {
-        entries.reservations.push_back({wanted.job, wanted.tokens, now});
-    }
     StoreTransaction transaction;
-    transaction.conditions.push_back({reservation_key(wanted.queue), entries.version});
-    transaction.writes.push_back({reservation_key(wanted.queue), encode(entries)});
-    environment_.store.commit(std::move(transaction),
-                              lifetime_.guard([this, wanted, conflicts, entries,
-                                               callback](const Expected<StoreCommit> &commit) {
-                                  handle_reserved(wanted, conflicts, entries, commit, callback);
-                              }));
+    transaction.conditions.push_back({reservation_key(queue), entries.version});
+    transaction.writes.push_back({reservation_key(queue), encode(entries)});
+    environment_.store.commit(
+        std::move(transaction),
+        lifetime_.guard([this, queue, entries](const Expected<StoreCommit> &commit) {
+            handle_written(queue, entries, commit);
+        }));
 }
 
-void queue_admission::handle_reserved(const candidate &wanted, uint32_t conflicts, ledger sent,
-                                      const Expected<StoreCommit> &commit,
-                                      const Callback<admission_verdict> &callback) {
+void queue_admission::handle_written(uint64_t queue, ledger sent,
+                                     const Expected<StoreCommit> &commit) {
     if (!commit) {
-        // Whether or not the reservation was written, the job was not: it only lapses.
-        callback(tl::unexpected(not_run(ErrorKind::kStoreUnavailable,
-                                        "no room could be reserved: " + commit.error().message,
-                                        "send the job again, or to another node")));
+        // Whether or not the reservations were written, the jobs were not: they only lapse.
+        finish_write(queue,
+                     tl::unexpected(not_run(ErrorKind::kStoreUnavailable,
+                                            "no room could be reserved: " + commit.error().message,
+                                            "send the job again, or to another node")));
         return;
     }
-    if (commit->committed) {
-        sent.version = commit->stamp.version;
-        if (sent.version > ledgers_[wanted.queue].version) {
-            ledgers_[wanted.queue] = std::move(sent);
-        }
-        callback(admission_verdict{true, 0, 0, {}});
+    if (!commit->committed) {
+        handle_conflict(queue, *commit);
         return;
     }
-    const StoredRow *row = commit->current.empty() ? nullptr : &commit->current.front();
-    ledger newest = row == nullptr ? ledger{} : decode(*row);
-    if (newest.version >= ledgers_[wanted.queue].version) {
-        ledgers_[wanted.queue] = std::move(newest);
-    }
-    if (conflicts >= knobs_.most_conflicts) {
-        callback(tl::unexpected(not_run(ErrorKind::kStoreUnavailable,
-                                        "other nodes reserve room at the same moment",
-                                        "send the job again")));
+    sent.version = commit->stamp.version;
+    lanes_[queue].newest = std::move(sent);
+    finish_write(queue, admission_verdict{true, 0, 0, {}});
+}
+
+void queue_admission::handle_conflict(uint64_t queue, const StoreCommit &commit) {
+    lane &own = lanes_[queue];
+    own.newest = commit.current.empty() ? ledger{} : decode(commit.current.front());
+    if (own.conflicts >= knobs_.most_conflicts) {
+        finish_write(queue, tl::unexpected(not_run(ErrorKind::kStoreUnavailable,
+                                                   "other nodes reserve room at the same moment",
+                                                   "send the job again")));
         return;
     }
-    reserve(wanted, conflicts + 1, callback);
+    own.waiting.insert(own.waiting.begin(), std::make_move_iterator(own.reserving.begin()),
+                       std::make_move_iterator(own.reserving.end()));
+    own.reserving.clear();
+    const auto most = static_cast<double>(knobs_.conflict_pause.count() << own.conflicts++);
+    if (!own.pause) {
+        own.pause = environment_.serving.dispatcher.create_timer(
+            [this, queue] { write_reservations(queue); });
+    }
+    own.pause->enable(Duration(static_cast<int64_t>(environment_.serving.random.unit() * most)));
+}
+
+void queue_admission::finish_write(uint64_t queue, const Expected<admission_verdict> &verdict) {
+    lane &own = lanes_[queue];
+    const std::vector<candidate> answered = std::exchange(own.reserving, {});
+    own.conflicts = 0;
+    own.busy = !own.waiting.empty();
+    if (own.busy) {
+        environment_.serving.dispatcher.post(
+            lifetime_.guard([this, queue] { write_reservations(queue); }));
+    }
+    for (const candidate &wanted : answered) {
+        wanted.callback(verdict);
+    }
 }
 
 std::string queue_admission::encode(const ledger &entries) {
--- a/src/job_queue/queued_tokens.cc
+++ b/src/job_queue/queued_tokens.cc
@@ -32,12 +32,16 @@
     return found == reports_.end() ? tokens : std::min(tokens, found->second.tokens);
 }
 
+bool queued_tokens::reported(uint64_t job, MonotonicTime now) const {
+    const auto found = reports_.find(job);
+    return found != reports_.end() && now - found->second.heard <= knobs_.unlisted_lifetime;
+}
+
 uint64_t queued_tokens::unlisted(uint64_t queue, const std::function<bool(uint64_t)> &listed,
                                  MonotonicTime now) const {
     uint64_t sum = 0;
     for (const auto &[job, known] : reports_) {
-        const bool fresh = now - known.heard <= knobs_.unlisted_lifetime;
-        if (known.queue == queue && fresh && known.tokens > 0 && !listed(job)) {
+        if (known.queue == queue && reported(job, now) && !listed(job)) {
             sum += known.tokens;
         }
     }
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -541,7 +541,10 @@
 
 bool JobService::complete() const { return listed_; }
 
-bool JobService::counts(const std::string& job) const { return index_.contains(job); }
+bool JobService::counts(const std::string& job) const {
+  return index_.contains(job) ||
+         queued_.reported(content_hash(job), environment_.serving.time_source.monotonic_now());
+}
 
 double JobService::drain_rate() const {
   return queued_.drain_rate(environment_.serving.time_source.monotonic_now());
--- a/src/peers/heartbeat.cc
+++ b/src/peers/heartbeat.cc
@@ -44,12 +44,13 @@
   for (const job_remainder& remainder : heartbeat.remainders) {
     remainders.emplace_back(remainder.job, remainder.queue, remainder.tokens);
   }
-  builder.Finish(wire::CreateHeartbeat(
-      builder, builder.CreateString(heartbeat.session), heartbeat.sequence, heartbeat.draining,
-      milliseconds_of(heartbeat.store_silence), heartbeat.store_version,
-      builder.CreateVectorOfStructs(loads), builder.CreateVectorOfStructs(outcomes),
-      builder.CreateVectorOfStructs(remainders), heartbeat.known.configuration,
-      heartbeat.known.workers),
+  builder.Finish(
+      wire::CreateHeartbeat(builder, builder.CreateString(heartbeat.session), heartbeat.sequence,
+                            heartbeat.draining, milliseconds_of(heartbeat.store_silence),
+                            heartbeat.store_version, builder.CreateVectorOfStructs(loads),
+                            builder.CreateVectorOfStructs(outcomes),
+                            builder.CreateVectorOfStructs(remainders),
+                            heartbeat.known.configuration, heartbeat.known.workers),
       wire::HeartbeatIdentifier());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
--- a/tests/load_relay/load_relay_test.cc
+++ b/tests/load_relay/load_relay_test.cc
@@ -163,7 +163,8 @@
   }
 }
 
-// A node that relays in its own eyes alone hears the others seldom, and must not take them for gone.
+// A node that relays in its own eyes alone hears the others seldom, and must not take them for
+// gone.
 TEST_F(LoadRelayTest, NobodyLapsesWhenRelaysChange) {
   for (int round = 0; round < 3; ++round) {
     for (const std::string& relay : busiest("a")) {
