Mend names and comments of the relays; show queues only where a limit exists

Cause: a newcomer would stumble over words of the first draft: a comment named the first digest interval, a set was filled and never read, "told" stood for reported. The sum for the metrics of limited queues hashed every job's id each 400 ms at every node, also without a limit.

Change: as said; no decision changes.

--- a/include/chalkshed/load_relay.h
+++ b/include/chalkshed/load_relay.h
@@ -8,7 +8,8 @@
  * few hundred nodes, and would still hear of most of them only every few seconds. Instead each zone
  * has two relays. The nodes of the zone report to both; the first of the two sends each of them the
  * sum of all others, and the sum of the zone to the relays of the other zones. A node then receives
- * some ten datagrams a second however many nodes there are, and what it knows is some 200 ms old.
+ * some hundred small datagrams a second however many nodes there are, and what it knows is some
+ * 70 ms old.
  *
  * The relays are chosen by every node for itself, from the nodes that it takes for alive: the most
  * capable ones, in an order that is drawn from their names. Nothing has to be agreed: a digest is
@@ -20,7 +21,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -191,7 +191,6 @@
     size_t rank_ = SIZE_MAX;
     std::string relay_names_;
     std::vector<Address> report_to_;
-    std::set<std::string> relay_sessions_;
     /** Loads and prompts of the nodes of this zone, as collected by a relay. */
     std::map<std::string, reported_loads> collected_;
     /** What the relays of other zones say, by zone, at a relay. */
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -572,16 +572,19 @@
 }
 
 void JobService::show_queues() {
+  const RouteTablePtr& table = environment_.routes.current();
+  const bool any_limit =
+      table && std::any_of(table->routes().begin(), table->routes().end(),
+                           [](const Route& route) { return route.max_queued_tokens > 0; });
+  if (!any_limit) {
+    return;
+  }
   std::unordered_set<uint64_t> listed;
   for (const auto& [id, indexed] : index_) {
     listed.insert(content_hash(id));
   }
   queued_.prune(environment_.serving.time_source.monotonic_now(),
                 [&](uint64_t job) { return listed.contains(job); });
-  const RouteTablePtr& table = environment_.routes.current();
-  if (!table) {
-    return;
-  }
   for (const Route& route : table->routes()) {
     if (route.max_queued_tokens > 0) {
       const MetricLabels labels = {{"route", route.name}};
--- a/src/load_relay/load_relay.cc
+++ b/src/load_relay/load_relay.cc
@@ -1,6 +1,7 @@
 #include "chalkshed/load_relay.h"
 
 #include <algorithm>
+#include <set>
 
 #include "src/core/digest.h"
 
@@ -104,13 +105,11 @@
     rank_ = SIZE_MAX;
     relay_names_.clear();
     report_to_.clear();
-    relay_sessions_.clear();
     if (!peers_.empty()) {
         const std::vector<const relay_candidate *> relays = relays_of(own_.zone);
         for (size_t rank = 0; rank < relays.size(); ++rank) {
             const relay_candidate &relay = *relays[rank];
             relay_names_ += (rank == 0 ? "" : " ") + relay.node;
-            relay_sessions_.insert(relay.session);
             if (relay.session == own_.session) {
                 rank_ = rank;
             } else {
--- a/src/load_relay/reported_loads.cc
+++ b/src/load_relay/reported_loads.cc
@@ -46,7 +46,7 @@
 
 void reported_loads::add_prompts(WorkerSet &workers, const std::vector<digest_entry> &entries,
                                  std::map<uint32_t, uint16_t> *total) {
-    // A counter that has gone back is another one, of a relay that has begun anew.
+    // A counter that has gone back is another one, of a relay that has just started.
     constexpr uint16_t kBackwards = 0x8000;
     for (const digest_entry &entry : entries) {
         const auto [known, is_new] = prompt_units_.try_emplace(entry.worker, entry.prompt_units);
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -99,7 +99,7 @@
 
  private:
   void place_soon();
-  // The store answers again: asks it anew for all that may have been lost meanwhile.
+  // The store answers again: repeats the questions whose answers may have been lost meanwhile.
   void refresh_watchers(TableWatcher& other);
   void pace_watchers();
   void check_drained();
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -146,7 +146,7 @@
     const bool reported = peer.lapsed && relay_.reported_lapsed(peer.session);
     seen = seen * 31 + (may_relay(peer) ? 1 : 0) + (peer.lapsed && !reported ? 2 : 0);
   }
-  if (std::exchange(relay_view_, seen) == seen) {
+  if (std::exchange(passed_to_relay_, seen) == seen) {
     return;
   }
   std::vector<relay_candidate> candidates;
@@ -323,7 +323,7 @@
   const MonotonicTime now = time_source_.monotonic_now();
   const std::chrono::duration<double> notable(static_cast<double>(peers_.size()) /
                                               knobs_.notable_datagrams_per_second);
-  const bool outcomes_due = workers_.outcome_changes() != outcomes_told_ &&
+  const bool outcomes_due = workers_.outcome_changes() != outcomes_reported_ &&
                             now - outcomes_sent_ >= std::chrono::duration_cast<Duration>(notable);
   const bool near_due = outcomes_due || now - sent_near_ >= idle_interval(true);
   const bool far_due = outcomes_due || now - sent_far_ >= idle_interval(false);
@@ -337,8 +337,8 @@
   sent_far_ = far_due ? now : sent_far_;
   if (outcomes_due) {
     outcomes_sent_ = now;
-    outcomes_told_ = workers_.outcome_changes();
-  } else if (workers_.outcome_changes() != outcomes_told_) {
+    outcomes_reported_ = workers_.outcome_changes();
+  } else if (workers_.outcome_changes() != outcomes_reported_) {
     load_changed();
   }
 }
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -140,7 +140,7 @@
   void add_remainders(Heartbeat& heartbeat);
   bool near(const Peer& peer) const { return peer.zone == identity_.zone; }
   bool may_relay(const Peer& peer) const;
-  // Tells the relays who is there, if that has changed.
+  // Gives the peers to load_relay, if they have changed.
   void update_relays();
   void send_to_peers(const std::string& datagram, bool to_near, bool to_far);
   void send_relayed();
@@ -180,7 +180,7 @@
   MonotonicTime sent_far_{};
   MonotonicTime sent_near_{};  // to the whole zone, while loads go by relays
   uint64_t notable_told_ = 0;  // changes of the worker set that nodes far away have been told
-  uint64_t outcomes_told_ = 0;
+  uint64_t outcomes_reported_ = 0;
   MonotonicTime outcomes_sent_{};
   size_t near_peers_ = 0;
   size_t far_peers_ = 0;
@@ -189,7 +189,7 @@
   load_relay relay_;
   bool was_relayed_ = false;
   uint64_t announcements_ = 0;
-  uint64_t relay_view_ = 0;  // digest of what the relays were told last
+  uint64_t passed_to_relay_ = 0;  // hash of the peers as load_relay was given them last
   TimerPtr tick_timer_;
   TimerPtr send_timer_;
   TimerPtr announce_timer_;
