--- a/include/chalkshed/batch_room.h
+++ b/include/chalkshed/batch_room.h
@@ -34,7 +34,7 @@
     /** Bounds of the headroom, as shares of all places. */
     double least = 0.04;
     double most = 0.5;
-    /** For so long a node that has just started hears of the requests of its peers, one peer after
+    /** For so long a node that has just started receives the loads of its peers, one peer after
      * the other; that is no burst. */
     Duration first_hearing = std::chrono::seconds(1);
     /** A node that has just started knows no burst: for as long as growth is remembered, its
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -366,7 +366,7 @@
   return owner != nullptr;
 }
 
-// Online work never waits behind batch: what must start soon gives way too, after all else.
+// Online work never waits behind batch: runs that must start soon are preempted too, as the last.
 void JobService::preempt_items(size_t count) {
   while (count > 0 && preempt_one([](const ServingWorker&) { return true; })) {
     --count;
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -116,7 +116,7 @@
     std::string session;
     std::string zone;
     Address address;
-    uint16_t caller_port = 0;  // 0: not told
+    uint16_t caller_port = 0;  // 0: not announced
     double capacity = 0;
     StoreVersion announcement = 0;
     MonotonicTime announced{};
