Tell why a session is taken for lapsed and from whom a job is taken

No decision changes. Ruled out: more log lines (some 50 usual ones a second already push out the rest). Result: tests of jobs, peers and load_relay pass as before.

--- a/src/jobs/job_item_run.cc
+++ b/src/jobs/job_item_run.cc
@@ -29,6 +29,20 @@
 
 }  // namespace
 
+const char* job_item_run_end_name(JobItemRunEnd end) {
+  switch (end) {
+    case JobItemRunEnd::kCompleted:
+      return "completed";
+    case JobItemRunEnd::kImpossible:
+      return "impossible";
+    case JobItemRunEnd::kFailed:
+      return "failed";
+    case JobItemRunEnd::kBroken:
+      return "broken";
+  }
+  return "broken";
+}
+
 JobItemRun::JobItemRun(JobEnvironment& environment, const ServingRequest& item,
                        WorkerPlacePtr place, ItemProgress& progress, OnEnd on_end)
     : progress_(progress), on_end_(std::move(on_end)), worker_(place->worker().record.incarnation) {
--- a/src/jobs/job_item_run.h
+++ b/src/jobs/job_item_run.h
@@ -18,6 +18,9 @@
   kBroken,      // broke off, or was not run: another run may continue
 };
 
+// @return the stable name used in logs and metrics.
+const char* job_item_run_end_name(JobItemRunEnd end);
+
 class JobItemRun : public AttemptObserver {
  public:
   using OnEnd = std::function<void(JobItemRunEnd end, const std::string& reason)>;
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -468,7 +468,8 @@
   transaction.conditions.push_back({stored_job_key(id), indexed.version});
   transaction.writes.push_back({stored_job_key(id), encode_job_record(mine)});
   environment_.store.commit(
-      std::move(transaction), lifetime_.guard([this, mine](const Expected<StoreCommit>& commit) {
+      std::move(transaction), lifetime_.guard([this, mine, before = indexed.record.owner](
+                                                  const Expected<StoreCommit>& commit) {
         const auto found = index_.find(mine.id);
         if (found != index_.end()) {
           found->second.busy = false;
@@ -481,7 +482,12 @@
           }
           return;
         }
-        log(LogLevel::kInfo, "job_taken_over", mine, "its owner is gone");
+        environment_.serving.metrics
+            .counter("chalkshed_jobs_taken_over_total", "Jobs that this node took from another.",
+                     {})
+            .add(1);
+        log(LogLevel::kInfo, "job_taken_over", mine,
+            before.empty() ? "it was free" : "its owner " + before + " is gone");
         note(mine, commit->stamp.version);
         load(mine, commit->stamp.version);
       }));
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -168,17 +168,12 @@
   const RouteTablePtr table = environment_.routes.current();
   const Route* route = table ? route_of(*table, item) : nullptr;
   const uint32_t attempts = route == nullptr ? 1 : std::max(route->attempts, 1U);
-  if (end != JobItemRunEnd::kCompleted) {
-    environment_.serving.logger.write(LogLevel::kInfo, "item_run_failed",
-                                      {{"job", caller_job_id(record_.id)},
-                                       {"request", item.request.id},
-                                       {"worker", worker},
-                                       {"failures", std::to_string(item.progress.failures)},
-                                       {"reason", reason}});
-  }
   if (end == JobItemRunEnd::kFailed) {
     ++item.progress.failures;
   }
+  if (end != JobItemRunEnd::kCompleted) {
+    log_failed_run(item, worker, end, reason);
+  }
   if (end == JobItemRunEnd::kCompleted) {
     environment_.pace.note(item.ran);
     end_item(item, ItemState::kCompleted);
@@ -191,6 +186,22 @@
   }
 }
 
+void OwnedJob::log_failed_run(const Item& item, const std::string& worker, JobItemRunEnd end,
+                              const std::string& reason) const {
+  environment_.serving.logger.write(LogLevel::kInfo, "item_run_failed",
+                                    {{"job", caller_job_id(record_.id)},
+                                     {"request", item.request.id},
+                                     {"epoch", std::to_string(record_.epoch)},
+                                     {"worker", worker},
+                                     {"end", job_item_run_end_name(end)},
+                                     {"failures", std::to_string(item.progress.failures)},
+                                     {"reason", reason}});
+  environment_.serving.metrics
+      .counter("chalkshed_item_runs_failed_total", "Runs of batch items without a whole text.",
+               {{"end", job_item_run_end_name(end)}})
+      .add(1);
+}
+
 void OwnedJob::end_item(Item& item, ItemState state) {
   item.phase = Phase::kEnded;
   JobResult result;
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -85,6 +85,8 @@
   };
 
   void handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason);
+  void log_failed_run(const Item& item, const std::string& worker, JobItemRunEnd end,
+                      const std::string& reason) const;
   void end_item(Item& item, ItemState state);
   void checkpoint_later();
   // As many items as one transaction holds, from the `first` on; the rest in further ones.
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -37,6 +37,7 @@
       datagrams_(datagrams),
       workers_(workers),
       logger_(logger),
+      metrics_(metrics),
       identity_(std::move(identity)),
       knobs_(knobs),
       relay_(time_source, dispatcher, datagrams, workers, clock, logger, metrics,
@@ -483,30 +484,66 @@
   peer.loads.add_prompts(workers_, entries);
 }
 
-bool PeerExchange::lapsed(const Peer& peer) const {
+const char* PeerExchange::name_of(LapseReason reason) {
+  switch (reason) {
+    case LapseReason::kNone:
+      return "none";
+    case LapseReason::kSilent:
+      return "silent";
+    case LapseReason::kReportedByRelay:
+      return "reported_by_relay";
+    case LapseReason::kLostStore:
+      return "lost_store";
+  }
+  return "none";
+}
+
+Duration PeerExchange::patience_with(const Peer& peer) const {
+  const bool alone = time_source_.monotonic_now() - heard_anyone_ > knobs_.lapse_after;
+  return std::max(alone ? knobs_.lapse_when_alone : knobs_.lapse_after,
+                  knobs_.missed_heartbeats * expected_interval(peer));
+}
+
+PeerExchange::LapseReason PeerExchange::lapse_reason(const Peer& peer) const {
   const MonotonicTime now = time_source_.monotonic_now();
-  const bool alone = now - heard_anyone_ > knobs_.lapse_after;
-  const Duration patience = std::max(alone ? knobs_.lapse_when_alone : knobs_.lapse_after,
-                                     knobs_.missed_heartbeats * expected_interval(peer));
-  if (now - std::max(peer.heard, peer.announced) > patience) {
-    return true;
+  if (now - std::max(peer.heard, peer.announced) > patience_with(peer)) {
+    return LapseReason::kSilent;
   }
   if (relayed() && relay_.reported_lapsed(peer.session)) {
-    return true;
+    return LapseReason::kReportedByRelay;
+  }
+  const bool lost_store =
+      peer.store_silence > knobs_.store_silence && own_store_silence() < knobs_.lapse_after;
+  return lost_store ? LapseReason::kLostStore : LapseReason::kNone;
+}
+
+void PeerExchange::log_judgement(const std::string& node, const Peer& peer,
+                                 LapseReason reason) const {
+  const bool now_lapsed = reason != LapseReason::kNone;
+  logger_.write(
+      LogLevel::kInfo, now_lapsed ? "session_lapsed" : "session_regained",
+      {{"peer", node},
+       {"session", peer.session},
+       {"reason", name_of(reason)},
+       {"heard_ms_ago", std::to_string((time_source_.monotonic_now() - peer.heard).count() / 1000)},
+       {"patience_ms", std::to_string(patience_with(peer).count() / 1000)},
+       {"its_store_silence_ms", std::to_string(peer.store_silence.count() / 1000)}});
+  if (now_lapsed) {
+    metrics_
+        .counter("chalkshed_sessions_lapsed_total",
+                 "Sessions of other nodes that this node took for lapsed.",
+                 {{"reason", name_of(reason)}})
+        .add(1);
   }
-  return peer.store_silence > knobs_.store_silence && own_store_silence() < knobs_.lapse_after;
 }
 
 void PeerExchange::judge_peers() {
   const MonotonicTime now = time_source_.monotonic_now();
   for (auto& [node, peer] : peers_) {
-    const bool now_lapsed = lapsed(peer);
+    const LapseReason reason = lapse_reason(peer);
+    const bool now_lapsed = reason != LapseReason::kNone;
     if (now_lapsed != peer.lapsed) {
-      logger_.write(LogLevel::kInfo, now_lapsed ? "session_lapsed" : "session_regained",
-                    {{"peer", node},
-                     {"session", peer.session},
-                     {"heard_ms_ago", std::to_string((now - peer.heard).count() / 1000)},
-                     {"its_store_silence_ms", std::to_string(peer.store_silence.count() / 1000)}});
+      log_judgement(node, peer, reason);
     }
     peer.lapsed = now_lapsed;
     if (now - peer.heard > std::max(knobs_.load_lifetime, 3 * expected_interval(peer))) {
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -183,7 +183,14 @@
   void count_peers();
   void excuse_own_pause();
   void judge_peers();
-  bool lapsed(const Peer& peer) const;
+  // Why the peer's session is taken for lapsed, if it is.
+  enum class LapseReason { kNone, kSilent, kReportedByRelay, kLostStore };
+  static const char* name_of(LapseReason reason);
+  LapseReason lapse_reason(const Peer& peer) const;
+  bool lapsed(const Peer& peer) const { return lapse_reason(peer) != LapseReason::kNone; }
+  // How long the peer may be silent.
+  Duration patience_with(const Peer& peer) const;
+  void log_judgement(const std::string& node, const Peer& peer, LapseReason reason) const;
 
   TimeSource& time_source_;
   WatchedStore& store_;
@@ -191,6 +198,7 @@
   DatagramTransport& datagrams_;
   WorkerSet& workers_;
   Logger& logger_;
+  MetricsRegistry& metrics_;
   const PeerIdentity identity_;
   const PeerKnobs knobs_;
   std::map<std::string, Peer> peers_;  // by node, without this one
