--- a/tests/load_relay/load_relay_test.cc
+++ b/tests/load_relay/load_relay_test.cc
@@ -229,6 +229,30 @@
   }
 }
 
+// Failures at workers are told to all nodes at once, far more often than a node shows that it
+// lives. A receiver that took this for the usual rate held the sender for dead once it grew quiet:
+// on 295 nodes hundreds of sessions lapsed together, and jobs went from owner to owner.
+TEST_F(LoadRelayTest, NobodyLapsesWhenANodeHasNoMoreFailuresToTell) {
+  constexpr int kMoreFarNodes = 70;  // the farther half hears n0 each five seconds
+  for (int number = 0; number < kMoreFarNodes; ++number) {
+    cluster.start_node(far_node(kNodesOfAZone + number), "zone-b");
+  }
+  cluster.clock.run_for(seconds(6));
+  for (int count = 0; count < 30; ++count) {
+    cluster.request("/once/x", "r" + std::to_string(count));
+    cluster.clock.run_for(milliseconds(50));
+    cluster.workers.calls.back().fail(Ran::kUnknown);
+    cluster.clock.run_for(milliseconds(50));
+  }
+  const std::string quiet = cluster.node("n0").peers().own_session();
+  for (int step = 0; step < 100; ++step) {
+    cluster.clock.run_for(milliseconds(100));
+    for (const char* observer : {"b3", "b77", "a11"}) {
+      ASSERT_TRUE(alive(observer, quiet)) << observer << " after " << step << " steps";
+    }
+  }
+}
+
 TEST_F(LoadRelayTest, AFailureAtAWorkerIsKnownEverywhereAtOnce) {
   cluster.request("/once/x", "r1");
   ScriptedCall& call = cluster.workers.calls.back();
