Heartbeats promise when the next one comes, instead of receivers learning their rate

Ruled out: reports of relays (they took part only by passing the same judgement on); lost datagrams (the test loses none). Weighed: leaving such heartbeats out of the learned rate (the rate still lags when nodes are added or roles change) against the sender's promise, which needs no learning; the second is kept, with 6 bytes a heartbeat. Change: next_within in the heartbeat, one value for relays, one for the zone, one for all others; it is told anew when the sender's relays or the size of the fleet change the interval.

--- a/src/peers/heartbeat.cc
+++ b/src/peers/heartbeat.cc
@@ -45,12 +45,12 @@
     remainders.emplace_back(remainder.job, remainder.queue, remainder.tokens);
   }
   builder.Finish(
-      wire::CreateHeartbeat(builder, builder.CreateString(heartbeat.session), heartbeat.sequence,
-                            heartbeat.draining, milliseconds_of(heartbeat.store_silence),
-                            heartbeat.store_version, builder.CreateVectorOfStructs(loads),
-                            builder.CreateVectorOfStructs(outcomes),
-                            builder.CreateVectorOfStructs(remainders),
-                            heartbeat.known.configuration, heartbeat.known.workers),
+      wire::CreateHeartbeat(
+          builder, builder.CreateString(heartbeat.session), heartbeat.sequence, heartbeat.draining,
+          milliseconds_of(heartbeat.store_silence), heartbeat.store_version,
+          builder.CreateVectorOfStructs(loads), builder.CreateVectorOfStructs(outcomes),
+          builder.CreateVectorOfStructs(remainders), heartbeat.known.configuration,
+          heartbeat.known.workers, milliseconds_of(heartbeat.next_within)),
       wire::HeartbeatIdentifier());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
@@ -69,6 +69,7 @@
   heartbeat.store_silence = std::chrono::milliseconds(message->store_silence_ms());
   heartbeat.store_version = message->store_version();
   heartbeat.known = {message->configuration_version(), message->workers_version()};
+  heartbeat.next_within = std::chrono::milliseconds(message->next_within_ms());
   if (message->loads() != nullptr) {
     for (const wire::WorkerLoadEntry* load : *message->loads()) {
       heartbeat.loads.push_back(
--- a/src/peers/heartbeat_generated.h
+++ b/src/peers/heartbeat_generated.h
@@ -103,7 +103,8 @@
     VT_OUTCOMES = 16,
     VT_REMAINDERS = 18,
     VT_CONFIGURATION_VERSION = 20,
-    VT_WORKERS_VERSION = 22
+    VT_WORKERS_VERSION = 22,
+    VT_NEXT_WITHIN_MS = 24
   };
   const flatbuffers::String* session() const {
     return GetPointer<const flatbuffers::String*>(VT_SESSION);
@@ -126,6 +127,7 @@
   }
   uint64_t configuration_version() const { return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0); }
   uint64_t workers_version() const { return GetField<uint64_t>(VT_WORKERS_VERSION, 0); }
+  uint32_t next_within_ms() const { return GetField<uint32_t>(VT_NEXT_WITHIN_MS, 0); }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) && VerifyOffsetRequired(verifier, VT_SESSION) &&
            verifier.VerifyString(session()) && VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -136,7 +138,8 @@
            VerifyOffset(verifier, VT_OUTCOMES) && verifier.VerifyVector(outcomes()) &&
            VerifyOffset(verifier, VT_REMAINDERS) && verifier.VerifyVector(remainders()) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_WORKERS_VERSION, 8) && verifier.EndTable();
+           VerifyField<uint64_t>(verifier, VT_WORKERS_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_NEXT_WITHIN_MS, 4) && verifier.EndTable();
   }
 };
 
@@ -179,6 +182,9 @@
   void add_workers_version(uint64_t workers_version) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_WORKERS_VERSION, workers_version, 0);
   }
+  void add_next_within_ms(uint32_t next_within_ms) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_NEXT_WITHIN_MS, next_within_ms, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder& _fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -199,12 +205,13 @@
         0,
     flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::JobRemainderEntry*>> remainders =
         0,
-    uint64_t configuration_version = 0, uint64_t workers_version = 0) {
+    uint64_t configuration_version = 0, uint64_t workers_version = 0, uint32_t next_within_ms = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_workers_version(workers_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_store_version(store_version);
   builder_.add_sequence(sequence);
+  builder_.add_next_within_ms(next_within_ms);
   builder_.add_remainders(remainders);
   builder_.add_outcomes(outcomes);
   builder_.add_loads(loads);
@@ -220,7 +227,7 @@
     const std::vector<chalkshed::wire::WorkerLoadEntry>* loads = nullptr,
     const std::vector<chalkshed::wire::WorkerOutcomeEntry>* outcomes = nullptr,
     const std::vector<chalkshed::wire::JobRemainderEntry>* remainders = nullptr,
-    uint64_t configuration_version = 0, uint64_t workers_version = 0) {
+    uint64_t configuration_version = 0, uint64_t workers_version = 0, uint32_t next_within_ms = 0) {
   auto session__ = session ? _fbb.CreateString(session) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<chalkshed::wire::WorkerLoadEntry>(*loads) : 0;
   auto outcomes__ =
@@ -229,7 +236,7 @@
       remainders ? _fbb.CreateVectorOfStructs<chalkshed::wire::JobRemainderEntry>(*remainders) : 0;
   return chalkshed::wire::CreateHeartbeat(_fbb, session__, sequence, draining, store_silence_ms,
                                           store_version, loads__, outcomes__, remainders__,
-                                          configuration_version, workers_version);
+                                          configuration_version, workers_version, next_within_ms);
 }
 
 inline const chalkshed::wire::Heartbeat* GetHeartbeat(const void* buf) {
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -148,6 +148,9 @@
     for (auto& [node, peer] : peers_) {
       take_loads(peer, {});
     }
+    // Other intervals hold from now on: all peers are promised them with the next heartbeat.
+    sent_near_ = {};
+    sent_far_ = {};
     if (on_role_changed_) {
       on_role_changed_();
     }
@@ -220,11 +223,14 @@
   return std::max(knobs_.heartbeat_interval, std::chrono::duration_cast<Duration>(interval));
 }
 
-// The nodes of a zone report to its relays as often as to all in a small fleet. They may not take
-// this node for a relay though it does itself, so that what counts is how often they do report.
 Duration PeerExchange::expected_interval(const Peer& peer) const {
   const Duration idle = idle_interval(near(peer));
-  return relayed() ? std::clamp(peer.usual_gap, knobs_.heartbeat_interval, idle) : idle;
+  if (peer.promised > Duration(0)) {
+    return std::clamp(peer.promised, knobs_.heartbeat_interval, std::max(idle, knobs_.gone_after));
+  }
+  // Whoever relays is reported to soon by each node of its zone.
+  const bool reports_here = relayed() && relay_.relaying() && near(peer);
+  return reports_here ? knobs_.heartbeat_interval : idle;
 }
 
 void PeerExchange::begin_drain() {
@@ -334,8 +340,8 @@
   // concerns them too.
   const bool far_due = now - sent_far_ >= least_interval(false);
   sent_ = now;
-  const std::string datagram = encode_heartbeat(make_heartbeat());
-  send_to_peers(datagram, true, far_due);
+  Heartbeat heartbeat = make_heartbeat();
+  send_to_peers(heartbeat, true, far_due);
   if (far_due) {
     sent_far_ = now;
     notable_told_ = workers_.notable_changes();
@@ -344,10 +350,17 @@
   }
 }
 
-void PeerExchange::send_to_peers(const std::string& datagram, bool to_near, bool to_far) {
-  for (const auto& [node, peer] : peers_) {
-    if (!peer.address.ip.empty() && (near(peer) ? to_near : to_far)) {
-      datagrams_.send(peer.address, datagram);
+void PeerExchange::send_to_peers(Heartbeat& heartbeat, bool to_near, bool to_far) {
+  for (const bool to_zone : {true, false}) {
+    if (!(to_zone ? to_near : to_far)) {
+      continue;
+    }
+    heartbeat.next_within = idle_interval(to_zone);
+    const std::string datagram = encode_heartbeat(heartbeat);
+    for (const auto& [node, peer] : peers_) {
+      if (!peer.address.ip.empty() && near(peer) == to_zone) {
+        datagrams_.send(peer.address, datagram);
+      }
     }
   }
 }
@@ -360,14 +373,20 @@
                                               knobs_.notable_datagrams_per_second);
   const bool outcomes_due = workers_.outcome_changes() != outcomes_reported_ &&
                             now - outcomes_sent_ >= std::chrono::duration_cast<Duration>(notable);
-  const bool near_due = outcomes_due || now - sent_near_ >= idle_interval(true);
+  // A node that relays no more must hear that it is sent the next heartbeat later.
+  const bool relays_changed = reported_to_ != relay_.report_to();
+  const bool near_due = outcomes_due || relays_changed || now - sent_near_ >= idle_interval(true);
   const bool far_due = outcomes_due || now - sent_far_ >= idle_interval(false);
   sent_ = now;
-  const std::string datagram = encode_heartbeat(make_heartbeat());
-  for (const Address& relay : relay_.report_to()) {
+  reported_to_ = relay_.report_to();
+  Heartbeat heartbeat = make_heartbeat();
+  heartbeat.next_within = knobs_.heartbeat_interval;
+  const std::string datagram = encode_heartbeat(heartbeat);
+  for (const Address& relay : reported_to_) {
     datagrams_.send(relay, datagram);
   }
-  send_to_peers(datagram, near_due, far_due);
+  // What a relay hears first counts: this one has the same sequence number.
+  send_to_peers(heartbeat, near_due, far_due);
   sent_near_ = near_due ? now : sent_near_;
   sent_far_ = far_due ? now : sent_far_;
   if (outcomes_due) {
@@ -401,6 +420,7 @@
   Peer& peer = found->second;
   peer.sequence = heartbeat->sequence;
   note_heard(peer);
+  peer.promised = heartbeat->next_within;
   peer.draining = heartbeat->draining;
   peer.store_silence = heartbeat->store_silence;
   clock_.observe_version(heartbeat->store_version);
@@ -438,16 +458,8 @@
 }
 
 void PeerExchange::note_heard(Peer& peer) {
-  constexpr double kWeight = 0.3;  // some eight heartbeats until a new rate counts
-  const MonotonicTime now = time_source_.monotonic_now();
-  const Duration gap = peer.heard == MonotonicTime{} ? idle_interval(near(peer)) : now - peer.heard;
-  peer.usual_gap =
-      std::chrono::duration_cast<Duration>(peer.usual_gap * (1 - kWeight) + gap * kWeight);
-  if (peer.heard == MonotonicTime{}) {
-    peer.usual_gap = gap;
-  }
-  peer.heard = now;
-  heard_anyone_ = now;
+  peer.heard = time_source_.monotonic_now();
+  heard_anyone_ = peer.heard;
 }
 
 void PeerExchange::take_outcomes(const Peer& peer,
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -149,7 +149,7 @@
     StoreVersion announcement = 0;
     MonotonicTime announced{};
     MonotonicTime heard{};  // the last heartbeat of this session
-    Duration usual_gap{0};  // between two of them, of late
+    Duration promised{0};   // the next one comes within it; 0: not said
     uint64_t sequence = 0;
     bool draining = false;
     Duration store_silence{0};
@@ -172,13 +172,13 @@
   bool may_relay(const Peer& peer) const;
   // Gives the peers to load_relay, if they have changed.
   void update_relays();
-  void send_to_peers(const std::string& datagram, bool to_near, bool to_far);
+  void send_to_peers(Heartbeat& heartbeat, bool to_near, bool to_far);
   void send_relayed();
   // Between two heartbeats to the peers that are `near` (or far) when something changes.
   Duration least_interval(bool near) const;
   // Between two of them when nothing changes.
   Duration idle_interval(bool near) const;
-  // Between two heartbeats of the peer that this node hears, when nothing changes.
+  // Until the peer's next heartbeat, as it has promised.
   Duration expected_interval(const Peer& peer) const;
   void count_peers();
   void excuse_own_pause();
@@ -220,7 +220,8 @@
   uint64_t sequence_ = 0;
   MonotonicTime sent_{};
   MonotonicTime sent_far_{};
-  MonotonicTime sent_near_{};  // to the whole zone, while loads go by relays
+  MonotonicTime sent_near_{};         // to the whole zone, while loads go by relays
+  std::vector<Address> reported_to_;  // relays that expect the next heartbeat soon
   uint64_t notable_told_ = 0;  // changes of the worker set that nodes far away have been told
   uint64_t outcomes_reported_ = 0;
   MonotonicTime outcomes_sent_{};
