Take a peer for cut off from the store only if it was silent while this node had it

Cause: found while looking for other ways in which live owners are taken for dead. After an outage of the store for all, the first node to be answered judged the others by the silence they had told during the outage and took their jobs. Ruled out: nothing else changes; a single node that is cut off still lapses (its test stands). Before/after: PeerExchangeTest.NobodyLapsesWhenTheStoreReturnsToOneNodeFirst failed 200 ms after the return, now passes. Tests of peers, load_relay, serving pass; of jobs all but the two known red.

--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -54,6 +54,7 @@
 void PeerExchange::start() {
   ticked_ = time_source_.monotonic_now();
   heard_anyone_ = ticked_;
+  store_contact_since_ = ticked_;
   announce();
   tick();
 }
@@ -271,6 +272,9 @@
 void PeerExchange::tick() {
   tick_timer_->enable(kTickInterval);
   excuse_own_pause();
+  if (own_store_silence() >= knobs_.lapse_after) {
+    store_contact_since_ = time_source_.monotonic_now();
+  }
   judge_peers();
   update_relays();
   const Duration idle = relayed() ? knobs_.heartbeat_interval : idle_interval(true);
@@ -524,8 +528,11 @@
   if (relayed() && relay_.reported_lapsed(peer.session)) {
     return LapseReason::kReportedByRelay;
   }
-  const bool lost_store =
-      peer.store_silence > knobs_.store_silence && own_store_silence() < knobs_.lapse_after;
+  // Its silence must have begun while this node had the store: after an outage for all, the first
+  // to reach the store again would take the jobs of all others.
+  const bool lost_store = peer.store_silence > knobs_.store_silence &&
+                          peer.heard - store_contact_since_ >= knobs_.store_silence &&
+                          own_store_silence() < knobs_.lapse_after;
   return lost_store ? LapseReason::kLostStore : LapseReason::kNone;
 }
 
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -216,6 +216,7 @@
   bool listed_ = false;
   StoreVersion own_announcement_ = 0;
   Duration store_wait_{0};
+  MonotonicTime store_contact_since_{};  // the store has answered this node all the time since then
   bool draining_ = false;
   uint64_t sequence_ = 0;
   MonotonicTime sent_{};
--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -79,6 +79,27 @@
   EXPECT_TRUE(alive("n0", session("n1")));
 }
 
+// Of the nodes that have been without the store together, the first to reach it again would
+// otherwise take all others for cut off, by what they told it during the outage.
+TEST_F(PeerExchangeTest, NobodyLapsesWhenTheStoreReturnsToOneNodeFirst) {
+  cluster.shared.trouble.silent = true;
+  cluster.clock.run_for(seconds(6));
+  cluster.nodes.at("n1")->store.set_cut(true);
+  cluster.nodes.at("n2")->store.set_cut(true);
+  cluster.shared.trouble.silent = false;
+  const MonotonicTime regained = cluster.clock.monotonic_now();
+  for (int step = 0; step < 200; ++step) {
+    cluster.clock.run_for(milliseconds(20));
+    if (cluster.clock.monotonic_now() - regained > milliseconds(1500)) {
+      cluster.nodes.at("n1")->store.set_cut(false);
+      cluster.nodes.at("n2")->store.set_cut(false);
+    }
+    for (const char* other : {"n1", "n2"}) {
+      ASSERT_TRUE(alive("n0", session(other))) << other << " after " << step << " steps";
+    }
+  }
+}
+
 TEST_F(PeerExchangeTest, ANodeThatStoodStillBlamesNobody) {
   cluster.nodes.at("n0")->dispatcher.freeze();
   cluster.clock.run_for(seconds(6));
