Record each failed run of an item in the store before the item runs again

Change: failure_recorder writes each failed run, under an id of its own, to a row of the item that all owners share; nobody's entry replaces another's, a send whose answer was lost counts once, an owner that was superseded records too. The item waits until the store holds it. The next owner reads these rows with the rest (one read more a takeover) and lists items whose attempts are used up as errored without a run. The progress row no longer holds the count. What is left: the loss of an owner between a worker's answer and the store's (some 10 ms, longer while the store is away) still loses that one run.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -67,7 +67,6 @@
   std::string text;  // data of the events, separated by line feeds
   bool has_text = false;
   std::optional<uint64_t> last_event;
-  uint32_t failures = 0;  // answers that count as failed attempts
 };
 
 // Part of the wire format that jobs are sent in.
--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -118,13 +118,39 @@
         for (const StoredRow& row : page->rows) {
           Expected<ItemProgress> progress = decode_item_progress(row.value);
           if (progress) {
-            loaded->progress[row.key.key.substr(job.size() + 1)] = std::move(*progress);
+            loaded->progress[item_of_key(job, row.key)] = std::move(*progress);
           }
         }
         if (page->more && page->rows.size() > 1) {
           load_progress(job, page->rows.back().key.key, std::move(loaded), std::move(callback));
           return;
         }
+        load_failures(job, "", std::move(loaded), std::move(callback));
+      }));
+}
+
+void JobLoader::load_failures(const std::string& job, std::string from,
+                              std::shared_ptr<LoadedJob> loaded, Callback<LoadedJob> callback) {
+  RangeRead range = job_failure_range(job);
+  if (!from.empty()) {
+    range.first_key = std::move(from);
+  }
+  environment_.store.read_range(
+      std::move(range),
+      lifetime_.guard([this, job, loaded = std::move(loaded),
+                       callback = std::move(callback)](const Expected<RangePage>& page) mutable {
+        if (!page) {
+          callback(tl::unexpected(page.error()));
+          return;
+        }
+        for (const StoredRow& row : page->rows) {
+          loaded->failures[item_of_key(job, row.key)] =
+              decode_item_failures(row.value, row.version);
+        }
+        if (page->more && page->rows.size() > 1) {
+          load_failures(job, page->rows.back().key.key, std::move(loaded), std::move(callback));
+          return;
+        }
         callback(std::move(*loaded));
       }));
 }
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "chalkshed/failure_recorder.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job_environment.h"
 
@@ -14,7 +15,8 @@
 struct LoadedJob {
   std::vector<ServingRequest> items;
   std::vector<std::string> listed;  // ids of the items that have results, in their order
-  std::map<std::string, ItemProgress> progress;  // of unfinished items, by id
+  std::map<std::string, ItemProgress> progress;   // of unfinished items, by id
+  std::map<std::string, item_failures> failures;  // of items with failed runs, by id
 };
 
 class JobLoader {
@@ -33,6 +35,8 @@
                    Callback<LoadedJob> callback);
   void load_progress(const std::string& job, std::string from, std::shared_ptr<LoadedJob> loaded,
                      Callback<LoadedJob> callback);
+  void load_failures(const std::string& job, std::string from, std::shared_ptr<LoadedJob> loaded,
+                     Callback<LoadedJob> callback);
 
   JobEnvironment& environment_;
   Lifetime lifetime_;
--- a/src/jobs/job_remover.cc
+++ b/src/jobs/job_remover.cc
@@ -17,6 +17,8 @@
   const RangeRead results = job_result_range(record.id, 0, kRowsATime);
   RangeRead progress = job_progress_range(record.id);
   progress.limit = kRowsATime;
+  RangeRead failures = job_failure_range(record.id);
+  failures.limit = kRowsATime;
   auto last = [this, record, version, done] {
     std::vector<std::string> objects;
     if (record.content_in_object) {
@@ -29,8 +31,11 @@
   auto remove_content = [this, record, version, content, last, done] {
     remove_range(record, version, content, last, done);
   };
-  auto then = [this, record, version, progress, remove_content, done] {
-    remove_range(record, version, progress, remove_content, done);
+  auto remove_failures = [this, record, version, failures, remove_content, done] {
+    remove_range(record, version, failures, remove_content, done);
+  };
+  auto then = [this, record, version, progress, remove_failures, done] {
+    remove_range(record, version, progress, remove_failures, done);
   };
   remove_range(record, version, results, std::move(then), done);
 }
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -77,6 +77,18 @@
   return range_of(kStoredProgressTable, job, "");
 }
 
+StoredRowKey job_failure_key(const std::string& job, const std::string& item) {
+  return {kStoredFailureTable, job_partition(job), job + "/" + item};
+}
+
+RangeRead job_failure_range(const std::string& job) {
+  return range_of(kStoredFailureTable, job, "");
+}
+
+std::string item_of_key(const std::string& job, const StoredRowKey& key) {
+  return key.key.substr(job.size() + 1);
+}
+
 RangeRead job_result_range(const std::string& job, uint32_t position, uint32_t limit) {
   RangeRead range = range_of(kStoredResultTable, job, position_text(position));
   range.limit = limit;
@@ -133,8 +145,6 @@
 
 std::string encode_item_progress(const ItemProgress& progress) {
   std::string value = std::to_string(progress.last_event.value_or(0));
-  value += ' ';
-  value += std::to_string(progress.failures);
   value += '\n';
   value += progress.text;
   return value;
@@ -145,15 +155,13 @@
   uint64_t last_event = 0;
   const char* end = value.data() + value.size();
   const auto event = std::from_chars(value.data(), end, last_event);
-  const bool has_blank = event.ec == std::errc() && event.ptr != end && *event.ptr == ' ';
-  const auto failures = has_blank ? std::from_chars(event.ptr + 1, end, progress.failures) : event;
-  if (!has_blank || failures.ec != std::errc() || failures.ptr == end || *failures.ptr != '\n') {
+  if (event.ec != std::errc() || event.ptr == end || *event.ptr != '\n') {
     return tl::unexpected(unreadable("the progress of an item"));
   }
   if (last_event > 0) {
     progress.last_event = last_event;
     progress.has_text = true;
-    progress.text.assign(failures.ptr + 1, end);
+    progress.text.assign(event.ptr + 1, end);
   }
   return progress;
 }
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -16,6 +16,8 @@
 inline constexpr const char* kStoredResultTable = "job_result";  // key: job id, position
 // What unfinished items have brought so far; key: job id, item id.
 inline constexpr const char* kStoredProgressTable = "job_progress";
+// Failed runs of items, by whichever owner; key: job id, item id.
+inline constexpr const char* kStoredFailureTable = "job_failure";
 
 // @return all partitions that jobs lie in.
 std::vector<std::string> job_partitions();
@@ -29,6 +31,10 @@
 StoredRowKey job_progress_key(const std::string& job, const std::string& item);
 // The progress of all items of the job.
 RangeRead job_progress_range(const std::string& job);
+StoredRowKey job_failure_key(const std::string& job, const std::string& item);
+RangeRead job_failure_range(const std::string& job);
+// @return the item that a key of either of these two names.
+std::string item_of_key(const std::string& job, const StoredRowKey& key);
 // Results from `position` on.
 RangeRead job_result_range(const std::string& job, uint32_t position, uint32_t limit);
 // Name of the object that holds the content of a large job.
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -33,6 +33,8 @@
       forwarder_(environment.serving.worker_client, environment.codec, sessions,
                  environment.serving.logger),
       admission_(environment, *this),
+      recorder_(environment.store, environment.serving.dispatcher, environment.serving.logger,
+                environment.knobs.store_retry),
       sweep_timer_(environment.serving.dispatcher.create_timer([this] { sweep(); })),
       items_timer_(environment.serving.dispatcher.create_timer([this] { start_items(); })),
       yield_timer_(environment.serving.dispatcher.create_timer([this] { yield_places(); })) {}
@@ -85,11 +87,12 @@
       std::to_string(loaded.listed.size()) + " results are listed, " +
           std::to_string(loaded.progress.size()) + " items continue");
   Owned owned;
-  owned.job = std::make_unique<OwnedJob>(environment_, record, version, std::move(loaded),
-                                         [this, id = record.id](const std::string& reason) {
-                                           environment_.serving.dispatcher.post(lifetime_.guard(
-                                               [this, id, reason] { drop(id, reason); }));
-                                         });
+  owned.job =
+      std::make_unique<OwnedJob>(environment_, recorder_, record, version, std::move(loaded),
+                                 [this, id = record.id](const std::string& reason) {
+                                   environment_.serving.dispatcher.post(
+                                       lifetime_.guard([this, id, reason] { drop(id, reason); }));
+                                 });
   owned_[record.id] = std::move(owned);
   if (on_queue_changed_) {
     on_queue_changed_();
@@ -148,7 +151,7 @@
     const bool open = !outcome->record.ended && !outcome->record.finished &&
                       index_.at(outcome->record.id).version == outcome->version;
     if (outcome->accepted_here && open && !owned_.contains(outcome->record.id)) {
-      adopt(outcome->record, outcome->version, {std::move(ended->submission().items), {}, {}});
+      adopt(outcome->record, outcome->version, {std::move(ended->submission().items), {}, {}, {}});
     }
   });
 }
@@ -402,7 +405,7 @@
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
   for (auto entry = owned_.begin(); entry != owned_.end();) {
     Owned& owned = entry->second;
-    owned.job->give_up_expired();
+    owned.job->give_up_hopeless();
     if (owned.job->finished() && owned.finished == MonotonicTime{}) {
       owned.finished = now;
     }
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -122,6 +122,7 @@
   JobRemover remover_;
   job_forwarder forwarder_;
   queue_admission admission_;
+  failure_recorder recorder_;
   queued_tokens queued_;
   std::function<void()> on_queue_changed_;
   bool listed_ = false;  // all jobs that the store holds have been read once
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -3,13 +3,15 @@
 #include <algorithm>
 #include <set>
 
+#include "src/core/digest.h"
 #include "src/jobs/job_rows.h"
 
 namespace chalkshed {
 
-OwnedJob::OwnedJob(JobEnvironment& environment, StoredJob record, StoreVersion version,
-                   LoadedJob loaded, OnLost on_lost)
+OwnedJob::OwnedJob(JobEnvironment& environment, failure_recorder& recorder, StoredJob record,
+                   StoreVersion version, LoadedJob loaded, OnLost on_lost)
     : environment_(environment),
+      recorder_(recorder),
       record_(std::move(record)),
       version_(version),
       on_lost_(std::move(on_lost)),
@@ -28,6 +30,10 @@
       item.progress = std::move(progress->second);
       item.recorded_event = item.progress.last_event;
     }
+    const auto failures = loaded.failures.find(request.id);
+    if (failures != loaded.failures.end()) {
+      item.failures = std::move(failures->second);
+    }
     item.request = std::move(request);
     items_.push_back(std::move(item));
   }
@@ -124,6 +130,10 @@
   if (route == nullptr) {
     return false;
   }
+  if (item->failures.used_up(attempts_of(*item))) {
+    end_item(*item, ItemState::kErrored);
+    return true;
+  }
   PlaceRequest wanted;
   wanted.service = environment_.draw.draw(*route);
   wanted.work = WorkClass::kBatch;
@@ -165,27 +175,51 @@
   if (lost_) {
     return;
   }
-  const RouteTablePtr table = environment_.routes.current();
-  const Route* route = table ? route_of(*table, item) : nullptr;
-  const uint32_t attempts = route == nullptr ? 1 : std::max(route->attempts, 1U);
-  if (end == JobItemRunEnd::kFailed) {
-    ++item.progress.failures;
-  }
-  if (end != JobItemRunEnd::kCompleted) {
-    log_failed_run(item, worker, end, reason);
-  }
   if (end == JobItemRunEnd::kCompleted) {
     environment_.pace.note(item.ran);
     end_item(item, ItemState::kCompleted);
-  } else if (end == JobItemRunEnd::kImpossible || item.progress.failures >= attempts) {
-    end_item(item, ItemState::kErrored);
+    return;
+  }
+  log_failed_run(item, worker, end, reason);
+  if (end == JobItemRunEnd::kBroken) {
+    wait_again(item);
   } else {
-    item.phase = Phase::kWaiting;
-    item.not_before =
-        environment_.serving.time_source.monotonic_now() + environment_.knobs.item_pause;
+    record_failed_run(
+        index, end == JobItemRunEnd::kFailed ? run_failure::kFailed : run_failure::kImpossible);
   }
 }
 
+uint32_t OwnedJob::attempts_of(const Item& item) const {
+  const RouteTablePtr table = environment_.routes.current();
+  const Route* route = table ? route_of(*table, item) : nullptr;
+  return route == nullptr ? 1 : std::max(route->attempts, 1U);
+}
+
+void OwnedJob::wait_again(Item& item) {
+  item.phase = Phase::kWaiting;
+  item.not_before =
+      environment_.serving.time_source.monotonic_now() + environment_.knobs.item_pause;
+}
+
+void OwnedJob::record_failed_run(size_t index, run_failure failure) {
+  Item& item = items_[index];
+  item.phase = Phase::kRecording;
+  ++recording_;
+  const std::string adoption = record_.owner + "/" + std::to_string(record_.epoch);
+  recorder_.record(job_failure_key(record_.id, item.request.id),
+                   content_hash(adoption, ++failed_runs_), failure, item.failures,
+                   lifetime_.guard([this, index](const item_failures& failures) {
+                     --recording_;
+                     Item& recorded = items_[index];
+                     recorded.failures = failures;
+                     if (failures.used_up(attempts_of(recorded))) {
+                       end_item(recorded, ItemState::kErrored);
+                     } else {
+                       wait_again(recorded);
+                     }
+                   }));
+}
+
 void OwnedJob::log_failed_run(const Item& item, const std::string& worker, JobItemRunEnd end,
                               const std::string& reason) const {
   environment_.serving.logger.write(LogLevel::kInfo, "item_run_failed",
@@ -194,7 +228,7 @@
                                      {"epoch", std::to_string(record_.epoch)},
                                      {"worker", worker},
                                      {"end", job_item_run_end_name(end)},
-                                     {"failures", std::to_string(item.progress.failures)},
+                                     {"failures", std::to_string(item.failures.failed())},
                                      {"reason", reason}});
   environment_.serving.metrics
       .counter("chalkshed_item_runs_failed_total", "Runs of batch items without a whole text.",
@@ -215,7 +249,7 @@
   commit_later();
 }
 
-void OwnedJob::give_up_expired() {
+void OwnedJob::give_up_hopeless() {
   const RouteTablePtr table = environment_.routes.current();
   if (lost_ || !table) {
     return;
@@ -227,12 +261,16 @@
     const Route* route = route_of(*table, item);
     const bool too_old = route != nullptr && route->retention > Duration(0) &&
                          environment_.clock.now() - record_.accepted > route->retention;
-    if (route == nullptr || too_old) {
+    const bool used_up = item.failures.used_up(attempts_of(item));
+    if (route == nullptr || too_old || used_up) {
       environment_.serving.logger.write(LogLevel::kInfo, "item_given_up",
                                         {{"job", caller_job_id(record_.id)},
                                          {"request", item.request.id},
                                          {"configuration", std::to_string(table->version())},
-                                         {"reason", too_old ? "too old" : "its route is gone"}});
+                                         {"failures", std::to_string(item.failures.failed())},
+                                         {"reason", used_up   ? "its attempts are used up"
+                                                    : too_old ? "too old"
+                                                              : "its route is gone"}});
       end_item(item, ItemState::kErrored);
     }
   }
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -24,8 +24,9 @@
   using OnLost = std::function<void(const std::string& reason)>;
 
   // @param version of the record's row.
-  OwnedJob(JobEnvironment& environment, StoredJob record, StoreVersion version, LoadedJob loaded,
-           OnLost on_lost);
+  // @param recorder outlives the job; it records failed runs to the end though the job is given up.
+  OwnedJob(JobEnvironment& environment, failure_recorder& recorder, StoredJob record,
+           StoreVersion version, LoadedJob loaded, OnLost on_lost);
 
   const StoredJob& record() const { return record_; }
   StoreVersion version() const { return version_; }
@@ -48,8 +49,8 @@
   bool has_running() const { return running_ > 0; }
   // Starts the next waiting item. @return false when no worker has room for it.
   bool start_item();
-  // Gives up items that are too old or whose route is gone.
-  void give_up_expired();
+  // Gives up items that are too old, whose route is gone or whose attempts are used up.
+  void give_up_hopeless();
   // Records what the running items have brought, for whoever takes the job over.
   // @param done called once, whether or not it could be recorded.
   void checkpoint(std::function<void()> done);
@@ -58,7 +59,9 @@
   // Whether all results are in the store.
   bool finished() const { return record_.finished; }
   // Whether results wait for the store.
-  bool has_uncommitted() const { return !pending_.empty() || !committing_.empty(); }
+  bool has_uncommitted() const {
+    return !pending_.empty() || !committing_.empty() || recording_ > 0;
+  }
 
   // Results that are in the store and in memory: positions [first_held(), first_held() + size).
   uint32_t first_held() const { return first_held_; }
@@ -71,11 +74,14 @@
   const ServingRequest* unlisted_item(const std::string& id) const;
 
  private:
-  enum class Phase { kWaiting, kRunning, kEnded };
+  // kRecording: the item waits until the store holds that its last run failed. Only then may it run
+  // again, so that the loss of its owner loses no failed run but the last.
+  enum class Phase { kWaiting, kRunning, kRecording, kEnded };
   struct Item {
     ServingRequest request;
     Phase phase = Phase::kWaiting;
     ItemProgress progress;
+    item_failures failures;
     MonotonicTime not_before{};
     MonotonicTime started{};
     Duration ran{0};  // in the runs that have ended
@@ -87,6 +93,9 @@
   void handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason);
   void log_failed_run(const Item& item, const std::string& worker, JobItemRunEnd end,
                       const std::string& reason) const;
+  void record_failed_run(size_t index, run_failure failure);
+  uint32_t attempts_of(const Item& item) const;
+  void wait_again(Item& item);
   void end_item(Item& item, ItemState state);
   void checkpoint_later();
   // As many items as one transaction holds, from the `first` on; the rest in further ones.
@@ -106,11 +115,14 @@
   const Route* route_of(const RouteTable& table, const Item& item) const;
 
   JobEnvironment& environment_;
+  failure_recorder& recorder_;
   StoredJob record_;
   StoreVersion version_;
   std::vector<Item> items_;
   OnLost on_lost_;
   uint32_t running_ = 0;
+  uint32_t recording_ = 0;
+  uint64_t failed_runs_ = 0;  // of this ownership
   bool lost_ = false;
   uint32_t first_held_;
   std::vector<JobResult> held_;
