--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -31,6 +31,7 @@
   Address worker;
   HttpRequest request;
   HttpCallCallbacks* callbacks = nullptr;  // null once abandoned or ended
+  std::string sender;                      // session of the node
 
   bool open() const { return callbacks != nullptr; }
   std::string header(std::string_view name) const {
@@ -60,7 +61,7 @@
  public:
   HttpCallPtr send(const Address& server, const HttpRequest& request, const HttpCallOptions&,
                    HttpCallCallbacks& callbacks) override {
-    calls.push_back({server, request, &callbacks});
+    calls.push_back({server, request, &callbacks, sender});
     ScriptedCall& call = calls.back();
     if (on_call) {
       on_call(call);
@@ -75,6 +76,7 @@
   }
 
   std::list<ScriptedCall> calls;
+  std::string sender;                          // of the call that is being made
   std::function<void(ScriptedCall&)> on_call;  // must not use the callbacks at once
   std::function<void(const Address&, const HttpRequest&, Callback<HttpResponse>)> on_fetch;
 
@@ -91,6 +93,26 @@
   };
 };
 
+// The calls of one node.
+class NodeCalls : public HttpClient {
+ public:
+  NodeCalls(ScriptedWorkers& workers, std::string session)
+      : workers_(workers), session_(std::move(session)) {}
+  HttpCallPtr send(const Address& server, const HttpRequest& request,
+                   const HttpCallOptions& options, HttpCallCallbacks& callbacks) override {
+    workers_.sender = session_;
+    return workers_.send(server, request, options, callbacks);
+  }
+  void fetch(const Address& server, const HttpRequest& request, const HttpCallOptions& options,
+             Callback<HttpResponse> callback) override {
+    workers_.fetch(server, request, options, std::move(callback));
+  }
+
+ private:
+  ScriptedWorkers& workers_;
+  const std::string session_;
+};
+
 // Datagrams between the nodes of one cluster, delivered after a millisecond.
 class DatagramHub {
  public:
@@ -147,7 +169,7 @@
 
 // One node with its own loop, which can be frozen or destroyed.
 struct ClusterNode {
-  ClusterNode(VirtualClock& clock, SharedStore& shared, HttpClient& workers, DatagramHub& hub,
+  ClusterNode(VirtualClock& clock, SharedStore& shared, ScriptedWorkers& workers, DatagramHub& hub,
               const std::string& name, uint64_t start, const ServingNodeKnobs& knobs = {},
               const std::string& zone = "zone-a")
       : address{name, 7660},
@@ -155,9 +177,10 @@
         random(content_hash(name, start)),
         store(shared, clock, dispatcher),
         datagrams(hub, address),
+        calls(workers, name + "#" + std::to_string(start)),
         node({name, name + "#" + std::to_string(start), zone, address, kCallerPort},
-             {clock, dispatcher, random, store, store, workers, datagrams, request_wire(),
-              job_wire(), logger, metrics},
+             {clock, dispatcher, random, store, store, calls, datagrams, request_wire(), job_wire(),
+              logger, metrics},
              {platform::kOperatorTable, platform::kConfigurationKey, &platform::decode_routes,
               platform::kWorkerTable, &platform::decode_worker},
              knobs) {
@@ -170,6 +193,7 @@
   NullMetricsRegistry metrics;
   MemoryWatchedStore store;
   HubDatagrams datagrams;
+  NodeCalls calls;
   ServingNode node;
 };
 
