The status of an error promises that nothing ran only if that is certain

Cause, by reading: http_status_of took the status from the error's kind alone, so that errors of Ran::kUnknown could leave as 503 or 429: JobSubmit, 'the store did not tell the job's record' (the record is there, the job will run), a malformed answer of the store, and the end of a job whose answer the store lost (unsure() made a 503 of it). Ruled out: a type of its own for refusals; the one place that makes a status of an error decides, which covers every path without touching 150 callers. Change: http_status_of takes the error; 429 and 503 go to Ran::kNo alone, else 502.

--- a/src/adapters/error_codec.cc
+++ b/src/adapters/error_codec.cc
@@ -37,7 +37,7 @@
     fields["retry_after_ms"] = static_cast<double>(error.retry_after->count()) / 1000;
   }
   HttpResponse response;
-  response.status = http_status_of(error.kind);
+  response.status = http_status_of(error);
   response.headers.push_back({"Content-Type", "application/json"});
   response.body =
       json{{"error", std::move(fields)}}.dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/configuration/configuration_api.cc
+++ b/src/configuration/configuration_api.cc
@@ -33,7 +33,7 @@
   json body = json::parse(error_body(error));
   body["current_version"] = outcome.version;
   body["difference"] = redacted_difference(outcome.difference);
-  return json_response(http_status_of(error.kind), body);
+  return json_response(http_status_of(error), body);
 }
 
 json head_json(const ConfigurationHead& head) {
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -1,6 +1,50 @@
 #include "src/core/error.h"
 
 namespace chalkshed {
+namespace {
+
+int status_of_kind(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kInvalidRequest:
+    case ErrorKind::kPolicyFailed:
+    case ErrorKind::kInvalidSetting:
+      return 400;
+    case ErrorKind::kUnauthenticated:
+      return 401;
+    case ErrorKind::kNotFound:
+    case ErrorKind::kUnknownModel:
+    case ErrorKind::kUnknownService:
+      return 404;
+    case ErrorKind::kConflict:
+    case ErrorKind::kCancelled:
+      return 409;
+    case ErrorKind::kTooLarge:
+      return 413;
+    case ErrorKind::kLimitExceeded:
+      return 429;
+    case ErrorKind::kOverloaded:
+    case ErrorKind::kUnavailable:
+    case ErrorKind::kStoreUnavailable:
+    case ErrorKind::kDraining:
+      return 503;
+    case ErrorKind::kDeadlineExceeded:
+      return 504;
+    case ErrorKind::kOutcomeUnknown:
+    case ErrorKind::kUpstreamFailed:
+      return 502;
+    case ErrorKind::kInternal:
+      return 500;
+  }
+  return 500;
+}
+
+bool promises_not_run(int status) {
+  constexpr int kTooManyRequests = 429;
+  constexpr int kServiceUnavailable = 503;
+  return status == kTooManyRequests || status == kServiceUnavailable;
+}
+
+}  // namespace
 
 std::string_view error_kind_name(ErrorKind kind) {
   switch (kind) {
@@ -56,39 +100,10 @@
   return std::nullopt;
 }
 
-int http_status_of(ErrorKind kind) {
-  switch (kind) {
-    case ErrorKind::kInvalidRequest:
-    case ErrorKind::kPolicyFailed:
-    case ErrorKind::kInvalidSetting:
-      return 400;
-    case ErrorKind::kUnauthenticated:
-      return 401;
-    case ErrorKind::kNotFound:
-    case ErrorKind::kUnknownModel:
-    case ErrorKind::kUnknownService:
-      return 404;
-    case ErrorKind::kConflict:
-    case ErrorKind::kCancelled:
-      return 409;
-    case ErrorKind::kTooLarge:
-      return 413;
-    case ErrorKind::kLimitExceeded:
-      return 429;
-    case ErrorKind::kOverloaded:
-    case ErrorKind::kUnavailable:
-    case ErrorKind::kStoreUnavailable:
-    case ErrorKind::kDraining:
-      return 503;
-    case ErrorKind::kDeadlineExceeded:
-      return 504;
-    case ErrorKind::kOutcomeUnknown:
-    case ErrorKind::kUpstreamFailed:
-      return 502;
-    case ErrorKind::kInternal:
-      return 500;
-  }
-  return 500;
+int http_status_of(const Error& error) {
+  constexpr int kBadGateway = 502;
+  const int status = status_of_kind(error.kind);
+  return error.ran != Ran::kNo && promises_not_run(status) ? kBadGateway : status;
 }
 
 std::string_view ran_name(Ran ran) { return ran == Ran::kNo ? "no" : "unknown"; }
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -73,8 +73,10 @@
 // @return the kind of that name, or nothing.
 std::optional<ErrorKind> error_kind_of(std::string_view name);
 
-// @return the HTTP status that stands for the kind (400, 404, 409, 413, 429, 503, ...).
-int http_status_of(ErrorKind kind);
+// @return the HTTP status that stands for the error. Those that promise the caller that its request
+// has not run and never will (429, 503) go to errors of Ran::kNo alone: callers send such a request
+// again, also one that must run only once. What may have run gets 502 in their place.
+int http_status_of(const Error& error);
 
 // @return "no" or "unknown".
 std::string_view ran_name(Ran ran);
--- a/src/http/error_response.cc
+++ b/src/http/error_response.cc
@@ -38,7 +38,7 @@
 
 HttpResponse error_response(const Error& error) {
   HttpResponse response;
-  response.status = http_status_of(error.kind);
+  response.status = http_status_of(error);
   response.headers.push_back({"Content-Type", "application/json"});
   if (error.retry_after) {
     response.headers.push_back(
