Refuse a job for its queue limit only when no peer and no late write can still take it

Cause: three ways to a 429 that was untrue, each brought about by a test that failed first: (1) a peer that the job had been handed to was still deciding, and took it; (2) the peer had not said whether it took it; (3) an earlier write, by whichever node, that the store does seconds after its answer was lost: the read 'is it stored' before a refusal says nothing of it. Ruled out: waiting for the late write (nothing tells when it is over); a refused job as a record in the table of jobs (all nodes follow that table). Change: a 429 waits for the peer's answer, and becomes 'outcome unknown' (502) without one; it is told after a row of the refusal has been written in place of the read (the same number of calls), on which every acceptance is conditional. A submission that began before the refusal is refused too; a later one replaces it. Rows go after ten minutes.

--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -54,6 +54,11 @@
   // What the store holds of a job is removed this long after its acceptance, at least the longest
   // retention of its route, unless it still runs.
   Duration keep_stored = std::chrono::minutes(15);
+  // The row of a refusal is kept for this long: the store does writes whose answers it has lost
+  // some seconds later at most.
+  Duration keep_refusals = std::chrono::minutes(10);
+  // One partition's rows of refusals are looked at this often, by one node of the fleet.
+  Duration refusal_sweep_interval = std::chrono::minutes(1);
   // A planned stop lets items under way run on for this long.
   Duration longest_drain = std::chrono::milliseconds(2600);
 };
--- a/src/jobs/job_remover.cc
+++ b/src/jobs/job_remover.cc
@@ -40,6 +40,33 @@
   remove_range(record, version, results, std::move(then), done);
 }
 
+void JobRemover::remove_refusals(const std::string& partition) {
+  constexpr uint32_t kRefusalsATime = 45;  // each with a condition of its own
+  RangeRead range;
+  range.table = kStoredRefusalTable;
+  range.partition = partition;
+  range.limit = kRefusalsATime;
+  environment_.store.read_range(
+      std::move(range), lifetime_.guard([this](const Expected<RangePage>& page) {
+        if (!page) {
+          return;  // the next round reads them again
+        }
+        StoreTransaction transaction;
+        for (const StoredRow& row : page->rows) {
+          const std::optional<Duration> refused = decode_job_refusal(row.value);
+          const Duration age = environment_.clock.now() - refused.value_or(Duration(0));
+          if (age >= environment_.knobs.keep_refusals) {
+            transaction.conditions.push_back({row.key, row.version});
+            transaction.writes.push_back({row.key, std::nullopt});
+          }
+        }
+        if (!transaction.writes.empty()) {
+          environment_.store.commit(std::move(transaction),
+                                    [](const Expected<StoreCommit>& /*commit*/) {});
+        }
+      }));
+}
+
 void JobRemover::remove_range(const StoredJob& record, StoreVersion version, const RangeRead& range,
                               std::function<void()> then, std::function<void()> done) {
   environment_.store.read_range(
--- a/src/jobs/job_remover.h
+++ b/src/jobs/job_remover.h
@@ -15,6 +15,8 @@
   // @param version of the job's record; a job that has changed since is left alone.
   // @param done called once, whether or not all could be removed.
   void remove(const StoredJob& record, StoreVersion version, std::function<void()> done);
+  // Removes rows of refusals of the partition that no late write can meet any more.
+  void remove_refusals(const std::string& partition);
 
  private:
   // Removes a page of the range after another, then runs `then`.
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -85,6 +85,20 @@
   return range_of(kStoredFailureTable, job, "");
 }
 
+StoredRowKey job_refusal_key(const std::string& job) {
+  return {kStoredRefusalTable, job_partition(job), job};
+}
+
+std::string encode_job_refusal(Duration now) { return std::to_string(now.count()); }
+
+std::optional<Duration> decode_job_refusal(std::string_view value) {
+  int64_t count = 0;
+  const char* end = value.data() + value.size();
+  const auto parsed = std::from_chars(value.data(), end, count);
+  return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(Duration(count))
+                                                       : std::nullopt;
+}
+
 std::string item_of_key(const std::string& job, const StoredRowKey& key) {
   return key.key.substr(job.size() + 1);
 }
--- a/src/jobs/job_rows.h
+++ b/src/jobs/job_rows.h
@@ -33,6 +33,14 @@
 RangeRead job_progress_range(const std::string& job);
 StoredRowKey job_failure_key(const std::string& job, const std::string& item);
 RangeRead job_failure_range(const std::string& job);
+// That a job was refused for its queue limit; key: job id, value: when, by the store's clock. Every
+// acceptance is conditional on it, so that a write of before the refusal that the store does late
+// changes nothing.
+inline constexpr const char* kStoredRefusalTable = "job_refusal";
+StoredRowKey job_refusal_key(const std::string& job);
+std::string encode_job_refusal(Duration now);
+// @return nothing when it cannot be read.
+std::optional<Duration> decode_job_refusal(std::string_view value);
 // @return the item that a key of either of these two names.
 std::string item_of_key(const std::string& job, const StoredRowKey& key);
 // Results from `position` on.
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -416,10 +416,23 @@
   for (auto& [id, indexed] : index_) {
     sweep_job(id, indexed);
   }
+  sweep_refusals(now);
   show_queues();
   start_items();
 }
 
+void JobService::sweep_refusals(MonotonicTime now) {
+  if (now - refusals_swept_ < environment_.knobs.refusal_sweep_interval || draining_) {
+    return;
+  }
+  refusals_swept_ = now;
+  const std::vector<std::string> partitions = job_partitions();
+  const std::string& partition = partitions[next_refusals_++ % partitions.size()];
+  if (sessions_.rank(kStoredRefusalTable) == 0) {
+    remover_.remove_refusals(partition);
+  }
+}
+
 void JobService::sweep_job(const std::string& id, Indexed& indexed) {
   const StoredJob& record = indexed.record;
   if (record.ended || record.finished) {
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -95,6 +95,8 @@
   // Stops the run at such a worker that is the first to give way. @return whether there was one.
   bool preempt_one(const OwnedJob::AtWorker& at);
   void sweep();
+  // Looks after the rows of refusals of one partition after another, at one node of the fleet.
+  void sweep_refusals(MonotonicTime now);
   void sweep_job(const std::string& id, Indexed& indexed);
   // Removes the job from the store when it is old and this node's turn.
   void remove_if_old(const std::string& id, const Indexed& indexed);
@@ -127,6 +129,8 @@
   std::function<void()> on_queue_changed_;
   bool listed_ = false;  // all jobs that the store holds have been read once
   bool removing_ = false;
+  MonotonicTime refusals_swept_{};
+  size_t next_refusals_ = 0;  // partition
   std::map<std::string, Indexed> index_;
   std::map<std::string, Owned> owned_;
   std::map<uint64_t, std::unique_ptr<JobSubmit>> submits_;
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -10,6 +10,7 @@
                      job_forwarder& forwarder, queue_admission& admission)
     : environment_(environment),
       submission_(std::move(submission)),
+      newest_at_start_(environment.clock.newest()),
       forwarder_(forwarder),
       admission_(admission),
       retry_timer_(environment.serving.dispatcher.create_timer([this] {
@@ -56,42 +57,85 @@
   }
 }
 
-// A caller may send a job again whose acceptance it did not hear of. Refusing it would be untrue,
-// so that its record is read first, by a condition that never holds.
+// A refusal promises that nothing of the job runs. So it is told only when no peer may still take
+// the job, and after a row has been written that every acceptance is conditional on: a write of
+// before, by any node, changes nothing when the store does it late. A caller may also send a job
+// again whose acceptance it did not hear of; then the record is there.
 void JobSubmit::refuse_unless_stored(const admission_verdict& verdict) {
   StoreTransaction transaction;
-  transaction.conditions.push_back({stored_job_key(record_.id), kNoVersion});
-  environment_.store.commit(
-      std::move(transaction), lifetime_.guard([this, verdict](const Expected<StoreCommit>& commit) {
-        if (ended_) {
-          return;
-        }
-        if (!commit) {
-          retry(commit.error(), [this] { admit(); });
-          return;
-        }
-        if (!commit->current.empty() && commit->current.front().version > 0) {
-          handle_commit(commit);
-          return;
-        }
-        environment_.serving.logger.write(
-            LogLevel::kInfo, "job_over_limit",
-            {{"request", caller_job_id(record_.id)},
-             {"job", caller_job_id(record_.id)},
-             {"tokens", std::to_string(record_.tokens)},
-             {"queued", std::to_string(verdict.queued)},
-             {"limit", std::to_string(verdict.limit)},
-             {"retry_after_ms",
-              std::to_string(verdict.retry_after / std::chrono::milliseconds(1))}});
-        Error refused =
-            not_run(ErrorKind::kLimitExceeded,
-                    "the job's " + std::to_string(record_.tokens) +
-                        " tokens do not fit beside the " + std::to_string(verdict.queued) +
-                        " queued; the limit is " + std::to_string(verdict.limit),
-                    "send it again after the time given, or in smaller jobs");
-        refused.retry_after = verdict.retry_after;
-        finish(tl::unexpected(std::move(refused)));
-      }));
+  transaction.conditions.push_back({stored_job_key(record_.id), 0});
+  transaction.conditions.push_back({job_refusal_key(record_.id), refusal_version_});
+  transaction.writes.push_back(
+      {job_refusal_key(record_.id), encode_job_refusal(environment_.clock.now())});
+  environment_.store.commit(std::move(transaction),
+                            lifetime_.guard([this, verdict](const Expected<StoreCommit>& commit) {
+                              if (!ended_) {
+                                handle_refusal_write(verdict, commit);
+                              }
+                            }));
+}
+
+void JobSubmit::handle_refusal_write(const admission_verdict& verdict,
+                                     const Expected<StoreCommit>& commit) {
+  if (!commit) {
+    retry(commit.error(), [this] { admit(); });
+    return;
+  }
+  if (commit->committed) {
+    refuse_over_limit(verdict);
+    return;
+  }
+  for (const StoredRow& row : commit->current) {
+    if (row.key.table == kStoredJobTable && row.version > 0) {
+      finish_with_record(row);
+      return;
+    }
+    if (row.key.table == kStoredRefusalTable) {
+      refusal_version_ = row.version;
+    }
+  }
+  refuse_unless_stored(verdict);
+}
+
+void JobSubmit::refuse_over_limit(const admission_verdict& verdict) {
+  if (forwarding_) {
+    refused_ = verdict;
+    return;
+  }
+  if (peer_may_have_taken_) {
+    finish(tl::unexpected(maybe_run(ErrorKind::kOutcomeUnknown,
+                                    "a peer did not say whether it took the job",
+                                    "send the job again under the same id")));
+    return;
+  }
+  environment_.serving.logger.write(
+      LogLevel::kInfo, "job_over_limit",
+      {{"request", caller_job_id(record_.id)},
+       {"job", caller_job_id(record_.id)},
+       {"tokens", std::to_string(record_.tokens)},
+       {"queued", std::to_string(verdict.queued)},
+       {"limit", std::to_string(verdict.limit)},
+       {"retry_after_ms", std::to_string(verdict.retry_after / std::chrono::milliseconds(1))}});
+  const std::string reason =
+      verdict.limit == 0 ? "the job was refused at another node meanwhile"
+                         : "the job's " + std::to_string(record_.tokens) +
+                               " tokens do not fit beside the " + std::to_string(verdict.queued) +
+                               " queued; the limit is " + std::to_string(verdict.limit);
+  Error refused = not_run(ErrorKind::kLimitExceeded, reason,
+                          "send it again after the time given, or in smaller jobs");
+  refused.retry_after = verdict.retry_after;
+  finish(tl::unexpected(std::move(refused)));
+}
+
+void JobSubmit::handle_refusal_row(const StoredRow& refusal) {
+  refusal_version_ = refusal.version;
+  if (refusal.version <= newest_at_start_) {
+    commit();
+    return;
+  }
+  admission_verdict verdict;
+  verdict.retry_after = environment_.serving.knobs.retry_after;
+  refuse_unless_stored(verdict);
 }
 
 void JobSubmit::store() {
@@ -117,6 +161,7 @@
 void JobSubmit::commit() {
   StoreTransaction transaction;
   transaction.conditions.push_back({stored_job_key(record_.id), 0});
+  transaction.conditions.push_back({job_refusal_key(record_.id), refusal_version_});
   transaction.writes.push_back({stored_job_key(record_.id), encode_job_record(record_)});
   if (!record_.content_in_object) {
     add_content(transaction);
@@ -144,34 +189,50 @@
     retry(commit.error(), [this] { this->commit(); });
     return;
   }
-  SubmitOutcome outcome;
   if (commit->committed) {
+    SubmitOutcome outcome;
     outcome.record = record_;
     outcome.version = commit->stamp.version;
     outcome.accepted_here = true;
     finish(std::move(outcome));
     return;
   }
-  // There already: sent before, here or elsewhere, or an earlier send of this one was applied.
-  const StoredRow* row = commit->current.empty() ? nullptr : &commit->current.front();
-  const Expected<StoredJob> record =
-      row == nullptr ? tl::unexpected(maybe_run(ErrorKind::kStoreUnavailable,
-                                                "the store did not tell the job's record",
-                                                "send the job again"))
-                     : decode_job_record(record_.id, row->value);
+  const StoredRow* refusal = nullptr;
+  for (const StoredRow& row : commit->current) {
+    if (row.key.table == kStoredJobTable && row.version > 0) {
+      finish_with_record(row);
+      return;
+    }
+    if (row.key.table == kStoredRefusalTable && row.version != refusal_version_) {
+      refusal = &row;
+    }
+  }
+  if (refusal == nullptr) {
+    finish(
+        tl::unexpected(maybe_run(ErrorKind::kStoreUnavailable,
+                                 "the store did not tell the job's record", "send the job again")));
+    return;
+  }
+  handle_refusal_row(*refusal);
+}
+
+// There already: sent before, here or elsewhere, or an earlier send of this one was applied.
+void JobSubmit::finish_with_record(const StoredRow& row) {
+  const Expected<StoredJob> record = decode_job_record(record_.id, row.value);
   if (!record) {
     finish(tl::unexpected(record.error()));
     return;
   }
+  SubmitOutcome outcome;
   outcome.record = *record;
-  outcome.version = row->version;
+  outcome.version = row.version;
   outcome.accepted_here = record->owner == record_.owner && record->epoch == record_.epoch;
   finish(std::move(outcome));
 }
 
 void JobSubmit::forward() {
-  const bool may =
-      !ended_ && !submission_.forwarded && !forwarding_ && hops_ < environment_.knobs.most_hops;
+  const bool may = !ended_ && !refused_ && !submission_.forwarded && !forwarding_ &&
+                   hops_ < environment_.knobs.most_hops;
   if (!may) {
     return;
   }
@@ -183,7 +244,7 @@
 
 void JobSubmit::handle_forwarded(forward_outcome outcome) {
   forwarding_ = false;
-  may_be_applied_ = may_be_applied_ || outcome == forward_outcome::kUnknown;
+  peer_may_have_taken_ = peer_may_have_taken_ || outcome == forward_outcome::kUnknown;
   if (outcome == forward_outcome::kAccepted) {
     SubmitOutcome accepted;
     accepted.record = record_;
@@ -191,6 +252,10 @@
     finish(std::move(accepted));
     return;
   }
+  if (refused_) {
+    refuse_over_limit(*std::exchange(refused_, std::nullopt));
+    return;
+  }
   if (outcome != forward_outcome::kNoPeer) {
     forward();
   }
@@ -225,9 +290,9 @@
 }
 
 void JobSubmit::give_up() {
-  if (may_be_applied_) {
+  if (may_be_applied_ || peer_may_have_taken_) {
     finish(tl::unexpected(maybe_run(ErrorKind::kOutcomeUnknown,
-                                    "the store did not say whether it took the job",
+                                    "neither the store nor a peer said whether it took the job",
                                     "send the job again under the same id")));
     return;
   }
--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -35,14 +35,19 @@
   // Whether it fits into the queue of its route; if it does, it is stored.
   void admit();
   void handle_verdict(const Expected<admission_verdict>& verdict);
-  // Refuses the job for the limit, unless it has been accepted before.
+  // Refuses the job for the limit, unless it has been accepted before or a peer may take it.
   void refuse_unless_stored(const admission_verdict& verdict);
+  void handle_refusal_write(const admission_verdict& verdict, const Expected<StoreCommit>& commit);
+  void refuse_over_limit(const admission_verdict& verdict);
+  // Another node has refused the job since this submission began, or before.
+  void handle_refusal_row(const StoredRow& refusal);
   void store();
   void put_content();
   void commit();
   // The content in pieces that fit a row.
   void add_content(StoreTransaction& transaction) const;
   void handle_commit(const Expected<StoreCommit>& commit);
+  void finish_with_record(const StoredRow& row);
   void retry(const Error& error, std::function<void()> action);
   // Hands the job to a peer while the store leaves this node without an answer.
   void forward();
@@ -57,7 +62,13 @@
   StoredJob record_;
   Callback<SubmitOutcome> callback_;
   uint32_t tries_ = 0;
-  bool may_be_applied_ = false;  // an earlier send got no answer
+  bool may_be_applied_ = false;       // an earlier write of this node got no answer
+  bool peer_may_have_taken_ = false;  // a peer did not say whether it took the job
+  // Newest version of the store that was known when the submission began: refusals up to it are
+  // older than the submission.
+  const StoreVersion newest_at_start_;
+  StoreVersion refusal_version_ = 0;          // of the row that tells of an older refusal
+  std::optional<admission_verdict> refused_;  // waits until the peer has answered
   job_forwarder& forwarder_;
   queue_admission& admission_;
   uint32_t hops_ = 0;
--- a/tests/job_queue/queue_admission_test.cc
+++ b/tests/job_queue/queue_admission_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "src/jobs/job_rows.h"
 #include "tests/serving/serving_cluster.h"
 
 namespace chalkshed {
@@ -82,6 +83,107 @@
   EXPECT_TRUE(accepts("n1", "j3", 5)) << "one that fits is taken";
 }
 
+// A caller that was refused sends its job again elsewhere or later, as a new one: if the first were
+// run after all, its work would be done twice.
+//
+// The store had not answered the write of the node that took the job first, and does it seconds
+// after another node has refused the same job.
+TEST_F(QueueAdmissionTest, AJobThatWasRefusedIsNotStoredByAnEarlierWriteThatIsDoneLate) {
+  ASSERT_TRUE(accepts("n0", "j1", 10));
+  cluster.shared.trouble.lose_commits = true;
+  cluster.shared.trouble.late_commits = seconds(4);
+  const AnswerPtr first = send("n0", "j2", 5);
+  cluster.clock.run_for(milliseconds(20));
+  cluster.shared.trouble = StoreTrouble();
+  ASSERT_TRUE(accepts("n1", "j3", 87));
+  const AnswerPtr second = send("n2", "j2", 5);
+  cluster.clock.run_for(milliseconds(400));
+  ASSERT_TRUE(second->over_limit());
+  cluster.clock.run_for(seconds(8));
+  EXPECT_FALSE(first->accepted());
+  for (const ScriptedCall& call : cluster.workers.calls) {
+    EXPECT_FALSE(call.header(platform::kRequestId).starts_with("j2"));
+  }
+}
+
+TEST_F(QueueAdmissionTest, AJobThatWasRefusedIsTakenWhenItComesAgainAndFits) {
+  ASSERT_TRUE(accepts("n0", "j1", 95));
+  const AnswerPtr refused = send("n1", "j2", 10);
+  cluster.clock.run_for(milliseconds(400));
+  ASSERT_TRUE(refused->over_limit());
+  set_limit(3, 2 * kLimit);
+  EXPECT_TRUE(accepts("n2", "j2", 10));
+  EXPECT_TRUE(accepts("n1", "j2", 10)) << "sent once more";
+}
+
+TEST_F(QueueAdmissionTest, RowsOfRefusalsAreRemovedAfterAWhile) {
+  ASSERT_TRUE(accepts("n0", "j1", 95));
+  send("n1", "j2", 10);
+  cluster.clock.run_for(seconds(1));
+  const auto rows = [&] {
+    RangeRead range;
+    range.table = kStoredRefusalTable;
+    range.partition = job_partition("j2");
+    return cluster.shared.rows.read(range).rows.size();
+  };
+  EXPECT_EQ(rows(), 1U);
+  cluster.clock.run_for(std::chrono::minutes(9));
+  EXPECT_EQ(rows(), 1U);
+  cluster.clock.run_for(std::chrono::minutes(10));
+  EXPECT_EQ(rows(), 0U);
+}
+
+// While the store leaves a node without an answer, a peer may take the job.
+class HandedJobTest : public QueueAdmissionTest {
+ protected:
+  // A job that n0 hands to a peer, and for which there is no room any more when n0 can decide.
+  AnswerPtr send_while_store_is_silent() {
+    cluster.workers.on_fetch = [this](const Address&, const HttpRequest&,
+                                      Callback<HttpResponse> callback) {
+      handed.push_back(std::move(callback));
+    };
+    EXPECT_TRUE(accepts("n0", "j1", 80));
+    cluster.shared.trouble.silent = true;
+    const AnswerPtr answer = send("n0", "j2", 15);
+    cluster.clock.run_for(milliseconds(20));
+    cluster.shared.trouble = StoreTrouble();
+    EXPECT_TRUE(accepts("n1", "j3", 15));
+    cluster.clock.run_for(seconds(4));
+    EXPECT_FALSE(handed.empty());
+    return answer;
+  }
+  std::vector<Callback<HttpResponse>> handed;
+};
+
+TEST_F(HandedJobTest, IsNotRefusedWhileThePeerMayTakeIt) {
+  const AnswerPtr answer = send_while_store_is_silent();
+  EXPECT_FALSE(answer->told) << "the peer has not said anything yet";
+  handed.front()(HttpResponse{202, {}, ""});
+  cluster.clock.run_for(milliseconds(100));
+  EXPECT_TRUE(answer->accepted());
+}
+
+TEST_F(HandedJobTest, IsNotRefusedWhenItIsNotKnownWhetherThePeerTookIt) {
+  const AnswerPtr answer = send_while_store_is_silent();
+  for (const Callback<HttpResponse>& callback : handed) {
+    callback(tl::unexpected(maybe_run(ErrorKind::kUpstreamFailed, "no answer", "none")));
+    cluster.clock.run_for(milliseconds(100));
+  }
+  cluster.clock.run_for(seconds(4));
+  ASSERT_TRUE(answer->told);
+  ASSERT_FALSE(answer->accepted());
+  EXPECT_EQ(answer->told->error().ran, Ran::kUnknown);
+}
+
+TEST_F(HandedJobTest, IsRefusedOnceThePeerHasRefusedItToo) {
+  const AnswerPtr answer = send_while_store_is_silent();
+  for (size_t hop = 0; hop < handed.size(); ++hop) {
+    handed[hop](HttpResponse{503, {}, ""});
+    cluster.clock.run_for(milliseconds(100));
+  }
+  EXPECT_TRUE(answer->over_limit());
+}
+
 TEST_F(QueueAdmissionTest, NodesThatDecideAtTheSameMomentDoNotShareTheLastRoom) {
   ASSERT_TRUE(accepts("n0", "j0", 80));
   std::vector<AnswerPtr> answers;
