Hand on no status of a worker that would promise the caller that nothing ran

Cause, each seen in a test that failed first: (1) a worker's own 408, 429 or 503 without the word that it was not run, also behind an earlier run that broke off, went to the caller as it came, who reads it as a promise and sends again what must run only once; (2) a refusal was believed though signed (workers sign what they run) or on a success, and 421 though signed. Decision on 'the worker's status is returned unchanged': what is handed on is unchanged; these are not handed on, but answered by 502 of the node's own, without the worker's signature. Weighed: handing them on (untrue), closing the connection (the caller learns less). Repeatable requests go to another worker instead, as upon 500.

--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -38,12 +38,6 @@
   return 500;
 }
 
-bool promises_not_run(int status) {
-  constexpr int kTooManyRequests = 429;
-  constexpr int kServiceUnavailable = 503;
-  return status == kTooManyRequests || status == kServiceUnavailable;
-}
-
 }  // namespace
 
 std::string_view error_kind_name(ErrorKind kind) {
@@ -100,6 +94,15 @@
   return std::nullopt;
 }
 
+bool promises_not_run(int status) {
+  constexpr int kRequestTimeout = 408;
+  constexpr int kMisdirected = 421;
+  constexpr int kTooManyRequests = 429;
+  constexpr int kServiceUnavailable = 503;
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kServiceUnavailable;
+}
+
 int http_status_of(const Error& error) {
   constexpr int kBadGateway = 502;
   const int status = status_of_kind(error.kind);
--- a/src/core/error.h
+++ b/src/core/error.h
@@ -73,6 +73,10 @@
 // @return the kind of that name, or nothing.
 std::optional<ErrorKind> error_kind_of(std::string_view name);
 
+// @return whether a caller reads the status as the promise that its request has not run and never
+// will (408, 421, 429, 503), whoever answers with it.
+bool promises_not_run(int status);
+
 // @return the HTTP status that stands for the error. Those that promise the caller that its request
 // has not run and never will (429, 503) go to errors of Ran::kNo alone: callers send such a request
 // again, also one that must run only once. What may have run gets 502 in their place.
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -221,6 +221,14 @@
     }
     return;
   }
+  // A worker that does not say that it has not run a request may have run it, whatever its status:
+  // the caller would read some of them as a promise, and send again what must run only once.
+  if (promises_not_run(end.status)) {
+    AttemptEnd own = end;
+    own.reason = "a worker that may have run it answered with status " + std::to_string(end.status);
+    handle_broken(own);
+    return;
+  }
   if (end.status >= kInternalServerError && may_send_again()) {
     log(LogLevel::kInfo, "request_sent_again", "status " + std::to_string(end.status));
     if (send(false) || send(true)) {
--- a/tests/core/error_test.cc
+++ b/tests/core/error_test.cc
@@ -18,9 +18,11 @@
   EXPECT_EQ(http_status_of(error), 502);
 }
 
-// Callers send a request again that was refused by one of these, also one that must run only once.
-bool promises_not_run(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
+TEST(ErrorTest, CallersReadFourStatusesAsAPromise) {
+  for (int status = 100; status < 600; ++status) {
+    const bool promise = status == 408 || status == 421 || status == 429 || status == 503;
+    EXPECT_EQ(promises_not_run(status), promise) << status;
+  }
 }
 
 TEST(ErrorTest, OnlyWhatCertainlyDidNotRunGetsAStatusThatPromisesIt) {
--- a/tests/serving/request_relay_test.cc
+++ b/tests/serving/request_relay_test.cc
@@ -67,6 +67,55 @@
   EXPECT_EQ(seen->status, 502);
 }
 
+// A worker that has run a request may end it with any status. A caller reads some of them as a
+// promise that nothing ran, and sends the request again.
+TEST_F(RequestRelayTest, AWorkersOwnStatusIsNotHandedOnWhereItWouldPromiseThatNothingRan) {
+  for (const int status : {408, 421, 429, 503}) {
+    const SeenAnswerPtr seen = cluster.request("/once/x", "r" + std::to_string(status));
+    last().begin(status);
+    last().end();
+    EXPECT_EQ(seen->status, 502) << status;
+    EXPECT_EQ(seen->header(platform::kSignature), "") << "it is not the worker's answer";
+  }
+  EXPECT_EQ(sends(), 4U) << "sent once each";
+}
+
+TEST_F(RequestRelayTest, ARepeatableRequestGoesElsewhereUponAWorkersOwnOverload) {
+  const SeenAnswerPtr seen = cluster.request("/plain/x");
+  last().begin(429);
+  last().end();
+  ASSERT_EQ(sends(), 2U);
+  last().begin();
+  last().end();
+  EXPECT_EQ(seen->status, 200);
+}
+
+// Its first run broke off; that the second worker did not run it says nothing of the first.
+TEST_F(RequestRelayTest, ARefusalBehindARunThatBrokeOffIsNoPromise) {
+  const SeenAnswerPtr seen = cluster.request("/plain/x");
+  last().fail(Ran::kUnknown);
+  while (seen->status == 0) {
+    last().refuse();
+  }
+  EXPECT_EQ(seen->status, 502);
+}
+
+TEST_F(RequestRelayTest, AnAnswerThatContradictsItselfIsNoRefusal) {
+  const SeenAnswerPtr signed_refusal = cluster.request("/once/x", "r1");
+  HttpHeaders head = last().head();
+  head.push_back({platform::kNotExecuted, "1"});
+  last().callbacks->on_headers(503, head);
+  last().end();
+  EXPECT_EQ(signed_refusal->status, 502);
+  const SeenAnswerPtr refused_success = cluster.request("/once/x", "r2");
+  last().callbacks->on_headers(200, {{platform::kNotExecuted, "1"}});
+  if (last().open()) {
+    last().end();
+  }
+  EXPECT_EQ(refused_success->status, 502);
+  EXPECT_EQ(sends(), 2U);
+}
+
 TEST_F(RequestRelayTest, WhatCouldNotBeConnectedIsSentElsewhereAlthoughItMustRunOnce) {
   const SeenAnswerPtr seen = cluster.request("/once/x");
   last().fail(Ran::kNo);
