--- a/tests/serving/fault_campaign_test.cc
+++ b/tests/serving/fault_campaign_test.cc
@@ -69,6 +69,8 @@
   struct Job {
     size_t items = 0;
     bool accepted = false;
+    bool refused = true;  // at each send so far, with the promise that nothing runs
+    int unanswered = 0;
     bool ended = false;
     std::optional<MonotonicTime> end_acknowledged;
     std::vector<std::string> listed;  // as read so far
@@ -150,10 +152,13 @@
       job.items = 1 + random_.below(8);
     }
     if (!name.empty()) {
-      cluster_.node(name).jobs().submit(cluster_.job(id, job.items),
-                                        [&job](const Expected<std::monostate>& accepted) {
-                                          job.accepted = job.accepted || accepted.has_value();
-                                        });
+      ++job.unanswered;  // a node that is lost says nothing, and promises nothing
+      cluster_.node(name).jobs().submit(
+          cluster_.job(id, job.items), [&job](const Expected<std::monostate>& accepted) {
+            job.accepted = job.accepted || accepted.has_value();
+            --job.unanswered;
+            job.refused = job.refused && !accepted && accepted.error().ran == Ran::kNo;
+          });
     }
   }
 
@@ -299,11 +304,7 @@
     check_ended(id);
     switch (random_.below(20)) {
       case 0:
-        call_after(cluster_.loop, kStep, [&call] {
-          if (call.open()) {
-            call.refuse();
-          }
-        });
+        refuse_later(call);
         return;
       case 1:
         ++runs_[id];
@@ -321,6 +322,22 @@
           }
         });
         return;
+      case 4:
+        // It runs, and fails with a status that callers would take for a promise.
+        if (id.starts_with("r")) {
+          ++runs_[id];
+          constexpr std::array<int, 3> kStatuses = {408, 429, 503};
+          const int status = kStatuses[random_.below(kStatuses.size())];
+          call_after(cluster_.loop, kStep, [&call, status] {
+            if (call.open()) {
+              call.begin(status);
+              call.end();
+            }
+          });
+          return;
+        }
+        refuse_later(call);
+        return;
       case 3:
         // A surplus answer of an earlier request comes in the place of this one's.
         ++runs_[id];
@@ -345,6 +362,14 @@
     }
   }
 
+  void refuse_later(ScriptedCall& call) {
+    call_after(cluster_.loop, kStep, [&call] {
+      if (call.open()) {
+        call.refuse();
+      }
+    });
+  }
+
   void play(ScriptedCall& call, uint64_t next) {
     if (!call.open()) {
       return;
@@ -427,6 +452,10 @@
 
   void check_jobs() {
     for (auto& [id, job] : jobs_) {
+      const bool ran = std::any_of(runs_.begin(), runs_.end(), [&id = id](const auto& run) {
+        return run.first.starts_with(id + "-") && run.second > 0;
+      });
+      EXPECT_FALSE(job.refused && job.unanswered == 0 && ran) << id << " ran though refused";
       if (!job.accepted) {
         continue;
       }
@@ -462,8 +491,9 @@
       }
       if (request.path == "/once/x" || request.path == "/fixed/x") {
         EXPECT_LE(runs_[id], 1) << id << " ran more than once";
-        EXPECT_FALSE(seen.status == 503 && runs_[id] > 0) << id << " ran although 'not run'";
       }
+      EXPECT_FALSE(promises_not_run(seen.status) && runs_[id] > 0)
+          << id << " ran although it was told " << seen.status;
     }
   }
 
--- a/tests/soak/online_call.h
+++ b/tests/soak/online_call.h
@@ -31,6 +31,7 @@
     node_process *node = nullptr;
     soak_key key;
     MonotonicTime sent{};
+    bool kept = false; // its connection may have been open before
     int status = 0;
     std::string body;
     bool whole = false;
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -35,6 +35,11 @@
         {"overload", &soak_run::overload_worker},
         {"replace_worker", &soak_run::replace_worker},
         {"crash_worker", &soak_run::crash_worker},
+        {"mute_worker", &soak_run::mute_worker},
+        {"mute_worker", &soak_run::mute_worker},
+        {"signal_in_series", &soak_run::signal_in_series},
+        {"stop_two_nodes", &soak_run::stop_two_nodes},
+        {"change_in_series", &soak_run::change_in_series},
         {"move_route", &soak_run::move_route},
         {"move_route", &soak_run::move_route},
         {"take_key", &soak_run::take_key},
@@ -57,7 +62,7 @@
         node.folder = options_.folder;
         node.name = "node-" + std::to_string(number);
         node.zone = number % 2 == 0 ? "zone-a" : "zone-b";
-        node.ip = "127.0.9." + std::to_string(number + 1);
+        node.ip = "127.0." + std::to_string(options_.network) + "." + std::to_string(number + 1);
         node.store = store_->local();
         nodes_.push_back(std::make_unique<node_process>(std::move(node)));
         nodes_.back()->disturbed = now();
@@ -199,12 +204,42 @@
     const bool other_stops = std::any_of(nodes_.begin(), nodes_.end(), [](const auto &other) {
         return other->stopping != MonotonicTime{};
     });
-    if (!other_stops && !node.frozen) {
+    if (!other_stops) {
+        begin_stop(node);
+    }
+}
+
+void soak_run::begin_stop(node_process &node) {
+    if (!node.frozen && node.stopping == MonotonicTime{}) {
         node.stopping = now();
         node.signal(SIGTERM);
     }
 }
 
+void soak_run::stop_two_nodes() {
+    begin_stop(any_node());
+    later(milliseconds(random_.below(1500)), [this] { begin_stop(any_node()); });
+}
+
+void soak_run::signal_in_series() {
+    node_process &node = any_node();
+    constexpr int kReloads = 5;
+    for (int count = 0; count < kReloads; ++count) {
+        later(milliseconds(60 * count), [&node] { node.signal(SIGHUP); });
+    }
+    later(milliseconds(random_.below(60 * kReloads)), [this, &node] { begin_stop(node); });
+    // Once more while it stops.
+    later(milliseconds(400), [&node] { node.signal(SIGTERM); });
+}
+
+void soak_run::change_in_series() {
+    constexpr int kChanges = 6;
+    for (int count = 0; count < kChanges; ++count) {
+        later(milliseconds(90 * count),
+              [this, count] { count % 3 == 2 ? take_key() : move_route(); });
+    }
+}
+
 void soak_run::reload_node() {
     any_node().signal(SIGHUP);
 }
@@ -238,6 +273,13 @@
     }
 }
 
+void soak_run::mute_worker() {
+    if (soak_worker *worker = any_worker()) {
+        worker->mute_percent = 60;
+        later(seconds(3), [worker] { worker->mute_percent = 0; });
+    }
+}
+
 void soak_run::overload_worker() {
     if (soak_worker *worker = any_worker()) {
         worker->refused_percent = 70;
@@ -305,6 +347,7 @@
     for (const auto &worker : workers_) {
         worker->broken_percent = worker->leaving == MonotonicTime{} ? 0 : worker->broken_percent;
         worker->refused_percent = 0;
+        worker->mute_percent = 0;
     }
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -35,6 +35,8 @@
     size_t nodes = 5;
     size_t workers = 6;
     Duration length = std::chrono::seconds(60);
+    /** Nodes listen on 127.0.<network>.1 and on: runs at the same time need different ones. */
+    unsigned network = 9;
 };
 
 /** A key that the operator has given to a tenant, and perhaps taken away. */
@@ -53,6 +55,7 @@
     uint64_t items_listed = 0;
     uint64_t over_limit = 0;
     uint64_t unknown_keys = 0;
+    uint64_t items_failed = 0;
     std::vector<std::string> violations;
 };
 
@@ -95,6 +98,7 @@
     void kill_all_nodes();
     void freeze_node();
     void stop_node();
+    void begin_stop(node_process &node);
     void reload_node();
     void refuse_at_store();
     void lose_commits();
@@ -103,6 +107,11 @@
     void overload_worker();
     void replace_worker();
     void crash_worker();
+    void mute_worker();
+    /** Changes and signals that follow each other and overlap. */
+    void signal_in_series();
+    void stop_two_nodes();
+    void change_in_series();
     void move_route();
     void take_key();
 
@@ -122,6 +131,8 @@
     void check_online(online_call &call);
     void check_tenant(const run_record &run);
     void check_limit(const run_record &run);
+    void check_attempts(const run_record &run);
+    bool excused(const online_call &call) const;
     void check_page(job &of, uint32_t from, const std::string &body);
     void check_end();
     void violate(const std::string &what);
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -67,11 +67,31 @@
     }
 }
 
+/** The users' bounds: an item that fails at each run, or can never be done, is given up in time
+ * whatever happens to the owners of its job. */
+void soak_run::check_attempts(const run_record &run) {
+    constexpr size_t kMostFailed = 9; // three times the attempts of the route
+    constexpr size_t kMostImpossible = 3;
+    const item_fate fate = fate_of(run.request);
+    if (fate == item_fate::kCompletes) {
+        return;
+    }
+    const auto failed =
+        static_cast<size_t>(std::count_if(runs_.begin(), runs_.end(), [&](const auto &before) {
+            return before->request == run.request && before->failed;
+        }));
+    if (failed >= (fate == item_fate::kFails ? kMostFailed : kMostImpossible)) {
+        violate("item " + run.request + " ran again after " + std::to_string(failed) +
+                " failed runs");
+    }
+}
+
 run_record *soak_run::note_run(run_record run) {
     runs_.push_back(std::make_unique<run_record>(run));
     const size_t times = ++runs_of_[run.request];
     check_tenant(run);
     check_limit(run);
+    check_attempts(run);
     if (run.path == kOncePath && times > 1) {
         violate("request " + run.request + " must run once and ran again");
     }
@@ -102,9 +122,6 @@
 }
 
 void soak_run::check_online(online_call &call) {
-    const bool broke_at_worker = std::any_of(runs_.begin(), runs_.end(), [&](const auto &run) {
-        return run->request == call.id && run->broken;
-    });
     result_.over_limit += call.whole && call.status == 429 ? 1 : 0;
     if (call.whole && call.status == 401) {
         ++result_.unknown_keys;
@@ -143,14 +160,22 @@
     }
     const bool whole = call.whole && call.status == 200;
     result_.answered += whole ? 1 : 0;
-    // A planned stop cuts nothing off; nor does anything else while all is calm.
-    const bool excused = broke_at_worker || !calm(*call.node);
-    if (!whole && !excused && call.status != 502 && call.status != 504) {
+    if (!whole && !excused(call) && call.status != 502 && call.status != 504) {
         violate("request " + call.id + " at " + call.node->name() + " was cut off in a calm time" +
                 ", status " + std::to_string(call.status));
     }
 }
 
+/** A planned stop cuts nothing off; nor does anything else while all is calm. A request on a kept
+ * connection may cross the node's close of it: then nothing has run. */
+bool soak_run::excused(const online_call &call) const {
+    const bool broke_at_worker = std::any_of(runs_.begin(), runs_.end(), [&](const auto &run) {
+        return run->request == call.id && run->broken;
+    });
+    const bool crossed = call.kept && call.status == 0 && !runs_of_.contains(call.id);
+    return broke_at_worker || crossed || !calm(*call.node);
+}
+
 void soak_run::check_page(job &of, uint32_t from, const std::string &body) {
     const nlohmann::json page = nlohmann::json::parse(body, nullptr, false);
     if (!page.is_object() || page.value("total", size_t{0}) != of.items) {
@@ -161,6 +186,10 @@
     for (const nlohmann::json &result : page.at("results")) {
         const std::string item = result.at("id");
         const bool completed = result.at("state") == "completed";
+        const bool hopeless = fate_of(item) != item_fate::kCompletes;
+        if (completed == hopeless && !of.ended) {
+            violate("item " + item + " is listed as " + (completed ? "completed" : "errored"));
+        }
         if (completed && result.at("message") != whole_text(item)) {
             violate("item " + item + " has not its whole text");
         }
@@ -173,6 +202,7 @@
             }
             of.listed.push_back(item);
             ++result_.items_listed;
+            result_.items_failed += completed ? 0 : 1;
         }
         ++position;
     }
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -46,13 +46,19 @@
 void soak_run::send_request() {
     static constexpr std::array<const char *, 3> kPaths = {kRepeatablePath, kOncePath, kMovedPath};
     node_process &node = any_node();
-    if (node.stopping != MonotonicTime{} || now() - began_ > options_.length + seconds(15)) {
+    if (now() - began_ > options_.length + seconds(15)) {
+        return;
+    }
+    // Some callers keep their connections, and use them until the process is gone.
+    const bool kept = random_.below(3) == 0;
+    if (node.stopping != MonotonicTime{} && !kept) {
         return;
     }
     auto call = std::make_unique<online_call>();
     call->id = "r" + std::to_string(++next_id_);
     call->path = kPaths[random_.below(kPaths.size())];
     call->node = &node;
+    call->kept = kept;
     call->key = keys_[random_.below(2) == 0 ? 0 : random_.below(keys_.size())];
     call->sent = now();
     key_of_[call->id] = call->key;
@@ -65,7 +71,8 @@
     };
     calls_.emplace(number, std::move(call));
     HttpCallOptions how;
-    how.fresh_connection = true;
+    how.fresh_connection = !kept;
+    how.pool = kept ? "kept" : "fresh";
     how.host = kHost;
     sent.call =
         client_.send(node.callers(), message("POST", sent.path, sent.id, sent.key.key), how, sent);
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -25,6 +25,7 @@
   --seconds=<n>       How long faults come; 40 more follow in which all must settle [default: 60].
   --nodes=<n>         Processes [default: 5].
   --workers=<n>       Workers, served by this program [default: 6].
+  --network=<n>       Nodes listen on 127.0.<n>.1 and on [default: 9].
   --help              Show this text.
 )";
 
@@ -40,6 +41,7 @@
     options.length = std::chrono::seconds(arguments.at("--seconds").asLong());
     options.nodes = static_cast<size_t>(arguments.at("--nodes").asLong());
     options.workers = static_cast<size_t>(arguments.at("--workers").asLong());
+    options.network = static_cast<unsigned>(arguments.at("--network").asLong());
     std::filesystem::create_directories(options.folder);
     const chalkshed::soak::soak_result result = chalkshed::soak::soak_run(options).run();
     for (const std::string &violation : result.violations) {
@@ -51,6 +53,7 @@
                                 {"answered", result.answered},
                                 {"jobs", result.jobs},
                                 {"items_listed", result.items_listed},
+                                {"items_failed", result.items_failed},
                                 {"over_limit", result.over_limit},
                                 {"unknown_keys", result.unknown_keys},
                                 {"violations", result.violations.size()}}
--- a/tests/soak/soak_worker.cc
+++ b/tests/soak/soak_worker.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration kBetweenEvents = std::chrono::milliseconds(40);
+constexpr Duration kMuteFor = std::chrono::seconds(4);
 
 std::string header(const HttpRequest &request, std::string_view name) {
     return std::string(find_header(request.headers, name).value_or(""));
@@ -17,6 +18,22 @@
 
 } // namespace
 
+item_fate fate_of(const std::string &item) {
+    const size_t dash = item.find('-');
+    if (dash == std::string::npos) {
+        return item_fate::kCompletes; // an online request
+    }
+    constexpr unsigned kOneIn = 6;
+    switch (std::stoul(item.substr(dash + 1)) % kOneIn) {
+    case 2:
+        return item_fate::kFails;
+    case 5:
+        return item_fate::kImpossible;
+    default:
+        return item_fate::kCompletes;
+    }
+}
+
 std::string event_data(const std::string &request, uint64_t event) {
     return request + "." + std::to_string(event);
 }
@@ -56,11 +73,37 @@
     }
     const uint64_t number = next_stream_++;
     writer->set_on_closed(lifetime_.guard([this, number] { streams_.erase(number); }));
-    writer->start(200, {{platform::kRequestId, id},
-                        {platform::kSignature, incarnation_ + "." + id},
-                        {"Content-Type", "text/event-stream"}});
     begun.writer = std::move(writer);
+    const bool mute = random_.below(100) < mute_percent;
+    begun.run->broken = mute;
     streams_.emplace(number, std::move(begun));
+    if (!mute) {
+        answer(number);
+    } else if (random_.below(2) == 0) {
+        call_after(dispatcher_, kMuteFor, lifetime_.guard([this, number] { answer(number); }));
+    }
+}
+
+void soak_worker::answer(uint64_t number) {
+    const auto found = streams_.find(number);
+    if (found == streams_.end()) {
+        return; // its caller has left
+    }
+    stream &current = found->second;
+    const std::string &id = current.request;
+    HttpHeaders head = {{platform::kRequestId, id},
+                        {platform::kSignature, incarnation_ + "." + id}};
+    const item_fate fate = fate_of(id);
+    if (fate != item_fate::kCompletes) {
+        current.run->failed = true;
+        const int status = fate == item_fate::kFails ? kFailedStatus : kImpossibleStatus;
+        const ResponseWriterPtr writer = std::move(current.writer);
+        streams_.erase(found);
+        writer->respond({status, std::move(head), "no"});
+        return;
+    }
+    head.push_back({"Content-Type", "text/event-stream"});
+    current.writer->start(200, head);
     send_event(number);
 }
 
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -19,6 +19,12 @@
 
 constexpr uint64_t kEvents = 12;
 
+/** How an item fares at each of its runs, by its number in the job. */
+enum class item_fate { kCompletes, kFails, kImpossible };
+item_fate fate_of(const std::string &item);
+constexpr int kFailedStatus = 500;
+constexpr int kImpossibleStatus = 422;
+
 /** The data of one event of a request: names both, so that a mixed answer shows. */
 std::string event_data(const std::string &request, uint64_t event);
 
@@ -32,7 +38,8 @@
     std::string tenant;
     bool key_seen = false;
     MonotonicTime began{};
-    bool broken = false; // by the worker
+    bool broken = false; // by the worker, or held up by it
+    bool failed = false; // the worker answered that the item failed
 };
 
 class soak_worker : public HttpHandler {
@@ -59,6 +66,8 @@
     uint32_t broken_percent = 0;
     /** Of 100 requests, so many are refused without being run. */
     uint32_t refused_percent = 0;
+    /** Of 100 requests, so many are begun and answered seconds later, or never. */
+    uint32_t mute_percent = 0;
     /** When it said that it leaves; the epoch when it has not. */
     MonotonicTime leaving{};
 
@@ -71,6 +80,7 @@
         run_record *run = nullptr;
     };
 
+    void answer(uint64_t number);
     void send_event(uint64_t number);
 
     EventDispatcher &dispatcher_;
