--- a/include/chalkshed/failure_recorder.h
+++ b/include/chalkshed/failure_recorder.h
@@ -75,6 +75,8 @@
         on_recorded done;
     };
     void write(const entry &added, const item_failures &known);
+    void write_later(const entry &added, const item_failures &known, const std::string &reason,
+                     Duration delay);
     void handle_commit(const entry &added, const item_failures &written,
                        const Expected<StoreCommit> &commit);
 
--- a/src/item_failures/failure_recorder.cc
+++ b/src/item_failures/failure_recorder.cc
@@ -81,17 +81,22 @@
                   }));
 }
 
+void failure_recorder::write_later(const entry &added, const item_failures &known,
+                                   const std::string &reason, Duration delay) {
+    logger_.write(LogLevel::kInfo, "failed_run_not_recorded",
+                  {{"item", added.row.key}, {"reason", reason}});
+    call_after(dispatcher_, std::max(retry_after_, delay),
+               lifetime_.guard([this, added, known] { write(added, known); }));
+}
+
 void failure_recorder::handle_commit(const entry &added, const item_failures &written,
                                      const Expected<StoreCommit> &commit) {
+    item_failures before = written;
+    before.runs.erase(added.run);
     if (!commit) {
-        logger_.write(LogLevel::kInfo, "failed_run_not_recorded",
-                      {{"item", added.row.key}, {"reason", commit.error().message}});
         // Whether it was applied is told by the next answer.
-        item_failures before = written;
-        before.runs.erase(added.run);
-        call_after(
-            dispatcher_, std::max(retry_after_, commit.error().retry_after.value_or(Duration(0))),
-            lifetime_.guard([this, added, before = std::move(before)] { write(added, before); }));
+        write_later(added, before, commit.error().message,
+                    commit.error().retry_after.value_or(Duration(0)));
         return;
     }
     if (commit->committed) {
@@ -100,10 +105,12 @@
         added.done(now);
         return;
     }
-    const item_failures now =
-        commit->current.empty()
-            ? item_failures{}
-            : decode_item_failures(commit->current.front().value, commit->current.front().version);
+    if (commit->current.empty()) {
+        write_later(added, before, "the store did not tell the row as it stands", Duration(0));
+        return;
+    }
+    const StoredRow &current = commit->current.front();
+    const item_failures now = decode_item_failures(current.value, current.version);
     if (now.runs.contains(added.run)) {
         added.done(now); // an earlier send of this very entry
         return;
--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -1,5 +1,7 @@
 #include "src/jobs/job_loader.h"
 
+#include <algorithm>
+
 #include "src/jobs/job_rows.h"
 
 namespace chalkshed {
@@ -97,62 +99,63 @@
           load_listed(job, std::move(loaded), std::move(callback));
           return;
         }
-        load_progress(job, "", std::move(loaded), std::move(callback));
+        load_progress(job, std::move(loaded), std::move(callback));
       }));
 }
 
-void JobLoader::load_progress(const std::string& job, std::string from,
-                              std::shared_ptr<LoadedJob> loaded, Callback<LoadedJob> callback) {
-  RangeRead range = job_progress_range(job);
-  if (!from.empty()) {
-    range.first_key = std::move(from);
-  }
+void JobLoader::load_rows(RangeRead range, std::function<void(const StoredRow&)> take,
+                          Callback<std::monostate> done) {
   environment_.store.read_range(
-      std::move(range),
-      lifetime_.guard([this, job, loaded = std::move(loaded),
-                       callback = std::move(callback)](const Expected<RangePage>& page) mutable {
+      range, lifetime_.guard([this, range, take = std::move(take),
+                              done = std::move(done)](const Expected<RangePage>& page) {
         if (!page) {
-          callback(tl::unexpected(page.error()));
+          done(tl::unexpected(page.error()));
           return;
         }
-        for (const StoredRow& row : page->rows) {
-          Expected<ItemProgress> progress = decode_item_progress(row.value);
-          if (progress) {
-            loaded->progress[item_of_key(job, row.key)] = std::move(*progress);
-          }
-        }
+        std::for_each(page->rows.begin(), page->rows.end(), take);
         if (page->more && page->rows.size() > 1) {
-          load_progress(job, page->rows.back().key.key, std::move(loaded), std::move(callback));
+          RangeRead rest = range;
+          rest.first_key = page->rows.back().key.key;
+          load_rows(std::move(rest), take, done);
           return;
         }
-        load_failures(job, "", std::move(loaded), std::move(callback));
+        done({});
       }));
 }
 
-void JobLoader::load_failures(const std::string& job, std::string from,
-                              std::shared_ptr<LoadedJob> loaded, Callback<LoadedJob> callback) {
-  RangeRead range = job_failure_range(job);
-  if (!from.empty()) {
-    range.first_key = std::move(from);
-  }
-  environment_.store.read_range(
-      std::move(range),
-      lifetime_.guard([this, job, loaded = std::move(loaded),
-                       callback = std::move(callback)](const Expected<RangePage>& page) mutable {
-        if (!page) {
-          callback(tl::unexpected(page.error()));
-          return;
-        }
-        for (const StoredRow& row : page->rows) {
-          loaded->failures[item_of_key(job, row.key)] =
-              decode_item_failures(row.value, row.version);
-        }
-        if (page->more && page->rows.size() > 1) {
-          load_failures(job, page->rows.back().key.key, std::move(loaded), std::move(callback));
-          return;
-        }
-        callback(std::move(*loaded));
-      }));
+void JobLoader::load_progress(const std::string& job, std::shared_ptr<LoadedJob> loaded,
+                              Callback<LoadedJob> callback) {
+  auto take = [job, loaded](const StoredRow& row) {
+    Expected<ItemProgress> progress = decode_item_progress(row.value);
+    if (progress) {
+      loaded->progress[item_of_key(job, row.key)] = std::move(*progress);
+    }
+  };
+  load_rows(job_progress_range(job), std::move(take),
+            [this, job, loaded = std::move(loaded),
+             callback = std::move(callback)](const Expected<std::monostate>& read) {
+              if (!read) {
+                callback(tl::unexpected(read.error()));
+                return;
+              }
+              load_failures(job, loaded, callback);
+            });
+}
+
+void JobLoader::load_failures(const std::string& job, std::shared_ptr<LoadedJob> loaded,
+                              Callback<LoadedJob> callback) {
+  auto take = [job, loaded](const StoredRow& row) {
+    loaded->failures[item_of_key(job, row.key)] = decode_item_failures(row.value, row.version);
+  };
+  load_rows(job_failure_range(job), std::move(take),
+            [loaded = std::move(loaded),
+             callback = std::move(callback)](const Expected<std::monostate>& read) {
+              if (!read) {
+                callback(tl::unexpected(read.error()));
+                return;
+              }
+              callback(std::move(*loaded));
+            });
 }
 
 }  // namespace chalkshed
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -33,10 +33,13 @@
                    Callback<std::shared_ptr<const std::string>> callback);
   void load_listed(const std::string& job, std::shared_ptr<LoadedJob> loaded,
                    Callback<LoadedJob> callback);
-  void load_progress(const std::string& job, std::string from, std::shared_ptr<LoadedJob> loaded,
+  void load_progress(const std::string& job, std::shared_ptr<LoadedJob> loaded,
                      Callback<LoadedJob> callback);
-  void load_failures(const std::string& job, std::string from, std::shared_ptr<LoadedJob> loaded,
+  void load_failures(const std::string& job, std::shared_ptr<LoadedJob> loaded,
                      Callback<LoadedJob> callback);
+  // Reads the range page by page. @param take called for each row; the last of a page comes twice.
+  void load_rows(RangeRead range, std::function<void(const StoredRow&)> take,
+                 Callback<std::monostate> done);
 
   JobEnvironment& environment_;
   Lifetime lifetime_;
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -90,11 +90,15 @@
       finish_with_record(row);
       return;
     }
-    if (row.key.table == kStoredRefusalTable) {
+    if (row.key.table == kStoredRefusalTable && row.version != refusal_version_) {
       refusal_version_ = row.version;
+      refuse_unless_stored(verdict);
+      return;
     }
   }
-  refuse_unless_stored(verdict);
+  retry(not_run(ErrorKind::kStoreUnavailable, "the store did not tell why it refused",
+                "send the job again"),
+        [this] { admit(); });
 }
 
 void JobSubmit::refuse_over_limit(const admission_verdict& verdict) {
