--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -103,7 +103,7 @@
       }));
 }
 
-void JobLoader::load_rows(RangeRead range, std::function<void(const StoredRow&)> take,
+void JobLoader::load_rows(const RangeRead& range, std::function<void(const StoredRow&)> take,
                           Callback<std::monostate> done) {
   environment_.store.read_range(
       range, lifetime_.guard([this, range, take = std::move(take),
@@ -116,7 +116,7 @@
         if (page->more && page->rows.size() > 1) {
           RangeRead rest = range;
           rest.first_key = page->rows.back().key.key;
-          load_rows(std::move(rest), take, done);
+          load_rows(rest, take, done);
           return;
         }
         done({});
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -38,7 +38,7 @@
   void load_failures(const std::string& job, std::shared_ptr<LoadedJob> loaded,
                      Callback<LoadedJob> callback);
   // Reads the range page by page. @param take called for each row; the last of a page comes twice.
-  void load_rows(RangeRead range, std::function<void(const StoredRow&)> take,
+  void load_rows(const RangeRead& range, std::function<void(const StoredRow&)> take,
                  Callback<std::monostate> done);
 
   JobEnvironment& environment_;
