--- a/src/item_failures/failure_recorder.cc
+++ b/src/item_failures/failure_recorder.cc
@@ -94,7 +94,7 @@
     item_failures before = written;
     before.runs.erase(added.run);
     if (!commit) {
-        // Whether it was applied is told by the next answer.
+        // The answer to the next write shows whether this one was applied.
         write_later(added, before, commit.error().message,
                     commit.error().retry_after.value_or(Duration(0)));
         return;
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -57,7 +57,7 @@
   }
 }
 
-// A refusal promises that nothing of the job runs. So it is told only when no peer may still take
+// A refusal promises that nothing of the job runs. It is sent only when no peer may still take
 // the job, and after a row has been written that every acceptance is conditional on: a write of
 // before, by any node, changes nothing when the store does it late. A caller may also send a job
 // again whose acceptance it did not hear of; then the record is there.
--- a/src/peers/heartbeat.h
+++ b/src/peers/heartbeat.h
@@ -45,9 +45,9 @@
   std::vector<PeerWorkerLoad> loads;
   std::vector<PeerWorkerOutcomes> outcomes;
   std::vector<job_remainder> remainders;
-  // The sender's promise to this receiver: when the next one is sent at the latest. Receivers that
-  // learned it from how often heartbeats came took a sender for dead that had told many failures
-  // and grew quiet (259 false lapses on 295 nodes within 1.5 s of kept log). 0: not said.
+  // The sender's promise to this receiver: when the next one is sent at the latest; 0: not said. An
+  // interval estimated from arrivals takes a sender for dead that has reported many failures and
+  // grows quiet (259 false lapses on 295 nodes, counted in 1.5 s of their logs).
   Duration next_within{0};
 };
 
