--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -4,6 +4,8 @@
 
 #include <docopt/docopt.h>
 
+#include <unistd.h>
+
 #include <csignal>
 #include <filesystem>
 #include <iostream>
@@ -25,10 +27,17 @@
   --seconds=<n>       How long faults come; 40 more follow in which all must settle [default: 60].
   --nodes=<n>         Processes [default: 5].
   --workers=<n>       Workers, served by this program [default: 6].
-  --network=<n>       Nodes listen on 127.0.<n>.1 and on [default: 9].
+  --network=<n>       Nodes listen on 127.0.<n>.1 and on; by default chosen by the process id,
+                      because two runs on the same addresses disturb each other.
   --help              Show this text.
 )";
 
+unsigned network_of_process() {
+    constexpr unsigned kFirst = 10;
+    constexpr unsigned kNetworks = 240;
+    return kFirst + static_cast<unsigned>(getpid()) % kNetworks;
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -41,7 +50,8 @@
     options.length = std::chrono::seconds(arguments.at("--seconds").asLong());
     options.nodes = static_cast<size_t>(arguments.at("--nodes").asLong());
     options.workers = static_cast<size_t>(arguments.at("--workers").asLong());
-    options.network = static_cast<unsigned>(arguments.at("--network").asLong());
+    const docopt::value &network = arguments.at("--network");
+    options.network = network ? static_cast<unsigned>(network.asLong()) : network_of_process();
     std::filesystem::create_directories(options.folder);
     const chalkshed::soak::soak_result result = chalkshed::soak::soak_run(options).run();
     for (const std::string &violation : result.violations) {
