Tell by what right an item goes to a worker, and how old the view of the jobs is

Cause: what a back end gets could not be led back to a send: an item's start was logged at the debug level only, without the adoption that it rested on, and nothing told how old its owner's view of the jobs was, nor whether a request went over a new or a kept connection. Change: item_started at the usual level with owner, epoch, connection_use and view_age_ms; connection_use on the lines of online requests; chalkshed_job_view_age_seconds, chalkshed_items_stopped_after_end_total, chalkshed_job_refusals_met_total{writer}. No decision changes. Conclusion: a run that is too late now says whether its owner's view was old.

--- a/emulator/memory_watched_store.cc
+++ b/emulator/memory_watched_store.cc
@@ -114,7 +114,8 @@
 }
 
 StoreStamp MemoryWatchedStore::stamp() const {
-  return {shared_.rows.version(), time_source_.monotonic_now().time_since_epoch()};
+  const Duration now = time_source_.monotonic_now().time_since_epoch();
+  return {shared_.rows.version(), shared_.stopped_clock.value_or(now)};
 }
 
 template <typename Value>
--- a/emulator/memory_watched_store.h
+++ b/emulator/memory_watched_store.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,7 @@
   VersionedRows rows;
   std::map<std::string, std::shared_ptr<const std::string>> objects;
   StoreTrouble trouble;
+  std::optional<Duration> stopped_clock;  // what the store says of its clock, if it stands still
   uint64_t calls = 0;
   uint64_t refused_transactions = 0;  // they held more than the store takes
 
@@ -75,6 +77,8 @@
 
   // A node that is cut off gets no answers, and its calls do nothing.
   void set_cut(bool cut) { cut_ = cut; }
+  // A store that is slow for this node: from now on its answers take so long.
+  void set_delay(Duration delay) { delay_ = delay; }
 
   void read_range(RangeRead range, Callback<RangePage> callback) override;
   void read_changes(std::string table, StoreVersion since, Duration wait,
@@ -105,7 +109,7 @@
   SharedStore& shared_;
   TimeSource& time_source_;
   Dispatcher& dispatcher_;
-  const Duration delay_;
+  Duration delay_;
   bool cut_ = false;
   std::vector<FollowerPtr> followers_;
   Lifetime lifetime_;
--- a/src/http/event_http_client.cc
+++ b/src/http/event_http_client.cc
@@ -97,6 +97,7 @@
       connection->resume_reading();
     }
   }
+  uint64_t connection_use() const override { return std::max<uint64_t>(exchange_, 1); }
 
  private:
   // The connection while it still carries this call's answer.
--- a/src/jobs/job_environment.h
+++ b/src/jobs/job_environment.h
@@ -1,6 +1,8 @@
 // What all parts of the job module share.
 #pragma once
 
+#include <functional>
+
 #include "src/jobs/item_pace.h"
 #include "src/jobs/job.h"
 #include "src/jobs/job_knobs.h"
@@ -24,6 +26,8 @@
   ServiceDraw& draw;
   JobKnobs knobs;
   ItemPace pace = {};
+  // What this node knows of the jobs of all nodes is as they stood so long ago, or newer.
+  std::function<Duration()> view_age = [] { return Duration(0); };
 };
 
 }  // namespace chalkshed
--- a/src/jobs/job_item_run.h
+++ b/src/jobs/job_item_run.h
@@ -32,6 +32,8 @@
   JobItemRun(const JobItemRun&) = delete;
   JobItemRun& operator=(const JobItemRun&) = delete;
   const std::string& worker() const { return worker_; }
+  // How many requests the connection has carried, this run included.
+  uint64_t connection_use() const { return attempt_->call().connection_use(); }
 
  private:
   void on_stream_begun(const HttpHeaders& /*headers*/) override {}
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -106,6 +106,13 @@
     return;
   }
   log(LogLevel::kInfo, "job_given_up", found->second.job->record(), reason);
+  const auto indexed = index_.find(job);
+  if (indexed != index_.end() && indexed->second.record.ended) {
+    environment_.serving.metrics
+        .counter("chalkshed_items_stopped_after_end_total",
+                 "Items whose run was stopped because their job had been ended.", {})
+        .add(found->second.job->running());
+  }
   const std::unique_ptr<OwnedJob> dropped = std::move(found->second.job);
   owned_.erase(found);
   dropped->cancel();
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -87,6 +87,7 @@
   }
   for (const StoredRow& row : commit->current) {
     if (row.key.table == kStoredJobTable && row.version > 0) {
+      count_meeting("refusal");
       finish_with_record(row);
       return;
     }
@@ -131,7 +132,16 @@
   finish(tl::unexpected(std::move(refused)));
 }
 
+void JobSubmit::count_meeting(const char* writer) const {
+  environment_.serving.metrics
+      .counter("chalkshed_job_refusals_met_total",
+               "Acceptances that met the row of a refusal, and refusals that met a stored job.",
+               {{"writer", writer}})
+      .add(1);
+}
+
 void JobSubmit::handle_refusal_row(const StoredRow& refusal) {
+  count_meeting("acceptance");
   refusal_version_ = refusal.version;
   if (refusal.version <= newest_at_start_) {
     commit();
--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -40,6 +40,8 @@
   void handle_refusal_write(const admission_verdict& verdict, const Expected<StoreCommit>& commit);
   void refuse_over_limit(const admission_verdict& verdict);
   // Another node has refused the job since this submission began, or before.
+  // A write that found the row of the opposite decision.
+  void count_meeting(const char* writer) const;
   void handle_refusal_row(const StoredRow& refusal);
   void store();
   void put_content();
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -154,15 +154,29 @@
                                    [this, index](JobItemRunEnd end, const std::string& reason) {
                                      handle_run_end(index, end, reason);
                                    });
+  log_start(*item, table->version());
+  return true;
+}
+
+// By what right the item goes to a worker: which adoption of the job, and how old what this node
+// knows of the job is.
+void OwnedJob::log_start(const Item& item, uint64_t configuration) const {
+  const Duration view_age = environment_.view_age();
   environment_.serving.logger.write(
-      LogLevel::kDebug, "item_started",
+      LogLevel::kInfo, "item_started",
       {{"job", caller_job_id(record_.id)},
-       {"request", item->request.id},
-       {"worker", item->run->worker()},
-       {"resume_after",
-        item->progress.last_event ? std::to_string(*item->progress.last_event) : ""},
-       {"configuration", std::to_string(table->version())}});
-  return true;
+       {"request", item.request.id},
+       {"owner", record_.owner},
+       {"epoch", std::to_string(record_.epoch)},
+       {"worker", item.run->worker()},
+       {"connection_use", std::to_string(item.run->connection_use())},
+       {"resume_after", item.progress.last_event ? std::to_string(*item.progress.last_event) : ""},
+       {"view_age_ms", std::to_string(view_age / std::chrono::milliseconds(1))},
+       {"configuration", std::to_string(configuration)}});
+  environment_.serving.metrics
+      .histogram("chalkshed_job_view_age_seconds",
+                 "How old what this node knew of the jobs was as it started an item.", {})
+      .observe(std::chrono::duration<double>(view_age).count());
 }
 
 void OwnedJob::handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason) {
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -47,6 +47,7 @@
   // Stops the run; its item waits again and continues later.
   void preempt(const Preemptible& run);
   bool has_running() const { return running_ > 0; }
+  uint32_t running() const { return running_; }
   // Starts the next waiting item. @return false when no worker has room for it.
   bool start_item();
   // Gives up items that are too old, whose route is gone or whose attempts are used up.
@@ -90,6 +91,7 @@
     std::optional<uint64_t> recorded_event;  // the last one in its checkpoint
   };
 
+  void log_start(const Item& item, uint64_t configuration) const;
   void handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason);
   void log_failed_run(const Item& item, const std::string& worker, JobItemRunEnd end,
                       const std::string& reason) const;
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -57,6 +57,7 @@
                          return peers_.peer_knowing(&KnownVersions::workers, version,
                                                     dependencies_.random.next());
                        }) {
+  job_environment_.view_age = [this] { return job_table_.age(); };
   workers_.set_on_place_freed([this] { place_soon(); });
   gateway_.set_on_short_of_places([this](size_t count) { jobs_.preempt_items(count); });
   workers_.set_on_load_changed([this] { peers_.load_changed(); });
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -342,6 +342,7 @@
        {"worker", worker_},
        {"runs", std::to_string(runs_)},
        {"refusals", std::to_string(refusals_)},
+       {"connection_use", attempt_ ? std::to_string(attempt_->call().connection_use()) : ""},
        {"free_places", std::to_string(environment_.workers.free_places(service_))},
        {"elapsed_ms", milliseconds_text(elapsed())},
        {"left_ms", milliseconds_text(time_left())},
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -1,6 +1,7 @@
 // Outgoing HTTP calls. Platform adapters, the engine adapter and the pass-through use it.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string_view>
 
@@ -40,6 +41,8 @@
   // resume_reading(). The idle timeout does not run meanwhile. May be called inside an event.
   virtual void pause_reading() {}
   virtual void resume_reading() {}
+  // How many requests its connection has carried, this one included: 1 on a new connection.
+  virtual uint64_t connection_use() const { return 1; }
 };
 using HttpCallPtr = std::unique_ptr<HttpCall>;
 
