--- /dev/null
+++ b/tests/jobs/ended_job_test.cc
@@ -0,0 +1,136 @@
+// What users saw: model workers began items of batch jobs seconds after the end of the job had been
+// acknowledged, thousands of them on real processes and none in virtual time. The order of events:
+// a job is owned by one node; its end is written and acknowledged by another; the owner, whose
+// questions to the store were answered late or not at all, starts further items by what it knew
+// before. Cause: the owner's right to start a run rested on a view of the jobs of any age, and
+// nobody told it of the end. Evidence: logs of two real nodes, where the owner starts eight runs
+// between 0.1 and 2.9 s after the other has answered the caller, and these tests.
+#include <gtest/gtest.h>
+
+#include "src/jobs/job_rows.h"
+#include "tests/serving/serving_cluster.h"
+
+namespace chalkshed {
+namespace {
+
+// The users' bound: from the acknowledged end of a job to the last item that begins at a worker.
+constexpr Duration kCancelBound = seconds(3);
+
+class EndedJobTest : public testing::Test {
+ protected:
+  // A job whose items run for a quarter of a second each, a few at a time, for over ten seconds.
+  void begin_job(ServingCluster& cluster, size_t items = 200) {
+    cluster.answer_all(5, milliseconds(50));
+    std::optional<Expected<std::monostate>> accepted;
+    cluster.node("n0").jobs().submit(
+        cluster.job("j1", items), [&](const Expected<std::monostate>& told) { accepted = told; });
+    cluster.clock.run_for(milliseconds(600));
+    ASSERT_TRUE(accepted && *accepted);
+    ASSERT_GT(cluster.workers.calls.size(), 0U);
+  }
+
+  // Ends the job at that node. @return when the end was acknowledged.
+  MonotonicTime end_job(ServingCluster& cluster, const std::string& node) {
+    std::optional<MonotonicTime> acknowledged;
+    cluster.node(node).jobs().end("j1", [&](const Expected<std::monostate>& told) {
+      if (told) {
+        acknowledged = cluster.clock.monotonic_now();
+      }
+    });
+    for (int step = 0; step < 500 && !acknowledged; ++step) {
+      cluster.clock.run_for(milliseconds(10));
+    }
+    EXPECT_TRUE(acknowledged) << "the end was not acknowledged";
+    return acknowledged.value_or(cluster.clock.monotonic_now());
+  }
+
+  // How many items begin at workers from now on, within five seconds beyond the bound.
+  size_t items_begun_beyond_bound(ServingCluster& cluster, MonotonicTime acknowledged) {
+    const Duration left = acknowledged + kCancelBound - cluster.clock.monotonic_now();
+    cluster.clock.run_for(std::max(left, Duration(0)));
+    const size_t before = cluster.workers.calls.size();
+    cluster.clock.run_for(seconds(5));
+    return cluster.workers.calls.size() - before;
+  }
+};
+
+// The store serves the node that ends the job and says nothing to its owner, which hears its peers
+// all the time.
+TEST_F(EndedJobTest, AnOwnerThatTheStoreTellsNothingStartsNothingOfAnEndedJob) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.nodes.at("n0")->store.set_cut(true);
+  cluster.clock.run_for(milliseconds(100));
+  const MonotonicTime acknowledged = end_job(cluster, "n1");
+  EXPECT_EQ(items_begun_beyond_bound(cluster, acknowledged), 0U);
+}
+
+// The same, and no peer reaches the owner either: it starts nothing by a view that is seconds old.
+TEST_F(EndedJobTest, AnOwnerThatNobodyTellsOfTheEndStartsNothingByAnOldView) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.nodes.at("n0")->store.set_cut(true);
+  cluster.peers_answer = false;
+  cluster.clock.run_for(milliseconds(100));
+  const MonotonicTime acknowledged = end_job(cluster, "n1");
+  EXPECT_EQ(items_begun_beyond_bound(cluster, acknowledged), 0U);
+}
+
+// The store answers everybody, a second late: slow, not down.
+TEST_F(EndedJobTest, AnOwnerWhoseStoreIsSlowStartsNothingOfAnEndedJob) {
+  ServingCluster cluster(60, 4);
+  begin_job(cluster);
+  for (const auto& [name, node] : cluster.nodes) {
+    node->store.set_delay(milliseconds(1200));
+  }
+  cluster.clock.run_for(milliseconds(1500));
+  const MonotonicTime acknowledged = end_job(cluster, "n1");
+  EXPECT_EQ(items_begun_beyond_bound(cluster, acknowledged), 0U);
+}
+
+// The store's followers hear nothing though its other calls are answered: a refused record of what
+// the items have brought tells the owner that its job has changed.
+TEST_F(EndedJobTest, ARefusedCheckpointTellsTheOwnerOfTheEnd) {
+  ServingCluster cluster(3);
+  cluster.answer_all(200, milliseconds(50));  // items that run for ten seconds
+  std::optional<Expected<std::monostate>> accepted;
+  cluster.node("n0").jobs().submit(cluster.job("j1", 4),
+                                   [&](const Expected<std::monostate>& told) { accepted = told; });
+  cluster.clock.run_for(milliseconds(600));
+  ASSERT_TRUE(accepted && *accepted);
+  cluster.shared.trouble.hold_changes = true;
+  cluster.peers_answer = false;
+  end_job(cluster, "n1");
+  cluster.clock.run_for(kCancelBound);
+  size_t open = 0;
+  for (const ScriptedCall& call : cluster.workers.calls) {
+    open += call.open() ? 1 : 0;
+  }
+  EXPECT_EQ(open, 0U);
+}
+
+// A batch goes on while the store answers nobody: nobody can have acknowledged an end.
+TEST_F(EndedJobTest, ItemsStartWhileTheStoreIsDownForAll) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.shared.trouble.silent = true;
+  cluster.clock.run_for(seconds(5));
+  const size_t before = cluster.workers.calls.size();
+  cluster.clock.run_for(seconds(2));
+  EXPECT_GT(cluster.workers.calls.size(), before);
+}
+
+// With nothing new to tell the store holds its answers back: that alone must not stop a job.
+TEST_F(EndedJobTest, ItemsStartWhileNothingElseHappens) {
+  ServingCluster cluster(3);
+  cluster.answer_all(40, milliseconds(100));  // four seconds an item
+  std::optional<Expected<std::monostate>> accepted;
+  cluster.node("n0").jobs().submit(cluster.job("j1", 40),
+                                   [&](const Expected<std::monostate>& told) { accepted = told; });
+  cluster.clock.run_for(seconds(30));
+  ASSERT_TRUE(accepted && *accepted);
+  EXPECT_EQ(cluster.workers.calls.size(), 40U);
+}
+
+}  // namespace
+}  // namespace chalkshed
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -314,7 +314,8 @@
   ScriptedWorkers workers;
   std::map<std::string, std::unique_ptr<ClusterNode>> nodes;
   int forwarded_jobs = 0;
-  int handed_pages = 0;  // questions of nodes to their peers
+  int handed_pages = 0;      // questions of nodes to their peers
+  bool peers_answer = true;  // calls from node to node arrive; their datagrams do in any case
 
  private:
   void play(ScriptedCall& call, uint64_t events, Duration step) {
@@ -340,6 +341,10 @@
   // A job that one node hands to another, which answers as its ingress does.
   void hand_on(const Address& server, const HttpRequest& request, Callback<HttpResponse> callback) {
     const auto found = nodes.find(server.ip);
+    if (!peers_answer) {
+      callback(tl::unexpected(not_run(ErrorKind::kUnavailable, "nobody listens", "none")));
+      return;
+    }
     if (found != nodes.end() && found->second && server == found->second->address) {
       ++handed_pages;
       auto seen = std::make_shared<SeenAnswer>();
