Give a job up when a refused write or a removed row says that it is not ours any more

Cause: a record of progress that the store refused was taken for a lost one, though its refusal tells the job's record: ended, taken over or gone. A row that was removed left its owner running (a store that was emptied while nodes live). Ruled out: that the commit of results covers it; items that run for seconds commit nothing until they end. Change: OwnedJob judges the record that any refused write tells, at one place (standing_by), for results and progress alike; JobService drops a job whose row is gone.

--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -48,6 +48,10 @@
   if (row.removed) {
     close_queued(row.key.key);
     index_.erase(row.key.key);
+    const auto owned = owned_.find(row.key.key);
+    if (owned != owned_.end() && owned->second.job->version() < row.version) {
+      drop(row.key.key, "its record is gone");
+    }
     return;
   }
   const Expected<StoredJob> record = decode_job_record(row.key.key, row.value);
@@ -106,16 +110,11 @@
     return;
   }
   log(LogLevel::kInfo, "job_given_up", found->second.job->record(), reason);
-  const auto indexed = index_.find(job);
-  if (indexed != index_.end() && indexed->second.record.ended) {
-    environment_.serving.metrics
-        .counter("chalkshed_items_stopped_after_end_total",
-                 "Items whose run was stopped because their job had been ended.", {})
-        .add(found->second.job->running());
-  }
   const std::unique_ptr<OwnedJob> dropped = std::move(found->second.job);
   owned_.erase(found);
-  dropped->cancel();
+  const auto indexed = index_.find(job);
+  const bool ended = indexed != index_.end() && indexed->second.record.ended;
+  dropped->cancel(ended);
 }
 
 void JobService::submit(RequestJob submission, Callback<std::monostate> callback) {
@@ -342,12 +341,12 @@
     std::optional<Duration> first;
     for (const auto& [id, owned] : owned_) {
       const std::optional<Duration> slack = owned.job->next_slack();
+      waiting = waiting || slack;
       if (slack && (!first || starts_before(*slack, *first))) {
         next = owned.job.get();
         first = slack;
       }
     }
-    waiting = next != nullptr;
     const bool burst_over = items_in_burst_ >= environment_.knobs.most_items_at_a_time;
     if (next == nullptr || burst_over || !next->start_item()) {
       break;
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -14,6 +14,7 @@
       recorder_(recorder),
       record_(std::move(record)),
       version_(version),
+      confirmed_(environment.serving.time_source.monotonic_now()),
       on_lost_(std::move(on_lost)),
       first_held_(static_cast<uint32_t>(loaded.listed.size())),
       commit_timer_(environment.serving.dispatcher.create_timer([this] { commit(); })),
@@ -324,17 +325,24 @@
     done();
     return;
   }
-  // A lost or refused checkpoint is no loss: the next one holds more. One that comes late is
-  // refused with its epoch, or holds less than was there, which costs work and nothing else.
-  environment_.store.commit(
-      std::move(transaction),
-      lifetime_.guard([this, next, done = std::move(done)](const Expected<StoreCommit>& commit) {
-        if (commit && next < items_.size()) {
-          checkpoint_from(next, done);
-        } else {
-          done();
-        }
-      }));
+  // A lost checkpoint is no loss: the next one holds more. One that comes late is refused with its
+  // epoch, or holds less than was there, which costs work and nothing else. A refusal tells that
+  // the record has changed: often before the table's followers hear of it.
+  const MonotonicTime sent = environment_.serving.time_source.monotonic_now();
+  environment_.store.commit(std::move(transaction),
+                            lifetime_.guard([this, next, sent, done = std::move(done)](
+                                                const Expected<StoreCommit>& commit) {
+                              if (commit && commit->committed) {
+                                confirmed_ = std::max(confirmed_, sent);
+                              } else if (commit && !lost_) {
+                                handle_refused_checkpoint(*commit);
+                              }
+                              if (commit && next < items_.size()) {
+                                checkpoint_from(next, done);
+                              } else {
+                                done();
+                              }
+                            }));
 }
 
 void OwnedJob::commit_later() {
@@ -416,9 +424,14 @@
     finished.finished = true;
     transaction.writes.push_back({stored_job_key(record_.id), encode_job_record(finished)});
   }
-  environment_.store.commit(
-      std::move(transaction),
-      lifetime_.guard([this](const Expected<StoreCommit>& commit) { handle_commit(commit); }));
+  const MonotonicTime sent = environment_.serving.time_source.monotonic_now();
+  environment_.store.commit(std::move(transaction),
+                            lifetime_.guard([this, sent](const Expected<StoreCommit>& commit) {
+                              if (commit && commit->committed) {
+                                confirmed_ = std::max(confirmed_, sent);
+                              }
+                              handle_commit(commit);
+                            }));
 }
 
 void OwnedJob::handle_commit(const Expected<StoreCommit>& commit) {
@@ -441,32 +454,67 @@
   handle_conflict(*commit);
 }
 
-void OwnedJob::handle_conflict(const StoreCommit& commit) {
-  const StoredRow* record_row = nullptr;
-  const StoredRow* result_row = nullptr;
-  for (const StoredRow& row : commit.current) {
-    (row.key.table == kStoredJobTable ? record_row : result_row) = &row;
+// @return the row of that table among those that a refused transaction tells, or null.
+const StoredRow* OwnedJob::row_of(const StoreCommit& refused, const char* table) {
+  const auto found = std::find_if(refused.current.begin(), refused.current.end(),
+                                  [table](const StoredRow& row) { return row.key.table == table; });
+  return found == refused.current.end() ? nullptr : &*found;
+}
+
+OwnedJob::Standing OwnedJob::standing_by(const StoredRow* record) const {
+  if (record == nullptr || record->version == version_) {
+    return Standing::kOwned;
+  }
+  if (record->version == 0) {
+    return Standing::kGone;
+  }
+  const Expected<StoredJob> now = decode_job_record(record_.id, record->value);
+  if (!now || now->owner != record_.owner || now->epoch != record_.epoch) {
+    return Standing::kSuperseded;
+  }
+  return now->ended      ? Standing::kEnded
+         : now->finished ? Standing::kFinished
+                         : Standing::kSuperseded;  // nobody but this adoption writes it otherwise
+}
+
+const char* OwnedJob::name_of(Standing standing) {
+  switch (standing) {
+    case Standing::kEnded:
+      return "ended by its caller";
+    case Standing::kGone:
+      return "its record is gone";
+    case Standing::kOwned:
+    case Standing::kFinished:
+    case Standing::kSuperseded:
+      break;
   }
+  return "superseded by another owner";
+}
+
+void OwnedJob::handle_refused_checkpoint(const StoreCommit& refused) {
+  const Standing standing = standing_by(row_of(refused, kStoredJobTable));
+  // Finished: by a commit of this very adoption whose answer is still to come.
+  if (standing != Standing::kOwned && standing != Standing::kFinished) {
+    lose(standing);
+  }
+}
+
+void OwnedJob::handle_conflict(const StoreCommit& commit) {
+  const StoredRow* record = row_of(commit, kStoredJobTable);
+  const StoredRow* result = row_of(commit, kStoredResultTable);
   // Only the very bytes of this transaction prove that an earlier send of it was applied.
-  const bool result_there = result_row != nullptr && result_row->version > 0 &&
-                            result_row->value == first_committing_value_;
-  if (record_row != nullptr && record_row->version == version_ && result_there) {
-    accept_commit(result_row->version);  // an earlier send of this very transaction
+  const bool applied =
+      result != nullptr && result->version > 0 && result->value == first_committing_value_;
+  const Standing standing = standing_by(record);
+  if (applied && record != nullptr && standing == Standing::kOwned) {
+    accept_commit(result->version);
     return;
   }
-  if (record_row != nullptr && record_row->version > 0) {
-    const Expected<StoredJob> now = decode_job_record(record_.id, record_row->value);
-    const bool own = now && now->owner == record_.owner && now->epoch == record_.epoch;
-    if (own && now->finished && commit_finishes_ && result_there) {
-      accept_commit(record_row->version);
-      return;
-    }
-    if (own && now->ended) {
-      lose("ended by its caller");
-      return;
-    }
+  if (applied && standing == Standing::kFinished && commit_finishes_) {
+    accept_commit(record->version);
+    return;
   }
-  lose("superseded by another owner");
+  lose(standing);
 }
 
 void OwnedJob::accept_commit(StoreVersion version) {
@@ -496,8 +544,14 @@
   }
 }
 
-void OwnedJob::cancel() {
+void OwnedJob::cancel(bool ended) {
   lost_ = true;
+  if (ended) {
+    environment_.serving.metrics
+        .counter("chalkshed_items_stopped_after_end_total",
+                 "Items whose run was stopped because their job had been ended.", {})
+        .add(running_);
+  }
   commit_timer_->disable();
   checkpoint_timer_->disable();
   for (Item& item : items_) {
@@ -510,9 +564,9 @@
   }
 }
 
-void OwnedJob::lose(const std::string& reason) {
-  cancel();
-  on_lost_(reason);
+void OwnedJob::lose(Standing standing) {
+  cancel(standing == Standing::kEnded);
+  on_lost_(name_of(standing));
 }
 
 void OwnedJob::on_next_commit(std::function<void()> callback) {
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -30,6 +30,9 @@
 
   const StoredJob& record() const { return record_; }
   StoreVersion version() const { return version_; }
+  // The job was this node's, and not ended, as the last write that the store took on this condition
+  // was sent.
+  MonotonicTime confirmed() const { return confirmed_; }
   // When all results are due, by the store's clock.
   Duration due() const;
   // How long the waiting item that is to start next may still wait and be in time; negative once it
@@ -47,7 +50,6 @@
   // Stops the run; its item waits again and continues later.
   void preempt(const Preemptible& run);
   bool has_running() const { return running_ > 0; }
-  uint32_t running() const { return running_; }
   // Starts the next waiting item. @return false when no worker has room for it.
   bool start_item();
   // Gives up items that are too old, whose route is gone or whose attempts are used up.
@@ -56,7 +58,8 @@
   // @param done called once, whether or not it could be recorded.
   void checkpoint(std::function<void()> done);
   // Ends all runs; nothing is appended any more.
-  void cancel();
+  // @param ended the job was ended, and is not another node's.
+  void cancel(bool ended = false);
   // Whether all results are in the store.
   bool finished() const { return record_.finished; }
   // Whether results wait for the store.
@@ -108,8 +111,14 @@
   void send_commit();
   void handle_commit(const Expected<StoreCommit>& commit);
   void handle_conflict(const StoreCommit& commit);
+  void handle_refused_checkpoint(const StoreCommit& refused);
+  // What the record that a refused transaction tells says of this adoption of the job.
+  enum class Standing { kOwned, kFinished, kEnded, kSuperseded, kGone };
+  Standing standing_by(const StoredRow* record) const;
+  static const char* name_of(Standing standing);
+  static const StoredRow* row_of(const StoreCommit& refused, const char* table);
   void accept_commit(StoreVersion version);
-  void lose(const std::string& reason);
+  void lose(Standing standing);
   Duration slack_of(const Item& item) const;
   batch_urgency urgency_of(const Item& item) const;
   // @return the index of the waiting item that is to start next, or nothing.
@@ -120,6 +129,7 @@
   failure_recorder& recorder_;
   StoredJob record_;
   StoreVersion version_;
+  MonotonicTime confirmed_;  // see there
   std::vector<Item> items_;
   OnLost on_lost_;
   uint32_t running_ = 0;
--- a/tests/jobs/ended_job_test.cc
+++ b/tests/jobs/ended_job_test.cc
@@ -132,5 +132,26 @@
   EXPECT_EQ(cluster.workers.calls.size(), 40U);
 }
 
+// The store was emptied while nodes live, or the record was removed: nobody's job any more.
+TEST_F(EndedJobTest, AJobWhoseRecordIsGoneDoesNoMoreWork) {
+  ServingCluster cluster(3);
+  cluster.answer_all(200, milliseconds(50));
+  std::optional<Expected<std::monostate>> accepted;
+  cluster.node("n0").jobs().submit(cluster.job("j1", 4),
+                                   [&](const Expected<std::monostate>& told) { accepted = told; });
+  cluster.clock.run_for(milliseconds(600));
+  ASSERT_TRUE(accepted && *accepted);
+  StoreTransaction removal;
+  removal.writes.push_back({stored_job_key("j1"), std::nullopt});
+  cluster.shared.rows.commit(removal);
+  cluster.shared.wake_followers();
+  cluster.clock.run_for(kCancelBound);
+  size_t open = 0;
+  for (const ScriptedCall& call : cluster.workers.calls) {
+    open += call.open() ? 1 : 0;
+  }
+  EXPECT_EQ(open, 0U);
+}
+
 }  // namespace
 }  // namespace chalkshed
