Start no item by a view of its job that is older than two seconds, while a peer reaches the store

Cause: a node's right to start items of its job rested on a view of the jobs of any age. Ruled out: that the table's follower bounds it (a question is held for up to 10 s, an answer may be late or lost) and that a lapsed session does (an ended job is nobody's to take over, so nothing fences its former owner). Change: JobService::may_run. The view is as new as the last answer about the table (by the store's stamp), or as the last write that the store took on the condition of the job's record. While no peer reaches the store either nobody can acknowledge an end, and batch goes on (ItemsStartWhileTheStoreIsDownForAll).

--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -38,6 +38,11 @@
   Duration yield_interval = std::chrono::milliseconds(30);
   // An item is urgent once it may wait no longer than what an item takes and this.
   Duration urgent_slack = std::chrono::milliseconds(1500);
+  // No run is started by what this node knew of the job longer ago than this, while another node
+  // may know more: it may have been ended since, or taken over. The platform allows 3 s from the
+  // acknowledged end of a job to its last start; connecting to a worker and a full machine take the
+  // rest.
+  Duration longest_view_age = std::chrono::milliseconds(2000);
   Duration item_pause = std::chrono::milliseconds(200);  // before an item is tried again
   // A node starts at most so many items at a time, and the next after this long: meanwhile its
   // peers hear of them. Otherwise nodes that take over the jobs of others at the same moment all
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -342,7 +342,7 @@
     for (const auto& [id, owned] : owned_) {
       const std::optional<Duration> slack = owned.job->next_slack();
       waiting = waiting || slack;
-      if (slack && (!first || starts_before(*slack, *first))) {
+      if (slack && (!first || starts_before(*slack, *first)) && may_run(*owned.job)) {
         next = owned.job.get();
         first = slack;
       }
@@ -359,6 +359,14 @@
   }
 }
 
+// An end is acknowledged by whichever node wrote it, though the owner has not heard of it. While
+// the store answers nobody, nobody can have acknowledged one, and batch goes on.
+bool JobService::may_run(const OwnedJob& job) const {
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  const Duration age = std::min(environment_.view_age(), now - job.confirmed());
+  return age <= environment_.knobs.longest_view_age || !sessions_.peer_with_store(0);
+}
+
 bool JobService::preempt_one(const OwnedJob::AtWorker& at) {
   OwnedJob* owner = nullptr;
   std::optional<OwnedJob::Preemptible> first;
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -92,6 +92,8 @@
   // Stops this node's share of the runs that leave online work too few slots, and then waits until
   // the slots freed by all nodes are known: otherwise the same lack is made good several times.
   void yield_places();
+  // Whether what this node knows of the job is new enough to start a run by it.
+  bool may_run(const OwnedJob& job) const;
   // Stops the run at such a worker that is the first to give way. @return whether there was one.
   bool preempt_one(const OwnedJob::AtWorker& at);
   void sweep();
