Tell the owner of an end before it is acknowledged; fence a job that is ended before it is stored

Cause: any node may end a job, and told nobody: the owner heard of it by following the store. And the end of a job that no node holds yet (its caller did not hear whether it was taken) changed nothing: a write that the store did late, or a node that still held the send and handed it on, stored the job afterwards, and it ran. For the second: the row of a refusal, on which acceptances are conditional already; a job that is handed on carries the version that was known as its caller sent it, so that the peer does not take it for a newer send. Change: job_ender (out of JobService), row_delivery, others_may_reach_store: peers that are not heard may have the store. Conclusion: an acknowledged end holds without the store's followers.

--- a/include/chalkshed/row_handover.h
+++ b/include/chalkshed/row_handover.h
@@ -28,17 +28,26 @@
 /** \return Nothing when the bytes form no page of that table. */
 std::optional<std::vector<StoredRow>> decode_rows(const std::string &table, std::string_view bytes);
 
-/** Answers peers. Serves only nodes: the rows hold what operators wrote, keys included, so that its
- * address must be one that callers cannot reach. */
+/** Where a peer takes rows of the table that are sent to it. */
+std::string rows_path(const std::string &table);
+
+/** Answers peers, and takes rows that they bring. Serves only nodes: the rows hold what operators
+ * wrote, keys included, so that its address must be one that callers cannot reach. */
 class row_handover_server : public HttpHandler {
 public:
-    /** \param tables By name; they keep the values of their rows, and outlive this. */
-    explicit row_handover_server(std::map<std::string, const TableWatcher *> tables)
-        : tables_(std::move(tables)) {}
+    /** \param given By name; they keep the values of their rows, and outlive this.
+     * \param taken Tables whose rows peers may bring; they outlive this. */
+    row_handover_server(std::map<std::string, const TableWatcher *> given,
+                        std::map<std::string, TableWatcher *> taken)
+        : given_(std::move(given)), taken_(std::move(taken)) {}
     void handle(HttpRequest request, ResponseWriterPtr writer) override;
 
 private:
-    std::map<std::string, const TableWatcher *> tables_;
+    void give(const HttpRequest &request, ResponseWriter &writer) const;
+    void take(const HttpRequest &request, ResponseWriter &writer) const;
+
+    std::map<std::string, const TableWatcher *> given_;
+    std::map<std::string, TableWatcher *> taken_;
 };
 
 struct row_handover_knobs {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -26,6 +26,9 @@
   std::vector<ServingRequest> items;  // each with its own id
   std::string content;                // the items as sent; what is stored
   bool forwarded = false;             // by a peer: it is not handed on once more
+  // Newest version of the store that the node knew which the caller sent the job to. An end or a
+  // refusal that is newer may be meant for this very send.
+  StoreVersion known_at_send = 0;
 };
 
 // The state of a job that all nodes share. Only its owner may append results; whoever takes it over
--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -43,6 +43,9 @@
   // acknowledged end of a job to its last start; connecting to a worker and a full machine take the
   // rest.
   Duration longest_view_age = std::chrono::milliseconds(2000);
+  // The caller of an end waits this long at most until the owner has confirmed that it knows: some
+  // round trips between nodes, and less than it notices.
+  Duration longest_owner_notice = std::chrono::milliseconds(300);
   Duration item_pause = std::chrono::milliseconds(200);  // before an item is tried again
   // A node starts at most so many items at a time, and the next after this long: meanwhile its
   // peers hear of them. Otherwise nodes that take over the jobs of others at the same moment all
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -33,6 +33,8 @@
       forwarder_(environment.serving.worker_client, environment.codec, sessions,
                  environment.serving.logger),
       admission_(environment, *this),
+      ender_(environment, sessions.own_session(),
+             [this](const known_job& known) { note(known.record, known.version); }),
       recorder_(environment.store, environment.serving.dispatcher, environment.serving.logger,
                 environment.knobs.store_retry),
       sweep_timer_(environment.serving.dispatcher.create_timer([this] { sweep(); })),
@@ -271,59 +273,12 @@
 }
 
 void JobService::end(const std::string& job, Callback<std::monostate> callback) {
-  constexpr uint32_t kTries = 5;
-  find(job,
-       lifetime_.guard([this, callback = std::move(callback)](const Expected<Indexed>& indexed) {
-         if (!indexed) {
-           callback(tl::unexpected(indexed.error()));
-           return;
-         }
-         try_end(*indexed, kTries, callback);
-       }));
-}
-
-void JobService::try_end(const Indexed& indexed, uint32_t tries,
-                         Callback<std::monostate> callback) {
-  if (indexed.record.ended || indexed.record.finished) {
-    callback({});
-    return;
-  }
-  StoredJob ended = indexed.record;
-  ended.ended = true;
-  StoreTransaction transaction;
-  transaction.conditions.push_back({stored_job_key(ended.id), indexed.version});
-  transaction.writes.push_back({stored_job_key(ended.id), encode_job_record(ended)});
-  environment_.store.commit(
-      std::move(transaction), lifetime_.guard([this, ended, tries, callback = std::move(callback)](
-                                                  const Expected<StoreCommit>& commit) {
-        if (!commit) {
-          callback(tl::unexpected(commit.error()));
-          return;
-        }
-        if (commit->committed) {
-          log(LogLevel::kInfo, "job_ended", ended, "by its caller");
-          note(ended, commit->stamp.version);
-          callback({});
-          return;
-        }
-        const StoredRow* row = commit->current.empty() ? nullptr : &commit->current.front();
-        if (row == nullptr || row->version == 0) {
-          callback(tl::unexpected(unknown_job(ended.id)));
-          return;
-        }
-        const Expected<StoredJob> record = decode_job_record(ended.id, row->value);
-        if (!record || tries == 0) {
-          callback(
-              tl::unexpected(not_run(ErrorKind::kStoreUnavailable,
-                                     "the job's record changes too often", "end the job again")));
-          return;
-        }
-        note(*record, row->version);
-        Indexed now;
-        now.record = *record;
-        now.version = row->version;
-        try_end(now, tries - 1, callback);
-      }));
+  const auto known = index_.find(job);
+  ender_.end(job,
+             known == index_.end()
+                 ? std::nullopt
+                 : std::optional(known_job{known->second.record, known->second.version}),
+             std::move(callback));
 }
 
 void JobService::start_items() {
@@ -360,11 +315,11 @@
 }
 
 // An end is acknowledged by whichever node wrote it, though the owner has not heard of it. While
-// the store answers nobody, nobody can have acknowledged one, and batch goes on.
+// the store answers no node, none can acknowledge one, and batch goes on.
 bool JobService::may_run(const OwnedJob& job) const {
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
   const Duration age = std::min(environment_.view_age(), now - job.confirmed());
-  return age <= environment_.knobs.longest_view_age || !sessions_.peer_with_store(0);
+  return age <= environment_.knobs.longest_view_age || !sessions_.others_may_reach_store();
 }
 
 bool JobService::preempt_one(const OwnedJob::AtWorker& at) {
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "chalkshed/caller_identity.h"
+#include "chalkshed/job_ender.h"
 #include "chalkshed/queue_admission.h"
 #include "chalkshed/queued_tokens.h"
 #include "src/core/lifetime.h"
@@ -43,9 +44,14 @@
                     Callback<ResultPage> callback);
   // The body of an item that is not listed yet. Errors: kNotFound, kStoreUnavailable.
   void read_body(const std::string& job, const std::string& item, Callback<std::string> callback);
-  // Ends the job; no item is started any more. Errors: kNotFound, kStoreUnavailable,
-  // kOutcomeUnknown.
+  // Ends the job; no item is started any more, here or at its owner. A job that the store does not
+  // hold is fenced: a write of it that is under way does not succeed. Errors: kNotFound,
+  // kStoreUnavailable, kOutcomeUnknown.
   void end(const std::string& job, Callback<std::monostate> callback);
+  // How the owner of a job hears that another node has ended it.
+  void set_owner_notice(job_ender::owner_notice notice) {
+    ender_.set_owner_notice(std::move(notice));
+  }
 
   // Starts waiting items while workers have room.
   void start_items();
@@ -106,7 +112,6 @@
   void load(const StoredJob& record, StoreVersion version);
   void release(const std::string& id);
   void check_drained();
-  void try_end(const Indexed& indexed, uint32_t tries, Callback<std::monostate> callback);
   // @return the job's route if its queue is limited, or null.
   const Route* limited_route_of(const StoredJob& record) const;
   void close_queued(const std::string& job);
@@ -126,6 +131,7 @@
   JobRemover remover_;
   job_forwarder forwarder_;
   queue_admission admission_;
+  job_ender ender_;
   failure_recorder recorder_;
   queued_tokens queued_;
   std::function<void()> on_queue_changed_;
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -10,7 +10,6 @@
                      job_forwarder& forwarder, queue_admission& admission)
     : environment_(environment),
       submission_(std::move(submission)),
-      newest_at_start_(environment.clock.newest()),
       forwarder_(forwarder),
       admission_(admission),
       retry_timer_(environment.serving.dispatcher.create_timer([this] {
@@ -18,6 +17,9 @@
         action();
       })),
       forward_timer_(environment.serving.dispatcher.create_timer([this] { forward(); })) {
+  if (!submission_.forwarded) {
+    submission_.known_at_send = environment.clock.newest();
+  }
   record_.id = submission_.id;
   record_.tenant = submission_.tenant;
   record_.host = submission_.host;
@@ -143,7 +145,7 @@
 void JobSubmit::handle_refusal_row(const StoredRow& refusal) {
   count_meeting("acceptance");
   refusal_version_ = refusal.version;
-  if (refusal.version <= newest_at_start_) {
+  if (refusal.version <= submission_.known_at_send) {
     commit();
     return;
   }
--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -64,11 +64,8 @@
   StoredJob record_;
   Callback<SubmitOutcome> callback_;
   uint32_t tries_ = 0;
-  bool may_be_applied_ = false;       // an earlier write of this node got no answer
-  bool peer_may_have_taken_ = false;  // a peer did not say whether it took the job
-  // Newest version of the store that was known when the submission began: refusals up to it are
-  // older than the submission.
-  const StoreVersion newest_at_start_;
+  bool may_be_applied_ = false;               // an earlier write of this node got no answer
+  bool peer_may_have_taken_ = false;          // a peer did not say whether it took the job
   StoreVersion refusal_version_ = 0;          // of the row that tells of an older refusal
   std::optional<admission_verdict> refused_;  // waits until the peer has answered
   job_forwarder& forwarder_;
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -45,7 +45,9 @@
       node_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                   dependencies.logger, kNodeTable, {""}, peers_, {.pace = knobs.watch.jobs}),
       row_server_(
-          {{tables.configuration_table, &route_table_}, {tables.worker_table, &worker_table_}}),
+          {{tables.configuration_table, &route_table_}, {tables.worker_table, &worker_table_}},
+          {{kStoredJobTable, &job_table_}}),
+      ended_jobs_(dependencies.dispatcher, dependencies.worker_client, dependencies.logger),
       configuration_handover_(dependencies.time_source, dependencies.worker_client,
                               dependencies.logger, tables.configuration_table, route_table_,
                               [this](StoreVersion version) {
@@ -62,6 +64,10 @@
   gateway_.set_on_short_of_places([this](size_t count) { jobs_.preempt_items(count); });
   workers_.set_on_load_changed([this] { peers_.load_changed(); });
   jobs_.set_on_queue_changed([this] { peers_.load_changed(); });
+  jobs_.set_owner_notice(
+      [this](const std::string& owner, const StoredRow& row, const std::function<void()>& done) {
+        tell_owner(owner, row, done);
+      });
   peers_.set_job_remainders(
       [this] { return jobs_.remainders(); },
       [this](const job_remainder& reported) { jobs_.note_remainder(reported); });
@@ -95,6 +101,16 @@
   worker_table_.set_on_regained([this] { refresh_watchers(route_table_); });
 }
 
+void ServingNode::tell_owner(const std::string& owner, const StoredRow& row,
+                             const std::function<void()>& done) {
+  const std::optional<Address> address = peers_.address_of(owner);
+  if (!address) {
+    done();
+    return;
+  }
+  ended_jobs_.deliver(*address, row, [done](bool /*confirmed*/) { done(); });
+}
+
 void ServingNode::pace_watchers() {
   const WatchKnobs& watch = knobs_.watch;
   const bool member = peers_.is_relay_member();
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -7,6 +7,7 @@
 
 #include "chalkshed/caller_identity.h"
 #include "chalkshed/quota_exchange.h"
+#include "chalkshed/row_delivery.h"
 #include "chalkshed/row_handover.h"
 #include "chalkshed/tenant_quota.h"
 #include "src/core/lifetime.h"
@@ -124,6 +125,9 @@
   // The store answers again: repeats the questions whose answers may have been lost meanwhile.
   void refresh_watchers(TableWatcher& other);
   void pace_watchers();
+  // Brings the row of an ended job to the node that owns it.
+  void tell_owner(const std::string& owner, const StoredRow& row,
+                  const std::function<void()>& done);
   void check_drained();
 
   ServingNodeDependencies dependencies_;
@@ -147,6 +151,7 @@
   TableWatcher job_table_;
   TableWatcher node_table_;
   row_handover_server row_server_;
+  row_delivery ended_jobs_;  // to the nodes that own them
   row_handover configuration_handover_;
   row_handover worker_handover_;
   bool placing_soon_ = false;
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -461,6 +461,25 @@
   return knowing.empty() ? std::nullopt : std::optional(knowing[draw % knowing.size()]->address);
 }
 
+std::optional<Address> PeerExchange::address_of(const std::string& session) const {
+  const auto peer = peers_.find(node_of(session));
+  const bool known = peer != peers_.end() && peer->second.session == session;
+  return known && !peer->second.address.ip.empty() ? std::optional(peer->second.address)
+                                                   : std::nullopt;
+}
+
+// A peer that is not heard may reach the store, for all that this node knows.
+bool PeerExchange::others_may_reach_store() const {
+  const MonotonicTime now = time_source_.monotonic_now();
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    const Duration unheard = now - std::max(peer.heard, peer.announced);
+    const bool gone = peer.session.empty() || unheard > knobs_.gone_after;
+    const bool silent = unheard > patience_with(peer);
+    return !gone && (silent || peer.store_silence < knobs_.store_contact);
+  });
+}
+
 void PeerExchange::note_heard(Peer& peer) {
   peer.heard = time_source_.monotonic_now();
   heard_anyone_ = peer.heard;
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -125,6 +125,8 @@
   // drawn from all such peers; nothing if none is known.
   std::optional<Address> peer_knowing(StoreVersion KnownVersions::*table, StoreVersion version,
                                       uint64_t draw) const;
+  // @return where the node of that session takes calls of its peers, unless it has been replaced.
+  std::optional<Address> address_of(const std::string& session) const;
   // Since when the store has not answered this node, beyond the time it may hold an answer.
   Duration own_store_silence() const;
   // Whether the store has been silent for so long that this node may know old things.
@@ -136,6 +138,7 @@
   bool alive(const std::string& session, StoreVersion seen) override;
   size_t rank(const std::string& key) const override;
   std::optional<Address> peer_with_store(uint64_t seed) const override;
+  bool others_may_reach_store() const override;
   void begin_drain() override;
   Duration view_lag() const override;
 
--- a/src/watch/row_handover.cc
+++ b/src/watch/row_handover.cc
@@ -7,9 +7,11 @@
 namespace chalkshed {
 namespace {
 
-/** /rows/TABLE/VERSION: the rows of the table that are newer than the version. */
+/** GET /rows/TABLE/VERSION: the rows of the table that are newer than the version; POST
+ * /rows/TABLE: rows that the peer should know. */
 constexpr std::string_view kPath = "/rows/";
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 
 std::string text_of(const flatbuffers::String* text) {
@@ -57,23 +59,53 @@
   return rows;
 }
 
+std::string rows_path(const std::string& table) { return std::string(kPath) + table; }
+
 void row_handover_server::handle(HttpRequest request, ResponseWriterPtr writer) {
+  if (request.method == "POST") {
+    take(request, *writer);
+  } else {
+    give(request, *writer);
+  }
+}
+
+void row_handover_server::give(const HttpRequest& request, ResponseWriter& writer) const {
   std::string_view path = request.path;
   const size_t slash = path.rfind('/');
   StoreVersion version = 0;
   const auto parsed = std::from_chars(path.data() + slash + 1, path.data() + path.size(), version);
   const bool well_formed = path.starts_with(kPath) && slash > kPath.size() &&
                            parsed.ec == std::errc() && parsed.ptr == path.data() + path.size();
+  const auto table = well_formed
+                         ? given_.find(std::string(path.substr(kPath.size(), slash - kPath.size())))
+                         : given_.end();
+  if (table == given_.end()) {
+    writer.respond({kNotFound, {}, ""});
+    return;
+  }
+  writer.respond({kOk,
+                  {{"Content-Type", "application/octet-stream"}},
+                  encode_rows(table->first, table->second->rows_after(version))});
+}
+
+// A row carries its version in the store: one that is not newer than what is known changes nothing.
+void row_handover_server::take(const HttpRequest& request, ResponseWriter& writer) const {
+  const std::string_view path = request.path;
   const auto table =
-      well_formed ? tables_.find(std::string(path.substr(kPath.size(), slash - kPath.size())))
-                  : tables_.end();
-  if (table == tables_.end()) {
-    writer->respond({kNotFound, {}, ""});
+      path.starts_with(kPath) ? taken_.find(std::string(path.substr(kPath.size()))) : taken_.end();
+  if (table == taken_.end()) {
+    writer.respond({kNotFound, {}, ""});
+    return;
+  }
+  const auto rows = decode_rows(table->first, request.body);
+  if (!rows) {
+    writer.respond({kBadRequest, {}, ""});
     return;
   }
-  writer->respond({kOk,
-                   {{"Content-Type", "application/octet-stream"}},
-                   encode_rows(table->first, table->second->rows_after(version))});
+  for (const StoredRow& row : *rows) {
+    table->second->learn(row);
+  }
+  writer.respond({kOk, {}, ""});
 }
 
 row_handover::row_handover(TimeSource& time_source, HttpClient& client, Logger& logger,
--- a/tests/jobs/ended_job_test.cc
+++ b/tests/jobs/ended_job_test.cc
@@ -76,6 +76,42 @@
   EXPECT_EQ(items_begun_beyond_bound(cluster, acknowledged), 0U);
 }
 
+// The node that writes the end tells the owner before it answers the caller.
+TEST_F(EndedJobTest, AnOwnerKnowsOfTheEndWhenItIsAcknowledged) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.nodes.at("n0")->store.set_cut(true);
+  cluster.clock.run_for(milliseconds(100));
+  end_job(cluster, "n1");
+  const size_t before = cluster.workers.calls.size();
+  for (const ScriptedCall& call : cluster.workers.calls) {
+    EXPECT_FALSE(call.open());
+  }
+  cluster.clock.run_for(seconds(8));
+  EXPECT_EQ(cluster.workers.calls.size(), before);
+}
+
+// An owner that has died does not keep the caller waiting.
+TEST_F(EndedJobTest, AnEndIsAcknowledgedThoughTheOwnerCannotBeReached) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.peers_answer = false;
+  const MonotonicTime asked = cluster.clock.monotonic_now();
+  EXPECT_LE(end_job(cluster, "n1") - asked, milliseconds(500));
+}
+
+// Cut off from the store and from all peers: they may have it, and end the job.
+TEST_F(EndedJobTest, AnOwnerThatHearsNobodyStartsNothingByAnOldView) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.nodes.at("n0")->store.set_cut(true);
+  cluster.hub.cut.insert(cluster.nodes.at("n0")->address);
+  cluster.peers_answer = false;
+  cluster.clock.run_for(milliseconds(100));
+  const MonotonicTime acknowledged = end_job(cluster, "n1");
+  EXPECT_EQ(items_begun_beyond_bound(cluster, acknowledged), 0U);
+}
+
 // The store answers everybody, a second late: slow, not down.
 TEST_F(EndedJobTest, AnOwnerWhoseStoreIsSlowStartsNothingOfAnEndedJob) {
   ServingCluster cluster(60, 4);
@@ -109,6 +145,25 @@
   EXPECT_EQ(open, 0U);
 }
 
+// A caller that did not hear whether its job was taken ends it. No node has it yet: the write is
+// done later. What was ended must not run.
+TEST_F(EndedJobTest, AJobThatIsStoredAfterItsEndDoesNotRun) {
+  ServingCluster cluster(3);
+  cluster.answer_all(5, milliseconds(50));
+  cluster.shared.trouble.lose_commits = true;
+  cluster.shared.trouble.late_commits = seconds(2);
+  cluster.node("n0").jobs().submit(cluster.job("j1", 10), [](const Expected<std::monostate>&) {});
+  cluster.clock.run_for(milliseconds(50));
+  cluster.shared.trouble = StoreTrouble();
+  std::optional<Expected<std::monostate>> ended;
+  cluster.node("n1").jobs().end("j1", [&](const Expected<std::monostate>& told) { ended = told; });
+  cluster.clock.run_for(milliseconds(200));
+  ASSERT_TRUE(ended);
+  EXPECT_TRUE(*ended || ended->error().kind == ErrorKind::kNotFound);
+  cluster.clock.run_for(seconds(12));
+  EXPECT_EQ(cluster.workers.calls.size(), 0U);
+}
+
 // A batch goes on while the store answers nobody: nobody can have acknowledged an end.
 TEST_F(EndedJobTest, ItemsStartWhileTheStoreIsDownForAll) {
   ServingCluster cluster(3);
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -362,7 +362,9 @@
     job.host = "a.example";
     job.path = request.path;
     job.content = request.body;
-    job.forwarded = find_header(request.headers, platform::kForwarded).has_value();
+    const auto known = find_header(request.headers, platform::kForwarded);
+    job.forwarded = known.has_value();
+    job.known_at_send = known ? std::stoull(std::string(*known)) : 0;
     job.items = *job_wire().decode_items(job.host, job.content);
     found->second->node.jobs().submit(
         std::move(job), [callback](const Expected<std::monostate>& accepted) {
