--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -39,9 +39,9 @@
   // An item is urgent once it may wait no longer than what an item takes and this.
   Duration urgent_slack = std::chrono::milliseconds(1500);
   // No run is started by what this node knew of the job longer ago than this, while another node
-  // may know more: it may have been ended since, or taken over. The platform allows 3 s from the
-  // acknowledged end of a job to its last start; connecting to a worker and a full machine take the
-  // rest.
+  // may know more: it may have been ended since, or taken over. The platform says how long after
+  // the acknowledged end of a job an item may still begin at a worker, 3 s as a rule; connecting to
+  // a worker and a full machine take the rest.
   Duration longest_view_age = std::chrono::milliseconds(2000);
   // The caller of an end waits this long at most until the owner has confirmed that it knows: some
   // round trips between nodes, and less than it notices.
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -103,6 +103,9 @@
   if (on_queue_changed_) {
     on_queue_changed_();
   }
+  if (on_ownership_changed_) {
+    on_ownership_changed_();
+  }
   start_items();
 }
 
@@ -385,6 +388,9 @@
   for (auto& [id, indexed] : index_) {
     sweep_job(id, indexed);
   }
+  if (on_ownership_changed_) {
+    on_ownership_changed_();
+  }
   sweep_refusals(now);
   show_queues();
   start_items();
@@ -525,6 +531,11 @@
   queued_.close(content_hash(job), environment_.serving.time_source.monotonic_now());
 }
 
+bool JobService::owns_open_jobs() const {
+  return std::any_of(owned_.begin(), owned_.end(),
+                     [](const auto& entry) { return !entry.second.job->finished(); });
+}
+
 bool JobService::complete() const { return listed_; }
 
 bool JobService::counts(const std::string& job) const {
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -71,6 +71,13 @@
     on_queue_changed_ = std::move(callback);
   }
 
+  // Whether this node owns a job that is not finished.
+  bool owns_open_jobs() const;
+  // Called when that may have changed.
+  void set_on_ownership_changed(std::function<void()> callback) {
+    on_ownership_changed_ = std::move(callback);
+  }
+
   bool complete() const override;
   uint64_t queued(const Route& route, const std::string& tenant) const override;
   bool counts(const std::string& job) const override;
@@ -135,6 +142,7 @@
   failure_recorder recorder_;
   queued_tokens queued_;
   std::function<void()> on_queue_changed_;
+  std::function<void()> on_ownership_changed_;
   bool listed_ = false;  // all jobs that the store holds have been read once
   bool removing_ = false;
   MonotonicTime refusals_swept_{};
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -64,6 +64,7 @@
   gateway_.set_on_short_of_places([this](size_t count) { jobs_.preempt_items(count); });
   workers_.set_on_load_changed([this] { peers_.load_changed(); });
   jobs_.set_on_queue_changed([this] { peers_.load_changed(); });
+  jobs_.set_on_ownership_changed([this] { pace_jobs(); });
   jobs_.set_owner_notice(
       [this](const std::string& owner, const StoredRow& row, const std::function<void()>& done) {
         tell_owner(owner, row, done);
@@ -117,11 +118,21 @@
   const WatchPace& configuration = member ? watch.member_configuration : watch.configuration;
   route_table_.set_pace(configuration);
   worker_table_.set_pace(member ? watch.member_workers : watch.workers);
-  job_table_.set_pace(peers_.relayed() ? watch.member_jobs : watch.jobs);
   node_table_.set_pace(peers_.relayed() ? watch.member_jobs : watch.jobs);
+  pace_jobs();
   peers_.set_store_wait(configuration.longest_wait - watch.configuration.longest_wait);
 }
 
+void ServingNode::pace_jobs() {
+  const WatchKnobs& watch = knobs_.watch;
+  WatchPace pace = peers_.relayed() ? watch.member_jobs : watch.jobs;
+  if (jobs_.owns_open_jobs()) {
+    pace.longest_wait = std::min(pace.longest_wait, watch.owner_jobs.longest_wait);
+    pace.gather = std::min(pace.gather, watch.owner_jobs.gather);
+  }
+  job_table_.set_pace(pace);
+}
+
 void ServingNode::refresh_watchers(TableWatcher& other) {
   other.refresh();
   job_table_.refresh();
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -61,6 +61,10 @@
                            .gather = std::chrono::seconds(1)};
   WatchPace member_jobs{.longest_wait = std::chrono::seconds(10),
                         .gather = std::chrono::milliseconds(1500)};
+  // While this node owns jobs with items to run it needs a view of them that is at most two seconds
+  // old, also when nothing changes; the rest is for the answer to arrive.
+  WatchPace owner_jobs{.longest_wait = std::chrono::milliseconds(1500),
+                       .gather = std::chrono::milliseconds(1000)};
 };
 
 struct ServingNodeKnobs {
@@ -125,6 +129,7 @@
   // The store answers again: repeats the questions whose answers may have been lost meanwhile.
   void refresh_watchers(TableWatcher& other);
   void pace_watchers();
+  void pace_jobs();
   // Brings the row of an ended job to the node that owns it.
   void tell_owner(const std::string& owner, const StoredRow& row,
                   const std::function<void()>& done);
--- a/tests/jobs/ended_job_test.cc
+++ b/tests/jobs/ended_job_test.cc
@@ -187,6 +187,29 @@
   EXPECT_EQ(cluster.workers.calls.size(), 40U);
 }
 
+// All workers are busy and nothing changes, so that the store holds its answers back. When a place
+// is free the owner still knows its jobs well enough to use it.
+TEST_F(EndedJobTest, AnItemThatWaitedInAQuietTimeStartsAsSoonAsAWorkerIsFree) {
+  ServingCluster cluster(3, 1);
+  std::vector<SeenAnswerPtr> online;
+  for (int number = 0; number < 4; ++number) {
+    online.push_back(cluster.request("/fixed/x", "r" + std::to_string(number)));
+  }
+  std::optional<Expected<std::monostate>> accepted;
+  cluster.node("n0").jobs().submit(cluster.job("j1", 1),
+                                   [&](const Expected<std::monostate>& told) { accepted = told; });
+  cluster.clock.run_for(milliseconds(4300));
+  ASSERT_TRUE(accepted && *accepted);
+  ASSERT_EQ(cluster.workers.calls.size(), 4U);
+  for (ScriptedCall& call : cluster.workers.calls) {
+    call.begin();
+    call.event(1);
+    call.end();
+  }
+  cluster.clock.run_for(milliseconds(600));
+  EXPECT_EQ(cluster.workers.calls.size(), 5U);
+}
+
 // The store was emptied while nodes live, or the record was removed: nobody's job any more.
 TEST_F(EndedJobTest, AJobWhoseRecordIsGoneDoesNoMoreWork) {
   ServingCluster cluster(3);
--- a/tests/platform/platform_settings_test.cc
+++ b/tests/platform/platform_settings_test.cc
@@ -18,6 +18,10 @@
   EXPECT_EQ(settings->first_peer_port, 7660);
   EXPECT_EQ(settings->last_peer_port, 7675);
   EXPECT_EQ(settings->stop_grace, std::chrono::milliseconds(6500));
+  EXPECT_EQ(settings->cancel_within, std::chrono::seconds(3));
+  const std::string all = kSettings;
+  EXPECT_EQ(parse_settings(all + "bounds.cancel_ms=4500\n")->cancel_within,
+            std::chrono::milliseconds(4500));
 }
 
 TEST(PlatformSettingsTest, BoundsOfKeysAndLimitsAreReadAndMayBeMissingOrEmpty) {
