Close a server's connections only once their events are gone

Cause: evhttp closes the descriptor of a connection when it frees it, whatever still goes on with its bufferevent. An answer aborted inside the handler (a worker of the soak that breaks off a stream at once) is freed by a callback of the connection itself: the descriptor is closed while both events live until the callback returns, then 'Epoll MOD(4) on fd N failed ... Bad file descriptor'. A socket opened between the two got the number with the old events counted under it; its read event never reached the kernel, and nothing that arrived there was seen. Ruled out by tests that pass before and after: bytes of the old answer (16 MB waiting, and a late write) at the socket that got the number; a call of our client begun behind the abort staying deaf (its connect adds a write event, which registers the socket again). A connection that the kernel refuses at once is reported after send() only. Change: bufferevents of the server close their descriptor themselves, which libevent does after the events are deleted, in a later turn. Conclusion: the warning can come from the soak's own workers, which abort inside their handler; no bytes of an old connection reached the socket that got its number in any of the tests.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -222,7 +222,10 @@
 }
 
 bufferevent* HttpServer::Implementation::create_connection(event_base* base, void* argument) {
-  bufferevent* connection = bufferevent_socket_new(base, -1, 0);
+  // The bufferevent closes its descriptor itself, once its events are gone. Left to evhttp, the
+  // descriptor is closed while a callback of the connection may still run: the next socket gets the
+  // number while the old events are counted under it, and what arrives there is never seen.
+  bufferevent* connection = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
   evbuffer_add_cb(bufferevent_get_output(connection), &Implementation::on_output, argument);
   return connection;
 }
--- /dev/null
+++ b/tests/http/connection_lifetime_test.cc
@@ -0,0 +1,199 @@
+/** \file
+ * Connections of the HTTP server that end while their own events are being served: what becomes of
+ * the descriptor, and of whoever gets its number next.
+ */
+#include "src/http/http_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <filesystem>
+#include <iterator>
+#include <vector>
+
+#include "src/http/event_http_client.h"
+#include "tests/http/loopback.h"
+#include "tests/http/raw_server.h"
+
+namespace chalkshed {
+namespace {
+
+// Keeps what libevent complains about, such as changes of a descriptor that is closed already.
+class EventWarnings {
+ public:
+  EventWarnings() {
+    warnings().clear();
+    event_set_log_callback([](int severity, const char* message) {
+      if (severity >= EVENT_LOG_WARN) {
+        warnings().emplace_back(message);
+      }
+    });
+  }
+  ~EventWarnings() { event_set_log_callback(nullptr); }
+  EventWarnings(const EventWarnings&) = delete;
+  EventWarnings& operator=(const EventWarnings&) = delete;
+  static std::vector<std::string>& warnings() {
+    static std::vector<std::string> kept;
+    return kept;
+  }
+};
+
+// Two connected sockets; the loop reads from one of them.
+class WatchedPair {
+ public:
+  explicit WatchedPair(EventDispatcher& dispatcher) {
+    EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, ends_.data()), 0);
+    watched_ = bufferevent_socket_new(dispatcher.base(), ends_[0], BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_enable(watched_, EV_READ);
+  }
+  ~WatchedPair() {
+    bufferevent_free(watched_);
+    close(ends_[1]);
+  }
+  WatchedPair(const WatchedPair&) = delete;
+  WatchedPair& operator=(const WatchedPair&) = delete;
+  int descriptor() const { return ends_[0]; }
+  void send_to_watched(const std::string& bytes) {
+    EXPECT_EQ(::send(ends_[1], bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+  size_t arrived() const { return evbuffer_get_length(bufferevent_get_input(watched_)); }
+  // Whether anybody wrote to the watched end's peer.
+  bool peer_got_bytes() const {
+    char byte = 0;
+    return recv(ends_[1], &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
+ private:
+  std::array<int, 2> ends_{};
+  bufferevent* watched_ = nullptr;
+};
+
+size_t open_descriptors() {
+  const std::filesystem::directory_iterator listing("/proc/self/fd");
+  return static_cast<size_t>(std::distance(begin(listing), end(listing)));
+}
+
+class ConnectionLifetimeTest : public testing::Test {
+ protected:
+  using Handle = std::function<void(HttpRequest, ResponseWriterPtr)>;
+
+  // Sends one request, which `handle` answers, and waits for the end of the call.
+  void call(Handle handle) {
+    handler_ = std::make_unique<FunctionHandler>(std::move(handle));
+    server_ = std::make_unique<HttpServer>(dispatcher_, Address{"127.0.0.1", 0}, *handler_);
+    call_ = client_.send(server_->local(), get("/"), {}, recorded_);
+    ASSERT_TRUE(run_until(dispatcher_, [&] { return recorded_.done(); }));
+  }
+  // Some turns of the loop, so that whatever is due has its chance.
+  void settle() {
+    constexpr int kTurns = 20;
+    for (int turn = 0; turn < kTurns; ++turn) {
+      dispatcher_.run_once(false);
+    }
+  }
+
+  EventWarnings log_;
+  EventDispatcher dispatcher_;
+  EventHttpClient client_{dispatcher_};
+  RecordedCall recorded_;
+  std::unique_ptr<FunctionHandler> handler_;
+  std::unique_ptr<HttpServer> server_;
+  HttpCallPtr call_;
+};
+
+// A worker of the soak that broke off a stream at once made libevent print "Epoll MOD(4) on fd N
+// failed: Bad file descriptor". Order: the read event of the connection hands the request over;
+// the handler starts the answer, which waits for the write event, and aborts it; evhttp closes the
+// descriptor, while both events live on until the read event has returned.
+TEST_F(ConnectionLifetimeTest, AbortInsideTheHandlerLeavesNoEventOnAClosedDescriptor) {
+  call([](const HttpRequest& /*request*/, const ResponseWriterPtr& writer) {
+    writer->start(200, {});
+    writer->write("never sent");
+    writer->abort();
+  });
+  settle();
+  EXPECT_TRUE(recorded_.error);
+  EXPECT_EQ(EventWarnings::warnings(), std::vector<std::string>());
+}
+
+// The same order, and the handler opens a socket behind the abort, as a node does that sends the
+// next waiting request on. The socket got the number of the closed descriptor while the events of
+// the old connection were still counted under it: its own read event was never given to the
+// kernel, so nothing that arrived there was ever seen.
+TEST_F(ConnectionLifetimeTest, SocketOpenedBehindAnAbortHearsItsPeer) {
+  std::unique_ptr<WatchedPair> pair;
+  call([&](const HttpRequest& /*request*/, const ResponseWriterPtr& writer) {
+    writer->abort();
+    pair = std::make_unique<WatchedPair>(dispatcher_);
+  });
+  pair->send_to_watched("hello");
+  settle();
+  EXPECT_EQ(pair->arrived(), 5U);
+}
+
+// A call that a handler begins behind an abort, on a new connection, is answered.
+TEST_F(ConnectionLifetimeTest, CallBegunBehindAnAbortIsAnswered) {
+  RawServer worker(dispatcher_, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false);
+  RecordedCall onward;
+  HttpCallPtr onward_call;
+  call([&](const HttpRequest& /*request*/, const ResponseWriterPtr& writer) {
+    writer->start(200, {});
+    writer->write("never sent");
+    writer->abort();
+    onward_call = client_.send(worker.local(), get("/"), {}, onward);
+  });
+  ASSERT_TRUE(run_until(dispatcher_, [&] { return onward.done(); }));
+  EXPECT_EQ(onward.body, "hello");
+}
+
+// However a connection ends, its descriptor is closed, and once only: a second close would hit the
+// socket that got the number since.
+TEST_F(ConnectionLifetimeTest, EveryEndOfAConnectionGivesItsDescriptorBack) {
+  const auto answer = [](const HttpRequest& request, const ResponseWriterPtr& writer) {
+    if (request.path == "/abort") {
+      writer->abort();
+    } else if (request.path == "/close") {
+      writer->respond({200, {{"Connection", "close"}}, "closing"});
+    } else {
+      writer->respond({200, {}, "kept"});
+    }
+  };
+  FunctionHandler handler(answer);
+  auto server = std::make_unique<HttpServer>(dispatcher_, Address{"127.0.0.1", 0}, handler);
+  const size_t before = open_descriptors();
+  for (const char* path : {"/abort", "/close", "/kept", "/abort", "/close", "/kept"}) {
+    EventHttpClient client(dispatcher_);
+    RecordedCall recorded;
+    const HttpCallPtr call = client.send(server->local(), get(path), {}, recorded);
+    ASSERT_TRUE(run_until(dispatcher_, [&] { return recorded.done(); }));
+  }
+  ASSERT_TRUE(run_until(dispatcher_, [&] { return open_descriptors() == before; }));
+  EXPECT_EQ(EventWarnings::warnings(), std::vector<std::string>());
+}
+
+// Whatever the old connection still had to send goes to nobody.
+TEST_F(ConnectionLifetimeTest, SocketOpenedBehindAnAbortGetsNoBytesOfTheOldAnswer) {
+  std::unique_ptr<WatchedPair> pair;
+  call([&](const HttpRequest& /*request*/, const ResponseWriterPtr& writer) {
+    writer->start(200, {});
+    writer->write(std::string(16 << 20, 'x'));
+    writer->abort();
+    pair = std::make_unique<WatchedPair>(dispatcher_);
+    writer->write("late");
+    writer->finish();
+  });
+  settle();
+  EXPECT_FALSE(pair->peer_got_bytes());
+  pair->send_to_watched("hello");
+  settle();
+  EXPECT_EQ(pair->arrived(), 5U);
+}
+
+}  // namespace
+}  // namespace chalkshed
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -269,6 +269,19 @@
   EXPECT_EQ(server_->accepted(), 1U);
 }
 
+// The kernel refuses at once to begin some connections (no route, no free port). The caller hears
+// of it later all the same: inside send() it holds no call yet that it could end.
+TEST_F(HttpClientTest, ConnectionThatCannotBeginFailsAfterSendHasReturned) {
+  const Address unreachable{"255.255.255.255", 9};
+  call_ = client_.send(unreachable, get("/"), {}, recorded_);
+  EXPECT_FALSE(recorded_.done());
+  ASSERT_TRUE(run_until(dispatcher_, [&] { return recorded_.done(); }));
+  ASSERT_TRUE(recorded_.error);
+  EXPECT_EQ(recorded_.error->kind, ErrorKind::kUnavailable);
+  EXPECT_EQ(recorded_.error->ran, Ran::kNo);
+  EXPECT_EQ(client_.open_connections(), 0U);
+}
+
 TEST_F(HttpClientTest, BytesBehindAnAnswerMakeTheConnectionUnusable) {
   server_ = std::make_unique<RawServer>(
       dispatcher_, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", false);
