Fetches under way end with their client

Cause: the collector of a fetched answer owned itself until the end of its call. A client that is destroyed closes its connections without telling, so the collector, its call and all that the callback holds were left behind. Ruled out: leaks while a node runs (calls end by their timeouts; every report came at the end of a process, at most 3 direct ones). Change: the client owns the collectors, by identity, and lets them go at the end of the call or with itself. Before: HttpClientFetchTest.EndsWithItsClient fails.

--- a/src/http/event_http_client.cc
+++ b/src/http/event_http_client.cc
@@ -110,15 +110,17 @@
   uint64_t exchange_ = 0;
 };
 
-// Collects a whole answer; owns itself until it has called back.
+// Collects a whole answer. The client owns it until it has called back, so that it ends with the
+// client: one that owned itself would outlive a client that closes its connections silently.
 class Collector : public HttpCallCallbacks {
  public:
   Collector(size_t max_bytes, Callback<HttpResponse> callback)
       : max_bytes_(max_bytes), callback_(std::move(callback)) {}
 
-  void own(std::shared_ptr<Collector> self, HttpCallPtr call) {
-    self_ = std::move(self);
+  // @param release takes the collector out of its owner's hands.
+  void begin(HttpCallPtr call, std::function<std::shared_ptr<Collector>()> release) {
     call_ = std::move(call);
+    release_ = std::move(release);
   }
   void on_headers(int status, const HttpHeaders& headers) override {
     response_.status = status;
@@ -137,7 +139,7 @@
 
  private:
   void finish(Expected<HttpResponse> result) {
-    const std::shared_ptr<Collector> self = std::move(self_);
+    const std::shared_ptr<Collector> self = release_();
     call_.reset();
     callback_(std::move(result));
   }
@@ -146,7 +148,7 @@
   Callback<HttpResponse> callback_;
   HttpResponse response_;
   HttpCallPtr call_;
-  std::shared_ptr<Collector> self_;
+  std::function<std::shared_ptr<Collector>()> release_;
 };
 
 }  // namespace
@@ -160,9 +162,10 @@
 
   HttpCallPtr send(const Address& server, const HttpRequest& request,
                    const HttpCallOptions& options, HttpCallCallbacks& callbacks);
+  void fetch(const Address& server, const HttpRequest& request, const HttpCallOptions& options,
+             Callback<HttpResponse> callback);
   void close_all();
   size_t open_connections() const { return connections_.size(); }
-  const EventHttpClientKnobs& knobs() const { return knobs_; }
 
   void on_reusable(ClientConnection& connection) override;
   void on_finished(ClientConnection& connection) override;
@@ -173,6 +176,7 @@
   ConnectionPtr take_idle(const ConnectionKey& key);
   void drop(ClientConnection& connection);
   HttpCallPtr refuse(const Address& server, HttpCallCallbacks& callbacks);
+  std::shared_ptr<Collector> release(const Collector* collector);
 
   EventDispatcher& dispatcher_;
   EventHttpClientKnobs knobs_;
@@ -180,6 +184,8 @@
   std::unordered_map<const ClientConnection*, ConnectionPtr> connections_;
   // Idle ones; the last used is taken first.
   std::map<ConnectionKey, std::vector<ClientConnection*>> idle_;
+  // Of the fetches under way, by identity.
+  std::unordered_map<const Collector*, std::shared_ptr<Collector>> collectors_;
 };
 
 HttpCallPtr EventHttpClient::Implementation::send(const Address& server, const HttpRequest& request,
@@ -276,7 +282,25 @@
   connections_.erase(&connection);
 }
 
+void EventHttpClient::Implementation::fetch(const Address& server, const HttpRequest& request,
+                                            const HttpCallOptions& options,
+                                            Callback<HttpResponse> callback) {
+  auto collector = std::make_shared<Collector>(knobs_.max_fetched_bytes, std::move(callback));
+  collectors_.emplace(collector.get(), collector);
+  collector->begin(send(server, request, options, *collector),
+                   [this, key = collector.get()] { return release(key); });
+}
+
+std::shared_ptr<Collector> EventHttpClient::Implementation::release(const Collector* collector) {
+  const auto found = collectors_.find(collector);
+  std::shared_ptr<Collector> released = std::move(found->second);
+  collectors_.erase(found);
+  return released;
+}
+
 void EventHttpClient::Implementation::close_all() {
+  // Out of the map first: dropping one drops its connection too, and what its callback holds.
+  std::exchange(collectors_, {}).clear();
   idle_.clear();
   for (auto& [key, connection] : connections_) {
     connection->close();
@@ -296,11 +320,7 @@
 
 void EventHttpClient::fetch(const Address& server, const HttpRequest& request,
                             const HttpCallOptions& options, Callback<HttpResponse> callback) {
-  auto collector =
-      std::make_shared<Collector>(implementation_->knobs().max_fetched_bytes, std::move(callback));
-  HttpCallPtr call = implementation_->send(server, request, options, *collector);
-  Collector& reference = *collector;
-  reference.own(std::move(collector), std::move(call));
+  implementation_->fetch(server, request, options, std::move(callback));
 }
 
 size_t EventHttpClient::open_connections() const { return implementation_->open_connections(); }
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -269,6 +269,26 @@
   EXPECT_EQ(server_->accepted(), 1U);
 }
 
+// Nodes and the soak that ended while calls were under way left them behind, as the leak checker
+// told: close_all() drops the connections without a word, and the collector of an answer owned
+// itself until the end of its call, which never came. What its callback holds goes with the client.
+TEST(HttpClientFetchTest, EndsWithItsClient) {
+  EventDispatcher dispatcher;
+  RawServer silent(dispatcher, "", false);
+  auto held = std::make_shared<int>();
+  const std::weak_ptr<int> watched = held;
+  bool called = false;
+  auto client = std::make_unique<EventHttpClient>(dispatcher);
+  client->fetch(silent.local(), get("/"), {},
+                [&called, held = std::move(held)](const Expected<HttpResponse>& /*response*/) {
+                  called = true;
+                });
+  ASSERT_TRUE(run_until(dispatcher, [&] { return silent.accepted() == 1; }));
+  client.reset();
+  EXPECT_TRUE(watched.expired());
+  EXPECT_FALSE(called);
+}
+
 // The kernel refuses at once to begin some connections (no route, no free port). The caller hears
 // of it later all the same: inside send() it holds no call yet that it could end.
 TEST_F(HttpClientTest, ConnectionThatCannotBeginFailsAfterSendHasReturned) {
