--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -269,6 +269,39 @@
   EXPECT_EQ(server_->accepted(), 1U);
 }
 
+// Nodes and the soak that ended while calls were under way left them behind, as the leak checker
+// told: close_all() drops the connections without a word, and the collector of an answer owned
+// itself until the end of its call, which never came. What its callback holds goes with the client.
+TEST(HttpClientFetchTest, EndsWithItsClient) {
+  EventDispatcher dispatcher;
+  RawServer silent(dispatcher, "", false);
+  auto held = std::make_shared<int>();
+  const std::weak_ptr<int> watched = held;
+  bool called = false;
+  auto client = std::make_unique<EventHttpClient>(dispatcher);
+  client->fetch(silent.local(), get("/"), {},
+                [&called, held = std::move(held)](const Expected<HttpResponse>& /*response*/) {
+                  called = true;
+                });
+  ASSERT_TRUE(run_until(dispatcher, [&] { return silent.accepted() == 1; }));
+  client.reset();
+  EXPECT_TRUE(watched.expired());
+  EXPECT_FALSE(called);
+}
+
+// The kernel refuses at once to begin some connections (no route, no free port). The caller hears
+// of it later all the same: inside send() it holds no call yet that it could end.
+TEST_F(HttpClientTest, ConnectionThatCannotBeginFailsAfterSendHasReturned) {
+  const Address unreachable{"255.255.255.255", 9};
+  call_ = client_.send(unreachable, get("/"), {}, recorded_);
+  EXPECT_FALSE(recorded_.done());
+  ASSERT_TRUE(run_until(dispatcher_, [&] { return recorded_.done(); }));
+  ASSERT_TRUE(recorded_.error);
+  EXPECT_EQ(recorded_.error->kind, ErrorKind::kUnavailable);
+  EXPECT_EQ(recorded_.error->ran, Ran::kNo);
+  EXPECT_EQ(client_.open_connections(), 0U);
+}
+
 TEST_F(HttpClientTest, BytesBehindAnAnswerMakeTheConnectionUnusable) {
   server_ = std::make_unique<RawServer>(
       dispatcher_, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", false);
