--- a/src/http/event_http_client.cc
+++ b/src/http/event_http_client.cc
@@ -53,7 +53,7 @@
   constexpr size_t kUsualHeadBytes = 512;
   wire.reserve(kUsualHeadBytes + request.body.size());
   wire.append(request.method).append(" ").append(request.path);
-  if (!request.query.empty()) {
+  if (!request.query.empty() || request.has_empty_query) {
     wire.append("?").append(request.query);
   }
   wire.append(" HTTP/1.1\r\nHost: ").append(host.empty() ? to_string(server) : host).append("\r\n");
--- a/src/http/evhttp_messages.cc
+++ b/src/http/evhttp_messages.cc
@@ -4,6 +4,9 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
+
+#include "src/http/connection_headers.h"
 #include "src/http/error_response.h"
 
 namespace chalkshed {
@@ -28,6 +31,29 @@
   }
 }
 
+std::string_view without_blanks(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const size_t first = text.find_first_not_of(kBlanks);
+  return first == std::string_view::npos
+             ? std::string_view()
+             : text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
+// @return the values of all headers of that name.
+std::vector<std::string> header_values(const HttpHeaders& headers, std::string_view lower_name) {
+  std::vector<std::string> values;
+  for (const HttpHeader& header : headers) {
+    if (lower_case(header.name) == lower_name) {
+      values.emplace_back(without_blanks(header.value));
+    }
+  }
+  return values;
+}
+
+bool is_length(std::string_view text) {
+  return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
 bool framed_by_server(std::string_view header_name) {
   const HttpHeaders header = {{std::string(header_name), ""}};
   return find_header(header, "Transfer-Encoding") || find_header(header, "Keep-Alive");
@@ -43,6 +69,7 @@
   result.path = std::string(target.substr(0, query));
   if (query != std::string_view::npos) {
     result.query = std::string(target.substr(query + 1));
+    result.has_empty_query = result.query.empty();
   }
   for (const evkeyval* header = evhttp_request_get_input_headers(request)->tqh_first;
        header != nullptr; header = header->next.tqe_next) {
@@ -62,6 +89,25 @@
   return bytes;
 }
 
+bool is_framed_for_all(const HttpRequest& request) {
+  const bool names_are_tokens =
+      std::all_of(request.headers.begin(), request.headers.end(),
+                  [](const HttpHeader& header) { return is_header_name(header.name); });
+  const std::vector<std::string> codings = header_values(request.headers, "transfer-encoding");
+  const std::vector<std::string> lengths = header_values(request.headers, "content-length");
+  const bool one_framing = codings.size() + std::min<size_t>(lengths.size(), 1) <= 1;
+  if (!names_are_tokens || !one_framing) {
+    return false;
+  }
+  if (!codings.empty()) {
+    return lower_case(codings.front()) == "chunked" && request.method != "HEAD";
+  }
+  return std::all_of(lengths.begin(), lengths.end(), [&](const std::string& length) {
+    const bool no_body = length.find_first_not_of('0') == std::string::npos;
+    return is_length(length) && length == lengths.front() && (no_body || request.method != "HEAD");
+  });
+}
+
 void add_headers(evhttp_request* request, const HttpHeaders& headers) {
   evkeyvalq* output = evhttp_request_get_output_headers(request);
   for (const HttpHeader& header : headers) {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -279,6 +279,15 @@
                 "send at most " + std::to_string(knobs_.max_header_bytes) + " bytes of headers")));
     return;
   }
+  if (!is_framed_for_all(message)) {
+    HttpResponse refusal = error_response(
+        not_run(ErrorKind::kInvalidRequest, "the end of the request cannot be told for sure",
+                "frame its body by one Content-Length or by 'Transfer-Encoding: chunked'"));
+    // What follows may be the rest of this request: it must not be read as another one.
+    refusal.headers.push_back({"Connection", "close"});
+    writer->respond(refusal);
+    return;
+  }
   handler_.handle(std::move(message), std::move(writer));
 }
 
@@ -404,7 +413,10 @@
   add_headers(exchange.request, response.headers);
   ask_to_close(exchange);
   const evbuffer* output = exchange.output;
-  evbuffer_add(scratch_, response.body.data(), response.body.size());
+  // The caller takes whatever follows the head of an answer to HEAD for its next answer.
+  if (evhttp_request_get_command(exchange.request) != EVHTTP_REQ_HEAD) {
+    evbuffer_add(scratch_, response.body.data(), response.body.size());
+  }
   evhttp_send_reply(release(exchange), response.status, nullptr, scratch_);
   evbuffer_drain(scratch_, evbuffer_get_length(scratch_));
   answering_.erase(output);
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -283,5 +283,56 @@
   EXPECT_EQ(client_.open_connections(), 0U);
 }
 
+// A caller's HEAD was refused, and the text of the refusal followed the head of the answer: the
+// caller took it for its next answer. evhttp writes the body of an answer to HEAD like any other.
+TEST_F(HttpServerTest, AnAnswerToHeadHasNoBody) {
+  serve();
+  RawCaller caller(dispatcher_, server_->local());
+  caller.send("HEAD /a HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE(run([&] { return writer_ != nullptr; }));
+  writer_->respond({503, {}, "why it was refused"});
+  ASSERT_TRUE(run([&] { return caller.received().find("\r\n\r\n") != std::string::npos; }));
+  EXPECT_TRUE(caller.received().ends_with("\r\n\r\n"));
+}
+
+// Back ends got requests that nobody had sent: what was meant as the body of a request was taken
+// for the next request of its connection, because evhttp reads no body behind HEAD or behind a
+// coding that it does not know, and takes the first of several lengths.
+class AmbiguousRequestTest : public HttpServerTest,
+                             public testing::WithParamInterface<const char*> {};
+
+TEST_P(AmbiguousRequestTest, IsRefusedAndWhatFollowsIsNotRead) {
+  serve();
+  RawCaller caller(dispatcher_, server_->local());
+  caller.send(std::string(GetParam()) + "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE(run([&] { return caller.closed(); }));
+  EXPECT_TRUE(caller.received().starts_with("HTTP/1.1 400"));
+  EXPECT_EQ(handled_, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Framings, AmbiguousRequestTest,
+    testing::Values(
+        "HEAD /a HTTP/1.1\r\nHost: x\r\nContent-Length: 34\r\n\r\n",
+        "HEAD /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nContent-Length: 34\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length : 34\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: +0\r\n\r\n"));
+
+TEST_F(HttpServerTest, TellsAnEmptyQueryFromNone) {
+  serve();
+  for (const bool empty : {true, false}) {
+    HttpRequest request = get("/a");
+    request.has_empty_query = empty;
+    call(request);
+    ASSERT_TRUE(run([&] { return writer_ != nullptr; }));
+    EXPECT_EQ(seen_.path, "/a");
+    EXPECT_EQ(seen_.has_empty_query, empty);
+    writer_.reset();
+  }
+}
+
 }  // namespace
 }  // namespace chalkshed
