--- a/tests/jobs/retry_budget_property_test.cc
+++ b/tests/jobs/retry_budget_property_test.cc
@@ -7,7 +7,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "src/jobs/job_rows.h"
-#include "tests/serving/serving_cluster.h"
+#include "tests/jobs/cluster_troubles.h"
 
 namespace chalkshed {
 namespace {
@@ -16,48 +16,11 @@
 constexpr int kImpossible = 422;
 constexpr int kFailed = 500;
 constexpr uint32_t kAttempts = 3;  // of the route in the cluster's configuration
-constexpr size_t kNodes = 3;
 constexpr uint64_t kEvents = 3;
 constexpr Duration kStep = milliseconds(15);
 constexpr int kMostSteps = 12;  // so that no item becomes too old before it has ended
 constexpr Duration kSettleTime = seconds(25);
 
-enum class Event {
-  kKill,
-  kRestart,
-  kCutFromPeers,
-  kCutFromStore,
-  kFreeze,
-  kStoreSilent,
-  kStoreDown,
-  kLoseAnswers,
-  kApplyLate,
-  kStoreSound,
-  kPlannedStop,
-  kLast,
-};
-
-struct Step {
-  Event event = Event::kStoreSound;
-  size_t node = 0;
-  Duration then{0};
-};
-
-// rapidcheck shows a failing sequence by it.
-void showValue(const Step& step, std::ostream& out) {  // NOLINT(readability-identifier-naming)
-  out << "event " << static_cast<int>(step.event) << " at n" << step.node << ", then "
-      << step.then / milliseconds(1) << " ms";
-}
-
-rc::Gen<Step> any_step() {
-  return rc::gen::apply(
-      [](int event, int node, int wait) {
-        return Step{static_cast<Event>(event), static_cast<size_t>(node), milliseconds(wait)};
-      },
-      rc::gen::inRange(0, static_cast<int>(Event::kLast)),
-      rc::gen::inRange(0, static_cast<int>(kNodes)), rc::gen::inRange(1, 1500));
-}
-
 class BudgetRun {
  public:
   BudgetRun() {
@@ -68,10 +31,10 @@
     cluster_.node("n0").jobs().submit(cluster_.job("j1", kItems), [](const auto&) {});
     cluster_.clock.run_for(milliseconds(15));
     for (const Step& step : steps) {
-      take(step);
+      troubles_.take(step);
       cluster_.clock.run_for(step.then);
     }
-    heal();
+    troubles_.heal();
     cluster_.clock.run_for(kSettleTime);
     check();
   }
@@ -131,87 +94,6 @@
     RC_ASSERT(run_too_often_.insert(item + " " + session).second);
   }
 
-  void take(const Step& step) {
-    const std::string name = "n" + std::to_string(step.node);
-    ClusterNode* node = cluster_.nodes[name].get();
-    StoreTrouble& trouble = cluster_.shared.trouble;
-    switch (step.event) {
-      case Event::kKill:
-        if (node != nullptr) {
-          ++losses_;
-          cluster_.kill_node(name);
-        }
-        break;
-      case Event::kRestart:
-        losses_ += node != nullptr ? 1 : 0;
-        cluster_.kill_node(name);
-        cluster_.start_node(name);
-        break;
-      case Event::kPlannedStop:
-        if (node != nullptr) {
-          // It may be killed before all it knows is stored.
-          ++losses_;
-          node->node.begin_drain([this, name] {
-            call_after(cluster_.loop, kStep, [this, name] { cluster_.start_node(name); });
-          });
-        }
-        break;
-      case Event::kCutFromPeers:
-        if (node != nullptr && !cluster_.hub.cut.erase(node->address)) {
-          cluster_.hub.cut.insert(node->address);
-        }
-        break;
-      case Event::kCutFromStore:
-        if (node != nullptr) {
-          node->store.set_cut(store_cut_[name] = !store_cut_[name]);
-        }
-        break;
-      case Event::kFreeze:
-        if (node != nullptr) {
-          node->dispatcher.frozen() ? node->dispatcher.thaw() : node->dispatcher.freeze();
-        }
-        break;
-      case Event::kStoreSilent:
-        trouble = StoreTrouble();
-        trouble.silent = true;
-        break;
-      case Event::kStoreDown:
-        trouble = StoreTrouble();
-        trouble.down = true;
-        break;
-      case Event::kLoseAnswers:
-        trouble = StoreTrouble();
-        trouble.lose_commits = true;
-        break;
-      case Event::kApplyLate:
-        trouble = StoreTrouble();
-        trouble.lose_commits = true;
-        trouble.late_commits = seconds(3);
-        break;
-      case Event::kStoreSound:
-      case Event::kLast:
-        trouble = StoreTrouble();
-        break;
-    }
-    cluster_.shared.wake_followers();
-  }
-
-  void heal() {
-    cluster_.shared.trouble = StoreTrouble();
-    cluster_.hub.cut.clear();
-    for (auto& [name, node] : cluster_.nodes) {
-      if (!node) {
-        cluster_.start_node(name);
-        continue;
-      }
-      node->store.set_cut(false);
-      if (node->dispatcher.frozen()) {
-        node->dispatcher.thaw();
-      }
-    }
-    cluster_.shared.wake_followers();
-  }
-
   void check() {
     if (cluster_.shared.rows.read(job_content_range("j1", 0)).rows.empty()) {
       return;  // the job was never stored
@@ -240,20 +122,20 @@
     const size_t answered = answered_[item];
     const size_t allowed = fate_of(item) == kOk ? 0 : fate_of(item) == kFailed ? kAttempts : 1;
     RC_ASSERT(recorded.used_up(kAttempts) == (allowed > 0));
-    RC_ASSERT(answered <= recorded.failed() + losses_);
+    RC_ASSERT(answered <= recorded.failed() + troubles_.losses());
     RC_ASSERT(recorded.failed() <= allowed + (kNodes - 1));
   }
 
   ServingCluster cluster_{kNodes, 4};
+  ClusterTroubles troubles_{cluster_, kStep};
   std::map<std::string, size_t> answered_;  // failing answers that a node took, by item
   std::set<std::string> run_too_often_;     // item and session, once the item was used up
-  std::map<std::string, bool> store_cut_;
-  size_t losses_ = 0;
 };
 
 RC_GTEST_PROP(RetryBudgetProperty, FailedRunsAreCountedWhateverHappensAndTheItemEnds, ()) {
   const int count = *rc::gen::inRange(0, kMostSteps + 1);
-  const auto steps = *rc::gen::container<std::vector<Step>>(static_cast<size_t>(count), any_step());
+  const auto steps =
+      *rc::gen::container<std::vector<Step>>(static_cast<size_t>(count), any_step(Event::kLast));
   BudgetRun().run(steps);
 }
 
