A connection that is noticed later than its time allows carries nothing: checked and true

Cause: an item's send is decided on at one moment and written when its connection stands; a process without processor time might write it seconds later, by a decision of before its pause. Ruled out by this test, which passes on the code as it is: the loop reports the time-out although the connection stands.

--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "src/http/http_server.h"
 #include "tests/http/loopback.h"
 #include "tests/http/raw_server.h"
@@ -160,6 +162,19 @@
   EXPECT_EQ(client_.open_connections(), 0U);
 }
 
+// A process that got no time to run found its connection made seconds after the time it was
+// allowed, and sent what nobody wanted any more: the request was decided on before the pause.
+TEST_F(HttpClientTest, ConnectionThatIsNoticedTooLateCarriesNothing) {
+  server_ = std::make_unique<RawServer>(dispatcher_, "HTTP/1.1 204 No\r\n\r\n", false);
+  HttpCallOptions options;
+  options.connect_timeout = std::chrono::milliseconds(5);
+  call_ = client_.send(server_->local(), get("/"), options, recorded_);
+  std::this_thread::sleep_for(2 * options.connect_timeout);  // the loop does not run meanwhile
+  ASSERT_TRUE(run_until(dispatcher_, [&] { return recorded_.done(); }));
+  ASSERT_TRUE(recorded_.error);
+  EXPECT_EQ(recorded_.error->ran, Ran::kNo);
+}
+
 TEST_F(HttpClientTest, SilentServerTimesOutAndMayHaveRun) {
   server_ = std::make_unique<RawServer>(dispatcher_, "", false);
   HttpCallOptions options;
