Tests of calls and answers that end inside their own events

Reason: callbacks that destroy what calls them, and deferred reads behind a pause, read through for lifetime faults in src/http and src/event. Each order found by reading that a node could meet has a test now: aborts inside the handler of requests that came alone or behind another one, without a body, with a length and in chunks; a call ended inside each of its own events; a deferred read whose call or client is gone.

--- a/tests/http/connection_lifetime_test.cc
+++ b/tests/http/connection_lifetime_test.cc
@@ -16,6 +16,7 @@
 #include <iterator>
 #include <vector>
 
+#include "src/event/socket_address.h"
 #include "src/http/event_http_client.h"
 #include "tests/http/loopback.h"
 #include "tests/http/raw_server.h"
@@ -74,6 +75,26 @@
   bufferevent* watched_ = nullptr;
 };
 
+struct CloseSocket {
+  void operator()(const int* socket) const {
+    close(*socket);
+    delete socket;
+  }
+};
+using SocketPtr = std::unique_ptr<int, CloseSocket>;
+
+SocketPtr open_socket(const Address& server) {
+  const std::optional<SocketAddress> address = to_socket_address(server);
+  SocketPtr result(new int(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)));
+  EXPECT_EQ(connect(*result, address->get(), address->length), 0);
+  return result;
+}
+
+void write_to(int socket, const std::string& bytes) {
+  EXPECT_EQ(send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(bytes.size()));
+}
+
 size_t open_descriptors() {
   const std::filesystem::directory_iterator listing("/proc/self/fd");
   return static_cast<size_t>(std::distance(begin(listing), end(listing)));
@@ -195,5 +216,99 @@
   EXPECT_EQ(pair->arrived(), 5U);
 }
 
+// The server takes a request that came behind another one from a deferred call of evhttp, not from
+// a read event. Bodies of both kinds end in other places of evhttp than a head alone.
+TEST_F(ConnectionLifetimeTest, AbortInsideTheHandlerOfEachKindOfRequest) {
+  const std::string first = "GET /first HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::vector<std::string> aborted = {
+      "GET /abort HTTP/1.1\r\nHost: a\r\n\r\n",
+      "POST /abort HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody",
+      "POST /abort HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"};
+  size_t aborts = 0;
+  FunctionHandler handler([&](const HttpRequest& request, const ResponseWriterPtr& writer) {
+    if (request.path == "/abort") {
+      ++aborts;
+      writer->start(200, {});
+      writer->abort();
+    } else {
+      writer->respond({200, {}, "first"});
+    }
+  });
+  const HttpServer server(dispatcher_, Address{"127.0.0.1", 0}, handler);
+  for (const std::string& before : {std::string(), first}) {
+    for (const std::string& request : aborted) {
+      const size_t aborts_before = aborts;
+      const SocketPtr caller = open_socket(server.local());
+      // One write: behind the first request, the second one is there already.
+      std::string bytes = before;
+      write_to(*caller, bytes.append(request).append(first));
+      ASSERT_TRUE(run_until(dispatcher_, [&] { return aborts > aborts_before; }));
+      settle();
+      EXPECT_EQ(server.requests_in_progress(), 0U);
+    }
+  }
+  EXPECT_EQ(EventWarnings::warnings(), std::vector<std::string>());
+}
+
+// Ends its own call at one of its events, having asked for more just before.
+struct EndingCall : HttpCallCallbacks {
+  enum class At { kHeaders, kBody, kEnd, kError };
+
+  void on_headers(int /*status*/, const HttpHeaders& /*headers*/) override { end_at(At::kHeaders); }
+  void on_body(std::string_view /*data*/) override { end_at(At::kBody); }
+  void on_end() override { end_at(At::kEnd); }
+  void on_error(const Error& /*error*/) override { end_at(At::kError); }
+  void end_at(At event) {
+    EXPECT_FALSE(ended) << "an event came after the end of the call";
+    if (event == at) {
+      ended = true;
+      call->pause_reading();
+      call->resume_reading();
+      call.reset();
+    }
+  }
+
+  At at = At::kHeaders;
+  bool ended = false;
+  HttpCallPtr call;
+};
+
+TEST_F(ConnectionLifetimeTest, EachEventOfACallMayEndIt) {
+  const RawServer whole(dispatcher_, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false);
+  const RawServer cut(dispatcher_, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", true);
+  using At = EndingCall::At;
+  for (const At at : {At::kHeaders, At::kBody, At::kEnd, At::kError}) {
+    EndingCall ending;
+    ending.at = at;
+    const RawServer& server = at == At::kError ? cut : whole;
+    ending.call = client_.send(server.local(), get("/"), {.fresh_connection = true}, ending);
+    ASSERT_TRUE(run_until(dispatcher_, [&] { return ending.ended; }));
+    settle();
+  }
+  EXPECT_EQ(EventWarnings::warnings(), std::vector<std::string>());
+}
+
+// A paused answer that is resumed is read by a deferred event; its call may be gone by then, and so
+// may the client.
+TEST_F(ConnectionLifetimeTest, DeferredReadFindsItsCallGone) {
+  const RawServer server(dispatcher_, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false);
+  for (const bool client_goes : {false, true}) {
+    auto client = std::make_unique<EventHttpClient>(dispatcher_);
+    RecordedCall recorded;
+    HttpCallPtr call = client->send(server.local(), get("/"), {}, recorded);
+    recorded.on_data = [&] { call->pause_reading(); };
+    ASSERT_TRUE(run_until(dispatcher_, [&] { return recorded.body == "hello"; }));
+    call->resume_reading();
+    if (client_goes) {
+      client.reset();
+    }
+    call.reset();
+    settle();
+    EXPECT_FALSE(recorded.done());
+  }
+  EXPECT_EQ(EventWarnings::warnings(), std::vector<std::string>());
+}
+
 }  // namespace
 }  // namespace chalkshed
