Checks and deployment files of the fleet soak

Cause: the soak could not see work that nobody had sent, changed messages, untrue refusals of jobs under a queue limit, or late items of ended jobs while faults come; its checks scanned all runs at each message, in the thread that made the load. Change: history joins the records by index; checks judge eleven promises, each with the number of times its case came up, a floor for it, and cases excused by a disturbance of the sending node or its store counted apart. The spread from an end's 200 to the last begin of its job is always reported. A rig that lags, or recorded no lag, makes the run invalid. Ruled out: matching runs to sends by a scan; excusing untrue refusals, wrong answers or changed messages by a disturbance. No run of real processes has been judged by it yet.

--- /dev/null
+++ b/tests/soak/fleet/checks.cc
@@ -0,0 +1,546 @@
+#include "tests/soak/fleet/checks.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <set>
+#include <unordered_set>
+
+#include "src/core/error.h"
+#include "tests/soak/fleet/history.h"
+
+namespace chalkshed::soak {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/** Examples kept and printed of each check and, again, of its excused cases. */
+constexpr uint64_t kMostExamples = 50;
+
+struct named_check {
+    check_kind kind;
+    const char *name;
+};
+
+constexpr std::array kNames = {
+    named_check{check_kind::kSent, "sent"},
+    named_check{check_kind::kUnaltered, "unaltered"},
+    named_check{check_kind::kRefusedRequest, "refused_request"},
+    named_check{check_kind::kRefusedJob, "refused_job"},
+    named_check{check_kind::kEndedJob, "ended_job"},
+    named_check{check_kind::kUnansweredEnd, "unanswered_end"},
+    named_check{check_kind::kOnce, "once"},
+    named_check{check_kind::kWholeAnswer, "whole_answer"},
+    named_check{check_kind::kListing, "listing"},
+    named_check{check_kind::kCompleteJob, "complete_job"},
+    named_check{check_kind::kLeavingWorker, "leaving_worker"},
+};
+
+int64_t in_ms(Duration length) {
+    return duration_cast<milliseconds>(length).count();
+}
+
+std::string in_words(Duration length) {
+    return std::to_string(in_ms(length)) + " ms";
+}
+
+spread spread_of(std::vector<Duration> values) {
+    spread result;
+    if (values.empty()) {
+        return result;
+    }
+    std::sort(values.begin(), values.end());
+    const auto at = [&](size_t percent) { return values[(values.size() - 1) * percent / 100]; };
+    result.samples = values.size();
+    result.p50 = at(50);
+    result.p99 = at(99);
+    result.most = values.back();
+    return result;
+}
+
+/** \return Which parts of the message differ, in words; empty where none does. */
+std::string differences(const carried_message &sent, const carried_message &got) {
+    std::string result;
+    const auto compare = [&](const char *what, const auto &one, const auto &other) {
+        if (one != other) {
+            result += std::string(result.empty() ? "" : ", ") + what;
+        }
+    };
+    compare("method", sent.method, got.method);
+    compare("path", sent.path, got.path);
+    compare("query", sent.query, got.query);
+    compare("body length", sent.body_length, got.body_length);
+    compare("body", sent.body_digest, got.body_digest);
+    compare("headers", sent.headers, got.headers);
+    return result;
+}
+
+bool succeeded(int status) {
+    return status >= 200 && status < 300;
+}
+
+/** Makes the checks one by one on joined records. */
+class checker {
+public:
+    checker(const run_history &history, const deployment &of)
+        : history_(history), bounds_(of.bounds) {
+        for (const check_kind kind : all_checks()) {
+            const auto floor = of.floors.find(check_name(kind));
+            report_.checks[kind].floor = floor == of.floors.end() ? 0 : floor->second;
+        }
+    }
+
+    check_report run();
+
+private:
+    void check_run(const run_begin &run);
+    void check_message(const run_begin &run, const std::vector<const carried_message *> &sent);
+    void check_request(const std::string &id, const request_history &request);
+    void check_answer(const std::string &id, const request_history &request);
+    bool cut_is_excused(const request_history &request, MonotonicTime until) const;
+    void check_job(const std::string &id, const job_history &job);
+    void check_refusals(const std::string &id, const job_history &job);
+    void check_end(const std::string &id, const job_history &job);
+    void check_listing(const std::string &id, const job_history &job);
+    void check_complete(const std::string &id, const job_history &job);
+    void check_leaving_workers();
+    void check_lag();
+
+    /** Whether the sender of the run or its store was disturbed within `contact` before it. */
+    bool sender_disturbed(const run_begin &run) const;
+    std::string where(const run_begin &run) const;
+    void violate(check_kind kind, MonotonicTime at, const std::string &what);
+    void excuse(check_kind kind, MonotonicTime at, const std::string &what);
+    /** Counts what the sender of the run did wrong as a violation or as excused. */
+    void judge_sender(check_kind kind, const run_begin &run, const std::string &what);
+    std::string line(MonotonicTime at, const std::string &what) const;
+
+    const run_history &history_;
+    const bound_options &bounds_;
+    check_report report_;
+    std::map<check_kind, uint64_t> excused_examples_;
+    std::vector<Duration> last_begins_;
+};
+
+check_report checker::run() {
+    report_.requests = history_.requests.size();
+    report_.jobs = history_.jobs.size();
+    report_.runs = history_.runs.size();
+    for (const run_begin *each : history_.runs) {
+        check_run(*each);
+    }
+    for (const auto &[id, request] : history_.requests) {
+        check_request(id, request);
+    }
+    for (const auto &[id, job] : history_.jobs) {
+        check_job(id, job);
+    }
+    check_leaving_workers();
+    check_lag();
+    report_.end_to_last_begin = spread_of(std::move(last_begins_));
+    return std::move(report_);
+}
+
+std::string checker::line(MonotonicTime at, const std::string &what) const {
+    return in_words(at - history_.first) + ": " + what;
+}
+
+void checker::violate(check_kind kind, MonotonicTime at, const std::string &what) {
+    check_result &result = report_.checks[kind];
+    if (result.violations++ < kMostExamples) {
+        result.examples.push_back(line(at, what));
+    }
+}
+
+void checker::excuse(check_kind kind, MonotonicTime at, const std::string &what) {
+    check_result &result = report_.checks[kind];
+    if (result.excused++ < kMostExamples) {
+        result.examples.push_back(line(at, "excused: " + what));
+    }
+}
+
+void checker::judge_sender(check_kind kind, const run_begin &run, const std::string &what) {
+    if (sender_disturbed(run)) {
+        excuse(kind, run.at, what);
+    } else {
+        violate(kind, run.at, what);
+    }
+}
+
+bool checker::sender_disturbed(const run_begin &run) const {
+    const std::string node = history_.node_of(run);
+    return !node.empty() &&
+           history_.disturbed.node_disturbed(node, {run.at - bounds_.contact, run.at});
+}
+
+std::string checker::where(const run_begin &run) const {
+    const std::string node = history_.node_of(run);
+    return run.id + " ran at worker " + run.worker + " from " +
+           (node.empty() ? "no node at " + run.sender_ip : node);
+}
+
+void checker::check_run(const run_begin &run) {
+    ++report_.checks[check_kind::kSent].tested;
+    const auto item = history_.items.find(run.id);
+    const auto request = history_.requests.find(run.id);
+    const bool is_item = item != history_.items.end();
+    const bool is_request = request != history_.requests.end() && request->second.send != nullptr;
+    if (!is_item && !is_request) {
+        violate(check_kind::kSent, run.at, where(run) + ", and no caller sent it");
+        return;
+    }
+    const MonotonicTime sent = is_item ? item->second.first_sent : request->second.send->at;
+    if (run.at < sent) {
+        violate(check_kind::kSent, run.at,
+                where(run) + " " + in_words(sent - run.at) + " before a caller sent it");
+    }
+    check_message(run,
+                  is_item ? item->second.messages : std::vector{&request->second.send->message});
+}
+
+void checker::check_message(const run_begin &run,
+                            const std::vector<const carried_message *> &sent) {
+    ++report_.checks[check_kind::kUnaltered].tested;
+    const bool same = std::any_of(sent.begin(), sent.end(), [&](const carried_message *each) {
+        return *each == run.message;
+    });
+    if (!same) {
+        violate(check_kind::kUnaltered, run.at,
+                where(run) + " with another " + differences(*sent.front(), run.message) +
+                    " than its caller sent: " + run.message.method + " " + run.message.path + "?" +
+                    run.message.query + ", " + std::to_string(run.message.body_length) + " bytes");
+    }
+}
+
+void checker::check_request(const std::string &id, const request_history &request) {
+    if (request.send == nullptr) {
+        report_.invalid.push_back("the records lack the send of request " + id);
+        return;
+    }
+    const online_answer *answer = request.answer;
+    if (answer != nullptr && promises_not_run(answer->status)) {
+        ++report_.checks[check_kind::kRefusedRequest].tested;
+        if (!request.runs.empty()) {
+            violate(check_kind::kRefusedRequest, request.runs.front()->at,
+                    where(*request.runs.front()) + ", and was answered " +
+                        std::to_string(answer->status) + " by " + request.send->node);
+        }
+    }
+    if (request.send->once && !request.runs.empty()) {
+        ++report_.checks[check_kind::kOnce].tested;
+        if (request.runs.size() > 1) {
+            violate(check_kind::kOnce, request.runs[1]->at,
+                    where(*request.runs[1]) + " as run " + std::to_string(request.runs.size()) +
+                        " of a request that must run once");
+        }
+    }
+    check_answer(id, request);
+}
+
+void checker::check_answer(const std::string &id, const request_history &request) {
+    const online_answer *answer = request.answer;
+    if (answer == nullptr) {
+        if (request.left == nullptr) {
+            violate(check_kind::kWholeAnswer, request.send->at,
+                    id + " got no answer from " + request.send->node + ", and its caller stayed");
+        }
+        return;
+    }
+    if (succeeded(answer->status)) {
+        ++report_.checks[check_kind::kWholeAnswer].tested;
+        if (!answer->matches) {
+            violate(check_kind::kWholeAnswer, answer->at,
+                    id + " got what isn't its answer from " + request.send->node);
+            return;
+        }
+    }
+    const bool cut = !answer->whole && request.left == nullptr;
+    if (!cut) {
+        return;
+    }
+    const std::string what =
+        id + " was cut off by " + request.send->node + ", status " + std::to_string(answer->status);
+    if (cut_is_excused(request, answer->at)) {
+        excuse(check_kind::kWholeAnswer, answer->at, what);
+    } else {
+        violate(check_kind::kWholeAnswer, answer->at, what);
+    }
+}
+
+/** A worker that breaks off leaves nothing else to do, and a request on a kept connection may cross
+ * the node's close of it, if it has not run. */
+bool checker::cut_is_excused(const request_history &request, MonotonicTime until) const {
+    const interval lived = {request.send->at - bounds_.contact, until};
+    const bool worker_broke =
+        std::any_of(request.runs.begin(), request.runs.end(), [&](const run_begin *run) {
+            const run_end *end = history_.end_of(*run);
+            return (end != nullptr && end->outcome == run_outcome::kBroken) ||
+                   history_.disturbed.worker_disturbed(run->worker, lived);
+        });
+    const bool crossed = request.send->kept && request.answer->status == 0 && request.runs.empty();
+    return worker_broke || crossed || history_.disturbed.node_disturbed(request.send->node, lived);
+}
+
+void checker::check_job(const std::string &id, const job_history &job) {
+    if (job.sends.empty()) {
+        report_.invalid.push_back("the records lack the sends of job " + id);
+        return;
+    }
+    check_refusals(id, job);
+    check_end(id, job);
+    check_listing(id, job);
+    check_complete(id, job);
+}
+
+void checker::check_refusals(const std::string &id, const job_history &job) {
+    std::set<uint64_t> refused;
+    for (const job_answer *answer : job.answers) {
+        if (!promises_not_run(answer->status)) {
+            return; // it may have been taken
+        }
+        refused.insert(answer->attempt);
+    }
+    const bool each_try =
+        std::all_of(job.sends.begin(), job.sends.end(),
+                    [&](const job_send *send) { return refused.contains(send->attempt); });
+    if (!each_try) {
+        return; // a try without an answer may have been taken
+    }
+    ++report_.checks[check_kind::kRefusedJob].tested;
+    for (const run_begin *run : job.runs) {
+        violate(check_kind::kRefusedJob, run->at,
+                where(*run) + ", and its job " + id + " was refused at each of " +
+                    std::to_string(job.sends.size()) + " tries");
+    }
+}
+
+void checker::check_end(const std::string &id, const job_history &job) {
+    constexpr int kNoSuchJob = 404;
+    if (job.ends.empty()) {
+        return;
+    }
+    const std::optional<MonotonicTime> acknowledged = job.end_acknowledged();
+    const MonotonicTime latest = history_.disturbed.after_calm_store(
+        job.ends.front()->at, bounds_.acknowledgement, bounds_.contact);
+    const bool answered = acknowledged && *acknowledged <= latest;
+    const bool unknown =
+        std::any_of(job.end_answers.begin(), job.end_answers.end(),
+                    [](const end_answer *answer) { return answer->status == kNoSuchJob; });
+    if (!answered && unknown && !job.accepted()) {
+        ++report_.ends_unjudged;
+        return;
+    }
+    const MonotonicTime ended = answered ? *acknowledged : latest;
+    const check_kind kind = answered ? check_kind::kEndedJob : check_kind::kUnansweredEnd;
+    std::unordered_set<std::string> begun;
+    MonotonicTime last_begin = ended;
+    for (const run_begin *run : job.runs) {
+        if (run->at <= ended) {
+            begun.insert(run->id);
+            continue;
+        }
+        last_begin = std::max(last_begin, run->at);
+        if (run->at > ended + bounds_.ended_job) {
+            judge_sender(kind, *run,
+                         where(*run) + " " + in_words(run->at - ended) + " after its job " + id +
+                             (answered ? " was ended" : " had to be ended, unacknowledged"));
+        }
+    }
+    // With all items begun, nothing was left that the end could have stopped.
+    const bool work_left = begun.size() < job.items;
+    report_.checks[kind].tested += work_left ? 1 : 0;
+    if (answered) {
+        last_begins_.push_back(last_begin - ended);
+    }
+}
+
+void checker::check_listing(const std::string &id, const job_history &job) {
+    check_result &result = report_.checks[check_kind::kListing];
+    std::map<uint64_t, const listed_item *> at_position;
+    std::unordered_map<std::string, uint64_t> position_of;
+    for (const listed_item *entry : job.listed) {
+        const std::string place = "position " + std::to_string(entry->position) + " of job " + id;
+        const auto owner = history_.items.find(entry->item);
+        if (owner == history_.items.end() || owner->second.job != id) {
+            violate(check_kind::kListing, entry->at,
+                    place + " lists " + entry->item + ", which is no item of it");
+        }
+        if (entry->completed && !entry->text_ok) {
+            violate(check_kind::kListing, entry->at,
+                    place + " lists " + entry->item + " without its whole text");
+        }
+        const auto [known, first] = at_position.try_emplace(entry->position, entry);
+        if (!first) {
+            ++result.tested; // read again
+            if (known->second->item != entry->item ||
+                known->second->completed != entry->completed) {
+                violate(check_kind::kListing, entry->at,
+                        place + " held " + known->second->item + " and now " + entry->item);
+            }
+        }
+        const auto placed = position_of.try_emplace(entry->item, entry->position).first;
+        if (placed->second != entry->position) {
+            violate(check_kind::kListing, entry->at,
+                    place + " lists " + entry->item + ", which stood at position " +
+                        std::to_string(placed->second));
+        }
+    }
+}
+
+void checker::check_complete(const std::string &id, const job_history &job) {
+    const std::optional<MonotonicTime> accepted = job.accepted();
+    if (!accepted || !job.ends.empty() || history_.last < *accepted + bounds_.finish) {
+        return;
+    }
+    ++report_.checks[check_kind::kCompleteJob].tested;
+    std::unordered_set<std::string> listed;
+    for (const listed_item *entry : job.listed) {
+        listed.insert(entry->item);
+    }
+    if (listed.size() < job.items) {
+        violate(check_kind::kCompleteJob, history_.last,
+                "job " + id + " lists " + std::to_string(listed.size()) + " of " +
+                    std::to_string(job.items) + " items, " + in_words(history_.last - *accepted) +
+                    " after its 202");
+    }
+}
+
+void checker::check_leaving_workers() {
+    std::unordered_set<std::string> used;
+    for (const run_begin *run : history_.runs) {
+        const auto left = history_.leaving.find(run->worker);
+        if (left == history_.leaving.end()) {
+            continue;
+        }
+        if (run->at <= left->second) {
+            used.insert(run->worker);
+        } else if (run->at > left->second + bounds_.leaving) {
+            judge_sender(check_kind::kLeavingWorker, *run,
+                         where(*run) + " " + in_words(run->at - left->second) +
+                             " after it said that it leaves");
+        }
+    }
+    // A worker that nobody used would have got nothing anyway.
+    report_.checks[check_kind::kLeavingWorker].tested = used.size();
+}
+
+void checker::check_lag() {
+    for (const auto &entry : history_.lags) {
+        const process_lag &lag = entry.second;
+        if (report_.worst_lag.process.empty() || lag.p99 > report_.worst_lag.p99) {
+            report_.worst_lag = lag;
+        }
+    }
+    const process_lag &worst = report_.worst_lag;
+    if (worst.samples == 0) {
+        report_.invalid.push_back("no process of the rig recorded its lag");
+    } else if (worst.p99 > bounds_.lag) {
+        report_.invalid.push_back("the timers of " + worst.process + " came " +
+                                  in_words(worst.p99) + " late at the 99th of 100, beyond " +
+                                  in_words(bounds_.lag) +
+                                  "; use fewer processes or a machine with more cores");
+    }
+}
+
+nlohmann::json checks_in_json(const check_report &report) {
+    nlohmann::json checks = nlohmann::json::object();
+    for (const auto &[kind, result] : report.checks) {
+        checks[check_name(kind)] = {{"tested", result.tested},
+                                    {"floor", result.floor},
+                                    {"violations", result.violations},
+                                    {"excused", result.excused}};
+    }
+    return checks;
+}
+
+nlohmann::json in_json(const check_report &report) {
+    nlohmann::json below = nlohmann::json::array();
+    for (const check_kind kind : report.below_floor()) {
+        below.push_back(check_name(kind));
+    }
+    const process_lag &lag = report.worst_lag;
+    const spread &ends = report.end_to_last_begin;
+    return {{"valid", report.invalid.empty()},
+            {"passed", report.passed()},
+            {"invalid_because", report.invalid},
+            {"violations", report.violations()},
+            {"below_floor", below},
+            {"requests", report.requests},
+            {"jobs", report.jobs},
+            {"runs", report.runs},
+            {"ends_unjudged", report.ends_unjudged},
+            {"checks", checks_in_json(report)},
+            {"end_to_last_begin_ms",
+             {{"jobs", ends.samples},
+              {"p50", in_ms(ends.p50)},
+              {"p99", in_ms(ends.p99)},
+              {"max", in_ms(ends.most)}}},
+            {"worst_lag_ms",
+             {{"process", lag.process},
+              {"samples", lag.samples},
+              {"p50", in_ms(lag.p50)},
+              {"p99", in_ms(lag.p99)},
+              {"max", in_ms(lag.most)}}}};
+}
+
+} // namespace
+
+const std::vector<check_kind> &all_checks() {
+    static const std::vector<check_kind> kAll = [] {
+        std::vector<check_kind> kinds;
+        kinds.reserve(kNames.size());
+        for (const named_check &each : kNames) {
+            kinds.push_back(each.kind);
+        }
+        return kinds;
+    }();
+    return kAll;
+}
+
+std::string check_name(check_kind kind) {
+    const auto *found = std::find_if(kNames.begin(), kNames.end(),
+                                     [&](const named_check &each) { return each.kind == kind; });
+    return found->name;
+}
+
+uint64_t check_report::violations() const {
+    uint64_t all = 0;
+    for (const auto &entry : checks) {
+        all += entry.second.violations;
+    }
+    return all;
+}
+
+std::vector<check_kind> check_report::below_floor() const {
+    std::vector<check_kind> kinds;
+    for (const auto &[kind, result] : checks) {
+        if (result.tested < result.floor) {
+            kinds.push_back(kind);
+        }
+    }
+    return kinds;
+}
+
+bool check_report::passed() const {
+    return invalid.empty() && violations() == 0 && below_floor().empty();
+}
+
+check_report check_records(const std::vector<record> &records, const deployment &of) {
+    const run_history history(records);
+    return checker(history, of).run();
+}
+
+void print_report(const check_report &report, std::ostream &output) {
+    for (const auto &[kind, result] : report.checks) {
+        for (const std::string &example : result.examples) {
+            output << check_name(kind) << " at " << example << '\n';
+        }
+    }
+    for (const std::string &reason : report.invalid) {
+        output << "invalid: " << reason << '\n';
+    }
+    output << in_json(report).dump() << '\n';
+}
+
+} // namespace chalkshed::soak
--- a/tests/soak/fleet/deployment.h
+++ b/tests/soak/fleet/deployment.h
@@ -11,11 +11,10 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <variant>
+#include <tl/expected.hpp>
 #include <vector>
 
 #include "src/core/time.h"
-#include "tl/expected.hpp"
 
 namespace chalkshed::soak {
 
@@ -107,7 +106,6 @@
     Duration acknowledgement = std::chrono::seconds(6);
     /** A leaving worker gets nothing later than this. */
     Duration leaving = std::chrono::seconds(3);
-    Duration configuration = std::chrono::seconds(3);
     /** What happens to a node or its store excuses it for so long afterwards. */
     Duration contact = std::chrono::seconds(4);
     /** An accepted job that nobody ended lists all items so long after its 202. */
--- /dev/null
+++ b/tests/soak/fleet/history.h
@@ -0,0 +1,126 @@
+#ifndef CHALKSHED_TESTS_SOAK_FLEET_HISTORY_H
+#define CHALKSHED_TESTS_SOAK_FLEET_HISTORY_H
+
+/** \file
+ * The records of a run joined by request, job, item, worker and node, each by one look-up. All
+ * pointers lead into the records that the history was made of, which must outlive it.
+ */
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "tests/soak/fleet/records.h"
+
+namespace chalkshed::soak {
+
+struct interval {
+    MonotonicTime from{};
+    MonotonicTime to{};
+};
+
+/** When parts were disturbed. */
+class disturbance_times {
+public:
+    void add(disturbed_part part, const std::string &target, interval when);
+    /** Sorts and merges what was added; to be called before any question. */
+    void close();
+
+    /** Whether anything was done between `from` and `to` to the node, its link, or the store for
+     * it. */
+    bool node_disturbed(const std::string &node, interval when) const;
+    bool worker_disturbed(const std::string &worker, interval when) const;
+    /** \return The first moment by which the store has been calm for `length` since `from`; calm
+     * begins again `contact` after each disturbance of it. */
+    MonotonicTime after_calm_store(MonotonicTime from, Duration length, Duration contact) const;
+
+private:
+    using key = std::pair<disturbed_part, std::string>;
+    bool disturbed(const key &part, interval when) const;
+
+    std::map<key, std::vector<interval>> times_;
+};
+
+struct request_history {
+    const online_send *send = nullptr;
+    const online_answer *answer = nullptr;
+    const caller_left *left = nullptr;
+    std::vector<const run_begin *> runs;
+};
+
+struct job_history {
+    std::vector<const job_send *> sends;
+    std::vector<const job_answer *> answers;
+    std::vector<const end_send *> ends;
+    std::vector<const end_answer *> end_answers;
+    std::vector<const listed_item *> listed;
+    std::vector<const run_begin *> runs; // of all its items
+
+    /** Distinct items over all sends. */
+    uint64_t items = 0;
+
+    /** \return When it was first accepted or its end first acknowledged, if ever. */
+    std::optional<MonotonicTime> accepted() const;
+    std::optional<MonotonicTime> end_acknowledged() const;
+};
+
+struct item_history {
+    std::string job;
+    MonotonicTime first_sent{};
+    /** As the job's sends carried it; one unless they differ. */
+    std::vector<const carried_message *> messages;
+};
+
+class run_history {
+public:
+    explicit run_history(const std::vector<record> &records);
+
+    /** \return The node whose process had that address at the time, or an empty name. */
+    std::string node_of(const run_begin &run) const;
+    /** \return How the run ended, or nothing if its worker never said so. */
+    const run_end *end_of(const run_begin &run) const;
+
+    std::map<std::string, request_history> requests;
+    std::map<std::string, job_history> jobs;
+    std::unordered_map<std::string, item_history> items;
+    std::vector<const run_begin *> runs;
+    /** When the store accepted that a worker leaves. */
+    std::unordered_map<std::string, MonotonicTime> leaving;
+    disturbance_times disturbed;
+    /** The worst of each rig process. */
+    std::map<std::string, process_lag> lags;
+    MonotonicTime first{};
+    MonotonicTime last{};
+
+private:
+    struct life {
+        MonotonicTime from{};
+        std::string node;
+    };
+
+    void add(const online_send &entry);
+    void add(const online_answer &entry);
+    void add(const caller_left &entry);
+    void add(const job_send &entry);
+    void add(const job_answer &entry);
+    void add(const end_send &entry);
+    void add(const end_answer &entry);
+    void add(const listed_item &entry);
+    void add(const run_begin &entry);
+    void add(const run_end &entry);
+    void add(const node_start &entry);
+    void add(const disturbance &entry);
+    void add(const worker_leaving &entry);
+    void add(const configuration_written &entry);
+    void add(const process_lag &entry);
+    void join_runs();
+
+    std::unordered_map<std::string, std::vector<life>> lives_; // by address, in the order of time
+    std::map<std::pair<std::string, uint64_t>, const run_end *> ends_; // by worker and run
+};
+
+} // namespace chalkshed::soak
+
+#endif
