Complete jobs count although they are ended afterwards; senders named where they matter

A run whose sender was not looked up was said to come from no node. Change: a job is judged once it lists all, or had the time to, before its first end; one that is ended after its time while incomplete is a violation now. The present soak looks up the sender of runs that nobody sent, too.

--- a/tests/soak/fleet/checks.cc
+++ b/tests/soak/fleet/checks.cc
@@ -176,8 +176,9 @@
 
 std::string checker::where(const run_begin &run) const {
     const std::string node = history_.node_of(run);
-    return run.id + " ran at worker " + run.worker + " from " +
-           (node.empty() ? "no node at " + run.sender_ip : node);
+    const std::string sender = node.empty() ? "no node at " + run.sender_ip : node;
+    return run.id + " ran at worker " + run.worker +
+           (run.sender_ip.empty() ? "" : " from " + sender);
 }
 
 void checker::check_run(const run_begin &run) {
@@ -388,20 +389,29 @@
     }
 }
 
+/** Judges a job once all its items are listed, or once it had the time for that; not if its caller
+ * ended it, or the records end, before either. */
 void checker::check_complete(const std::string &id, const job_history &job) {
     const std::optional<MonotonicTime> accepted = job.accepted();
-    if (!accepted || !job.ends.empty() || history_.last < *accepted + bounds_.finish) {
+    if (!accepted) {
         return;
     }
-    ++report_.checks[check_kind::kCompleteJob].tested;
+    const MonotonicTime until = job.ends.empty() ? history_.last : job.ends.front()->at;
     std::unordered_set<std::string> listed;
     for (const listed_item *entry : job.listed) {
-        listed.insert(entry->item);
+        if (entry->at <= until) {
+            listed.insert(entry->item);
+        }
     }
-    if (listed.size() < job.items) {
-        violate(check_kind::kCompleteJob, history_.last,
+    const bool complete = listed.size() >= job.items;
+    if (!complete && until < *accepted + bounds_.finish) {
+        return;
+    }
+    ++report_.checks[check_kind::kCompleteJob].tested;
+    if (!complete) {
+        violate(check_kind::kCompleteJob, until,
                 "job " + id + " lists " + std::to_string(listed.size()) + " of " +
-                    std::to_string(job.items) + " items, " + in_words(history_.last - *accepted) +
+                    std::to_string(job.items) + " items, " + in_words(until - *accepted) +
                     " after its 202");
     }
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -197,6 +197,7 @@
     uint64_t next_id_ = 0;
     bool ending_ = false;
     std::vector<record> records_;
+    std::set<std::string> sent_ids_;
     MonotonicTime next_round_{};
     std::vector<Duration> lateness_;
     soak_result result_;
--- a/tests/soak/soak_checks.cc
+++ b/tests/soak/soak_checks.cc
@@ -275,8 +275,9 @@
     const auto of = jobs_.find(run.request.substr(0, run.request.find('-')));
     const bool ended = of != jobs_.end() && of->second.end_sent;
     const bool leaves = (*worker)->leaving != MonotonicTime{};
-    // Only these are judged by their sender, and to find it takes a while.
-    const std::string sender = ended || leaves ? sender_ip(run, **worker) : run.sender.ip;
+    // Only in these the sender matters, and to find it takes a while.
+    const bool asked = ended || leaves || !sent_ids_.contains(run.request);
+    const std::string sender = asked ? sender_ip(run, **worker) : "";
     records_.emplace_back(run_begin{run.began, number, run.worker, run.service, run.request,
                                     run.message, run.resume_after, sender});
 }
--- a/tests/soak/soak_load.cc
+++ b/tests/soak/soak_load.cc
@@ -98,6 +98,7 @@
     request.headers.push_back({"X-Soak-Note", "note of " + call->id});
     const bool once = call->path == kOncePath;
     records_.emplace_back(online_send{now(), call->id, node.name(), describe(request), once, kept});
+    sent_ids_.insert(call->id);
     online_call &sent = *call;
     sent.on_ended = [this, number] {
         check_online(*calls_.at(number));
@@ -138,6 +139,7 @@
         request.headers = {{"X-Soak-Note", "note of " + item}};
         request.body = body_of(item, length);
         sent.items.push_back({item, describe(request)});
+        sent_ids_.insert(item);
         items.push_back({{"id", item},
                          {"path", request.path},
                          {"headers", {{"X-Soak-Note", "note of " + item}}},
--- a/tests/soak_fleet/checks_test.cc
+++ b/tests/soak_fleet/checks_test.cc
@@ -483,6 +483,32 @@
     expect_found(check_kind::kCompleteJob, 1);
 }
 
+TEST_F(fleet_checks, a_complete_job_counts_also_if_it_is_ended_afterwards) {
+    add(end_send{at(16'000), "j-done", "n-1"});
+    add(end_answer{at(16'010), "j-done", "n-1", 200});
+    const check_report report = judge();
+    EXPECT_EQ(report.checks.at(check_kind::kCompleteJob).tested, 1U);
+    EXPECT_EQ(report.violations(), 0U);
+}
+
+TEST_F(fleet_checks, a_job_that_is_ended_early_need_not_be_complete) {
+    add(end_send{at(13'000), "j-done", "n-1"});
+    add(end_answer{at(13'010), "j-done", "n-1", 200});
+    const check_report report = judge();
+    EXPECT_EQ(report.checks.at(check_kind::kCompleteJob).tested, 0U);
+    EXPECT_EQ(report.violations(), 0U);
+}
+
+TEST_F(fleet_checks, a_job_that_is_ended_after_its_time_was_due_before) {
+    std::erase_if(records_, [](const record &entry) {
+        const auto *listed = std::get_if<listed_item>(&entry);
+        return listed != nullptr && listed->item == "j-done-0";
+    });
+    add(end_send{at(72'010), "j-done", "n-1"});
+    add(end_answer{at(72'020), "j-done", "n-1", 200});
+    expect_found(check_kind::kCompleteJob, 1);
+}
+
 // Leaving workers.
 
 TEST_F(fleet_checks, a_run_at_a_worker_beyond_its_leave_is_found) {
