A refused job stays refused: handed jobs keep the moment of their send, and a job whose caller left is not stored later

Change: a handed job carries the store's version of its caller's send; the peer is bound by refusals written since. A submission whose caller's connection closed begins no write and no hand-over any more (one under way may still be done; its answer was never a promise). The clusters of the tests break the connection of a hand-over whose peer is killed, as a kernel does; it stayed open for ever.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,11 @@
   std::vector<ServingRequest> items;  // each with its own id
   std::string content;                // the items as sent; what is stored
   bool forwarded = false;             // by a peer: it is not handed on once more
+  // The newest version of the store when the caller sent the job, as far as the node knew that it
+  // sent it to. A refusal that was written later binds this send wherever it is handed to.
+  StoreVersion sent_as_of = 0;
+  // Turns true when the caller leaves without its answer; null: it cannot leave.
+  std::shared_ptr<const bool> caller_left;
 };
 
 // The state of a job that all nodes share. Only its owner may append results; whoever takes it over
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -6,11 +6,21 @@
 
 namespace chalkshed {
 
+namespace {
+
+// A job that a peer hands on keeps the moment of its send. Taken for a new one it would be accepted
+// past a refusal that its caller has heard from another node meanwhile.
+StoreVersion newest_when_sent(const RequestJob& submission, StoreVersion newest) {
+  return submission.forwarded ? std::min(submission.sent_as_of, newest) : newest;
+}
+
+}  // namespace
+
 JobSubmit::JobSubmit(JobEnvironment& environment, RequestJob submission, std::string owner,
                      job_forwarder& forwarder, queue_admission& admission)
     : environment_(environment),
       submission_(std::move(submission)),
-      newest_at_start_(environment.clock.newest()),
+      newest_at_start_(newest_when_sent(submission_, environment.clock.newest())),
       forwarder_(forwarder),
       admission_(admission),
       retry_timer_(environment.serving.dispatcher.create_timer([this] {
@@ -18,6 +28,7 @@
         action();
       })),
       forward_timer_(environment.serving.dispatcher.create_timer([this] { forward(); })) {
+  submission_.sent_as_of = newest_at_start_;
   record_.id = submission_.id;
   record_.tenant = submission_.tenant;
   record_.host = submission_.host;
@@ -45,7 +56,7 @@
 }
 
 void JobSubmit::handle_verdict(const Expected<admission_verdict>& verdict) {
-  if (ended_) {
+  if (ended_ || end_if_deserted()) {
     return;
   }
   if (!verdict) {
@@ -151,6 +162,9 @@
 }
 
 void JobSubmit::put_content() {
+  if (ended_ || end_if_deserted()) {
+    return;
+  }
   environment_.objects.put(job_object_name(record_.id),
                            std::make_shared<const std::string>(submission_.content),
                            lifetime_.guard([this](const Expected<std::monostate>& put) {
@@ -163,6 +177,9 @@
 }
 
 void JobSubmit::commit() {
+  if (ended_ || end_if_deserted()) {
+    return;
+  }
   StoreTransaction transaction;
   transaction.conditions.push_back({stored_job_key(record_.id), 0});
   transaction.conditions.push_back({job_refusal_key(record_.id), refusal_version_});
@@ -235,8 +252,8 @@
 }
 
 void JobSubmit::forward() {
-  const bool may = !ended_ && !refused_ && !submission_.forwarded && !forwarding_ &&
-                   hops_ < environment_.knobs.most_hops;
+  const bool may = !ended_ && !end_if_deserted() && !refused_ && !submission_.forwarded &&
+                   !forwarding_ && hops_ < environment_.knobs.most_hops;
   if (!may) {
     return;
   }
@@ -284,6 +301,17 @@
   }
 }
 
+// A caller that has left sends the job again to other nodes and hears of them alone, perhaps that
+// it is refused: nothing that could accept it may begin here any more.
+bool JobSubmit::end_if_deserted() {
+  const bool deserted = submission_.caller_left && *submission_.caller_left;
+  if (deserted) {
+    finish(tl::unexpected(maybe_run(ErrorKind::kCancelled, "the caller left before its answer",
+                                    "send the job again under the same id")));
+  }
+  return deserted;
+}
+
 void JobSubmit::finish(Expected<SubmitOutcome> outcome) {
   if (std::exchange(ended_, true)) {
     return;
--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -55,6 +55,8 @@
   // The caller hears that it was not accepted, or that this is not known.
   void give_up();
   // What comes first, the store's answer or the peer's, ends the submission.
+  // Ends the submission when its caller has left. @return whether it has.
+  bool end_if_deserted();
   void finish(Expected<SubmitOutcome> outcome);
 
   JobEnvironment& environment_;
--- a/tests/job_queue/queue_admission_test.cc
+++ b/tests/job_queue/queue_admission_test.cc
@@ -116,6 +116,26 @@
   EXPECT_TRUE(accepts("n1", "j2", 10)) << "sent once more";
 }
 
+// A caller had sent its job to a second node, which refused it, while the first one still tried to
+// store it and then handed it to a peer. The peer took it for a new send, accepted it past the
+// refusal, and it ran.
+TEST_F(QueueAdmissionTest, AHandedJobIsBoundByARefusalWrittenSinceItsCallerSentIt) {
+  ASSERT_TRUE(accepts("n0", "j1", 95));
+  RequestJob handed = cluster.job("j2", 10);
+  handed.forwarded = true;
+  handed.sent_as_of = cluster.shared.rows.version();
+  const AnswerPtr refused = send("n1", "j2", 10);
+  cluster.clock.run_for(milliseconds(400));
+  ASSERT_TRUE(refused->over_limit());
+  set_limit(3, 2 * kLimit);
+  Answer answer;
+  cluster.node("n2").jobs().submit(
+      handed, [&](const Expected<std::monostate>& told) { answer.told = told; });
+  cluster.clock.run_for(milliseconds(400));
+  EXPECT_TRUE(answer.over_limit());
+  EXPECT_TRUE(accepts("n2", "j2", 10)) << "sent once more";
+}
+
 TEST_F(QueueAdmissionTest, RowsOfRefusalsAreRemovedAfterAWhile) {
   ASSERT_TRUE(accepts("n0", "j1", 95));
   send("n1", "j2", 10);
--- a/tests/online_path/online_path_test.cc
+++ b/tests/online_path/online_path_test.cc
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <csignal>
+
 #include "platform/request_wire.h"
 #include "src/event/system_time_source.h"
 #include "src/http/connection_headers.h"
@@ -41,6 +43,7 @@
 class online_path : public HttpHandler {
 public:
     explicit online_path(RandomGenerator &random) : random_(random) {
+        std::signal(SIGPIPE, SIG_IGN); // as the daemon does
         for (size_t index = 0; index < workers_.size(); ++index) {
             worker_set_.update(
                 {"i-" + std::to_string(index), "s", workers_[index].local(), "z", 4, false});
--- a/tests/platform/job_wire_test.cc
+++ b/tests/platform/job_wire_test.cc
@@ -62,12 +62,13 @@
   job.id = "j1";
   job.path = "/batch/j";
   job.content = job_of(3);
+  job.sent_as_of = 17;
   const HttpRequest call = JobWire().encode_submission(job);
   EXPECT_EQ(call.method, "POST");
   EXPECT_EQ(call.path, job.path);
   EXPECT_EQ(call.body, job.content);
   EXPECT_EQ(find_header(call.headers, kRequestId), "j1");
-  EXPECT_TRUE(find_header(call.headers, kForwarded));
+  EXPECT_EQ(find_header(call.headers, kForwarded), "17");
 }
 
 TEST(JobWireTest, ResultsTellTotalNextAndTexts) {
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "chalkshed/job_forwarder.h"
 #include "emulator/memory_watched_store.h"
 #include "platform/header_names.h"
 #include "platform/job_wire.h"
@@ -357,10 +358,22 @@
     job.host = "a.example";
     job.path = request.path;
     job.content = request.body;
-    job.forwarded = find_header(request.headers, platform::kForwarded).has_value();
+    const auto forwarded = find_header(request.headers, platform::kForwarded);
+    job.forwarded = forwarded.has_value();
+    job.sent_as_of = forwarded ? std::stoull(std::string(*forwarded)) : 0;
     job.items = *job_wire().decode_items(job.host, job.content);
+    auto answered = std::make_shared<bool>(false);
+    // The connection breaks when the peer is killed before it has answered.
+    call_after(loop, forward_knobs().answer_timeout, [callback, answered] {
+      if (!std::exchange(*answered, true)) {
+        callback(tl::unexpected(maybe_run(ErrorKind::kUpstreamFailed, "no answer", "none")));
+      }
+    });
     found->second->node.jobs().submit(
-        std::move(job), [callback](const Expected<std::monostate>& accepted) {
+        std::move(job), [callback, answered](const Expected<std::monostate>& accepted) {
+          if (std::exchange(*answered, true)) {
+            return;
+          }
           const bool refused = !accepted && accepted.error().ran == Ran::kNo;
           constexpr int kAccepted = 202;
           constexpr int kRefused = 503;
