Keep the members of HttpRequest in their order

Cause: has_empty_query stood before the headers and broke an aggregate initialisation in once_test. Change: it stands last. Whole tree builds.

--- a/src/core/http_message.h
+++ b/src/core/http_message.h
@@ -30,11 +30,11 @@
   std::string method;  // uppercase
   std::string path;    // without the query
   std::string query;   // without '?'
-  // The target ends in a '?' with nothing behind it: for some back ends not the same as without.
-  bool has_empty_query = false;
   HttpHeaders headers;
   std::string body;
   Address peer;
+  // The target ends in a '?' with nothing behind it: for some back ends not the same as without.
+  bool has_empty_query = false;
 };
 
 struct HttpResponse {
