--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -56,6 +56,8 @@
   void handle_forwarded(forward_outcome outcome);
   // The caller hears that it was not accepted, or that this is not known.
   void give_up();
+  // Ends the submission when its caller has left. @return whether it has.
+  bool end_if_deserted();
   // What comes first, the store's answer or the peer's, ends the submission.
   void finish(Expected<SubmitOutcome> outcome);
 
@@ -64,8 +66,11 @@
   StoredJob record_;
   Callback<SubmitOutcome> callback_;
   uint32_t tries_ = 0;
-  bool may_be_applied_ = false;               // an earlier write of this node got no answer
-  bool peer_may_have_taken_ = false;          // a peer did not say whether it took the job
+  bool may_be_applied_ = false;       // an earlier write of this node got no answer
+  bool peer_may_have_taken_ = false;  // a peer did not say whether it took the job
+  // Newest version of the store that was known as the caller sent the job: refusals and ends up to
+  // it are older than the send.
+  const StoreVersion newest_at_start_;
   StoreVersion refusal_version_ = 0;          // of the row that tells of an older refusal
   std::optional<admission_verdict> refused_;  // waits until the peer has answered
   job_forwarder& forwarder_;
