A node whose store was slow judges its peers only after 5.2 s of answers

Nodes with 2.6 s of contact took a job of a peer that was silent for 6.7 s and not cut off.

Change: the contact that a judgement needs is as long as the patience, 5.2 s in place of 2.6 s after a slow store or an outage; 2.6 s as before while the store is sound. Price: a cut that falls into an outage is noticed 2.6 s later after its end.

--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -533,10 +533,11 @@
 }
 
 // Its silence must have begun while this node had the store: after an outage for all, the first to
-// reach the store again would take the jobs of all others.
+// reach the store again would take the jobs of all others. A slow store returns to one after the
+// other within seconds.
 bool PeerExchange::lost_store(const Peer& peer) const {
   return peer.store_silence > store_patience() &&
-         peer.heard - store_contact_since_ >= knobs_.store_silence &&
+         peer.heard - store_contact_since_ >= store_patience() &&
          own_store_silence() < knobs_.lapse_after;
 }
 
