--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -1,8 +1,6 @@
 #include "src/jobs/job_service.h"
 
 #include <algorithm>
-#include <set>
-#include <unordered_set>
 
 #include "src/core/call_after.h"
 #include "src/core/digest.h"
@@ -32,7 +30,8 @@
       remover_(environment),
       forwarder_(environment.serving.worker_client, environment.codec, sessions,
                  environment.serving.logger),
-      admission_(environment, *this),
+      queues_(environment, index_, owned_),
+      admission_(environment, queues_),
       ender_(environment, sessions.own_session(),
              [this](const known_job& known) { note(known.record, known.version); }),
       recorder_(environment.store, environment.serving.dispatcher, environment.serving.logger,
@@ -48,7 +47,7 @@
 
 void JobService::on_row(const StoredRow& row) {
   if (row.removed) {
-    close_queued(row.key.key);
+    queues_.close(row.key.key);
     index_.erase(row.key.key);
     const auto owned = owned_.find(row.key.key);
     if (owned != owned_.end() && owned->second.job->version() < row.version) {
@@ -66,7 +65,7 @@
 }
 
 void JobService::note(const StoredJob& record, StoreVersion version) {
-  Indexed& indexed = index_[record.id];
+  indexed_job& indexed = index_[record.id];
   if (version <= indexed.version) {
     return;
   }
@@ -74,7 +73,7 @@
   indexed.version = version;
   indexed.orphan = false;
   if (record.ended || record.finished) {
-    close_queued(record.id);
+    queues_.close(record.id);
   }
   const auto owned = owned_.find(record.id);
   if (owned == owned_.end() || owned->second.job->version() >= version) {
@@ -92,7 +91,7 @@
   log(LogLevel::kInfo, "job_owned", record,
       std::to_string(loaded.listed.size()) + " results are listed, " +
           std::to_string(loaded.progress.size()) + " items continue");
-  Owned owned;
+  owned_entry owned;
   owned.job =
       std::make_unique<OwnedJob>(environment_, recorder_, record, version, std::move(loaded),
                                  [this, id = record.id](const std::string& reason) {
@@ -232,7 +231,7 @@
     return;
   }
   find(job, lifetime_.guard([this, from, wait,
-                             callback = std::move(callback)](const Expected<Indexed>& indexed) {
+                             callback = std::move(callback)](const Expected<indexed_job>& indexed) {
     if (!indexed) {
       callback(tl::unexpected(indexed.error()));
       return;
@@ -251,7 +250,7 @@
     }
   }
   find(job, lifetime_.guard([this, item,
-                             callback = std::move(callback)](const Expected<Indexed>& indexed) {
+                             callback = std::move(callback)](const Expected<indexed_job>& indexed) {
     if (!indexed) {
       callback(tl::unexpected(indexed.error()));
       return;
@@ -376,7 +375,7 @@
   sweep_timer_->enable(environment_.knobs.sweep_interval);
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
   for (auto entry = owned_.begin(); entry != owned_.end();) {
-    Owned& owned = entry->second;
+    owned_entry& owned = entry->second;
     owned.job->give_up_hopeless();
     if (owned.job->finished() && owned.finished == MonotonicTime{}) {
       owned.finished = now;
@@ -392,7 +391,7 @@
     on_ownership_changed_();
   }
   sweep_refusals(now);
-  show_queues();
+  queues_.show();
   start_items();
 }
 
@@ -408,7 +407,7 @@
   }
 }
 
-void JobService::sweep_job(const std::string& id, Indexed& indexed) {
+void JobService::sweep_job(const std::string& id, indexed_job& indexed) {
   const StoredJob& record = indexed.record;
   if (record.ended || record.finished) {
     remove_if_old(id, indexed);
@@ -439,7 +438,7 @@
   }
 }
 
-void JobService::remove_if_old(const std::string& id, const Indexed& indexed) {
+void JobService::remove_if_old(const std::string& id, const indexed_job& indexed) {
   const Duration age = environment_.clock.now() - indexed.record.accepted;
   if (removing_ || draining_ || age < environment_.knobs.keep_stored || sessions_.rank(id) > 0) {
     return;
@@ -453,13 +452,13 @@
   const JobKnobs& knobs = environment_.knobs;
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
   const auto counted = std::count_if(index_.begin(), index_.end(), [&](const auto& entry) {
-    const Indexed& indexed = entry.second;
+    const indexed_job& indexed = entry.second;
     return indexed.busy && (takeovers_slow_ || now - indexed.busy_since > knobs.slow_takeover);
   });
   return static_cast<size_t>(counted) >= knobs.most_slow_takeovers;
 }
 
-void JobService::note_takeover_over(Indexed& indexed, bool answered) {
+void JobService::note_takeover_over(indexed_job& indexed, bool answered) {
   const Duration took = environment_.serving.time_source.monotonic_now() - indexed.busy_since;
   takeovers_slow_ = !answered || took > environment_.knobs.slow_takeover;
   indexed.busy = false;
@@ -469,7 +468,7 @@
   if (enough_takeovers()) {
     return;
   }
-  Indexed& indexed = index_.at(id);
+  indexed_job& indexed = index_.at(id);
   indexed.busy = true;
   indexed.busy_since = environment_.serving.time_source.monotonic_now();
   StoredJob mine = indexed.record;
@@ -505,7 +504,7 @@
 }
 
 void JobService::load(const StoredJob& record, StoreVersion version) {
-  Indexed& indexed = index_.at(record.id);
+  indexed_job& indexed = index_.at(record.id);
   indexed.busy = true;
   indexed.busy_since = environment_.serving.time_source.monotonic_now();
   loader_.load(record, lifetime_.guard([this, record, version](Expected<LoadedJob> loaded) {
@@ -526,113 +525,11 @@
   }));
 }
 
-const Route* JobService::limited_route_of(const StoredJob& record) const {
-  const RouteTablePtr& table = environment_.routes.current();
-  const Route* route = table ? table->find(record.host, record.path) : nullptr;
-  return route != nullptr && route->max_queued_tokens > 0 ? route : nullptr;
-}
-
-std::vector<job_remainder> JobService::remainders() {
-  std::vector<job_remainder> own;
-  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
-  for (const auto& [id, owned] : owned_) {
-    const Route* route = limited_route_of(owned.job->record());
-    if (route != nullptr && !owned.job->finished()) {
-      own.push_back({content_hash(id), route_queue_id(*route, owned.job->record().tenant),
-                     owned.job->tokens_left()});
-      queued_.note(own.back(), now);
-    }
-  }
-  return own;
-}
-
-void JobService::note_remainder(const job_remainder& reported) {
-  queued_.note(reported, environment_.serving.time_source.monotonic_now());
-}
-
-void JobService::close_queued(const std::string& job) {
-  queued_.close(content_hash(job), environment_.serving.time_source.monotonic_now());
-}
-
 bool JobService::owns_open_jobs() const {
   return std::any_of(owned_.begin(), owned_.end(),
                      [](const auto& entry) { return !entry.second.job->finished(); });
 }
 
-bool JobService::complete() const { return listed_; }
-
-bool JobService::counts(const std::string& job) const {
-  return index_.contains(job) ||
-         queued_.reported(content_hash(job), environment_.serving.time_source.monotonic_now());
-}
-
-double JobService::drain_rate() const {
-  return queued_.drain_rate(environment_.serving.time_source.monotonic_now());
-}
-
-uint64_t JobService::queued(const Route& route, const std::string& tenant) const {
-  const uint64_t queue = route_queue_id(route, tenant);
-  std::unordered_set<uint64_t> listed;
-  uint64_t sum = 0;
-  for (const auto& [id, indexed] : index_) {
-    const uint64_t hash = content_hash(id);
-    listed.insert(hash);
-    const StoredJob& record = indexed.record;
-    const Route* of_job = record.ended || record.finished ? nullptr : limited_route_of(record);
-    if (of_job == nullptr || route_queue_id(*of_job, record.tenant) != queue) {
-      continue;
-    }
-    const auto owned = owned_.find(id);
-    sum += owned == owned_.end() ? queued_.left_of(hash, record.tokens)
-                                 : owned->second.job->tokens_left();
-  }
-  return sum + queued_.unlisted(
-                   queue, [&](uint64_t job) { return listed.contains(job); },
-                   environment_.serving.time_source.monotonic_now());
-}
-
-uint64_t JobService::largest_queue(const Route& route) const {
-  std::set<std::string> tenants = {""};
-  for (const auto& [id, indexed] : index_) {
-    tenants.insert(indexed.record.tenant);
-  }
-  uint64_t largest = 0;
-  for (const std::string& tenant : tenants) {
-    largest = std::max(largest, queued(route, tenant));
-  }
-  return largest;
-}
-
-void JobService::show_queues() {
-  const RouteTablePtr& table = environment_.routes.current();
-  const bool any_limit =
-      table && std::any_of(table->routes().begin(), table->routes().end(),
-                           [](const Route& route) { return route.max_queued_tokens > 0; });
-  if (!any_limit) {
-    return;
-  }
-  std::unordered_set<uint64_t> listed;
-  for (const auto& [id, indexed] : index_) {
-    listed.insert(content_hash(id));
-  }
-  queued_.prune(environment_.serving.time_source.monotonic_now(),
-                [&](uint64_t job) { return listed.contains(job); });
-  for (const Route& route : table->routes()) {
-    if (route.max_queued_tokens > 0) {
-      const MetricLabels labels = {{"route", route.name}};
-      environment_.serving.metrics
-          .gauge("chalkshed_queued_tokens",
-                 "Tokens of accepted batch items that have not ended, of the tenant with the most.",
-                 labels)
-          .set(static_cast<double>(largest_queue(route)));
-      environment_.serving.metrics
-          .gauge("chalkshed_queued_tokens_limit", "The most that may be queued, over all nodes.",
-                 labels)
-          .set(static_cast<double>(route.max_queued_tokens));
-    }
-  }
-}
-
 void JobService::drain(std::function<void()> done) {
   draining_ = true;
   drain_began_ = environment_.serving.time_source.monotonic_now();
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -12,20 +12,20 @@
 #include "chalkshed/caller_identity.h"
 #include "chalkshed/job_ender.h"
 #include "chalkshed/queue_admission.h"
-#include "chalkshed/queued_tokens.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job_environment.h"
+#include "src/jobs/job_index.h"
 #include "src/jobs/job_loader.h"
+#include "src/jobs/job_queues.h"
 #include "src/jobs/job_remover.h"
 #include "src/jobs/job_submit.h"
-#include "src/jobs/owned_job.h"
 #include "src/jobs/result_reader.h"
 #include "src/peers/session_view.h"
 #include "src/watch/table_watcher.h"
 
 namespace chalkshed {
 
-class JobService : public TableObserver, public queue_view {
+class JobService : public TableObserver {
  public:
   // @param may_start whether batch may take places now: no online request waits for one.
   JobService(JobEnvironment& environment, SessionView& sessions, std::function<bool()> may_start);
@@ -33,7 +33,7 @@
   void start();
   // Changes of the job table.
   void on_row(const StoredRow& row) override;
-  void on_listed() override { listed_ = true; }
+  void on_listed() override { queues_.note_listed(); }
 
   // Accepts the job durably. Sending it again under its id succeeds again.
   // Errors: kStoreUnavailable with Ran::kNo when certainly nothing was accepted; kOutcomeUnknown.
@@ -62,10 +62,8 @@
   void drain(std::function<void()> done);
   size_t owned_jobs() const { return owned_.size(); }
 
-  // What is left of the jobs that this node owns on routes whose queue is limited.
-  std::vector<job_remainder> remainders();
-  // What another node reports of a job that it owns.
-  void note_remainder(const job_remainder& reported);
+  // What waits on routes whose queue is limited, as this node reports it and hears of it.
+  job_queues& queues() { return queues_; }
   // Called when this node owns a further job, so that peers hear of it soon.
   void set_on_queue_changed(std::function<void()> callback) {
     on_queue_changed_ = std::move(callback);
@@ -78,26 +76,8 @@
     on_ownership_changed_ = std::move(callback);
   }
 
-  bool complete() const override;
-  uint64_t queued(const Route& route, const std::string& tenant) const override;
-  bool counts(const std::string& job) const override;
-  double drain_rate() const override;
-
  private:
-  struct Indexed {
-    StoredJob record;
-    StoreVersion version = 0;
-    MonotonicTime orphaned{};  // since when its owner is known to be gone
-    bool orphan = false;
-    bool busy = false;  // a takeover or load of it is under way here
-    MonotonicTime busy_since{};
-  };
-  struct Owned {
-    std::unique_ptr<OwnedJob> job;
-    MonotonicTime finished{};
-    bool releasing = false;
-  };
-  using Found = std::function<void(Expected<Indexed>)>;
+  using Found = std::function<void(Expected<indexed_job>)>;
 
   void find(const std::string& job, Found callback);
   void note(const StoredJob& record, StoreVersion version);
@@ -113,24 +93,17 @@
   void sweep();
   // Looks after the rows of refusals of one partition after another, at one node of the fleet.
   void sweep_refusals(MonotonicTime now);
-  void sweep_job(const std::string& id, Indexed& indexed);
+  void sweep_job(const std::string& id, indexed_job& indexed);
   // Removes the job from the store when it is old and this node's turn.
-  void remove_if_old(const std::string& id, const Indexed& indexed);
+  void remove_if_old(const std::string& id, const indexed_job& indexed);
   // Whether one takeover more would only make a slow store slower.
   bool enough_takeovers() const;
   // A takeover or load of the job is over.
-  void note_takeover_over(Indexed& indexed, bool answered);
+  void note_takeover_over(indexed_job& indexed, bool answered);
   void take_over(const std::string& id);
   void load(const StoredJob& record, StoreVersion version);
   void release(const std::string& id);
   void check_drained();
-  // @return the job's route if its queue is limited, or null.
-  const Route* limited_route_of(const StoredJob& record) const;
-  void close_queued(const std::string& job);
-  // Shows what is queued in the metrics, and forgets old reports.
-  void show_queues();
-  // Tokens of the tenant that has the most queued on the route.
-  uint64_t largest_queue(const Route& route) const;
   ResultPage page_of(const OwnedJob& job, uint32_t from) const;
   void log(LogLevel level, std::string_view event, const StoredJob& record,
            const std::string& reason) const;
@@ -142,18 +115,17 @@
   ResultReader reader_;
   JobRemover remover_;
   job_forwarder forwarder_;
+  job_index_map index_;
+  owned_job_map owned_;
+  job_queues queues_;
   queue_admission admission_;
   job_ender ender_;
   failure_recorder recorder_;
-  queued_tokens queued_;
   std::function<void()> on_queue_changed_;
   std::function<void()> on_ownership_changed_;
-  bool listed_ = false;  // all jobs that the store holds have been read once
   bool removing_ = false;
   MonotonicTime refusals_swept_{};
   size_t next_refusals_ = 0;  // partition
-  std::map<std::string, Indexed> index_;
-  std::map<std::string, Owned> owned_;
   std::map<uint64_t, std::unique_ptr<JobSubmit>> submits_;
   uint64_t next_submit_ = 0;
   std::map<std::string, uint32_t> submitting_;  // submissions under way, by job
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -70,8 +70,8 @@
         tell_owner(owner, row, done);
       });
   peers_.set_job_remainders(
-      [this] { return jobs_.remainders(); },
-      [this](const job_remainder& reported) { jobs_.note_remainder(reported); });
+      [this] { return jobs_.queues().remainders(); },
+      [this](const job_remainder& reported) { jobs_.queues().note_remainder(reported); });
   peers_.set_known_versions(
       [this] {
         return KnownVersions{route_table_.newest_row(), worker_table_.newest_row()};
--- a/tests/job_queue/queue_admission_test.cc
+++ b/tests/job_queue/queue_admission_test.cc
@@ -63,7 +63,7 @@
   }
   uint64_t queued(const std::string& node) {
     const RouteTablePtr table = cluster.node(node).routes();
-    return cluster.node(node).jobs().queued(*table->find("a.example", "/batch/j"), "");
+    return cluster.node(node).jobs().queues().queued(*table->find("a.example", "/batch/j"), "");
   }
 
   // Workers answer nothing: what is accepted stays queued.
