A view is as old as its question; an end is told again; a row is taken only by whom it ends; who may reach the store

Now since the write was sent, for takeovers and acceptances. 2. After 30 s without a word all peers counted as gone, and the fence opened (148 items); a peer's last word of an outage was believed for up to 6 s (20 items); one dead node shut it for a whole outage. Ways weighed: silence never opens it (a dead machine stops batch in every outage), silence opens it (wrong, as shown). Taken: the store is away only while most of all nodes say so, heard within 2 s: a node that is cut off hears too few. 3. An end that was written already was acknowledged without a notice (36 items within 2 s). 4. Now an answer is as old as its question; the pace of an owner follows the age that is allowed. 5. A row for another owner ended a job for good. A peer's row is taken only where it ends a job of this session. 6. Keys counted as confirmed by any answer of the store: a key taken away 20 s before was accepted. Now by answers about the configuration, which is asked for within half of that time. Beside it: a removed row is compared by version; a stale list makes nothing newer; heartbeats of sessions that nobody announced are counted and logged, because two systems on the same addresses look like work nobody sent. Conclusion: the bound of 2 s rests on this node's own clock alone.

--- a/emulator/memory_watched_store.cc
+++ b/emulator/memory_watched_store.cc
@@ -116,8 +116,7 @@
 }
 
 StoreStamp MemoryWatchedStore::stamp() const {
-  const Duration now = time_source_.monotonic_now().time_since_epoch();
-  return {shared_.rows.version(), shared_.stopped_clock.value_or(now)};
+  return {shared_.rows.version(), time_source_.monotonic_now().time_since_epoch()};
 }
 
 Duration MemoryWatchedStore::queued() {
--- a/emulator/memory_watched_store.h
+++ b/emulator/memory_watched_store.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,7 +76,6 @@
   StoreQueue queue;
   std::map<std::string, std::shared_ptr<const std::string>> objects;
   StoreTrouble trouble;
-  std::optional<Duration> stopped_clock;  // what the store says of its clock, if it stands still
   uint64_t calls = 0;
   uint64_t refused_transactions = 0;  // they held more than the store takes
 
--- a/include/chalkshed/job_ender.h
+++ b/include/chalkshed/job_ender.h
@@ -60,6 +60,8 @@
     /** The write was refused: another record is there, or none. */
     void handle_conflict(const ending_ptr &under_way, const StoreCommit &commit);
     void handle_written(const ending_ptr &under_way, const known_job &ended);
+    /** Answers the caller once the owner knows, or cannot be told. */
+    void acknowledge(const ending_ptr &under_way, const known_job &ended);
     void tell_owner(const ending_ptr &under_way, const known_job &ended);
 
     JobEnvironment &environment_;
--- a/include/chalkshed/row_handover.h
+++ b/include/chalkshed/row_handover.h
@@ -35,10 +35,14 @@
  * wrote, keys included, so that its address must be one that callers cannot reach. */
 class row_handover_server : public HttpHandler {
 public:
+    /** Takes a row that a peer brings. An address may have been another node's a moment ago: the
+     * taker looks whether the row concerns this one. */
+    using row_taker = std::function<void(const StoredRow &)>;
+
     /** \param given By name; they keep the values of their rows, and outlive this.
-     * \param taken Tables whose rows peers may bring; they outlive this. */
+     * \param taken Tables whose rows peers may bring. */
     row_handover_server(std::map<std::string, const TableWatcher *> given,
-                        std::map<std::string, TableWatcher *> taken)
+                        std::map<std::string, row_taker> taken)
         : given_(std::move(given)), taken_(std::move(taken)) {}
     void handle(HttpRequest request, ResponseWriterPtr writer) override;
 
@@ -47,7 +51,7 @@
     void take(const HttpRequest &request, ResponseWriter &writer) const;
 
     std::map<std::string, const TableWatcher *> given_;
-    std::map<std::string, TableWatcher *> taken_;
+    std::map<std::string, row_taker> taken_;
 };
 
 struct row_handover_knobs {
--- a/src/jobs/job_ender.cc
+++ b/src/jobs/job_ender.cc
@@ -41,10 +41,15 @@
 }
 
 void job_ender::write_end(const ending_ptr& under_way, const known_job& known) {
-  if (known.record.ended || known.record.finished) {
+  if (known.record.finished) {
     under_way->callback({});
     return;
   }
+  // Whoever wrote it may not have told the owner: its answer was lost, or it was.
+  if (known.record.ended) {
+    acknowledge(under_way, known);
+    return;
+  }
   ++under_way->tries;
   known_job ended = known;
   ended.record.ended = true;
@@ -113,6 +118,10 @@
                                      {"epoch", std::to_string(ended.record.epoch)},
                                      {"reason", "by its caller"}});
   observer_(ended);
+  acknowledge(under_way, ended);
+}
+
+void job_ender::acknowledge(const ending_ptr& under_way, const known_job& ended) {
   const bool elsewhere = !ended.record.owner.empty() && ended.record.owner != own_session_;
   if (elsewhere && notice_) {
     tell_owner(under_way, ended);
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -47,6 +47,10 @@
 
 void JobService::on_row(const StoredRow& row) {
   if (row.removed) {
+    const auto known = index_.find(row.key.key);
+    if (known != index_.end() && known->second.version > row.version) {
+      return;
+    }
     queues_.close(row.key.key);
     index_.erase(row.key.key);
     const auto owned = owned_.find(row.key.key);
@@ -64,6 +68,15 @@
   note(*record, row.version);
 }
 
+bool JobService::is_end_of_own_job(const StoredRow& row) const {
+  if (row.removed) {
+    return false;
+  }
+  const Expected<StoredJob> record = decode_job_record(row.key.key, row.value);
+  return record && record->ended && record->owner == sessions_.own_session() &&
+         row.key == stored_job_key(record->id);
+}
+
 void JobService::note(const StoredJob& record, StoreVersion version) {
   indexed_job& indexed = index_[record.id];
   if (version <= indexed.version) {
@@ -87,17 +100,18 @@
   }
 }
 
-void JobService::adopt(const StoredJob& record, StoreVersion version, LoadedJob loaded) {
+void JobService::adopt(const StoredJob& record, StoreVersion version, MonotonicTime known_since,
+                       LoadedJob loaded) {
   log(LogLevel::kInfo, "job_owned", record,
       std::to_string(loaded.listed.size()) + " results are listed, " +
           std::to_string(loaded.progress.size()) + " items continue");
   owned_entry owned;
-  owned.job =
-      std::make_unique<OwnedJob>(environment_, recorder_, record, version, std::move(loaded),
-                                 [this, id = record.id](const std::string& reason) {
-                                   environment_.serving.dispatcher.post(
-                                       lifetime_.guard([this, id, reason] { drop(id, reason); }));
-                                 });
+  owned.job = std::make_unique<OwnedJob>(
+      environment_, recorder_, record, version, known_since, std::move(loaded),
+      [this, id = record.id](const std::string& reason) {
+        environment_.serving.dispatcher.post(
+            lifetime_.guard([this, id, reason] { drop(id, reason); }));
+      });
   owned_[record.id] = std::move(owned);
   if (on_queue_changed_) {
     on_queue_changed_();
@@ -161,7 +175,8 @@
     const bool open = !outcome->record.ended && !outcome->record.finished &&
                       index_.at(outcome->record.id).version == outcome->version;
     if (outcome->accepted_here && open && !owned_.contains(outcome->record.id)) {
-      adopt(outcome->record, outcome->version, {std::move(ended->submission().items), {}, {}, {}});
+      adopt(outcome->record, outcome->version, outcome->known_since,
+            {std::move(ended->submission().items), {}, {}, {}});
     }
   });
 }
@@ -478,8 +493,9 @@
   transaction.conditions.push_back({stored_job_key(id), indexed.version});
   transaction.writes.push_back({stored_job_key(id), encode_job_record(mine)});
   environment_.store.commit(
-      std::move(transaction), lifetime_.guard([this, mine, before = indexed.record.owner](
-                                                  const Expected<StoreCommit>& commit) {
+      std::move(transaction),
+      lifetime_.guard([this, mine, sent = indexed.busy_since,
+                       before = indexed.record.owner](const Expected<StoreCommit>& commit) {
         const auto found = index_.find(mine.id);
         if (found != index_.end()) {
           note_takeover_over(found->second, commit.has_value());
@@ -499,30 +515,31 @@
         log(LogLevel::kInfo, "job_taken_over", mine,
             before.empty() ? "it was free" : "its owner " + before + " is gone");
         note(mine, commit->stamp.version);
-        load(mine, commit->stamp.version);
+        load(mine, commit->stamp.version, sent);
       }));
 }
 
-void JobService::load(const StoredJob& record, StoreVersion version) {
+void JobService::load(const StoredJob& record, StoreVersion version, MonotonicTime known_since) {
   indexed_job& indexed = index_.at(record.id);
   indexed.busy = true;
   indexed.busy_since = environment_.serving.time_source.monotonic_now();
-  loader_.load(record, lifetime_.guard([this, record, version](Expected<LoadedJob> loaded) {
-    const auto found = index_.find(record.id);
-    if (found == index_.end()) {
-      return;
-    }
-    note_takeover_over(found->second,
-                       loaded || loaded.error().kind != ErrorKind::kStoreUnavailable);
-    if (!loaded) {
-      log(LogLevel::kWarning, "job_not_loaded", record, loaded.error().message);
-      return;
-    }
-    if (found->second.version != version || owned_.contains(record.id)) {
-      return;
-    }
-    adopt(record, version, std::move(*loaded));
-  }));
+  loader_.load(record,
+               lifetime_.guard([this, record, version, known_since](Expected<LoadedJob> loaded) {
+                 const auto found = index_.find(record.id);
+                 if (found == index_.end()) {
+                   return;
+                 }
+                 note_takeover_over(found->second,
+                                    loaded || loaded.error().kind != ErrorKind::kStoreUnavailable);
+                 if (!loaded) {
+                   log(LogLevel::kWarning, "job_not_loaded", record, loaded.error().message);
+                   return;
+                 }
+                 if (found->second.version != version || owned_.contains(record.id)) {
+                   return;
+                 }
+                 adopt(record, version, known_since, std::move(*loaded));
+               }));
 }
 
 bool JobService::owns_open_jobs() const {
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -48,6 +48,8 @@
   // hold is fenced: a write of it that is under way does not succeed. Errors: kNotFound,
   // kStoreUnavailable, kOutcomeUnknown.
   void end(const std::string& job, Callback<std::monostate> callback);
+  // Whether the row ends a job that this session owns by that row.
+  bool is_end_of_own_job(const StoredRow& row) const;
   // How the owner of a job hears that another node has ended it.
   void set_owner_notice(job_ender::owner_notice notice) {
     ender_.set_owner_notice(std::move(notice));
@@ -81,7 +83,9 @@
 
   void find(const std::string& job, Found callback);
   void note(const StoredJob& record, StoreVersion version);
-  void adopt(const StoredJob& record, StoreVersion version, LoadedJob loaded);
+  // @param known_since when the write was sent by which the job became this node's.
+  void adopt(const StoredJob& record, StoreVersion version, MonotonicTime known_since,
+             LoadedJob loaded);
   void drop(const std::string& job, const std::string& reason);
   // Stops this node's share of the runs that leave online work too few slots, and then waits until
   // the slots freed by all nodes are known: otherwise the same lack is made good several times.
@@ -101,7 +105,7 @@
   // A takeover or load of the job is over.
   void note_takeover_over(indexed_job& indexed, bool answered);
   void take_over(const std::string& id);
-  void load(const StoredJob& record, StoreVersion version);
+  void load(const StoredJob& record, StoreVersion version, MonotonicTime known_since);
   void release(const std::string& id);
   void check_drained();
   ResultPage page_of(const OwnedJob& job, uint32_t from) const;
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -78,6 +78,7 @@
   transaction.conditions.push_back({job_refusal_key(record_.id), refusal_version_});
   transaction.writes.push_back(
       {job_refusal_key(record_.id), encode_job_refusal(environment_.clock.now())});
+  write_sent_ = environment_.serving.time_source.monotonic_now();
   environment_.store.commit(std::move(transaction),
                             lifetime_.guard([this, verdict](const Expected<StoreCommit>& commit) {
                               if (!ended_) {
@@ -197,6 +198,7 @@
   if (!record_.content_in_object) {
     add_content(transaction);
   }
+  write_sent_ = environment_.serving.time_source.monotonic_now();
   environment_.store.commit(
       std::move(transaction),
       lifetime_.guard([this](const Expected<StoreCommit>& commit) { handle_commit(commit); }));
@@ -225,6 +227,7 @@
     outcome.record = record_;
     outcome.version = commit->stamp.version;
     outcome.accepted_here = true;
+    outcome.known_since = write_sent_;
     finish(std::move(outcome));
     return;
   }
@@ -258,6 +261,7 @@
   outcome.record = *record;
   outcome.version = row.version;
   outcome.accepted_here = record->owner == record_.owner && record->epoch == record_.epoch;
+  outcome.known_since = write_sent_;
   finish(std::move(outcome));
 }
 
--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -19,6 +19,8 @@
   StoreVersion version = 0;
   bool accepted_here = false;     // by this submission; false: it was there before
   bool accepted_by_peer = false;  // its record is not known here yet
+  // When the write was sent whose answer told the record: the job stands as told since then.
+  MonotonicTime known_since{};
 };
 
 class JobSubmit {
@@ -71,6 +73,7 @@
   // Newest version of the store that was known as the caller sent the job: refusals and ends up to
   // it are older than the send.
   const StoreVersion newest_at_start_;
+  MonotonicTime write_sent_{};
   StoreVersion refusal_version_ = 0;          // of the row that tells of an older refusal
   std::optional<admission_verdict> refused_;  // waits until the peer has answered
   job_forwarder& forwarder_;
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -9,12 +9,13 @@
 namespace chalkshed {
 
 OwnedJob::OwnedJob(JobEnvironment& environment, failure_recorder& recorder, StoredJob record,
-                   StoreVersion version, LoadedJob loaded, OnLost on_lost)
+                   StoreVersion version, MonotonicTime known_since, LoadedJob loaded,
+                   OnLost on_lost)
     : environment_(environment),
       recorder_(recorder),
       record_(std::move(record)),
       version_(version),
-      confirmed_(environment.serving.time_source.monotonic_now()),
+      confirmed_(known_since),
       on_lost_(std::move(on_lost)),
       first_held_(static_cast<uint32_t>(loaded.listed.size())),
       commit_timer_(environment.serving.dispatcher.create_timer([this] { commit(); })),
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -24,9 +24,10 @@
   using OnLost = std::function<void(const std::string& reason)>;
 
   // @param version of the record's row.
+  // @param known_since when the write was sent by which the job became this node's.
   // @param recorder outlives the job; it records failed runs to the end though the job is given up.
   OwnedJob(JobEnvironment& environment, failure_recorder& recorder, StoredJob record,
-           StoreVersion version, LoadedJob loaded, OnLost on_lost);
+           StoreVersion version, MonotonicTime known_since, LoadedJob loaded, OnLost on_lost);
 
   const StoredJob& record() const { return record_; }
   StoreVersion version() const { return version_; }
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -46,7 +46,7 @@
                   dependencies.logger, kNodeTable, {""}, peers_, {.pace = knobs.watch.jobs}),
       row_server_(
           {{tables.configuration_table, &route_table_}, {tables.worker_table, &worker_table_}},
-          {{kStoredJobTable, &job_table_}}),
+          {{kStoredJobTable, [this](const StoredRow& row) { take_end(row); }}}),
       ended_jobs_(dependencies.dispatcher, dependencies.worker_client, dependencies.logger),
       configuration_handover_(dependencies.time_source, dependencies.worker_client,
                               dependencies.logger, tables.configuration_table, route_table_,
@@ -112,10 +112,22 @@
   ended_jobs_.deliver(*address, row, [done](bool /*confirmed*/) { done(); });
 }
 
+// What a peer says is taken only where it ends a job of this very session.
+void ServingNode::take_end(const StoredRow& row) {
+  if (jobs_.is_end_of_own_job(row)) {
+    job_table_.learn(row);
+  }
+}
+
 void ServingNode::pace_watchers() {
   const WatchKnobs& watch = knobs_.watch;
   const bool member = peers_.is_relay_member();
-  const WatchPace& configuration = member ? watch.member_configuration : watch.configuration;
+  WatchPace configuration = member ? watch.member_configuration : watch.configuration;
+  if (knobs_.longest_unconfirmed) {
+    // A lost question and its repetition fit into the time for which keys hold unconfirmed.
+    configuration.longest_wait =
+        std::min(configuration.longest_wait, *knobs_.longest_unconfirmed / 2);
+  }
   route_table_.set_pace(configuration);
   worker_table_.set_pace(member ? watch.member_workers : watch.workers);
   node_table_.set_pace(peers_.relayed() ? watch.member_jobs : watch.jobs);
@@ -127,8 +139,11 @@
   const WatchKnobs& watch = knobs_.watch;
   WatchPace pace = peers_.relayed() ? watch.member_jobs : watch.jobs;
   if (jobs_.owns_open_jobs()) {
-    pace.longest_wait = std::min(pace.longest_wait, watch.owner_jobs.longest_wait);
-    pace.gather = std::min(pace.gather, watch.owner_jobs.gather);
+    // A view is as old as its question: at most a pause and two questions that were held, together
+    // nine tenths of the age at which an owner starts nothing; the rest is for the answer to come.
+    const Duration part = knobs_.jobs.longest_view_age * 3 / 10;
+    pace.longest_wait = std::min(pace.longest_wait, part);
+    pace.gather = std::min(pace.gather, part);
   }
   job_table_.set_pace(pace);
 }
@@ -213,12 +228,18 @@
   return error;
 }
 
+// An answer of the store about anything else says nothing of the keys.
+bool ServingNode::keys_unconfirmed() const {
+  const Duration unconfirmed =
+      dependencies_.time_source.monotonic_now() - route_table_.last_heard();
+  return knobs_.longest_unconfirmed && unconfirmed > *knobs_.longest_unconfirmed;
+}
+
 Expected<caller_identity> ServingNode::identify(const RouteTable& table, const Route* route,
                                                 const std::string& request_id,
                                                 std::string_view authorization) const {
-  const Duration unconfirmed = dependencies_.time_source.monotonic_now() - clock_.last_heard();
   const bool keyed = table.tenants().enabled() && (route == nullptr || !route->open);
-  if (keyed && knobs_.longest_unconfirmed && unconfirmed > *knobs_.longest_unconfirmed) {
+  if (keyed && keys_unconfirmed()) {
     return tl::unexpected(reject(
         request_id, not_run(ErrorKind::kUnauthenticated, "no key can be confirmed", "none")));
   }
@@ -237,9 +258,7 @@
 
 Error ServingNode::reject(const std::string& request_id, Error error) const {
   constexpr Duration kUntilCurrent = std::chrono::milliseconds(200);
-  const Duration unconfirmed = dependencies_.time_source.monotonic_now() - clock_.last_heard();
-  const bool outdated = route_table_.behind() || peers_.store_lost() ||
-                        (knobs_.longest_unconfirmed && unconfirmed > *knobs_.longest_unconfirmed);
+  const bool outdated = route_table_.behind() || peers_.store_lost() || keys_unconfirmed();
   if (outdated) {
     error = not_run(ErrorKind::kUnavailable,
                     error.message +
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -61,10 +61,6 @@
                            .gather = std::chrono::seconds(1)};
   WatchPace member_jobs{.longest_wait = std::chrono::seconds(10),
                         .gather = std::chrono::milliseconds(1500)};
-  // While this node owns jobs with items to run it needs a view of them that is at most two seconds
-  // old, also when nothing changes; the rest is for the answer to arrive.
-  WatchPace owner_jobs{.longest_wait = std::chrono::milliseconds(1500),
-                       .gather = std::chrono::milliseconds(1000)};
 };
 
 struct ServingNodeKnobs {
@@ -123,6 +119,8 @@
 
  private:
   void place_soon();
+  // Whether keys may have been taken away that this node still knows, for longer than is allowed.
+  bool keys_unconfirmed() const;
   // The configuration names neither the key nor the route. That is final only if no newer one can
   // be in force.
   Error reject(const std::string& request_id, Error error) const;
@@ -130,6 +128,8 @@
   void refresh_watchers(TableWatcher& other);
   void pace_watchers();
   void pace_jobs();
+  // A peer brings the row of a job that it has ended.
+  void take_end(const StoredRow& row);
   // Brings the row of an ended job to the node that owns it.
   void tell_owner(const std::string& owner, const StoredRow& row,
                   const std::function<void()>& done);
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -416,8 +416,8 @@
   }
   const auto found = peers_.find(node_of(heartbeat->session));
   const bool known = found != peers_.end() && found->second.session == heartbeat->session;
-  if (!known && on_unknown_session_) {
-    on_unknown_session_();
+  if (!known) {
+    note_unknown_session(*heartbeat);
   }
   if (!known || heartbeat->sequence <= found->second.sequence) {
     return;
@@ -443,6 +443,24 @@
   }
 }
 
+// Of a node whose announcement is on its way; or of another system on the same addresses, whose
+// callers and workers may then meet this one's.
+void PeerExchange::note_unknown_session(const Heartbeat& heartbeat) {
+  metrics_
+      .counter("chalkshed_unknown_heartbeats_total",
+               "Heartbeats of sessions that the store does not announce to this node.", {})
+      .add(1);
+  if (on_unknown_session_) {
+    on_unknown_session_();
+  }
+  const MonotonicTime now = time_source_.monotonic_now();
+  constexpr Duration kBetweenLines = std::chrono::seconds(5);
+  if (now - unknown_logged_ >= kBetweenLines) {
+    unknown_logged_ = now;
+    logger_.write(LogLevel::kInfo, "unknown_session_heard", {{"session", heartbeat.session}});
+  }
+}
+
 void PeerExchange::take_versions(Peer& peer, const KnownVersions& known) {
   peer.known = known;
   if (on_versions_) {
@@ -469,16 +487,28 @@
                                                    : std::nullopt;
 }
 
-// A peer that is not heard may reach the store, for all that this node knows.
+// The store is taken for away only while most of all nodes, this one among them, say so themselves
+// and have said it lately. A node that is cut off hears too few; one that is dead is not missed.
 bool PeerExchange::others_may_reach_store() const {
+  if (!listed_) {
+    return true;
+  }
   const MonotonicTime now = time_source_.monotonic_now();
-  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-    const Peer& peer = entry.second;
-    const Duration unheard = now - std::max(peer.heard, peer.announced);
-    const bool gone = peer.session.empty() || unheard > knobs_.gone_after;
-    const bool silent = unheard > patience_with(peer);
-    return !gone && (silent || peer.store_silence < knobs_.store_contact);
-  });
+  size_t nodes = 1;
+  size_t without_store = 1;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.session.empty()) {
+      continue;
+    }
+    ++nodes;
+    const bool fresh = now - peer.heard <= knobs_.store_word_lifetime;
+    const bool away = peer.store_silence >= knobs_.store_contact;
+    if (fresh && !away) {
+      return true;
+    }
+    without_store += fresh && away ? 1 : 0;
+  }
+  return 2 * without_store <= nodes;
 }
 
 void PeerExchange::note_heard(Peer& peer) {
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -79,6 +79,9 @@
   // A peer whose store answered it within this time probably reaches it: with nothing to tell, the
   // store holds its answers for most of it.
   Duration store_contact = std::chrono::milliseconds(2000);
+  // What a peer says of its contact with the store counts for so long: as long as a node may start
+  // items by what it knew before.
+  Duration store_word_lifetime = std::chrono::milliseconds(2000);
   Duration announce_retry = std::chrono::milliseconds(500);
   // A peer that has been silent for so long does nothing any more that has to be counted.
   Duration gone_after = std::chrono::seconds(30);
@@ -175,6 +178,7 @@
   void tick();
   void send_heartbeats();
   void receive(std::string_view datagram);
+  void note_unknown_session(const Heartbeat& heartbeat);
   void note_heard(Peer& peer);
   void take_versions(Peer& peer, const KnownVersions& known);
   void take_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads);
@@ -249,6 +253,7 @@
   size_t far_peers_ = 0;
   MonotonicTime ticked_{};
   MonotonicTime heard_anyone_{};
+  MonotonicTime unknown_logged_{};
   load_relay relay_;
   bool was_relayed_ = false;
   uint64_t announcements_ = 0;
--- a/src/peers/session_view.h
+++ b/src/peers/session_view.h
@@ -24,7 +24,8 @@
   // @param seed draws one of several.
   // @return where callers reach a peer that probably reaches the store, or nothing.
   virtual std::optional<Address> peer_with_store(uint64_t seed) const = 0;
-  // Whether some other node may have the store, so that it may write what this node does not know.
+  // Whether some other node may have the store, so that it may write what this node does not know:
+  // unless most nodes say that they don't.
   virtual bool others_may_reach_store() const = 0;
   // Tells the others that this node takes nothing over any more.
   virtual void begin_drain() = 0;
--- a/src/watch/row_handover.cc
+++ b/src/watch/row_handover.cc
@@ -88,7 +88,6 @@
                   encode_rows(table->first, table->second->rows_after(version))});
 }
 
-// A row carries its version in the store: one that is not newer than what is known changes nothing.
 void row_handover_server::take(const HttpRequest& request, ResponseWriter& writer) const {
   const std::string_view path = request.path;
   const auto table =
@@ -103,7 +102,7 @@
     return;
   }
   for (const StoredRow& row : *rows) {
-    table->second->learn(row);
+    table->second(row);
   }
   writer.respond({kOk, {}, ""});
 }
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -86,9 +86,9 @@
     tell(row);
   }
   const bool stale = version < followed_;
+  as_of_ = stale ? as_of_ : std::max(as_of_, list_asked_);
   followed_ = version;
   listing_.clear();
-  as_of_ = std::max(as_of_, list_asked_);
   if (!std::exchange(listed_, true) || stale || !gone.empty()) {
     logger_.write(LogLevel::kInfo, "table_listed",
                   {{"table", table_},
@@ -180,7 +180,7 @@
     return;
   }
   heard();
-  confirm(follow_asked_, changes->stamp);
+  as_of_ = std::max(as_of_, follow_asked_);
   for (const StoredRow& row : changes->rows) {
     tell(row);
   }
@@ -222,16 +222,6 @@
   }
 }
 
-// The store may have held the question back: its stamp says when it answered. The answer that took
-// least time to arrive tells best how far ahead its clock is, and no answer is older than its
-// question, whatever the clock says.
-void TableWatcher::confirm(MonotonicTime asked, const StoreStamp& stamp) {
-  const Duration ahead = stamp.steady_clock - time_source_.monotonic_now().time_since_epoch();
-  store_ahead_ = std::max(store_ahead_.value_or(ahead), ahead);
-  const MonotonicTime answered{stamp.steady_clock - *store_ahead_};
-  as_of_ = std::max({as_of_, asked, answered});
-}
-
 void TableWatcher::retry(const Error& error, std::function<void()> action) {
   if (failures_++ == 0) {
     logger_.write(LogLevel::kWarning, "store_lost", {{"table", table_}, {"reason", error.message}});
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -85,8 +84,9 @@
   // Whether the last call failed, and since when the store has not answered.
   bool disconnected() const { return failures_ > 0; }
   MonotonicTime last_heard() const { return last_heard_; }
-  // What is known here is the table as it stood so long ago, or newer. Grows until the store
-  // answers the next question; infinite in effect until the table has been listed.
+  // What is known here is the table as it stood so long ago, or newer: since the last question that
+  // has been answered was asked. Only the store's clock could tell when it made an answer, and that
+  // may drift, jump or be read late. Infinite in effect until the table has been listed.
   Duration age() const { return time_source_.monotonic_now() - as_of_; }
 
  private:
@@ -107,8 +107,6 @@
   void retry(const Error& error, std::function<void()> action);
   void heard();
   void check_hint();
-  // The table is known as it stood when the store made this answer, to a question asked then.
-  void confirm(MonotonicTime asked, const StoreStamp& stamp);
 
   TimeSource& time_source_;
   WatchedStore& store_;
@@ -135,10 +133,9 @@
   std::function<void()> on_regained_;
   std::function<void(StoreVersion)> on_missed_;
   MonotonicTime last_heard_{};
-  MonotonicTime as_of_{};       // this node's clock as the store answered last
+  MonotonicTime as_of_{};       // when the last question that has been answered was asked
   MonotonicTime list_asked_{};  // when the list under way began
   MonotonicTime follow_asked_{};
-  std::optional<Duration> store_ahead_;  // the store's clock against this node's, at the least
   std::function<void()> retry_action_;
   TimerPtr retry_timer_;
   TimerPtr hint_timer_;
--- /dev/null
+++ b/tests/jobs/stale_view_test.cc
@@ -0,0 +1,235 @@
+// An owner that looks at the age of its view can still be wrong about it: the age counted from the
+// end of a load, peers that were heard last during an outage or not for half a minute, an end that
+// was written without a notice, a notice that was meant for another node. Each order of events
+// began items of an ended job, or stopped a job that nobody had ended.
+#include <gtest/gtest.h>
+
+#include "chalkshed/row_handover.h"
+#include "src/jobs/job_rows.h"
+#include "tests/serving/partly_deaf_node.h"
+
+namespace chalkshed {
+namespace {
+
+constexpr Duration kCancelBound = seconds(3);
+
+class StaleViewTest : public testing::Test {
+ protected:
+  void submit(ServingCluster& cluster, const std::string& node, size_t items) {
+    cluster.node(node).jobs().submit(
+        cluster.job("j1", items),
+        [&](const Expected<std::monostate>& told) { accepted = accepted || told.has_value(); });
+  }
+  void begin_job(ServingCluster& cluster, size_t items = 200) {
+    cluster.answer_all(5, milliseconds(50));
+    submit(cluster, "n0", items);
+    cluster.clock.run_for(milliseconds(600));
+    ASSERT_TRUE(accepted);
+    ASSERT_GT(cluster.workers.calls.size(), 0U);
+  }
+  MonotonicTime end_job(ServingCluster& cluster, const std::string& node) {
+    std::optional<MonotonicTime> acknowledged;
+    cluster.node(node).jobs().end("j1", [&](const Expected<std::monostate>& told) {
+      if (told) {
+        acknowledged = cluster.clock.monotonic_now();
+      }
+    });
+    for (int step = 0; step < 500 && !acknowledged; ++step) {
+      cluster.clock.run_for(milliseconds(10));
+    }
+    EXPECT_TRUE(acknowledged) << "the end was not acknowledged";
+    return acknowledged.value_or(cluster.clock.monotonic_now());
+  }
+  size_t begun_beyond_bound(ServingCluster& cluster, MonotonicTime acknowledged, Duration watched) {
+    const Duration left = acknowledged + kCancelBound - cluster.clock.monotonic_now();
+    cluster.clock.run_for(std::max(left, Duration(0)));
+    const size_t before = cluster.workers.calls.size();
+    cluster.clock.run_for(watched);
+    return cluster.workers.calls.size() - before;
+  }
+  bool accepted = false;
+};
+
+// The owner is cut off from store and peers, the job is ended. After gone_after (30 s) all peers
+// count as gone, so that nobody "may reach the store", and the owner starts items again.
+TEST_F(StaleViewTest, AnOwnerThatHasHeardNobodyForLongStartsNothing) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.nodes.at("n0")->store.set_cut(true);
+  cluster.hub.cut.insert(cluster.nodes.at("n0")->address);
+  cluster.peers_answer = false;
+  cluster.clock.run_for(milliseconds(100));
+  const MonotonicTime acknowledged = end_job(cluster, "n1");
+  EXPECT_EQ(begun_beyond_bound(cluster, acknowledged, seconds(45)), 0U);
+}
+
+// The same with an owner that stood still for that long: it starts items before it reads anything.
+TEST_F(StaleViewTest, AnOwnerThatStoodStillForLongStartsNothing) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.nodes.at("n0")->dispatcher.freeze();
+  const MonotonicTime acknowledged = end_job(cluster, "n1");
+  cluster.clock.run_for(seconds(40));
+  const size_t before = cluster.workers.calls.size();
+  cluster.nodes.at("n0")->dispatcher.thaw();
+  cluster.clock.run_for(seconds(3));
+  EXPECT_EQ(cluster.workers.calls.size() - before, 0U);
+  EXPECT_GT(cluster.clock.monotonic_now() - acknowledged, seconds(40));
+}
+
+// The store is away for all, so that batch goes on by an old view. The owner is cut off from its
+// peers too, the store comes back for the others, and one of them acknowledges an end. The owner
+// believes what the peers said of their store last for up to six seconds.
+TEST_F(StaleViewTest, AnOwnerThatIsCutOffDuringAnOutageStartsNothingWhenItHasEnded) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.shared.trouble.silent = true;
+  cluster.clock.run_for(seconds(5));
+  cluster.nodes.at("n0")->store.set_cut(true);
+  cluster.hub.cut.insert(cluster.nodes.at("n0")->address);
+  cluster.peers_answer = false;
+  cluster.shared.trouble.silent = false;
+  cluster.shared.wake_followers();
+  const MonotonicTime acknowledged = end_job(cluster, "n1");
+  EXPECT_EQ(begun_beyond_bound(cluster, acknowledged, seconds(6)), 0U);
+}
+
+// The node that takes a job over follows nothing any more (the answers to its questions are lost),
+// its other calls are answered, each read a second late: it loads the job in four reads. Another
+// node ends the job meanwhile. What the load rests on is as old as the takeover, but counts as new
+// when the load has ended.
+TEST_F(StaleViewTest, ATakeoverIsAsOldAsItsWriteNotAsItsLoad) {
+  ServingCluster cluster(2);
+  PartlyDeafNode taker(cluster, "n8");
+  cluster.clock.run_for(seconds(1));
+  begin_job(cluster);
+  cluster.peers_answer = false;
+  cluster.nodes.at("n1")->dispatcher.freeze();
+  cluster.kill_node("n0");
+  taker.store.reads_take = milliseconds(1000);
+  const auto epoch = [&] {
+    const RangePage page = cluster.shared.rows.read(
+        {stored_job_key("j1").table, stored_job_key("j1").partition, "", "", 500});
+    return page.rows.empty() ? 0 : decode_job_record("j1", page.rows.front().value)->epoch;
+  };
+  for (int step = 0; step < 3000 && epoch() == 1; ++step) {
+    cluster.clock.run_for(milliseconds(10));
+  }
+  ASSERT_EQ(epoch(), 2U);
+  taker.store.deaf = true;
+  cluster.nodes.at("n1")->dispatcher.thaw();
+  cluster.clock.run_for(milliseconds(100));
+  const MonotonicTime acknowledged = end_job(cluster, "n1");
+  EXPECT_EQ(begun_beyond_bound(cluster, acknowledged, seconds(8)), 0U);
+}
+
+// The first end is written, its answer is lost; the caller ends the job again at the same node,
+// which acknowledges what it knows and tells the owner nothing.
+TEST_F(StaleViewTest, TheOwnerIsToldAlsoWhenTheEndIsWrittenAlready) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.nodes.at("n0")->store.set_cut(true);
+  cluster.shared.trouble.lose_commits = true;
+  cluster.node("n1").jobs().end("j1", [](const Expected<std::monostate>&) {});
+  cluster.clock.run_for(milliseconds(100));
+  cluster.shared.trouble = StoreTrouble();
+  end_job(cluster, "n1");
+  const size_t before = cluster.workers.calls.size();
+  cluster.clock.run_for(seconds(2));
+  EXPECT_EQ(cluster.workers.calls.size() - before, 0U);
+}
+
+// A node has died, then the store falls silent for all: nobody can acknowledge an end, but the dead
+// node counts as one that may reach the store.
+TEST_F(StaleViewTest, ItemsStartWhileTheStoreIsDownForAllThoughANodeHasDied) {
+  ServingCluster cluster(3);
+  begin_job(cluster);
+  cluster.kill_node("n2");
+  cluster.clock.run_for(seconds(4));
+  cluster.shared.trouble.silent = true;
+  cluster.clock.run_for(seconds(5));
+  const size_t before = cluster.workers.calls.size();
+  cluster.clock.run_for(seconds(2));
+  EXPECT_GT(cluster.workers.calls.size(), before);
+}
+
+// A row that was meant for another node comes to the owner's address (an address or port that was
+// another node's, or another deployment's with the same ids, a moment ago). It is no end of this
+// owner's job, and what the store says later must count.
+TEST_F(StaleViewTest, ARowForAnotherOwnerDoesNotEndAJob) {
+  ServingCluster cluster(3);
+  begin_job(cluster, 100);
+  const RangePage page = cluster.shared.rows.read(
+      {stored_job_key("j1").table, stored_job_key("j1").partition, "", "", 500});
+  StoredJob other = *decode_job_record("j1", page.rows.front().value);
+  other.owner = "n7#1";
+  other.ended = true;
+  const StoredRow row{stored_job_key("j1"), encode_job_record(other), 1'000'000, false};
+  HttpRequest brought;
+  brought.method = "POST";
+  brought.path = rows_path(row.key.table);
+  brought.body = encode_rows(row.key.table, {row});
+  cluster.node("n0").peer_handler().handle(
+      brought, std::make_unique<FakeWriter>(std::make_shared<SeenAnswer>()));
+  cluster.clock.run_for(seconds(30));
+  EXPECT_EQ(cluster.workers.calls.size(), 100U) << "the job was given up, and nobody took it";
+}
+
+// The platform leaves less time for an end: the view must be newer, but is asked for as seldom.
+TEST_F(StaleViewTest, AnItemThatWaitedStartsSoonAlsoWhereEndsAreToActSooner) {
+  ServingCluster cluster(0, 1);
+  ServingNodeKnobs knobs;
+  knobs.jobs.longest_view_age = milliseconds(500);  // bounds.cancel_ms=1500 or less
+  cluster.nodes["n0"] = std::make_unique<ClusterNode>(cluster.clock, cluster.shared,
+                                                      cluster.workers, cluster.hub, "n0", 1, knobs);
+  cluster.start_node("n1");
+  cluster.clock.run_for(seconds(1));
+  for (int number = 0; number < 4; ++number) {
+    cluster.request("/fixed/x", "r" + std::to_string(number));
+  }
+  submit(cluster, "n0", 1);
+  cluster.clock.run_for(milliseconds(300));
+  ASSERT_TRUE(accepted);
+  Duration blocked{0};
+  cluster.clock.run_for(milliseconds(600));
+  ASSERT_EQ(cluster.workers.calls.size(), 4U);
+  for (ScriptedCall& call : cluster.workers.calls) {
+    call.begin();
+    call.event(1);
+    call.end();
+  }
+  for (; cluster.workers.calls.size() < 5 && blocked < seconds(5); blocked += milliseconds(10)) {
+    cluster.clock.run_for(milliseconds(10));
+  }
+  EXPECT_LE(blocked, milliseconds(200));
+}
+
+// The store's feed is down for a node, its transactions are answered. A job of which nothing runs
+// at the moment writes nothing, so that nothing confirms it: it waits for as long as the feed is
+// down.
+TEST_F(StaleViewTest, AJobStartsWhileTheStoreAnswersItsOwnersTransactions) {
+  ServingCluster cluster(2, 1);
+  PartlyDeafNode owner(cluster, "n8");
+  cluster.clock.run_for(seconds(1));
+  for (int number = 0; number < 4; ++number) {
+    cluster.request("/fixed/x", "r" + std::to_string(number));
+  }
+  owner.node.jobs().submit(cluster.job("j1", 1), [&](const Expected<std::monostate>& told) {
+    accepted = told.has_value();
+  });
+  cluster.clock.run_for(milliseconds(300));
+  ASSERT_TRUE(accepted);
+  owner.store.deaf = true;
+  cluster.clock.run_for(seconds(4));
+  ASSERT_EQ(cluster.workers.calls.size(), 4U);
+  for (ScriptedCall& call : cluster.workers.calls) {
+    call.begin();
+    call.event(1);
+    call.end();
+  }
+  cluster.clock.run_for(seconds(15));
+  EXPECT_EQ(cluster.workers.calls.size(), 5U);
+}
+
+}  // namespace
+}  // namespace chalkshed
--- /dev/null
+++ b/tests/serving/partly_deaf_node.h
@@ -0,0 +1,69 @@
+// A node of a serving cluster that the store answers only in part: its questions about changes are
+// not answered while its other calls are.
+#pragma once
+
+#include "tests/serving/serving_cluster.h"
+
+namespace chalkshed {
+
+class PartlyDeafStore : public WatchedStore {
+ public:
+  PartlyDeafStore(WatchedStore& inner, Dispatcher& dispatcher)
+      : inner_(inner), dispatcher_(dispatcher) {}
+  void read_range(RangeRead range, Callback<RangePage> callback) override {
+    call_after(dispatcher_, reads_take,
+               [this, range, callback] { inner_.read_range(range, callback); });
+  }
+  void read_changes(std::string table, StoreVersion since, Duration wait,
+                    Callback<TableChanges> callback) override {
+    inner_.read_changes(
+        std::move(table), since, wait, [this, callback](const Expected<TableChanges>& changes) {
+          if (deaf) {
+            callback(tl::unexpected(
+                not_run(ErrorKind::kStoreUnavailable, "the answer was lost", "ask again")));
+            return;
+          }
+          callback(changes);
+        });
+  }
+  void commit(StoreTransaction transaction, Callback<StoreCommit> callback) override {
+    inner_.commit(std::move(transaction), std::move(callback));
+  }
+  bool deaf = false;
+  Duration reads_take{0};
+
+ private:
+  WatchedStore& inner_;
+  Dispatcher& dispatcher_;
+};
+
+struct PartlyDeafNode {
+  PartlyDeafNode(ServingCluster& cluster, const std::string& name,
+                 const ServingNodeKnobs& knobs = {})
+      : address{name, 7660},
+        dispatcher(cluster.clock),
+        inner(cluster.shared, cluster.clock, dispatcher),
+        store(inner, dispatcher),
+        datagrams(cluster.hub, address),
+        calls(cluster.workers, name + "#99"),
+        node({name, name + "#99", "zone-a", address, kCallerPort},
+             {cluster.clock, dispatcher, random, store, inner, calls, datagrams, request_wire(),
+              job_wire(), logger, metrics},
+             {platform::kOperatorTable, platform::kConfigurationKey, &platform::decode_routes,
+              platform::kWorkerTable, &platform::decode_worker},
+             knobs) {
+    node.start();
+  }
+  Address address;
+  VirtualDispatcher dispatcher;
+  SeededRandomGenerator random{99};
+  NullLogger logger;
+  NullMetricsRegistry metrics;
+  MemoryWatchedStore inner;
+  PartlyDeafStore store;
+  HubDatagrams datagrams;
+  NodeCalls calls;
+  ServingNode node;
+};
+
+}  // namespace chalkshed
