Property of the online path: surplus answers that come where the next answer is due

Cause: the stub worker sent a second answer at once only; workers also send it in the place of the next.

--- a/tests/online_path/raw_worker.h
+++ b/tests/online_path/raw_worker.h
@@ -1,6 +1,7 @@
 /** \file
  * A worker that reads requests byte for byte and answers in all the ways that workers do: before it
- * has read the body, in parts, twice, never, with a refusal, or by breaking the connection.
+ * has read the body, in parts, twice at once or where the next answer is due, never, with a
+ * refusal, or by breaking the connection.
  */
 #pragma once
 
@@ -114,6 +115,7 @@
         kAnswerUntilClose,
         kAnswerAndClose,
         kAnswerTwice,
+        kAnswerAgainLater,
         kRefuse,
         kRefuseWithoutTheMark,
         kStaySilent,
@@ -131,6 +133,7 @@
         size_t answer_after = 0; // bytes of the body
         size_t most_read = 0;    // a turn
         bool answered = false;
+        std::string surplus; // sent where the answer to the next request is due
         bool close_when_sent = false;
     };
 
@@ -184,6 +187,7 @@
         one.input.erase(0, end + 4);
         one.how = static_cast<behaviour>(random_.below(static_cast<uint64_t>(behaviour::kCount)));
         one.answered = false;
+        one.output += std::exchange(one.surplus, "");
         const uint64_t when = random_.below(3);
         const size_t size = one.request->body_size;
         one.answer_after = when == 0 ? size : when == 1 ? 0 : random_.below(size + 1);
@@ -228,6 +232,10 @@
         case behaviour::kAnswerTwice:
             one.output += whole + whole;
             break;
+        case behaviour::kAnswerAgainLater:
+            one.output += whole;
+            one.surplus = whole;
+            break;
         case behaviour::kStaySilent:
             break;
         case behaviour::kClose:
