chalkshed-explain tells who had sent what a back end saw

Cause: from an id in a back end's log the timeline lists the lines that name it, but an item's lines don't name the job's acceptance, refusals and end, and nothing said that nobody had sent an id. Change: the first line of the output leads from the id to the caller's request, to the job of an item with its acceptance, refusal and end, or says that no line tells of a send. Limit: starts of items are logged at the level debug; at info an item is found only by its failures, preemption or loss.

--- a/apps/chalkshed_explain_main.cc
+++ b/apps/chalkshed_explain_main.cc
@@ -13,7 +13,8 @@
 
 Reads structured logs of any number of nodes (files, or standard input without any) and prints, in
 order of time, the lines that name the id (marked *), and around them what the nodes concerned
-learned of the store, the configuration, other nodes and the workers asked.
+learned of the store, the configuration, other nodes and the workers asked. The first line tells who
+had sent what a back end saw under the id.
 See docs/OPERATIONS.md.
 
 Usage:
@@ -55,13 +56,14 @@
   const std::string id = arguments.at("<id>").asString();
   const std::vector<LogLine> timeline = make_timeline(lines, id);
   if (timeline.empty()) {
-    std::cerr << "chalkshed-explain: no line names " << id
+    std::cerr << "chalkshed-explain: " << describe_origin(lines, id)
               << "; give the logs of all nodes, from before it was sent\n";
     return kExitNothingFound;
   }
   if (arguments.at("--json").asBool()) {
     print_timeline_json(timeline, std::cout);
   } else {
+    std::cout << describe_origin(lines, id) << '\n';
     print_timeline(timeline, std::cout);
   }
   return 0;
--- a/src/explain/timeline.cc
+++ b/src/explain/timeline.cc
@@ -48,8 +48,57 @@
   return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
+// @return the earliest line of which `matches` holds, or null.
+template <typename Matches>
+const LogLine* first_line(const std::vector<LogLine>& lines, const Matches& matches) {
+  const LogLine* first = nullptr;
+  for (const LogLine& line : lines) {
+    if (matches(line) && (first == nullptr || line.time < first->time)) {
+      first = &line;
+    }
+  }
+  return first;
+}
+
+const LogLine* first_of_job(const std::vector<LogLine>& lines, std::string_view job,
+                            std::string_view event) {
+  return first_line(
+      lines, [&](const LogLine& line) { return line.event == event && line.field("job") == job; });
+}
+
+std::string place_of(const LogLine& line) { return "by " + line.node + " at " + line.time; }
+
+std::string describe_job(const std::vector<LogLine>& lines, const std::string& job) {
+  std::string text = "job " + job;
+  const LogLine* accepted = first_of_job(lines, job, "job_accepted");
+  const LogLine* refused = first_of_job(lines, job, "job_not_accepted");
+  const LogLine* ended = first_of_job(lines, job, "job_ended");
+  text += accepted == nullptr ? ", whose acceptance no line tells"
+                              : ", accepted " + place_of(*accepted);
+  text += refused == nullptr ? "" : ", not accepted " + place_of(*refused);
+  text += ended == nullptr ? "" : ", ended " + place_of(*ended);
+  return text;
+}
+
 }  // namespace
 
+std::string describe_origin(const std::vector<LogLine>& lines, const std::string& id) {
+  const LogLine* first = first_line(lines, [&](const LogLine& line) {
+    return line.field("request") == id || line.field("job") == id;
+  });
+  if (first == nullptr) {
+    return id + ": no line tells that anybody sent it (starts of items stand at the level debug)";
+  }
+  const std::string job(first->field("job"));
+  if (job == id) {
+    return id + " is " + describe_job(lines, job);
+  }
+  if (!job.empty()) {
+    return id + " is an item of " + describe_job(lines, job);
+  }
+  return id + " is a request of a caller, first logged " + place_of(*first);
+}
+
 std::string_view LogLine::field(std::string_view name) const {
   const auto found = std::find_if(fields.begin(), fields.end(),
                                   [&](const LogLineField& entry) { return entry.name == name; });
--- a/src/explain/timeline.h
+++ b/src/explain/timeline.h
@@ -41,6 +41,10 @@
 // time.
 std::vector<LogLine> make_timeline(const std::vector<LogLine>& lines, const std::string& id);
 
+// @return in a sentence who had sent what a back end saw under `id`: the caller of a request, the
+// job of an item with its acceptance and its end, or nobody as far as the lines tell.
+std::string describe_origin(const std::vector<LogLine>& lines, const std::string& id);
+
 // Prints one line each, with seconds since the first that names the id.
 void print_timeline(const std::vector<LogLine>& timeline, std::ostream& output);
 // Prints one JSON object a line.
--- a/tests/explain/timeline_test.cc
+++ b/tests/explain/timeline_test.cc
@@ -63,5 +63,30 @@
       make_timeline(parse({R"({"time":"2026-12-02T10:00:00Z","event":"e"})"}), "r").empty());
 }
 
+TEST(DescribeOriginTest, LeadsFromWhatABackEndSawToWhoSentIt) {
+  const std::vector<LogLine> lines = parse({
+      R"({"time":"2026-12-02T10:00:04Z","node":"n2","event":"item_started","job":"j1","request":"a"})",
+      R"({"time":"2026-12-02T10:00:03Z","node":"n1","event":"job_ended","request":"j1","job":"j1"})",
+      R"({"time":"2026-12-02T10:00:01Z","node":"n1","event":"job_accepted","request":"j1","job":"j1"})",
+      R"({"time":"2026-12-02T10:00:02Z","node":"n2","event":"item_started","job":"j2","request":"b"})",
+      R"({"time":"2026-12-02T10:00:01Z","node":"n3","event":"job_not_accepted","request":"j2","job":"j2"})",
+      R"({"time":"2026-12-02T10:00:05Z","node":"n3","event":"request_sent","request":"r1"})",
+  });
+  const auto is = [&](const std::string& id, const std::string& text) {
+    EXPECT_EQ(describe_origin(lines, id), id + text);
+  };
+  is("a",
+     " is an item of job j1, accepted by n1 at 2026-12-02T10:00:01Z, ended by n1 at "
+     "2026-12-02T10:00:03Z");
+  is("b",
+     " is an item of job j2, whose acceptance no line tells, not accepted by n3 at "
+     "2026-12-02T10:00:01Z");
+  is("r1", " is a request of a caller, first logged by n3 at 2026-12-02T10:00:05Z");
+  is("j1",
+     " is job j1, accepted by n1 at 2026-12-02T10:00:01Z, ended by n1 at "
+     "2026-12-02T10:00:03Z");
+  is("x", ": no line tells that anybody sent it (starts of items stand at the level debug)");
+}
+
 }  // namespace
 }  // namespace chalkshed
