--- a/tests/job_queue/refusal_property_test.cc
+++ b/tests/job_queue/refusal_property_test.cc
@@ -36,9 +36,9 @@
   uint32_t pause_ms = 0;
 };
 
-void showValue(const Step& step, std::ostream& out) {
-  out << "event " << static_cast<int>(step.event) << " job " << step.job << " node " << step.node
-      << " pause " << step.pause_ms << '\n';
+std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << "event " << static_cast<int>(step.event) << " job " << step.job << " node "
+             << step.node << " pause " << step.pause_ms << '\n';
 }
 
 rc::Gen<Step> any_step() {
