--- /dev/null
+++ b/tests/soak/fleet/coordinator.cc
@@ -0,0 +1,598 @@
+#include "tests/soak/fleet/coordinator.h"
+
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "platform/record_codec.h"
+
+namespace chalkshed::soak {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char *kHost = "fleet.example";
+constexpr const char *kSourceLibrary = "libchalkshed_soak_source.so";
+constexpr Duration kStopGrace = seconds(8);
+constexpr Duration kComesUp = seconds(90);
+constexpr Duration kBetweenStarts = milliseconds(30);
+constexpr Duration kLookAgain = milliseconds(200);
+constexpr Duration kCalm = seconds(4);
+
+int64_t in_ms(Duration duration) {
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+const char *kind_name(route_kind kind) {
+    switch (kind) {
+    case route_kind::kStreaming:
+        return "streaming";
+    case route_kind::kIdempotent:
+        return "idempotent";
+    case route_kind::kNonIdempotent:
+        return "non_idempotent";
+    case route_kind::kBatch:
+        return "batch";
+    }
+    return "";
+}
+
+json encode_route(const route_options &route, const std::string &service) {
+    json fields = {{"name", route.name},
+                   {"host", kHost},
+                   {"path_prefix", "/" + route.name + "/"},
+                   {"kind", kind_name(route.kind)},
+                   {"timeout_ms", in_ms(route.timeout)},
+                   {"target_ms", in_ms(route.target)},
+                   {"run_target_ms", in_ms(route.run_target)},
+                   {"retention_s", in_ms(route.retention) / 1000},
+                   {"attempts", route.attempts},
+                   {"priority", route.priority},
+                   {"resumable", route.resumable},
+                   {"service", service}};
+    if (route.max_queued_tokens) {
+        fields["max_queued_tokens"] = *route.max_queued_tokens;
+    }
+    return fields;
+}
+
+std::string rig_folder() {
+    return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+}
+
+uint64_t memory_mb(pid_t process) {
+    std::ifstream file("/proc/" + std::to_string(process) + "/statm");
+    uint64_t total = 0;
+    uint64_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<uint64_t>(sysconf(_SC_PAGESIZE)) >> 20U;
+}
+
+} // namespace
+
+const std::map<std::string, coordinator::fault_function> &coordinator::fault_functions() {
+    static const std::map<std::string, fault_function> kFunctions = {
+        {"node_kill", &coordinator::kill_node},
+        {"node_kill_all", &coordinator::kill_all_nodes},
+        {"node_freeze", &coordinator::freeze_node},
+        {"node_stop", &coordinator::stop_node},
+        {"node_reload", &coordinator::reload_node},
+        {"node_replace", &coordinator::replace_node},
+        {"store_refuse", &coordinator::refuse_at_store},
+        {"store_slow", &coordinator::slow_store},
+        {"store_cut", &coordinator::cut_from_store},
+        {"store_lose_answers", &coordinator::lose_answers},
+        {"store_late", &coordinator::late_commits},
+        {"store_forget", &coordinator::forget_history},
+        {"route_move", &coordinator::move_route},
+    };
+    return kFunctions;
+}
+
+coordinator::coordinator(fleet_options options)
+    : options_(std::move(options)), process_(options_.role, {options_.role.layout.ip(249), 18000}) {
+    for (const route_options &route : options_.role.plan.routes) {
+        services_[route.name] = route.service;
+    }
+}
+
+coordinator::~coordinator() {
+    for (const child &each : children_) {
+        kill(each.process, SIGKILL);
+        waitpid(each.process, nullptr, 0);
+    }
+}
+
+bool coordinator::run() {
+    const deployment &plan = options_.role.plan;
+    const fleet_layout &layout = options_.role.layout;
+    start_child("store", 0, layout.store_control());
+    for (uint64_t number = 0; number < plan.worker_processes; ++number) {
+        start_child("workers", number, layout.worker_control(number));
+    }
+    for (uint64_t number = 0; number < plan.callers.processes; ++number) {
+        start_child("callers", number, layout.caller_control(number));
+    }
+    process_.later(kComesUp, [this] {
+        if (!loaded_) {
+            process_.stop(); // nothing can be tested
+        }
+    });
+    wait_for_children();
+    process_.run();
+    return came_up_;
+}
+
+void coordinator::start_child(const std::string &role, uint64_t number, const Address &control) {
+    const std::vector<std::string> words = {
+        "chalkshed-soak",
+        "--deployment=" + options_.role.file,
+        "--program=" + options_.program,
+        "--folder=" + options_.role.folder,
+        "--seed=" + std::to_string(options_.role.seed),
+        "--network=" + std::to_string(options_.role.layout.network),
+        "--role=" + role,
+        "--number=" + std::to_string(number)};
+    std::vector<char *> arguments;
+    for (const std::string &word : words) {
+        arguments.push_back(const_cast<char *>(word.c_str()));
+    }
+    arguments.push_back(nullptr);
+    const pid_t process = fork();
+    if (process == 0) {
+        // Must not outlive the coordinator.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        execv("/proc/self/exe", arguments.data());
+        constexpr int kNotStarted = 127;
+        _exit(kNotStarted);
+    }
+    children_.push_back({process, role, control});
+}
+
+void coordinator::wait_for_children() {
+    if (children_ready_ == children_.size()) {
+        handle_child_ready();
+        return;
+    }
+    send_command(process_.client, children_[children_ready_].control, "ping", json::object(),
+                 [this](const Expected<HttpResponse> &answer) {
+                     children_ready_ += answer ? 1 : 0;
+                     process_.later(answer ? Duration(0) : milliseconds(50),
+                                    [this] { wait_for_children(); });
+                 });
+}
+
+void coordinator::handle_child_ready() {
+    write_configuration();
+    tell_all("workers", "register", "{}");
+    process_.later(milliseconds(500), [this] { start_nodes(); });
+}
+
+void coordinator::start_nodes() {
+    const uint64_t nodes = options_.role.plan.nodes;
+    for (uint64_t number = 0; number < nodes; ++number) {
+        process_.later(kBetweenStarts * number, [this, number] { start_node(number); });
+    }
+    process_.later(kBetweenStarts * nodes, [this] {
+        keep_nodes_running();
+        wait_for_nodes();
+    });
+}
+
+void coordinator::start_node(uint64_t number) {
+    const deployment &plan = options_.role.plan;
+    node_options node;
+    node.program = options_.program;
+    node.folder = options_.role.folder;
+    node.name = "node-" + std::to_string(number);
+    node.zone = plan.zones[number % plan.zones.size()];
+    node.ip = options_.role.layout.node_ip(number);
+    node.store = options_.role.layout.store();
+    node.log_level = options_.log_level;
+    node.preload = rig_folder() + "/" + kSourceLibrary;
+    nodes_.push_back(std::make_unique<node_process>(std::move(node)));
+    restart(*nodes_.back());
+}
+
+void coordinator::restart(node_process &node) {
+    node.start();
+    node_start entry;
+    entry.at = process_.now();
+    entry.name = node.name();
+    entry.ip = node.callers().ip;
+    entry.pid = node.process();
+    process_.note(entry);
+}
+
+void coordinator::wait_for_nodes() {
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/readiness";
+    const auto waiting = std::make_shared<size_t>(nodes_.size());
+    const auto ready = std::make_shared<size_t>(0);
+    for (const auto &node : nodes_) {
+        process_.client.fetch(node->readiness(), request, {},
+                              [this, waiting, ready](const Expected<HttpResponse> &answer) {
+                                  *ready += answer && answer->status == 200 ? 1 : 0;
+                                  if (--*waiting > 0) {
+                                      return;
+                                  }
+                                  const bool all = *ready == nodes_.size();
+                                  process_.later(all ? kCalm : kLookAgain, [this, all] {
+                                      all ? begin_load() : wait_for_nodes();
+                                  });
+                              });
+    }
+}
+
+void coordinator::begin_load() {
+    loaded_ = came_up_ = true;
+    first_memory_mb_ = largest_node_mb();
+    tell_all("", "measure", "{}");
+    tell_all("callers", "begin", "{}");
+    for (const fault_options &fault : options_.role.plan.faults) {
+        plan_fault(fault);
+    }
+    process_.later(options_.role.plan.length, [this] { end_load(); });
+}
+
+void coordinator::end_load() {
+    load_ended_ = process_.now();
+    last_memory_mb_ = largest_node_mb();
+    store_ = {};
+    send_troubles();
+    tell_all("workers", "heal", "{}");
+    tell_all("callers", "end", "{}");
+    process_.later(seconds(1), [this] { wait_for_jobs(); });
+}
+
+/** Until nothing is under way, or the time to settle is over. */
+void coordinator::wait_for_jobs() {
+    const bool late = process_.now() - load_ended_ > options_.role.plan.settle;
+    if (late) {
+        end_run();
+        return;
+    }
+    const auto waiting = std::make_shared<uint64_t>(options_.role.plan.callers.processes);
+    const auto open = std::make_shared<uint64_t>(0);
+    for (const child &each : children_) {
+        if (each.role != "callers") {
+            continue;
+        }
+        send_command(process_.client, each.control, "open", json::object(),
+                     [this, waiting, open](const Expected<HttpResponse> &answer) {
+                         const json counts =
+                             answer ? json::parse(answer->body, nullptr, false) : json();
+                         *open += counts.is_object() ? counts.value("calls", uint64_t{0}) +
+                                                           counts.value("jobs", uint64_t{0})
+                                                     : 1;
+                         if (--*waiting > 0) {
+                             return;
+                         }
+                         // What must not run any more is watched a while longer.
+                         const bool done = *open == 0;
+                         process_.later(done ? 2 * kCalm : milliseconds(500), [this, done] {
+                             done ? end_run() : wait_for_jobs();
+                         });
+                     });
+    }
+}
+
+void coordinator::end_run() {
+    ending_ = true;
+    tell_all("", "stop", "{}");
+    process_.later(seconds(1), [this] {
+        stop_children();
+        process_.stop();
+    });
+}
+
+void coordinator::stop_children() {
+    for (const child &each : children_) {
+        waitpid(each.process, nullptr, 0);
+    }
+    children_.clear();
+    nodes_.clear();
+}
+
+/** \param role All roles when empty. */
+void coordinator::tell_all(const std::string &role, const std::string &name,
+                           const std::string &fields) {
+    for (const child &each : children_) {
+        if (role.empty() || each.role == role) {
+            send_command(process_.client, each.control, name, json::parse(fields),
+                         [](const Expected<HttpResponse> & /*answer*/) {});
+        }
+    }
+}
+
+void coordinator::write_configuration() {
+    const deployment &plan = options_.role.plan;
+    json routes = json::array();
+    for (const route_options &route : plan.routes) {
+        routes.push_back(encode_route(route, services_.at(route.name)));
+    }
+    json services = json::array();
+    for (const service_options &service : plan.services) {
+        services.push_back({{"name", service.name}, {"max_conns", 430}});
+    }
+    const uint64_t version = ++version_;
+    const json configuration = {{"version", version}, {"routes", routes}, {"services", services}};
+    const json row = {{"table", platform::kOperatorTable},
+                      {"key", platform::kConfigurationKey},
+                      {"value", configuration.dump()}};
+    send_command(process_.client, options_.role.layout.store_control(), "put", row,
+                 [this, version](const Expected<HttpResponse> &answer) {
+                     if (answer) {
+                         configuration_written entry;
+                         entry.at = process_.now();
+                         entry.version = version;
+                         process_.note(entry);
+                     }
+                 });
+}
+
+uint64_t coordinator::largest_node_mb() const {
+    uint64_t most = 0;
+    for (const auto &node : nodes_) {
+        most = std::max(most, memory_mb(node->process()));
+    }
+    return most;
+}
+
+/* Nodes that have ended are started again. */
+
+void coordinator::keep_nodes_running() {
+    for (const auto &node : nodes_) {
+        keep_running(*node);
+    }
+    if (!ending_) {
+        process_.later(milliseconds(50), [this] { keep_nodes_running(); });
+    }
+}
+
+void coordinator::keep_running(node_process &node) {
+    const bool stopping = node.stopping != MonotonicTime{};
+    const auto down = down_until_.find(&node);
+    if (node.running()) {
+        if (stopping && !node.frozen && process_.now() - node.stopping > kStopGrace) {
+            node_failures_.push_back(node.name() + " runs after the grace of its planned stop");
+            node.stopping = {};
+            down_until_[&node] = process_.now();
+            node.signal(SIGKILL);
+        }
+        return;
+    }
+    if (replaced_.contains(&node)) {
+        return;
+    }
+    if (down != down_until_.end()) {
+        if (process_.now() < down->second) {
+            return;
+        }
+        down_until_.erase(down);
+    } else if (!stopping || node.exit_code() != 0) {
+        node_failures_.push_back(node.name() + " ended by itself or badly, with code " +
+                                 std::to_string(node.exit_code()));
+    }
+    node.stopping = {};
+    node.frozen = false;
+    restart(node);
+}
+
+/* Faults. */
+
+void coordinator::plan_fault(const fault_options &fault) {
+    if (fault.per_minute <= 0) {
+        return;
+    }
+    const double wait = -std::log(1 - process_.random.unit()) * 60 / fault.per_minute;
+    process_.later(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait)),
+                   [this, &fault] {
+                       if (load_ended_ == MonotonicTime{}) {
+                           begin_fault(fault);
+                           plan_fault(fault);
+                       }
+                   });
+}
+
+void coordinator::begin_fault(const fault_options &fault) {
+    ++faults_[fault.kind];
+    const Duration length = process_.between(fault.shortest, fault.longest);
+    const auto found = fault_functions().find(fault.kind);
+    if (found == fault_functions().end()) {
+        disturb_worker(fault.kind, length);
+        return;
+    }
+    (this->*found->second)(length);
+}
+
+void coordinator::note_disturbance(const std::string &kind, disturbed_part part,
+                                   const std::string &target, Duration length) {
+    disturbance entry;
+    entry.at = process_.now();
+    entry.to = entry.at + length;
+    entry.kind = kind;
+    entry.part = part;
+    entry.target = target;
+    process_.note(entry);
+}
+
+/** \return Nothing when the node that was drawn is disturbed already. */
+node_process *coordinator::any_node() {
+    node_process &node = *nodes_[process_.random.below(nodes_.size())];
+    const bool disturbed = node.frozen || node.stopping != MonotonicTime{} ||
+                           down_until_.contains(&node) || replaced_.contains(&node);
+    return disturbed ? nullptr : &node;
+}
+
+void coordinator::kill_for(node_process &node, const std::string &kind, Duration length) {
+    note_disturbance(kind, disturbed_part::kNode, node.name(), length);
+    node.stopping = {};
+    node.frozen = false;
+    down_until_[&node] = process_.now() + length;
+    node.signal(SIGKILL);
+}
+
+void coordinator::kill_node(Duration length) {
+    if (node_process *node = any_node()) {
+        kill_for(*node, "node_kill", length);
+    }
+}
+
+/** A share of all, at the same moment. */
+void coordinator::kill_all_nodes(Duration length) {
+    const uint64_t percent = 30 + process_.random.below(71);
+    for (const auto &node : nodes_) {
+        if (process_.chance(percent) && !replaced_.contains(node.get())) {
+            kill_for(*node, "node_kill_all", length);
+        }
+    }
+}
+
+void coordinator::freeze_node(Duration length) {
+    node_process *node = any_node();
+    if (node == nullptr) {
+        return;
+    }
+    note_disturbance("node_freeze", disturbed_part::kNode, node->name(), length);
+    node->frozen = true;
+    node->signal(SIGSTOP);
+    process_.later(length, [node] {
+        node->frozen = false;
+        node->signal(SIGCONT);
+    });
+}
+
+/** Planned stops, at times of two nodes, with reloads before and signals that come twice. */
+void coordinator::stop_node(Duration /*length*/) {
+    node_process *node = any_node();
+    if (node == nullptr) {
+        return;
+    }
+    if (process_.chance(30)) {
+        for (int count = 0; count < 3; ++count) {
+            process_.later(milliseconds(60 * count), [node] { node->signal(SIGHUP); });
+        }
+        process_.later(milliseconds(500), [node] { node->signal(SIGTERM); });
+    }
+    note_disturbance("node_stop", disturbed_part::kNode, node->name(), kStopGrace);
+    node->stopping = process_.now();
+    node->signal(SIGTERM);
+    if (process_.chance(30)) {
+        process_.later(process_.between(milliseconds(0), milliseconds(1500)),
+                       [this] { stop_node({}); });
+    }
+}
+
+void coordinator::reload_node(Duration /*length*/) {
+    if (node_process *node = any_node()) {
+        node->signal(SIGHUP);
+    }
+}
+
+/** One goes for good, and another comes with a name and an address that nobody has seen. */
+void coordinator::replace_node(Duration length) {
+    node_process *node = any_node();
+    if (node == nullptr || nodes_.size() >= kMostNodes) {
+        return;
+    }
+    kill_for(*node, "node_replace", length);
+    replaced_.insert(node);
+    const uint64_t number = nodes_.size();
+    start_node(number);
+    note_disturbance("node_replace", disturbed_part::kNode, nodes_.back()->name(), seconds(3));
+    tell_all("callers", "add_node", json{{"node", number}}.dump());
+}
+
+void coordinator::send_troubles() {
+    const std::set<std::string> away(store_.turned_away.begin(), store_.turned_away.end());
+    const json troubles = {{"status", store_.refusing > 0 ? 503 : 0},
+                           {"delay_ms", store_.slow > 0 ? 240 : 0},
+                           {"lost_percent", store_.losing + store_.late > 0 ? 35 : 0},
+                           {"late_ms", store_.late > 0 ? 2500 : 0},
+                           {"turned_away", away}};
+    send_command(process_.client, options_.role.layout.store_control(), "troubles", troubles,
+                 [](const Expected<HttpResponse> & /*answer*/) {});
+}
+
+void coordinator::trouble_store(const std::string &kind, uint64_t store_state::*counter,
+                                Duration length) {
+    note_disturbance(kind, disturbed_part::kStore, "", length);
+    ++(store_.*counter);
+    send_troubles();
+    process_.later(length, [this, counter] {
+        store_.*counter -= store_.*counter > 0 ? 1 : 0;
+        send_troubles();
+    });
+}
+
+void coordinator::refuse_at_store(Duration length) {
+    trouble_store("store_refuse", &store_state::refusing, length);
+}
+
+void coordinator::slow_store(Duration length) {
+    trouble_store("store_slow", &store_state::slow, length);
+}
+
+void coordinator::lose_answers(Duration length) {
+    trouble_store("store_lose_answers", &store_state::losing, length);
+}
+
+void coordinator::late_commits(Duration length) {
+    trouble_store("store_late", &store_state::late, length);
+}
+
+/** The store turns a third of the nodes away and serves the others. */
+void coordinator::cut_from_store(Duration length) {
+    for (const auto &node : nodes_) {
+        if (!process_.chance(33)) {
+            continue;
+        }
+        note_disturbance("store_cut", disturbed_part::kStore, node->name(), length);
+        const std::string ip = node->callers().ip;
+        store_.turned_away.insert(ip);
+        process_.later(length, [this, ip] {
+            const auto found = store_.turned_away.find(ip);
+            if (found != store_.turned_away.end()) {
+                store_.turned_away.erase(found);
+            }
+            send_troubles();
+        });
+    }
+    send_troubles();
+}
+
+void coordinator::forget_history(Duration /*length*/) {
+    send_command(process_.client, options_.role.layout.store_control(), "drop_history",
+                 json::object(), [](const Expected<HttpResponse> & /*answer*/) {});
+}
+
+/** A route goes to another service; nodes must follow within the bound of configurations. */
+void coordinator::move_route(Duration /*length*/) {
+    const deployment &plan = options_.role.plan;
+    const route_options &route = plan.routes[process_.random.below(plan.routes.size())];
+    if (route.kind != route_kind::kBatch) {
+        services_[route.name] = plan.services[process_.random.below(plan.services.size())].name;
+    }
+    write_configuration();
+}
+
+void coordinator::disturb_worker(const std::string &kind, Duration length) {
+    const uint64_t number = process_.random.below(options_.role.plan.worker_processes);
+    send_command(process_.client, options_.role.layout.worker_control(number), "disturb",
+                 {{"kind", kind}, {"length_ms", in_ms(length)}},
+                 [](const Expected<HttpResponse> & /*answer*/) {});
+}
+
+} // namespace chalkshed::soak
--- /dev/null
+++ b/tests/soak/fleet/expected_answers.cc
@@ -0,0 +1,100 @@
+#include "tests/soak/fleet/expected_answers.h"
+
+#include <random>
+
+#include "src/core/digest.h"
+
+namespace chalkshed::soak {
+namespace {
+
+constexpr char kItemSeparator = '-';
+constexpr size_t kEventBytes = 75;
+constexpr size_t kPlainBytes = 800;
+
+std::string filled(std::string text, size_t length) {
+    const std::string unit = text + " ";
+    text += ' ';
+    while (text.size() < length) {
+        text += unit;
+    }
+    text.resize(std::max(length, unit.size()), '.');
+    text.back() = '.';
+    return text;
+}
+
+} // namespace
+
+uint64_t events_of(const deployment &plan, const route_options &route) {
+    for (const service_options &service : plan.services) {
+        if (service.name == route.service) {
+            return service.events * (route.kind == route_kind::kBatch ? kItemEvents : 1);
+        }
+    }
+    return 1;
+}
+
+const route_options *route_of(const deployment &plan, const std::string &path) {
+    for (const route_options &route : plan.routes) {
+        if (path.starts_with("/" + route.name + "/")) {
+            return &route;
+        }
+    }
+    return nullptr;
+}
+
+bool is_item(const std::string &id) {
+    return id.find(kItemSeparator) != std::string::npos;
+}
+
+std::string item_id(const std::string &job, uint64_t number) {
+    return job + kItemSeparator + std::to_string(number);
+}
+
+run_fate fate_of_run(const std::string &id) {
+    constexpr uint64_t kOneIn = 100;
+    if (!is_item(id)) {
+        return run_fate::kCompletes;
+    }
+    switch (content_hash(id) % kOneIn) {
+    case 0:
+        return run_fate::kFails;
+    case 1:
+        return run_fate::kImpossible;
+    default:
+        return run_fate::kCompletes;
+    }
+}
+
+std::string event_text(const std::string &id, uint64_t event) {
+    return filled(id + "." + std::to_string(event), kEventBytes);
+}
+
+std::string event_bytes(const std::string &id, uint64_t event) {
+    return "id: " + std::to_string(event) + "\ndata: " + event_text(id, event) + "\n\n";
+}
+
+std::string whole_text(const std::string &id, uint64_t events) {
+    std::string text = event_text(id, 1);
+    for (uint64_t event = 2; event <= events; ++event) {
+        text += "\n" + event_text(id, event);
+    }
+    return text;
+}
+
+std::string plain_body(const std::string &id) {
+    return filled(id, kPlainBytes);
+}
+
+std::string request_body(const std::string &id, uint64_t length) {
+    std::mt19937_64 engine(content_hash(id));
+    std::string body;
+    body.reserve(length + sizeof(uint64_t));
+    while (body.size() < length) {
+        const uint64_t bits = engine();
+        body.append(reinterpret_cast<const char *>(&bits), sizeof(bits));
+    }
+    body.resize(length);
+    return body;
+}
+
+} // namespace chalkshed::soak
--- /dev/null
+++ b/tests/soak/fleet/fleet_main.h
@@ -0,0 +1,35 @@
+#ifndef CHALKSHED_TESTS_SOAK_FLEET_FLEET_MAIN_H
+#define CHALKSHED_TESTS_SOAK_FLEET_FLEET_MAIN_H
+
+/** \file
+ * The mode of chalkshed-soak that runs a deployment file.
+ */
+
+#include <optional>
+#include <string>
+
+#include "tests/soak/fleet/coordinator.h"
+
+namespace chalkshed::soak {
+
+struct fleet_arguments {
+    std::string file; // of the deployment
+    std::string program;
+    std::string folder;
+    uint64_t seed = 1;
+    unsigned network = 9;
+    std::string log_level;
+    /** In place of the file's. */
+    std::optional<Duration> length;
+    /** Of a process that the coordinator has started; empty: the coordinator. */
+    std::string role;
+    uint64_t number = 0;
+};
+
+/** \return The exit code: 0 when all held, 1 when something was violated or seen too rarely, 2 when
+ * the run can't tell or the file is refused. */
+int run_fleet(const fleet_arguments &arguments);
+
+} // namespace chalkshed::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/fleet/fleet_worker.cc
@@ -0,0 +1,240 @@
+#include "tests/soak/fleet/fleet_worker.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "platform/header_names.h"
+#include "tests/soak/fleet/expected_answers.h"
+
+namespace chalkshed::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr size_t kMostWaiting = 24;
+constexpr Duration kMuteFor = seconds(4);
+constexpr int kFailedStatus = 500;
+constexpr int kImpossibleStatus = 422;
+
+std::string header(const HttpRequest &request, std::string_view name) {
+    return std::string(find_header(request.headers, name).value_or(""));
+}
+
+/** Unique in this process. */
+uint64_t next_run_number() {
+    static uint64_t number = 0;
+    return ++number;
+}
+
+} // namespace
+
+fleet_worker::fleet_worker(role_process &process, const service_options &service,
+                           std::string incarnation, std::string zone, const Address &local)
+    : process_(process), service_(service), incarnation_(std::move(incarnation)),
+      zone_(std::move(zone)), server_(process.dispatcher, local, *this) {}
+
+fleet_worker::~fleet_worker() = default;
+
+HttpResponse fleet_worker::not_run(int status, const std::string &id) const {
+    return {status, {{platform::kRequestId, id}, {platform::kNotExecuted, "1"}}, ""};
+}
+
+std::optional<HttpResponse> fleet_worker::refusal(const HttpRequest &head) {
+    const std::string id = header(head, platform::kRequestId);
+    const std::string expected = header(head, platform::kExpectInstance);
+    if (!expected.empty() && expected != incarnation_) {
+        return not_run(421, id);
+    }
+    const bool full = running_.size() >= service_.slots && queue_.size() >= kMostWaiting;
+    if (full || process_.chance(faults.refused)) {
+        return not_run(503, id);
+    }
+    return std::nullopt;
+}
+
+std::optional<HttpResponse> fleet_worker::answer_early(const HttpRequest &head) {
+    if (!process_.chance(service_.early_answer_percent)) {
+        return std::nullopt;
+    }
+    std::optional<HttpResponse> response = refusal(head);
+    if (!response && process_.chance(service_.early_answer_percent)) {
+        response = not_run(503, header(head, platform::kRequestId));
+    }
+    if (response && process_.chance(50)) {
+        response->headers.push_back({"Connection", "close"});
+    }
+    return response;
+}
+
+void fleet_worker::handle(HttpRequest request, wire_answer_ptr answer) {
+    if (const std::optional<HttpResponse> response = refusal(request)) {
+        answer->respond(*response);
+        return;
+    }
+    auto added = std::make_shared<run>();
+    added->id = header(request, platform::kRequestId);
+    added->request = std::move(request);
+    added->answer = std::move(answer);
+    added->answer->set_on_closed(lifetime_.guard([this, weak = std::weak_ptr<run>(added)] {
+        if (const run_ptr left = weak.lock()) {
+            end(left, run_outcome::kLeft);
+        }
+    }));
+    if (draining_) {
+        added->answer->close_behind();
+    }
+    if (running_.size() < service_.slots) {
+        begin(added);
+    } else {
+        queue_.push_back(std::move(added));
+    }
+}
+
+void fleet_worker::handle_malformed(const Address &peer, const std::string &head) {
+    // Nobody has sent a request of this id, which makes the checks report it.
+    run_begin begun;
+    begun.at = process_.now();
+    begun.run = next_run_number();
+    begun.worker = incarnation_;
+    begun.service = service_.name;
+    begun.id = "not-http:" + head;
+    begun.sender_ip = peer.ip;
+    process_.note(begun);
+}
+
+void fleet_worker::begin(const run_ptr &added) {
+    run_begin begun;
+    begun.at = process_.now();
+    begun.run = added->number = next_run_number();
+    begun.worker = incarnation_;
+    begun.service = service_.name;
+    begun.id = added->id;
+    begun.message = describe(added->request);
+    begun.sender_ip = added->request.peer.ip;
+    const std::string last = header(added->request, platform::kLastEventId);
+    std::from_chars(last.data(), last.data() + last.size(), begun.resume_after);
+    process_.note(begun);
+    added->next_event = begun.resume_after + 1;
+    if (process_.chance(faults.broken)) {
+        added->breaks_before = added->next_event + process_.random.below(events_of(*added));
+    }
+    running_.emplace(added->number, added);
+    const std::weak_ptr<run> weak = added;
+    added->timer = process_.dispatcher.create_timer([this, weak] {
+        if (const run_ptr current = weak.lock()) {
+            begin_answer(current);
+        }
+    });
+    const Duration until_first = process_.between(service_.first_event / 2,
+                                                  service_.first_event * 3 / 2);
+    if (!process_.chance(faults.mute)) {
+        added->timer->enable(until_first);
+    } else if (process_.chance(50)) {
+        added->timer->enable(kMuteFor);
+    }
+}
+
+bool fleet_worker::is_stream(const run &current) const {
+    const route_options *route = route_of(process_.options.plan, current.request.path);
+    return route != nullptr &&
+           (route->kind == route_kind::kStreaming || route->kind == route_kind::kBatch);
+}
+
+uint64_t fleet_worker::events_of(const run &current) const {
+    const route_options *route = route_of(process_.options.plan, current.request.path);
+    return route == nullptr ? 1 : soak::events_of(process_.options.plan, *route);
+}
+
+HttpHeaders fleet_worker::head_of(const run &current) const {
+    return {{platform::kRequestId, current.id},
+            {platform::kSignature, incarnation_ + "." + current.id},
+            {platform::kServerLoad, std::to_string(running_.size()) + "," +
+                                        std::to_string(queue_.size()) + "," +
+                                        std::to_string(service_.slots)}};
+}
+
+void fleet_worker::begin_answer(const run_ptr &current) {
+    const run_fate fate = fate_of_run(current->id);
+    if (fate != run_fate::kCompletes) {
+        const int status = fate == run_fate::kFails ? kFailedStatus : kImpossibleStatus;
+        current->answer->respond({status, head_of(*current), "no"});
+        end(current, run_outcome::kFailed);
+        return;
+    }
+    if (!is_stream(*current)) {
+        if (current->breaks_before > 0) {
+            current->answer->abort();
+            end(current, run_outcome::kBroken);
+            return;
+        }
+        current->answer->respond({200, head_of(*current), plain_body(current->id)});
+        end(current, run_outcome::kWhole);
+        return;
+    }
+    HttpHeaders head = head_of(*current);
+    head.push_back({"Content-Type", "text/event-stream"});
+    current->answer->start(200, head);
+    const std::weak_ptr<run> weak = current;
+    current->timer = process_.dispatcher.create_timer([this, weak] {
+        if (const run_ptr going_on = weak.lock()) {
+            send_event(going_on);
+        }
+    });
+    send_event(current);
+}
+
+void fleet_worker::send_event(const run_ptr &current) {
+    if (current->breaks_before == current->next_event) {
+        current->answer->abort();
+        end(current, run_outcome::kBroken);
+        return;
+    }
+    if (current->next_event > events_of(*current)) {
+        current->answer->finish();
+        end(current, run_outcome::kWhole);
+        return;
+    }
+    current->answer->write(event_bytes(current->id, current->next_event++));
+    current->timer->enable(service_.between_events);
+}
+
+void fleet_worker::end(const run_ptr &current, run_outcome outcome) {
+    if (current->number == 0) {
+        std::erase(queue_, current);
+        return;
+    }
+    if (running_.erase(current->number) == 0) {
+        return;
+    }
+    run_end ended;
+    ended.at = process_.now();
+    ended.run = current->number;
+    ended.worker = incarnation_;
+    ended.id = current->id;
+    ended.outcome = outcome;
+    process_.note(ended);
+    // Its timer may be the one that calls now.
+    process_.dispatcher.post([current] { current->timer.reset(); });
+    begin_next();
+}
+
+void fleet_worker::begin_next() {
+    while (!queue_.empty() && running_.size() < service_.slots && !crashed_) {
+        const run_ptr next = queue_.front();
+        queue_.pop_front();
+        begin(next);
+    }
+}
+
+void fleet_worker::crash() {
+    crashed_ = true;
+    queue_.clear();
+    server_.crash();
+    const std::map<uint64_t, run_ptr> running = running_;
+    for (const auto &entry : running) {
+        end(entry.second, run_outcome::kBroken);
+    }
+}
+
+} // namespace chalkshed::soak
--- /dev/null
+++ b/tests/soak/fleet/job_load.cc
@@ -0,0 +1,319 @@
+#include "tests/soak/fleet/job_load.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "platform/header_names.h"
+#include "src/core/base64.h"
+#include "tests/soak/fleet/expected_answers.h"
+#include "tests/soak/fleet/online_load.h"
+
+namespace chalkshed::soak {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char *kHost = "fleet.example";
+constexpr int kMostEndTries = 40;
+constexpr uint64_t kMostAttempts = 8;
+constexpr Duration kBetweenAttempts = milliseconds(300);
+constexpr Duration kBetweenReads = milliseconds(500);
+/** After one that has all results, or was ended. */
+constexpr Duration kBetweenLooks = seconds(7);
+constexpr Duration kCallTime = seconds(5);
+/** Jobs ended in the middle of their work, of 100. */
+constexpr uint64_t kEndLaterPercent = 10;
+/** Many jobs at once reach the limit of a route's queue now and then. */
+constexpr Duration kBetweenBursts = seconds(12);
+constexpr int kBurst = 12;
+
+std::string node_name(uint64_t node) {
+    return "node-" + std::to_string(node);
+}
+
+} // namespace
+
+job_load::job_load(role_process &process, ready_nodes &nodes) : process_(process), nodes_(nodes) {}
+
+void job_load::begin() {
+    for (const route_options &route : process_.options.plan.routes) {
+        if (route.kind == route_kind::kBatch && route.per_second > 0) {
+            arrive(route);
+            burst(route);
+        }
+    }
+}
+
+uint64_t job_load::unfinished() const {
+    return static_cast<uint64_t>(std::count_if(jobs_.begin(), jobs_.end(), [](const auto &entry) {
+        const job &of = *entry.second;
+        return of.accepted && !of.ending && of.listed < of.items.size();
+    }));
+}
+
+void job_load::arrive(const route_options &route) {
+    if (ended_) {
+        return;
+    }
+    const double rate =
+        route.per_second / static_cast<double>(process_.options.plan.callers.processes);
+    const double wait = -std::log(1 - process_.random.unit()) / rate;
+    process_.later(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait)),
+                   [this, &route] {
+                       submit(route);
+                       arrive(route);
+                   });
+}
+
+void job_load::burst(const route_options &route) {
+    process_.later(process_.between(kBetweenBursts / 2, kBetweenBursts * 3 / 2), [this, &route] {
+        for (int count = 0; count < kBurst && !ended_; ++count) {
+            submit(route);
+        }
+        if (!ended_) {
+            burst(route);
+        }
+    });
+}
+
+job_load::job_ptr job_load::prepare(const route_options &route) {
+    auto added = std::make_shared<job>();
+    added->id = "j" + std::to_string(process_.options.number) + "x" + std::to_string(++next_id_);
+    added->route = &route;
+    added->sent = process_.now();
+    const uint64_t room = route.items.most - route.items.fewest + 1;
+    const uint64_t items = route.items.fewest + process_.random.below(room);
+    json content = json::array();
+    for (uint64_t number = 0; number < items; ++number) {
+        const std::string id = item_id(added->id, number);
+        HttpRequest request;
+        request.method = "POST";
+        request.path = "/" + route.name + "/item" + std::to_string(number);
+        request.query = number % 4 == 1 ? "n=" + std::to_string(number) : "";
+        request.headers = {{"Chalkshed-Model", "m"},
+                           {platform::kTokenUsage, "350,1500"},
+                           {platform::kPromptPrefix, "d" + std::to_string(number % 3) + ":100"},
+                           {"Content-Type", "application/octet-stream"},
+                           {"X-Soak-Note", id}};
+        request.body = request_body(id, draw_length(process_.random, route.body));
+        json headers = json::object();
+        for (const HttpHeader &header : request.headers) {
+            headers[header.name] = header.value;
+        }
+        const std::string target =
+            request.path + (request.query.empty() ? "" : "?" + request.query);
+        content.push_back({{"id", id},
+                           {"path", target},
+                           {"headers", headers},
+                           {"body", encode_base64(request.body)},
+                           {"tokens", route.tokens_per_item}});
+        added->items.push_back({id, describe(request)});
+    }
+    added->content = json{{"requests", content}}.dump();
+    return added;
+}
+
+void job_load::submit(const route_options &route) {
+    const caller_options &callers = process_.options.plan.callers;
+    const job_ptr added = prepare(route);
+    jobs_.emplace(added->id, added);
+    const uint64_t node = nodes_.any();
+    send(added, node);
+    if (process_.chance(callers.several_nodes_percent)) {
+        for (uint64_t count = 1 + process_.random.below(2); count > 0; --count) {
+            send(added, nodes_.other_than(node));
+        }
+    }
+    if (process_.chance(callers.again_while_open_percent)) {
+        process_.later(process_.between(milliseconds(1), milliseconds(100)), [this, added, node] {
+            if (added->open_attempts > 0) {
+                send(added, nodes_.other_than(node));
+            }
+        });
+    }
+    plan_end(added);
+}
+
+/** Ends that wait for no 202. */
+void job_load::plan_end(const job_ptr &of) {
+    const caller_options &callers = process_.options.plan.callers;
+    if (process_.chance(callers.end_unseen_percent)) {
+        process_.later(process_.between(milliseconds(0), callers.end_soon),
+                       [this, of] { send_end(of, nodes_.any(), 0); });
+    }
+}
+
+HttpRequest job_load::message(const std::string &method, const std::string &path) {
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.headers = {{platform::kRequestId, "c" + std::to_string(process_.options.number) + "x" +
+                                                  std::to_string(++next_id_)},
+                       {platform::kDeadline, "5000"}};
+    return request;
+}
+
+void job_load::call(uint64_t node, const HttpRequest &request, Duration limit,
+                    answer_handler handler) {
+    const auto connection =
+        std::make_shared<wire_client>(process_.dispatcher, process_.options.layout.node(node));
+    const auto ended = std::make_shared<bool>(false);
+    // The observer keeps the connection until the answer has ended.
+    connection->send(encode_request(request, kHost, 0), [connection, ended, handler](
+                                                            const call_result &result) mutable {
+        if (!std::exchange(*ended, true)) {
+            handler(result);
+        }
+    });
+    process_.later(limit, [weak = std::weak_ptr<wire_client>(connection), ended, handler] {
+        const wire_client_ptr late = weak.lock();
+        if (late && !std::exchange(*ended, true)) {
+            late->leave();
+            handler({});
+        }
+    });
+}
+
+void job_load::send(const job_ptr &of, uint64_t node) {
+    job_send entry;
+    entry.at = process_.now();
+    entry.job = of->id;
+    entry.attempt = ++of->attempts;
+    entry.node = node_name(node);
+    entry.items = of->items;
+    process_.note(entry);
+    ++of->open_attempts;
+    HttpRequest request = message("POST", "/" + of->route->name + "/" + of->id);
+    request.headers.front().value = of->id;
+    request.headers.push_back({"Content-Type", "application/json"});
+    request.body = of->content;
+    const caller_options &callers = process_.options.plan.callers;
+    const bool leaves = process_.chance(callers.leave_percent);
+    const Duration limit =
+        leaves ? process_.between(milliseconds(0), milliseconds(100)) : kCallTime;
+    call(node, request, limit,
+         [this, of, attempt = entry.attempt, node, leaves](const call_result &result) {
+             handle_answer(of, attempt, node, result.whole ? result.status : 0);
+         });
+}
+
+void job_load::handle_answer(const job_ptr &of, uint64_t attempt, uint64_t node, int status) {
+    --of->open_attempts;
+    job_answer entry;
+    entry.at = process_.now();
+    entry.job = of->id;
+    entry.attempt = attempt;
+    entry.node = node_name(node);
+    entry.status = status;
+    process_.note(entry);
+    if (status == 202) {
+        handle_acceptance(of);
+    } else if (!of->accepted && !of->ending) {
+        send_again(of, node);
+    }
+}
+
+void job_load::send_again(const job_ptr &of, uint64_t node) {
+    process_.later(kBetweenAttempts, [this, of, node] {
+        if (!of->accepted && !of->ending && of->open_attempts == 0 &&
+            of->attempts < kMostAttempts) {
+            send(of, nodes_.other_than(node));
+        }
+    });
+}
+
+void job_load::handle_acceptance(const job_ptr &of) {
+    if (std::exchange(of->accepted, true)) {
+        return;
+    }
+    const caller_options &callers = process_.options.plan.callers;
+    const bool soon = process_.chance(callers.end_soon_percent);
+    if (soon || process_.chance(kEndLaterPercent)) {
+        const Duration wait = soon ? process_.between(milliseconds(0), callers.end_soon)
+                                   : process_.between(seconds(1), seconds(8));
+        process_.later(wait, [this, of] {
+            if (!of->ending) {
+                send_end(of, nodes_.any(), 0);
+            }
+        });
+    }
+    if (!std::exchange(of->read, true)) {
+        read(of);
+    }
+}
+
+void job_load::send_end(const job_ptr &of, uint64_t node, int tries) {
+    of->ending = true;
+    end_send entry;
+    entry.at = process_.now();
+    entry.job = of->id;
+    entry.node = node_name(node);
+    process_.note(entry);
+    call(node, message("DELETE", "/lots/" + of->id), kCallTime,
+         [this, of, node, tries](const call_result &result) {
+             handle_end(of, node, tries, result.status);
+         });
+    if (tries == 0 && process_.chance(process_.options.plan.callers.end_twice_percent)) {
+        send_end(of, nodes_.other_than(node), 1);
+    }
+}
+
+void job_load::handle_end(const job_ptr &of, uint64_t node, int tries, int status) {
+    end_answer entry;
+    entry.at = process_.now();
+    entry.job = of->id;
+    entry.node = node_name(node);
+    entry.status = status;
+    process_.note(entry);
+    if (status != 200) {
+        if (!of->end_acknowledged && tries < kMostEndTries) {
+            process_.later(kBetweenAttempts,
+                           [this, of, node, tries] { send_end(of, nodes_.other_than(node), tries + 1); });
+        }
+        return;
+    }
+    if (!std::exchange(of->end_acknowledged, true) &&
+        process_.chance(process_.options.plan.callers.again_after_end_percent)) {
+        process_.later(process_.between(milliseconds(0), seconds(5)),
+                       [this, of] { send(of, nodes_.any()); });
+    }
+}
+
+void job_load::read(const job_ptr &of) {
+    const uint64_t from = process_.chance(20) ? process_.random.below(of->listed + 1) : of->listed;
+    HttpRequest request = message("GET", "/lots/" + of->id);
+    request.query = "since_rev=" + std::to_string(from);
+    call(nodes_.any(), request, kCallTime, [this, of, from](const call_result &result) {
+        if (result.whole && result.status == 200) {
+            note_page(of, from, result);
+        }
+        const bool done = of->ending || of->listed == of->items.size();
+        process_.later(done ? kBetweenLooks : kBetweenReads, [this, of] { read(of); });
+    });
+}
+
+void job_load::note_page(const job_ptr &of, uint64_t from, const call_result &result) {
+    const json page = json::parse(result.body, nullptr, false);
+    if (!page.is_object() || !page.contains("results")) {
+        return;
+    }
+    const uint64_t events = events_of(process_.options.plan, *of->route);
+    uint64_t position = from;
+    for (const json &result_fields : page.at("results")) {
+        listed_item entry;
+        entry.at = process_.now();
+        entry.job = of->id;
+        entry.position = position++;
+        entry.item = result_fields.at("id");
+        entry.completed = result_fields.at("state") == "completed";
+        entry.text_ok = entry.completed &&
+                         result_fields.at("message") == whole_text(entry.item, events);
+        process_.note(entry);
+    }
+    of->listed = std::max(of->listed, position);
+}
+
+} // namespace chalkshed::soak
--- /dev/null
+++ b/tests/soak/fleet/job_load.h
@@ -0,0 +1,74 @@
+#ifndef CHALKSHED_TESTS_SOAK_FLEET_JOB_LOAD_H
+#define CHALKSHED_TESTS_SOAK_FLEET_JOB_LOAD_H
+
+/** \file
+ * The jobs of one caller process: sent to one node or to several at once, again while an earlier
+ * send is open and after a refusal; ended soon after their 202, without one, or at two nodes; read.
+ */
+
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+
+#include "tests/soak/fleet/ready_nodes.h"
+#include "tests/soak/fleet/role_process.h"
+#include "tests/soak/fleet/wire_client.h"
+
+namespace chalkshed::soak {
+
+class job_load {
+public:
+    job_load(role_process &process, ready_nodes &nodes);
+    void begin();
+    /** No new jobs; those that were sent go on. */
+    void end() {
+        ended_ = true;
+    }
+    /** Accepted jobs that nobody ended and whose results have not all been read. */
+    uint64_t unfinished() const;
+
+private:
+    struct job {
+        std::string id;
+        const route_options *route = nullptr;
+        std::string content;
+        std::vector<sent_item> items;
+        MonotonicTime sent{};
+        uint64_t attempts = 0;
+        uint64_t open_attempts = 0;
+        bool accepted = false;
+        bool ending = false; // an end has been sent
+        bool end_acknowledged = false;
+        bool read = false; // its results are being read
+        uint64_t listed = 0;
+    };
+    using job_ptr = std::shared_ptr<job>;
+    using answer_handler = std::function<void(const call_result &)>;
+
+    void arrive(const route_options &route);
+    void burst(const route_options &route);
+    void submit(const route_options &route);
+    job_ptr prepare(const route_options &route);
+    void plan_end(const job_ptr &of);
+    void send(const job_ptr &of, uint64_t node);
+    void handle_answer(const job_ptr &of, uint64_t attempt, uint64_t node, int status);
+    void send_again(const job_ptr &of, uint64_t node);
+    void handle_acceptance(const job_ptr &of);
+    void send_end(const job_ptr &of, uint64_t node, int tries);
+    void handle_end(const job_ptr &of, uint64_t node, int tries, int status);
+    void read(const job_ptr &of);
+    void note_page(const job_ptr &of, uint64_t from, const call_result &result);
+    /** Calls a node on a connection of its own. */
+    void call(uint64_t node, const HttpRequest &request, Duration limit, answer_handler handler);
+    HttpRequest message(const std::string &method, const std::string &path);
+
+    role_process &process_;
+    ready_nodes &nodes_;
+    std::map<std::string, job_ptr> jobs_;
+    uint64_t next_id_ = 0;
+    bool ended_ = false;
+};
+
+} // namespace chalkshed::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/fleet/online_load.cc
@@ -0,0 +1,252 @@
+#include "tests/soak/fleet/online_load.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "platform/header_names.h"
+#include "src/serving/event_stream.h"
+#include "tests/soak/fleet/expected_answers.h"
+
+namespace chalkshed::soak {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char *kHost = "fleet.example";
+constexpr int kMostTries = 2;
+constexpr uint64_t kAheadPercent = 2;
+/** Callers wait this much longer than they said. */
+constexpr Duration kPatience = milliseconds(500);
+
+/** The load comes in steps around its mean, because a fleet that is calm when it is even may not be
+ * when the load jumps: 3.8 s of 0.377 and 2.8 s of 1.84 times the mean. */
+constexpr Duration kStep = milliseconds(6600);
+constexpr Duration kLowPart = milliseconds(3800);
+constexpr double kLow = 0.377;
+constexpr double kHigh = 1.84;
+
+Duration exponential(RandomGenerator &random, double per_second) {
+    const double wait = -std::log(1 - random.unit()) / per_second;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+}
+
+bool says_not_run(int status) {
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+std::string prompt_of(RandomGenerator &random) {
+    constexpr uint64_t kShared = 16;
+    constexpr uint64_t kOwn = 1655;
+    return "a" + std::to_string(random.below(kShared)) + ":100,b" +
+           std::to_string(random.below(kOwn)) + ":100,c" + std::to_string(random.below(kOwn)) +
+           ":250";
+}
+
+} // namespace
+
+struct online_load::call {
+    std::string id;
+    const route_options *route = nullptr;
+    uint64_t node = 0;
+    int tries = 0;
+    bool kept = false;
+    bool ended = false;
+    HttpRequest request;
+    wire_client_ptr connection;
+};
+
+uint64_t draw_length(RandomGenerator &random, const range &lengths) {
+    constexpr double kSteepness = 6;
+    const double share = std::pow(random.unit(), kSteepness);
+    const auto fewest = static_cast<double>(std::max<uint64_t>(lengths.fewest, 1));
+    const auto most = static_cast<double>(std::max<uint64_t>(lengths.most, 1));
+    const double drawn = fewest * std::pow(most / fewest, share);
+    return std::clamp(static_cast<uint64_t>(drawn), lengths.fewest, lengths.most);
+}
+
+online_load::online_load(role_process &process, ready_nodes &nodes)
+    : process_(process), nodes_(nodes) {}
+
+void online_load::begin() {
+    began_ = process_.now();
+    for (const route_options &route : process_.options.plan.routes) {
+        if (route.kind != route_kind::kBatch && route.per_second > 0) {
+            arrive(route);
+        }
+    }
+}
+
+double online_load::factor_now() const {
+    const Duration within = (process_.now() - began_) % kStep;
+    return within < kLowPart ? kLow : kHigh;
+}
+
+void online_load::arrive(const route_options &route) {
+    if (ended_) {
+        return;
+    }
+    const auto processes = static_cast<double>(process_.options.plan.callers.processes);
+    const double rate = factor_now() * route.per_second / processes;
+    process_.later(exponential(process_.random, rate), [this, &route] {
+        submit(route, nodes_.any(), 0);
+        arrive(route);
+    });
+}
+
+online_load::call_ptr online_load::prepare(const route_options &route, uint64_t node, int tries) {
+    auto added = std::make_shared<call>();
+    added->id = "r" + std::to_string(process_.options.number) + "x" + std::to_string(++next_id_);
+    added->route = &route;
+    added->node = node;
+    added->tries = tries;
+    HttpRequest &request = added->request;
+    request.method = "POST";
+    request.path = "/" + route.name + "/x" + std::to_string(next_id_ % 97);
+    request.query = next_id_ % 3 == 0 ? "q=" + added->id + "&empty=" : "";
+    request.body = request_body(added->id, draw_length(process_.random, route.body));
+    request.headers = {
+        {platform::kRequestId, added->id},
+        {platform::kDeadline,
+         std::to_string(std::chrono::duration_cast<milliseconds>(route.timeout).count())},
+        {"Content-Type", "application/octet-stream"},
+        {"X-Soak-Note", added->id}};
+    if (route.kind == route_kind::kStreaming) {
+        request.headers.push_back({"Chalkshed-Model", "m"});
+        request.headers.push_back({platform::kTokenUsage, "450,200"});
+        request.headers.push_back({platform::kPromptPrefix, prompt_of(process_.random)});
+    }
+    return added;
+}
+
+wire_client_ptr online_load::connection_to(uint64_t node, bool kept) {
+    std::deque<wire_client_ptr> &idle = kept_[node];
+    while (kept && !idle.empty()) {
+        const wire_client_ptr connection = idle.front();
+        idle.pop_front();
+        if (connection->open()) {
+            return connection;
+        }
+    }
+    return std::make_shared<wire_client>(process_.dispatcher, process_.options.layout.node(node));
+}
+
+void online_load::submit(const route_options &route, uint64_t node, int tries) {
+    const bool kept = process_.chance(process_.options.plan.callers.kept_percent);
+    const wire_client_ptr connection = connection_to(node, kept);
+    const call_ptr first = prepare(route, node, tries);
+    first->kept = kept;
+    send(first, connection);
+    if (kept && process_.chance(kAheadPercent)) {
+        // Sent before the answer to the first has come.
+        const call_ptr ahead = prepare(route, node, kMostTries);
+        send(ahead, connection);
+    }
+}
+
+void online_load::send(const call_ptr &sent, const wire_client_ptr &connection) {
+    const caller_options &callers = process_.options.plan.callers;
+    online_send entry;
+    entry.at = process_.now();
+    entry.id = sent->id;
+    entry.node = "node-" + std::to_string(sent->node);
+    entry.message = describe(sent->request);
+    entry.once = sent->route->kind == route_kind::kNonIdempotent ||
+                  (sent->route->kind == route_kind::kStreaming && !sent->route->resumable);
+    entry.kept = connection->exchanges() > 0 || !connection->idle();
+    process_.note(entry);
+    ++open_calls_;
+    const size_t chunk =
+        process_.chance(callers.chunked_percent) ? 1 + process_.random.below(20000) : 0;
+    sent->connection = connection;
+    connection->send(encode_request(sent->request, kHost, chunk), [this, sent](call_result result) {
+        handle_answer(sent, std::move(result));
+    });
+    sent->request.body.clear();
+    leave_at_times(sent);
+}
+
+void online_load::leave_at_times(const call_ptr &sent) {
+    const bool early = process_.chance(process_.options.plan.callers.leave_percent);
+    const Duration longest = sent->route->timeout + kPatience;
+    const Duration wait = early ? process_.between(milliseconds(0), seconds(1)) : longest;
+    process_.later(wait, [this, weak = std::weak_ptr<call>(sent)] {
+        const call_ptr leaving = weak.lock();
+        if (leaving && !leaving->ended) {
+            // Those that wait behind it on the connection break with it.
+            const wire_client_ptr connection = leaving->connection;
+            connection->leave();
+        }
+    });
+}
+
+void online_load::note_left(const call &sent) {
+    caller_left entry;
+    entry.at = process_.now();
+    entry.id = sent.id;
+    process_.note(entry);
+}
+
+bool online_load::matches(const call &sent, const call_result &result) const {
+    const auto id = find_header(result.headers, platform::kRequestId);
+    const auto signature = find_header(result.headers, platform::kSignature);
+    if (result.status == 0 || result.status / 100 != 2) {
+        return result.status == 0 || !id || *id == sent.id;
+    }
+    if (!id || *id != sent.id || !signature || !signature->ends_with("." + sent.id)) {
+        return false;
+    }
+    std::string expected = plain_body(sent.id);
+    if (sent.route->kind == route_kind::kStreaming) {
+        expected.clear();
+        const uint64_t events = events_of(process_.options.plan, *sent.route);
+        for (uint64_t event = 1; event <= events; ++event) {
+            expected += event_bytes(sent.id, event);
+        }
+    }
+    return result.whole ? result.body == expected : expected.starts_with(result.body);
+}
+
+void online_load::handle_answer(const call_ptr &sent, call_result result) {
+    if (std::exchange(sent->ended, true)) {
+        return;
+    }
+    --open_calls_;
+    const wire_client_ptr connection = std::move(sent->connection);
+    if (result.left) {
+        note_left(*sent);
+        return;
+    }
+    online_answer entry;
+    entry.at = process_.now();
+    entry.id = sent->id;
+    entry.status = result.status;
+    entry.whole = result.whole;
+    entry.matches = matches(*sent, result);
+    process_.note(entry);
+    if (sent->kept && connection->open() && connection->idle()) {
+        kept_[sent->node].push_back(connection);
+    }
+    come_again(*sent, result);
+}
+
+void online_load::come_again(const call &sent, const call_result &result) {
+    const bool refused = says_not_run(result.status);
+    const bool repeatable = sent.route->kind == route_kind::kIdempotent;
+    const bool failed = result.status == 0 || result.status >= 500;
+    if (sent.tries + 1 >= kMostTries || !(refused || (repeatable && failed)) || ended_) {
+        return;
+    }
+    double wait = 0;
+    if (const auto after = find_header(result.headers, "Retry-After")) {
+        std::from_chars(after->data(), after->data() + after->size(), wait);
+    }
+    const auto pause = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+    process_.later(std::min(pause, sent.route->timeout / 3),
+                   [this, route = sent.route, node = sent.node, tries = sent.tries + 1] {
+                       submit(*route, nodes_.other_than(node), tries);
+                   });
+}
+
+} // namespace chalkshed::soak
--- /dev/null
+++ b/tests/soak/fleet/wire_client.h
@@ -0,0 +1,91 @@
+#ifndef CHALKSHED_TESTS_SOAK_FLEET_WIRE_CLIENT_H
+#define CHALKSHED_TESTS_SOAK_FLEET_WIRE_CLIENT_H
+
+/** \file
+ * One connection of a caller. Sends bodies with a length or in chunks, several requests ahead, and
+ * can leave at any moment.
+ */
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/core/address.h"
+#include "src/core/http_message.h"
+#include "src/event/event_dispatcher.h"
+#include "tests/soak/fleet/wire_reader.h"
+
+struct bufferevent;
+
+namespace chalkshed::soak {
+
+/** What a caller has seen of the answer to one request. */
+struct call_result {
+    int status = 0; // 0: no status came
+    HttpHeaders headers;
+    std::string body;
+    bool whole = false;
+    /** The caller itself has closed the connection. */
+    bool left = false;
+};
+
+/** The bytes of a request. \param chunk Size of the chunks of its body; 0: it has a length. */
+std::string encode_request(const HttpRequest &request, const std::string &host, size_t chunk);
+
+class wire_client : public std::enable_shared_from_this<wire_client> {
+public:
+    using observer = std::function<void(call_result)>;
+
+    wire_client(EventDispatcher &dispatcher, Address server);
+    ~wire_client();
+    wire_client(const wire_client &) = delete;
+    wire_client &operator=(const wire_client &) = delete;
+
+    /** Sends the bytes behind those of earlier calls, whose answers come first. The observer hears
+     * of the end of the answer or of the connection, once, and never inside this call. */
+    void send(const std::string &wire, observer on_ended);
+    /** Closes; the observers hear so at once. */
+    void leave();
+    /** Whether another request may be sent. */
+    bool open() const {
+        return !closed_ && !closes_;
+    }
+    bool idle() const {
+        return calls_.empty();
+    }
+    const Address &server() const {
+        return server_;
+    }
+    /** Exchanges that have ended. */
+    uint64_t exchanges() const {
+        return exchanges_;
+    }
+
+private:
+    struct call {
+        call_result result;
+        observer on_ended;
+    };
+
+    static void on_readable(bufferevent *socket, void *argument);
+    static void on_event(bufferevent *socket, short what, void *argument);
+    void read();
+    void take_head();
+    void end_call(bool whole);
+    void fail_all();
+
+    EventDispatcher &dispatcher_;
+    Address server_;
+    bufferevent *socket_;
+    wire_reader reader_{true};
+    std::deque<call> calls_;
+    uint64_t exchanges_ = 0;
+    bool closed_ = false;
+    bool closes_ = false; // the server closes behind the answer under way
+};
+using wire_client_ptr = std::shared_ptr<wire_client>;
+
+} // namespace chalkshed::soak
+
+#endif
--- a/tests/soak/node_process.cc
+++ b/tests/soak/node_process.cc
@@ -1,6 +1,7 @@
 #include "tests/soak/node_process.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -56,7 +57,14 @@
     const int log = open((base + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
-    execl(options_.program.c_str(), "chalkshed-serve", settings.c_str(), "--log-level=debug",
+    // Must not outlive the soak.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (!options_.preload.empty()) {
+        setenv("LD_PRELOAD", options_.preload.c_str(), 1);
+        setenv("CHALKSHED_SOAK_SOURCE", options_.ip.c_str(), 1);
+    }
+    const std::string level = "--log-level=" + options_.log_level;
+    execl(options_.program.c_str(), "chalkshed-serve", settings.c_str(), level.c_str(),
           static_cast<char *>(nullptr));
     _exit(kNotStarted);
 }
--- a/tests/soak/node_process.h
+++ b/tests/soak/node_process.h
@@ -22,6 +22,9 @@
     std::string zone;
     std::string ip; // of the loopback network
     Address store;
+    std::string log_level = "debug";
+    /** A library that the process loads first; none when empty. */
+    std::string preload = {};
 };
 
 class node_process {
@@ -41,6 +44,10 @@
         return exit_code_;
     }
 
+    /** 0 when it doesn't run. */
+    pid_t process() const {
+        return process_;
+    }
     const std::string &name() const {
         return options_.name;
     }
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "tests/soak/fleet/fleet_main.h"
 #include "tests/soak/soak.h"
 
 namespace {
@@ -24,11 +25,17 @@
   --program=<file>    chalkshed-serve.
   --folder=<folder>   For settings and logs; made if it isn't there.
   --seed=<n>          Of the faults and the load [default: 1].
-  --seconds=<n>       How long faults come; 40 more follow in which all must settle [default: 60].
+  --seconds=<n>       How long faults come; 40 more follow in which all must settle; 60 when not given.
   --nodes=<n>         Processes [default: 5].
   --workers=<n>       Workers, served by this program [default: 6].
   --network=<n>       Nodes listen on 127.0.<n>.1 and on; by default chosen by the process id,
                       because two runs on the same addresses disturb each other.
+  --deployment=<file> Run the deployment of this file as processes of their own, in place of the
+                      soak above: see docs/operators/soak.md. --seconds takes the place of the
+                      file's length only where it is given.
+  --log-level=<level> Of the nodes of a deployment [default: info].
+  --role=<role>       Of a process that such a run has started.
+  --number=<n>        Of that process among those of its role [default: 0].
   --help              Show this text.
 )";
 
@@ -38,20 +45,50 @@
     return kFirst + static_cast<unsigned>(getpid()) % kNetworks;
 }
 
+using arguments_map = std::map<std::string, docopt::value>;
+
+std::optional<chalkshed::Duration> length_of(const arguments_map &arguments) {
+    const docopt::value &given = arguments.at("--seconds");
+    return given ? std::optional<chalkshed::Duration>(std::chrono::seconds(given.asLong()))
+                 : std::nullopt;
+}
+
+unsigned network_of(const arguments_map &arguments) {
+    const docopt::value &network = arguments.at("--network");
+    return network ? static_cast<unsigned>(network.asLong()) : network_of_process();
+}
+
+int run_deployment(const arguments_map &arguments) {
+    const docopt::value &role = arguments.at("--role");
+    chalkshed::soak::fleet_arguments fleet;
+    fleet.file = arguments.at("--deployment").asString();
+    fleet.program = arguments.at("--program").asString();
+    fleet.folder = arguments.at("--folder").asString();
+    fleet.seed = static_cast<uint64_t>(arguments.at("--seed").asLong());
+    fleet.network = network_of(arguments);
+    fleet.log_level = arguments.at("--log-level").asString();
+    fleet.length = length_of(arguments);
+    fleet.role = role ? role.asString() : "";
+    fleet.number = static_cast<uint64_t>(arguments.at("--number").asLong());
+    return chalkshed::soak::run_fleet(fleet);
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
     std::signal(SIGPIPE, SIG_IGN);
     const auto arguments = docopt::docopt(kUsage, {argv + 1, argv + argc}, true);
+    if (arguments.at("--deployment")) {
+        return run_deployment(arguments);
+    }
     chalkshed::soak::soak_options options;
     options.program = arguments.at("--program").asString();
     options.folder = arguments.at("--folder").asString();
     options.seed = static_cast<uint64_t>(arguments.at("--seed").asLong());
-    options.length = std::chrono::seconds(arguments.at("--seconds").asLong());
+    options.length = length_of(arguments).value_or(std::chrono::seconds(60));
     options.nodes = static_cast<size_t>(arguments.at("--nodes").asLong());
     options.workers = static_cast<size_t>(arguments.at("--workers").asLong());
-    const docopt::value &network = arguments.at("--network");
-    options.network = network ? static_cast<unsigned>(network.asLong()) : network_of_process();
+    options.network = network_of(arguments);
     std::filesystem::create_directories(options.folder);
     const chalkshed::soak::soak_result result = chalkshed::soak::soak_run(options).run();
     for (const std::string &violation : result.violations) {
