Options of the soak's deployment mode that docopt reads

Cause: one space between option and text made docopt take the text's first word off and lose the default.

--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -30,10 +30,10 @@
   --workers=<n>       Workers, served by this program [default: 6].
   --network=<n>       Nodes listen on 127.0.<n>.1 and on; by default chosen by the process id,
                       because two runs on the same addresses disturb each other.
-  --deployment=<file> Run the deployment of this file as processes of their own, in place of the
+  --deployment=<file>  Run the deployment of this file as processes of their own, in place of the
                       soak above: see docs/operators/soak.md. --seconds takes the place of the
                       file's length only where it is given.
-  --log-level=<level> Of the nodes of a deployment [default: info].
+  --log-level=<level>  Of the nodes of a deployment [default: info].
   --role=<role>       Of a process that such a run has started.
   --number=<n>        Of that process among those of its role [default: 0].
   --help              Show this text.
