--- a/tests/soak/fleet/coordinator.cc
+++ b/tests/soak/fleet/coordinator.cc
@@ -238,6 +238,7 @@
 void coordinator::begin_load() {
     loaded_ = came_up_ = true;
     first_memory_mb_ = largest_node_mb();
+    process_.measure();
     tell_all("", "measure", "{}");
     tell_all("callers", "begin", "{}");
     for (const fault_options &fault : options_.role.plan.faults) {
--- a/tests/soak/fleet/role_process.cc
+++ b/tests/soak/fleet/role_process.cc
@@ -29,8 +29,7 @@
         return nlohmann::json::object();
     });
     on_command("measure", [this](const nlohmann::json & /*fields*/) {
-        meter_ = std::make_unique<lag_meter>(dispatcher, time_source_,
-                                             [this](Duration late) { lags_.push_back(late); });
+        measure();
         return nlohmann::json::object();
     });
     flush_timer_->enable(record_writer::kFlushInterval);
@@ -48,6 +47,11 @@
     dispatcher.run();
 }
 
+void role_process::measure() {
+    meter_ = std::make_unique<lag_meter>(dispatcher, time_source_,
+                                         [this](Duration late) { lags_.push_back(late); });
+}
+
 void role_process::stop() {
     dispatcher.stop();
 }
--- a/tests/soak/fleet/role_process.h
+++ b/tests/soak/fleet/role_process.h
@@ -50,6 +50,8 @@
     /** Until the command "stop". */
     void run();
     void stop();
+    /** From now on the lag of this process counts. */
+    void measure();
     void note(const record &entry) {
         records_.add(entry);
     }
