--- a/tests/soak/fleet/coordinator.cc
+++ b/tests/soak/fleet/coordinator.cc
@@ -519,7 +519,7 @@
 void coordinator::send_troubles() {
     const std::set<std::string> away(store_.turned_away.begin(), store_.turned_away.end());
     const json troubles = {{"status", store_.refusing > 0 ? 503 : 0},
-                           {"delay_ms", store_.slow > 0 ? 240 : 0},
+                           {"delay_ms", store_.slow > 0 ? in_ms(store_.delay) : 0},
                            {"lost_percent", store_.losing + store_.late > 0 ? 35 : 0},
                            {"late_ms", store_.late > 0 ? 2500 : 0},
                            {"turned_away", away}};
@@ -543,6 +543,8 @@
 }
 
 void coordinator::slow_store(Duration length) {
+    // From sixty times the usual to just under the time that nodes give a call.
+    store_.delay = process_.between(milliseconds(240), milliseconds(1900));
     trouble_store("store_slow", &store_state::slow, length);
 }
 
--- a/tests/soak/fleet/coordinator.h
+++ b/tests/soak/fleet/coordinator.h
@@ -61,6 +61,7 @@
         uint64_t slow = 0;
         uint64_t losing = 0;
         uint64_t late = 0;
+        Duration delay{0}; // while it is slow
         std::multiset<std::string> turned_away;
     };
     using fault_function = void (coordinator::*)(Duration length);
