--- a/tests/soak/fleet/coordinator.cc
+++ b/tests/soak/fleet/coordinator.cc
@@ -252,6 +252,10 @@
     last_memory_mb_ = largest_node_mb();
     store_ = {};
     send_troubles();
+    send_command(process_.client, options_.role.layout.store_control(), "calls", json::object(),
+                 [this](const Expected<HttpResponse> &answer) {
+                     store_calls_ = answer ? answer->body : "{}";
+                 });
     tell_all("workers", "heal", "{}");
     tell_all("callers", "end", "{}");
     process_.later(seconds(1), [this] { wait_for_jobs(); });
--- a/tests/soak/fleet/coordinator.h
+++ b/tests/soak/fleet/coordinator.h
@@ -37,6 +37,10 @@
     const std::map<std::string, uint64_t> &faults() const {
         return faults_;
     }
+    /** Calls to the store by path, as a JSON object. */
+    const std::string &store_calls() const {
+        return store_calls_;
+    }
     /** Nodes that ended by themselves, or didn't end a planned stop as they should, in words. */
     const std::vector<std::string> &node_failures() const {
         return node_failures_;
@@ -123,6 +127,7 @@
     store_state store_;
     std::map<std::string, uint64_t> faults_;
     std::vector<std::string> node_failures_;
+    std::string store_calls_ = "{}";
     uint64_t first_memory_mb_ = 0;
     uint64_t last_memory_mb_ = 0;
     MonotonicTime load_ended_{};
--- a/tests/soak/fleet/fleet_main.cc
+++ b/tests/soak/fleet/fleet_main.cc
@@ -50,6 +50,7 @@
     }
     std::cout << nlohmann::json{{"seed", arguments.seed},
                                 {"faults", run.faults()},
+                                {"store_calls", nlohmann::json::parse(run.store_calls())},
                                 {"node_failures", run.node_failures().size()},
                                 {"first_memory_mb", run.first_memory_mb()},
                                 {"last_memory_mb", run.last_memory_mb()}}
--- a/tests/soak/fleet/fleet_store.cc
+++ b/tests/soak/fleet/fleet_store.cc
@@ -20,6 +20,8 @@
 /** Callers give a call up earlier; afterwards the connection closes. */
 constexpr Duration kSilence = seconds(6);
 constexpr size_t kMostRows = 500;
+constexpr uint64_t kWritesPerSecond = 1500;
+constexpr uint64_t kReadsPerSecond = 6000;
 /** Marks a follower whose caller has left and who is about to be removed. */
 constexpr StoreVersion kLeft = UINT64_MAX;
 
@@ -79,6 +81,8 @@
     : dispatcher_(dispatcher), random_(random), began_(time_source_.monotonic_now()),
       wake_timer_(dispatcher.create_timer([this] { wake(); })),
       tidy_timer_(dispatcher.create_timer([this] { tidy(); })) {
+    writes_.most = kWritesPerSecond;
+    reads_.most = kReadsPerSecond;
     tidy_timer_->enable(kTidyInterval);
 }
 
@@ -100,9 +104,26 @@
     }
 }
 
+bool fleet_store::over_budget(const HttpRequest &request) {
+    const bool reads = request.method == "GET";
+    call_budget &budget = reads ? reads_ : writes_;
+    if (now() - budget.renewed >= seconds(1)) {
+        budget.renewed = now();
+        budget.left = budget.most;
+    }
+    if (budget.left == 0) {
+        ++calls_["over the limit"];
+        return true;
+    }
+    --budget.left;
+    return false;
+}
+
 bool fleet_store::troubled(const HttpRequest &request, ResponseWriterPtr &writer) {
     if (troubles_.turned_away.contains(request.peer.ip)) {
         writer->abort();
+    } else if (over_budget(request)) {
+        answer(std::move(writer), {429, {}, "{}"}, kAnswerTime);
     } else if (troubles_.silent) {
         keep_silent(std::move(writer));
     } else if (troubles_.status != 0) {
@@ -153,6 +174,7 @@
     StoreTransaction transaction = decode_transaction(request.body);
     const std::optional<Duration> turn = turn_of(partition_of(transaction));
     if (!turn) {
+        ++calls_["over the limit of a partition"];
         answer(std::move(writer), {429, {}, "{}"}, kAnswerTime);
         return;
     }
--- a/tests/soak/fleet/fleet_store.h
+++ b/tests/soak/fleet/fleet_store.h
@@ -68,6 +68,15 @@
         HttpResponse response;
     };
 
+    /** What all callers together may do within a second. */
+    struct call_budget {
+        uint64_t most = 0;
+        uint64_t left = 0;
+        MonotonicTime renewed{};
+    };
+
+    /** Whether the call is beyond what the store takes in a second. */
+    bool over_budget(const HttpRequest &request);
     bool troubled(const HttpRequest &request, ResponseWriterPtr &writer);
     void transact(const HttpRequest &request, ResponseWriterPtr writer);
     void commit(const StoreTransaction &transaction, ResponseWriterPtr writer);
@@ -97,6 +106,8 @@
     indexed_rows rows_;
     std::map<std::string, std::string> objects_;
     std::map<std::string, uint64_t> calls_;
+    call_budget writes_;
+    call_budget reads_;
     std::map<std::string, MonotonicTime> busy_until_; // by partition
     std::list<follower> followers_;
     std::list<waiting_answer> waiting_;
