Answers of the store are lost to all calls, not to commits alone

Cause: the stand-in lost the answers of commits only; on the platform any call may get none, and its connection then says nothing further. Ruled out before: slow (0.24 to 1.9 s) and late spells alone (0 items later than 2.1 s).

--- a/tests/soak/fleet/fleet_store.cc
+++ b/tests/soak/fleet/fleet_store.cc
@@ -17,8 +17,8 @@
 constexpr Duration kWakeAfter = milliseconds(4);
 constexpr Duration kTidyInterval = milliseconds(100);
 constexpr Duration kHistory = seconds(20);
-/** Callers give a call up earlier; afterwards the connection closes. */
-constexpr Duration kSilence = seconds(6);
+/** Longer than any caller waits; afterwards the connection closes. */
+constexpr Duration kSilence = seconds(60);
 constexpr size_t kMostRows = 500;
 constexpr uint64_t kWritesPerSecond = 1500;
 constexpr uint64_t kReadsPerSecond = 6000;
@@ -178,7 +178,7 @@
         answer(std::move(writer), {429, {}, "{}"}, kAnswerTime);
         return;
     }
-    if (random_.below(100) < troubles_.lost_percent) {
+    if (lost()) {
         commit_unanswered(std::move(transaction), std::move(writer));
         return;
     }
@@ -273,7 +273,15 @@
     return text.append(more).append("}");
 }
 
+bool fleet_store::lost() {
+    return random_.below(100) < troubles_.lost_percent;
+}
+
 void fleet_store::answer(ResponseWriterPtr writer, HttpResponse response, Duration takes) {
+    if (lost()) {
+        keep_silent(std::move(writer));
+        return;
+    }
     response.headers = {{"Content-Type", "application/json"}};
     waiting_.push_back({std::move(writer), std::move(response)});
     const auto entry = std::prev(waiting_.end());
@@ -315,6 +323,12 @@
         if (rows_.newest(place->table) <= place->since && place->until > now()) {
             continue;
         }
+        if (lost()) {
+            place->writer->set_on_closed({});
+            keep_silent(std::move(place->writer));
+            followers_.erase(place);
+            continue;
+        }
         std::string &text = encoded[{place->table, place->since}];
         if (text.empty()) {
             text = encode(rows_.changes(place->table, place->since));
--- a/tests/soak/fleet/fleet_store.h
+++ b/tests/soak/fleet/fleet_store.h
@@ -29,7 +29,7 @@
     bool silent = false;
     /** Added to the time of each answer. */
     Duration delay{0};
-    /** Of 100 commits, so many get no answer. */
+    /** Of 100 calls, so many get no answer, nor does anything later on their connections. */
     uint32_t lost_percent = 0;
     /** The commits without an answer are applied this much later. */
     Duration late{0};
@@ -89,6 +89,8 @@
     /** Rows as the body of an answer, with the store's version and clock. */
     std::string encode(const std::vector<encoded_row_ptr> &rows, const std::string &more = {}) const;
     void answer(ResponseWriterPtr writer, HttpResponse response, Duration takes);
+    /** Whether the next answer is lost. */
+    bool lost();
     /** Keeps the connection without a word. */
     void keep_silent(ResponseWriterPtr writer);
     /** Followers are answered together a few milliseconds after a change, not at each. */
