--- a/tests/soak/fleet/caller_role.cc
+++ b/tests/soak/fleet/caller_role.cc
@@ -9,9 +9,9 @@
 
 using nlohmann::json;
 
-void run_caller_role(role_options options) {
+void run_caller_role(const role_options &options) {
     const Address control = options.layout.caller_control(options.number);
-    role_process process(std::move(options), control);
+    role_process process(options, control);
     ready_nodes nodes(process);
     online_load online(process, nodes);
     job_load jobs(process, nodes);
--- a/tests/soak/fleet/caller_role.h
+++ b/tests/soak/fleet/caller_role.h
@@ -11,7 +11,7 @@
 namespace chalkshed::soak {
 
 /** Runs until it is told to stop. */
-void run_caller_role(role_options options);
+void run_caller_role(const role_options &options);
 
 } // namespace chalkshed::soak
 
--- a/tests/soak/fleet/coordinator.cc
+++ b/tests/soak/fleet/coordinator.cc
@@ -134,16 +134,17 @@
 }
 
 void coordinator::start_child(const std::string &role, uint64_t number, const Address &control) {
-    const std::vector<std::string> words = {
-        "chalkshed-soak",
-        "--deployment=" + options_.role.file,
-        "--program=" + options_.program,
-        "--folder=" + options_.role.folder,
-        "--seed=" + std::to_string(options_.role.seed),
-        "--network=" + std::to_string(options_.role.layout.network),
-        "--role=" + role,
-        "--number=" + std::to_string(number)};
+    const std::vector<std::string> words = {"chalkshed-soak",
+                                            "--deployment=" + options_.role.file,
+                                            "--program=" + options_.program,
+                                            "--folder=" + options_.role.folder,
+                                            "--seed=" + std::to_string(options_.role.seed),
+                                            "--network=" +
+                                                std::to_string(options_.role.layout.network),
+                                            "--role=" + role,
+                                            "--number=" + std::to_string(number)};
     std::vector<char *> arguments;
+    arguments.reserve(words.size() + 1);
     for (const std::string &word : words) {
         arguments.push_back(const_cast<char *>(word.c_str()));
     }
@@ -286,9 +287,8 @@
                          }
                          // What must not run any more is watched a while longer.
                          const bool done = *open == 0;
-                         process_.later(done ? 2 * kCalm : milliseconds(500), [this, done] {
-                             done ? end_run() : wait_for_jobs();
-                         });
+                         process_.later(done ? 2 * kCalm : milliseconds(500),
+                                        [this, done] { done ? end_run() : wait_for_jobs(); });
                      });
     }
 }
--- a/tests/soak/fleet/fleet_main.cc
+++ b/tests/soak/fleet/fleet_main.cc
@@ -26,15 +26,15 @@
     return options;
 }
 
-int run_role(const std::string &role, role_options options) {
-    const std::map<std::string, void (*)(role_options)> roles = {
+int run_role(const std::string &role, const role_options &options) {
+    const std::map<std::string, void (*)(const role_options &)> roles = {
         {"store", &run_store_role}, {"workers", &run_worker_role}, {"callers", &run_caller_role}};
     const auto found = roles.find(role);
     if (found == roles.end()) {
         std::cerr << "chalkshed-soak: there is no role '" << role << "'\n";
         return kInvalid;
     }
-    found->second(std::move(options));
+    found->second(options);
     return 0;
 }
 
@@ -65,8 +65,8 @@
 
 int run_coordinator(const fleet_arguments &arguments, const role_options &options) {
     if (options.plan.nodes > kMostNodes) {
-        std::cerr << "chalkshed-soak: " << arguments.file << ": nodes: more than "
-                  << kMostNodes << " don't fit in one network; write fewer\n";
+        std::cerr << "chalkshed-soak: " << arguments.file << ": nodes: more than " << kMostNodes
+                  << " don't fit in one network; write fewer\n";
         return kInvalid;
     }
     // Records of an earlier run would be joined with those of this one.
--- a/tests/soak/fleet/fleet_store.cc
+++ b/tests/soak/fleet/fleet_store.cc
@@ -35,8 +35,8 @@
     std::string decoded;
     for (size_t index = at; index < query.size() && query[index] != '&'; ++index) {
         if (query[index] == '%') {
-            decoded += static_cast<char>(
-                std::stoi(std::string(query.substr(index + 1, 2)), nullptr, 16));
+            decoded +=
+                static_cast<char>(std::stoi(std::string(query.substr(index + 1, 2)), nullptr, 16));
             index += 2;
         } else {
             decoded += query[index];
--- a/tests/soak/fleet/fleet_store.h
+++ b/tests/soak/fleet/fleet_store.h
@@ -87,7 +87,8 @@
     void follow(const HttpRequest &request, ResponseWriterPtr writer);
     void handle_object(const HttpRequest &request, ResponseWriterPtr writer);
     /** Rows as the body of an answer, with the store's version and clock. */
-    std::string encode(const std::vector<encoded_row_ptr> &rows, const std::string &more = {}) const;
+    std::string encode(const std::vector<encoded_row_ptr> &rows,
+                       const std::string &more = {}) const;
     void answer(ResponseWriterPtr writer, HttpResponse response, Duration takes);
     /** Whether the next answer is lost. */
     bool lost();
--- a/tests/soak/fleet/fleet_worker.cc
+++ b/tests/soak/fleet/fleet_worker.cc
@@ -126,8 +126,8 @@
             begin_answer(current);
         }
     });
-    const Duration until_first = process_.between(service_.first_event / 2,
-                                                  service_.first_event * 3 / 2);
+    const Duration until_first =
+        process_.between(service_.first_event / 2, service_.first_event * 3 / 2);
     if (!process_.chance(faults.mute)) {
         added->timer->enable(until_first);
     } else if (process_.chance(50)) {
--- a/tests/soak/fleet/job_load.cc
+++ b/tests/soak/fleet/job_load.cc
@@ -157,17 +157,17 @@
 }
 
 void job_load::call(uint64_t node, const HttpRequest &request, Duration limit,
-                    answer_handler handler) {
+                    const answer_handler &handler) {
     const auto connection =
         std::make_shared<wire_client>(process_.dispatcher, process_.options.layout.node(node));
     const auto ended = std::make_shared<bool>(false);
     // The observer keeps the connection until the answer has ended.
-    connection->send(encode_request(request, kHost, 0), [connection, ended, handler](
-                                                            const call_result &result) mutable {
-        if (!std::exchange(*ended, true)) {
-            handler(result);
-        }
-    });
+    connection->send(encode_request(request, kHost, 0),
+                     [connection, ended, handler](const call_result &result) mutable {
+                         if (!std::exchange(*ended, true)) {
+                             handler(result);
+                         }
+                     });
     process_.later(limit, [weak = std::weak_ptr<wire_client>(connection), ended, handler] {
         const wire_client_ptr late = weak.lock();
         if (late && !std::exchange(*ended, true)) {
@@ -195,7 +195,7 @@
     const Duration limit =
         leaves ? process_.between(milliseconds(0), milliseconds(100)) : kCallTime;
     call(node, request, limit,
-         [this, of, attempt = entry.attempt, node, leaves](const call_result &result) {
+         [this, of, attempt = entry.attempt, node](const call_result &result) {
              handle_answer(of, attempt, node, result.whole ? result.status : 0);
          });
 }
@@ -270,8 +270,9 @@
     process_.note(entry);
     if (status != 200) {
         if (!of->end_acknowledged && tries < kMostEndTries) {
-            process_.later(kBetweenAttempts,
-                           [this, of, node, tries] { send_end(of, nodes_.other_than(node), tries + 1); });
+            process_.later(kBetweenAttempts, [this, of, node, tries] {
+                send_end(of, nodes_.other_than(node), tries + 1);
+            });
         }
         return;
     }
@@ -309,8 +310,8 @@
         entry.position = position++;
         entry.item = result_fields.at("id");
         entry.completed = result_fields.at("state") == "completed";
-        entry.text_ok = entry.completed &&
-                         result_fields.at("message") == whole_text(entry.item, events);
+        entry.text_ok =
+            entry.completed && result_fields.at("message") == whole_text(entry.item, events);
         process_.note(entry);
     }
     of->listed = std::max(of->listed, position);
--- a/tests/soak/fleet/job_load.h
+++ b/tests/soak/fleet/job_load.h
@@ -59,7 +59,8 @@
     void read(const job_ptr &of);
     void note_page(const job_ptr &of, uint64_t from, const call_result &result);
     /** Calls a node on a connection of its own. */
-    void call(uint64_t node, const HttpRequest &request, Duration limit, answer_handler handler);
+    void call(uint64_t node, const HttpRequest &request, Duration limit,
+              const answer_handler &handler);
     HttpRequest message(const std::string &method, const std::string &path);
 
     role_process &process_;
--- a/tests/soak/fleet/online_load.cc
+++ b/tests/soak/fleet/online_load.cc
@@ -123,7 +123,7 @@
 wire_client_ptr online_load::connection_to(uint64_t node, bool kept) {
     std::deque<wire_client_ptr> &idle = kept_[node];
     while (kept && !idle.empty()) {
-        const wire_client_ptr connection = idle.front();
+        wire_client_ptr connection = idle.front();
         idle.pop_front();
         if (connection->open()) {
             return connection;
@@ -153,16 +153,15 @@
     entry.node = "node-" + std::to_string(sent->node);
     entry.message = describe(sent->request);
     entry.once = sent->route->kind == route_kind::kNonIdempotent ||
-                  (sent->route->kind == route_kind::kStreaming && !sent->route->resumable);
+                 (sent->route->kind == route_kind::kStreaming && !sent->route->resumable);
     entry.kept = connection->exchanges() > 0 || !connection->idle();
     process_.note(entry);
     ++open_calls_;
     const size_t chunk =
         process_.chance(callers.chunked_percent) ? 1 + process_.random.below(20000) : 0;
     sent->connection = connection;
-    connection->send(encode_request(sent->request, kHost, chunk), [this, sent](call_result result) {
-        handle_answer(sent, std::move(result));
-    });
+    connection->send(encode_request(sent->request, kHost, chunk),
+                     [this, sent](const call_result &result) { handle_answer(sent, result); });
     sent->request.body.clear();
     leave_at_times(sent);
 }
@@ -171,7 +170,7 @@
     const bool early = process_.chance(process_.options.plan.callers.leave_percent);
     const Duration longest = sent->route->timeout + kPatience;
     const Duration wait = early ? process_.between(milliseconds(0), seconds(1)) : longest;
-    process_.later(wait, [this, weak = std::weak_ptr<call>(sent)] {
+    process_.later(wait, [weak = std::weak_ptr<call>(sent)] {
         const call_ptr leaving = weak.lock();
         if (leaving && !leaving->ended) {
             // Those that wait behind it on the connection break with it.
@@ -208,7 +207,7 @@
     return result.whole ? result.body == expected : expected.starts_with(result.body);
 }
 
-void online_load::handle_answer(const call_ptr &sent, call_result result) {
+void online_load::handle_answer(const call_ptr &sent, const call_result &result) {
     if (std::exchange(sent->ended, true)) {
         return;
     }
--- a/tests/soak/fleet/online_load.h
+++ b/tests/soak/fleet/online_load.h
@@ -39,7 +39,7 @@
     void send(const call_ptr &sent, const wire_client_ptr &connection);
     void leave_at_times(const call_ptr &sent);
     void note_left(const call &sent);
-    void handle_answer(const call_ptr &sent, call_result result);
+    void handle_answer(const call_ptr &sent, const call_result &result);
     bool matches(const call &sent, const call_result &result) const;
     void come_again(const call &sent, const call_result &result);
     double factor_now() const;
--- a/tests/soak/fleet/source_address_preload.cc
+++ b/tests/soak/fleet/source_address_preload.cc
@@ -22,10 +22,11 @@
     if (ip == nullptr || inet_pton(AF_INET, ip, &source.sin_addr) != 1) {
         return;
     }
+    // Where it fails, the connection goes out as without this library.
     // The port is chosen with the destination known, so that ports don't run out.
     const int enabled = 1;
     setsockopt(socket, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &enabled, sizeof(enabled));
-    bind(socket, reinterpret_cast<const sockaddr *>(&source), sizeof(source));
+    static_cast<void>(bind(socket, reinterpret_cast<const sockaddr *>(&source), sizeof(source)));
 }
 
 bool is_tcp(int socket) {
--- a/tests/soak/fleet/store_role.cc
+++ b/tests/soak/fleet/store_role.cc
@@ -22,9 +22,9 @@
 
 } // namespace
 
-void run_store_role(role_options options) {
+void run_store_role(const role_options &options) {
     const fleet_layout layout = options.layout;
-    role_process process(std::move(options), layout.store_control());
+    role_process process(options, layout.store_control());
     fleet_store store(process.dispatcher, process.random);
     HttpServerKnobs knobs;
     knobs.idle_timeout = std::chrono::seconds(60);
--- a/tests/soak/fleet/store_role.h
+++ b/tests/soak/fleet/store_role.h
@@ -11,7 +11,7 @@
 namespace chalkshed::soak {
 
 /** Runs until it is told to stop. */
-void run_store_role(role_options options);
+void run_store_role(const role_options &options);
 
 } // namespace chalkshed::soak
 
--- a/tests/soak/fleet/wire_reader.h
+++ b/tests/soak/fleet/wire_reader.h
@@ -47,7 +47,16 @@
     }
 
 private:
-    enum class state { kStart, kHeaders, kLength, kChunkSize, kChunk, kChunkEnd, kTrailer, kUntilClose };
+    enum class state {
+        kStart,
+        kHeaders,
+        kLength,
+        kChunkSize,
+        kChunk,
+        kChunkEnd,
+        kTrailer,
+        kUntilClose
+    };
 
     progress take_line(const std::string &line);
     progress begin_body();
--- a/tests/soak/fleet/wire_server.cc
+++ b/tests/soak/fleet/wire_server.cc
@@ -271,13 +271,11 @@
 wire_server::wire_server(EventDispatcher &dispatcher, const Address &local, wire_handler &handler)
     : dispatcher_(dispatcher), handler_(handler) {
     const std::optional<SocketAddress> address = to_socket_address(local);
-    listener_ =
-        !address
-            ? nullptr
-            : evconnlistener_new_bind(dispatcher.base(), &wire_server::on_accept, this,
-                                      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC |
-                                          LEV_OPT_REUSEABLE,
-                                      kBacklog, address->get(), static_cast<int>(address->length));
+    listener_ = !address ? nullptr
+                         : evconnlistener_new_bind(
+                               dispatcher.base(), &wire_server::on_accept, this,
+                               LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+                               kBacklog, address->get(), static_cast<int>(address->length));
     if (listener_ == nullptr) {
         throw std::runtime_error("cannot listen on " + to_string(local) +
                                  "; choose another --network");
--- a/tests/soak/fleet/worker_role.cc
+++ b/tests/soak/fleet/worker_role.cc
@@ -18,11 +18,11 @@
 
 } // namespace
 
-void run_worker_role(role_options options) {
-    worker_role(std::move(options)).run();
+void run_worker_role(const role_options &options) {
+    worker_role(options).run();
 }
 
-worker_role::worker_role(role_options options)
+worker_role::worker_role(const role_options &options)
     : process_(options, options.layout.worker_control(options.number)) {
     process_.on_command("register", [this](const json & /*fields*/) {
         add_workers();
@@ -61,10 +61,9 @@
 
 fleet_worker &worker_role::add(const service_options &service, const std::string &zone,
                                const Address &local) {
-    const std::string incarnation = "i-" + std::to_string(process_.options.number) + "-" +
-                                    std::to_string(++next_incarnation_);
-    workers_.push_back(
-        std::make_unique<fleet_worker>(process_, service, incarnation, zone, local));
+    const std::string incarnation =
+        "i-" + std::to_string(process_.options.number) + "-" + std::to_string(++next_incarnation_);
+    workers_.push_back(std::make_unique<fleet_worker>(process_, service, incarnation, zone, local));
     write(*workers_.back(), "ready", [] {});
     return *workers_.back();
 }
@@ -78,7 +77,9 @@
                          {"state", state},
                          {"cold_left_ms", 0},
                          {"seq", 1}};
-    put({{"table", platform::kWorkerTable}, {"key", worker.incarnation()}, {"value", fields.dump()}},
+    put({{"table", platform::kWorkerTable},
+         {"key", worker.incarnation()},
+         {"value", fields.dump()}},
         std::move(done));
 }
 
--- a/tests/soak/fleet/worker_role.h
+++ b/tests/soak/fleet/worker_role.h
@@ -14,11 +14,11 @@
 namespace chalkshed::soak {
 
 /** Runs until it is told to stop. */
-void run_worker_role(role_options options);
+void run_worker_role(const role_options &options);
 
 class worker_role {
 public:
-    explicit worker_role(role_options options);
+    explicit worker_role(const role_options &options);
     void run() {
         process_.run();
     }
