--- a/tests/soak/fleet/coordinator.cc
+++ b/tests/soak/fleet/coordinator.cc
@@ -199,6 +199,7 @@
     node.zone = plan.zones[number % plan.zones.size()];
     node.ip = options_.role.layout.node_ip(number);
     node.store = options_.role.layout.store();
+    node.settings = "bounds.cancel_ms=" + std::to_string(in_ms(plan.bounds.ended_job)) + "\n";
     node.log_level = options_.log_level;
     node.preload = rig_folder() + "/" + kSourceLibrary;
     nodes_.push_back(std::make_unique<node_process>(std::move(node)));
--- a/tests/soak/fleet/fleet_store.cc
+++ b/tests/soak/fleet/fleet_store.cc
@@ -11,12 +11,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Duration kAnswerTime = milliseconds(4);
 constexpr Duration kCommitTime = milliseconds(5);
 constexpr Duration kMostWaiting = seconds(1);
 constexpr Duration kWakeAfter = milliseconds(4);
 constexpr Duration kTidyInterval = milliseconds(100);
-constexpr Duration kHistory = seconds(20);
 /** Longer than any caller waits; afterwards the connection closes. */
 constexpr Duration kSilence = seconds(60);
 constexpr size_t kMostRows = 500;
@@ -77,8 +75,10 @@
 
 } // namespace
 
-fleet_store::fleet_store(EventDispatcher &dispatcher, RandomGenerator &random)
-    : dispatcher_(dispatcher), random_(random), began_(time_source_.monotonic_now()),
+fleet_store::fleet_store(EventDispatcher &dispatcher, RandomGenerator &random, Duration answer_time,
+                         Duration history)
+    : dispatcher_(dispatcher), random_(random), answer_time_(answer_time), history_(history),
+      began_(time_source_.monotonic_now()),
       wake_timer_(dispatcher.create_timer([this] { wake(); })),
       tidy_timer_(dispatcher.create_timer([this] { tidy(); })) {
     writes_.most = kWritesPerSecond;
@@ -123,11 +123,11 @@
     if (troubles_.turned_away.contains(request.peer.ip)) {
         writer->abort();
     } else if (over_budget(request)) {
-        answer(std::move(writer), {429, {}, "{}"}, kAnswerTime);
+        answer(std::move(writer), {429, {}, "{}"}, answer_time_);
     } else if (troubles_.silent) {
         keep_silent(std::move(writer));
     } else if (troubles_.status != 0) {
-        answer(std::move(writer), {troubles_.status, {}, "{}"}, kAnswerTime);
+        answer(std::move(writer), {troubles_.status, {}, "{}"}, answer_time_);
     } else {
         return false;
     }
@@ -175,7 +175,7 @@
     const std::optional<Duration> turn = turn_of(partition_of(transaction));
     if (!turn) {
         ++calls_["over the limit of a partition"];
-        answer(std::move(writer), {429, {}, "{}"}, kAnswerTime);
+        answer(std::move(writer), {429, {}, "{}"}, answer_time_);
         return;
     }
     if (lost()) {
@@ -221,7 +221,7 @@
     range.limit = static_cast<uint32_t>(limit.empty() ? kMostRows : std::stoul(limit));
     const row_range_page page = rows_.read(range);
     const std::string more = std::string(",\"has_more\":") + (page.more ? "true" : "false");
-    answer(std::move(writer), {200, {}, encode(page.rows, more)}, kAnswerTime);
+    answer(std::move(writer), {200, {}, encode(page.rows, more)}, answer_time_);
 }
 
 void fleet_store::follow(const HttpRequest &request, ResponseWriterPtr writer) {
@@ -258,7 +258,7 @@
     } else {
         response.status = 404;
     }
-    answer(std::move(writer), std::move(response), kAnswerTime);
+    answer(std::move(writer), std::move(response), answer_time_);
 }
 
 std::string fleet_store::encode(const std::vector<encoded_row_ptr> &rows,
@@ -340,7 +340,7 @@
 }
 
 void fleet_store::tidy() {
-    rows_.forget_before(now() - kHistory);
+    rows_.forget_before(now() - history_);
     wake_soon();
     tidy_timer_->enable(kTidyInterval);
 }
--- a/tests/soak/fleet/fleet_store.h
+++ b/tests/soak/fleet/fleet_store.h
@@ -39,7 +39,8 @@
 
 class fleet_store : public HttpHandler {
 public:
-    fleet_store(EventDispatcher &dispatcher, RandomGenerator &random);
+    fleet_store(EventDispatcher &dispatcher, RandomGenerator &random, Duration answer_time,
+                Duration history);
     ~fleet_store() override;
     fleet_store(const fleet_store &) = delete;
     fleet_store &operator=(const fleet_store &) = delete;
@@ -104,6 +105,8 @@
 
     EventDispatcher &dispatcher_;
     RandomGenerator &random_;
+    const Duration answer_time_;
+    const Duration history_;
     SystemTimeSource time_source_;
     MonotonicTime began_;
     indexed_rows rows_;
--- a/tests/soak/fleet/store_role.cc
+++ b/tests/soak/fleet/store_role.cc
@@ -25,7 +25,8 @@
 void run_store_role(const role_options &options) {
     const fleet_layout layout = options.layout;
     role_process process(options, layout.store_control());
-    fleet_store store(process.dispatcher, process.random);
+    const deployment &plan = options.plan;
+    fleet_store store(process.dispatcher, process.random, plan.store_answer, plan.store_history);
     HttpServerKnobs knobs;
     knobs.idle_timeout = std::chrono::seconds(60);
     const HttpServer server(process.dispatcher, layout.store(), store, knobs);
--- a/tests/soak/node_process.cc
+++ b/tests/soak/node_process.cc
@@ -43,7 +43,8 @@
          << "\nlisten.front=" << to_string(callers())
          << "\nlisten.readiness=" << to_string(readiness()) << "\nport_range=" << kPeerPort << ','
          << kPeerPort + 10 << "\nprovider.address=" << to_string(options_.store)
-         << "\nbounds.grace_s=8\n";
+         << "\nbounds.grace_s=8\n"
+         << options_.settings;
 }
 
 void node_process::start() {
--- a/tests/soak/node_process.h
+++ b/tests/soak/node_process.h
@@ -23,6 +23,8 @@
     std::string ip; // of the loopback network
     Address store;
     std::string log_level = "debug";
+    /** Lines to add to its settings file. */
+    std::string settings = {};
     /** A library that the process loads first; none when empty. */
     std::string preload = {};
 };
