--- a/tests/soak/node_process.h
+++ b/tests/soak/node_process.h
@@ -22,6 +22,11 @@
     std::string zone;
     std::string ip; // of the loopback network
     Address store;
+    std::string log_level = "debug";
+    /** Lines to add to its settings file. */
+    std::string settings = {};
+    /** A library that the process loads first; none when empty. */
+    std::string preload = {};
 };
 
 class node_process {
