--- a/tests/soak/fleet/expected_answers.cc
+++ b/tests/soak/fleet/expected_answers.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/fleet/expected_answers.h"
 
+#include <algorithm>
 #include <random>
 
 #include "src/core/digest.h"
--- a/tests/soak/fleet/fleet_store.h
+++ b/tests/soak/fleet/fleet_store.h
@@ -9,6 +9,7 @@
 
 #include <list>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
--- a/tests/soak/fleet/job_load.cc
+++ b/tests/soak/fleet/job_load.cc
@@ -83,7 +83,6 @@
     auto added = std::make_shared<job>();
     added->id = "j" + std::to_string(process_.options.number) + "x" + std::to_string(++next_id_);
     added->route = &route;
-    added->sent = process_.now();
     const uint64_t room = route.items.most - route.items.fewest + 1;
     const uint64_t items = route.items.fewest + process_.random.below(room);
     json content = json::array();
--- a/tests/soak/fleet/job_load.h
+++ b/tests/soak/fleet/job_load.h
@@ -33,7 +33,6 @@
         const route_options *route = nullptr;
         std::string content;
         std::vector<sent_item> items;
-        MonotonicTime sent{};
         uint64_t attempts = 0;
         uint64_t open_attempts = 0;
         bool accepted = false;
--- a/tests/soak/fleet/lag_meter.h
+++ b/tests/soak/fleet/lag_meter.h
@@ -6,9 +6,11 @@
  * the nodes, so that each process of the rig measures its own loop.
  */
 
+#include <algorithm>
 #include <functional>
 
 #include "src/core/dispatcher.h"
+#include "src/core/time.h"
 
 namespace chalkshed::soak {
 
--- a/tests/soak/fleet/wire_client.cc
+++ b/tests/soak/fleet/wire_client.cc
@@ -7,7 +7,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <charconv>
+#include <cstdio>
+#include <optional>
 
 #include "src/event/socket_address.h"
 
--- a/tests/soak/fleet/wire_reader.h
+++ b/tests/soak/fleet/wire_reader.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 #include "src/core/http_message.h"
 
--- a/tests/soak/fleet/wire_server.cc
+++ b/tests/soak/fleet/wire_server.cc
@@ -7,6 +7,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
+#include <cstdio>
 #include <stdexcept>
 
 #include "src/event/socket_address.h"
--- a/tests/soak/fleet/wire_server.h
+++ b/tests/soak/fleet/wire_server.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "src/core/address.h"
