--- a/tests/jobs/cluster_troubles.h
+++ b/tests/jobs/cluster_troubles.h
@@ -39,8 +39,8 @@
 };
 
 // rapidcheck shows a failing sequence by it.
-inline void showValue(const Step& step,
-                      std::ostream& out) {  // NOLINT(readability-identifier-naming)
+// NOLINTNEXTLINE(readability-identifier-naming)
+inline void showValue(const Step& step, std::ostream& out) {
   out << "event " << static_cast<int>(step.event) << " at n" << step.node << ", then "
       << step.then / milliseconds(1) << " ms";
 }
