--- a/tests/jobs/ended_job_test.cc
+++ b/tests/jobs/ended_job_test.cc
@@ -191,9 +191,8 @@
 // is free the owner still knows its jobs well enough to use it.
 TEST_F(EndedJobTest, AnItemThatWaitedInAQuietTimeStartsAsSoonAsAWorkerIsFree) {
   ServingCluster cluster(3, 1);
-  std::vector<SeenAnswerPtr> online;
   for (int number = 0; number < 4; ++number) {
-    online.push_back(cluster.request("/fixed/x", "r" + std::to_string(number)));
+    cluster.request("/fixed/x", "r" + std::to_string(number));
   }
   std::optional<Expected<std::monostate>> accepted;
   cluster.node("n0").jobs().submit(cluster.job("j1", 1),
