--- a/include/chalkshed/job_ender.h
+++ b/include/chalkshed/job_ender.h
@@ -4,11 +4,11 @@
 /** \file
  * Ends batch jobs on behalf of their callers.
  *
- * An end that is acknowledged promises that the job does no more work, although another node may
- * own it. The end is written to the job's record, which fences the owner's results, and the owner
- * is told of it before the caller is answered: by following the store alone it would go on for as
- * long as the store takes to answer it. A job that the store does not hold may still be on its way
- * there; a row of a refusal fences it. */
+ * An acknowledged end promises that the job does no more work, although another node may own it.
+ * The end is written to the job's record, which fences the owner's results, and the owner is
+ * notified before the caller is answered: by following the store alone it would go on for as long
+ * as the store takes to answer it. A job that the store does not hold may still be on its way
+ * there; a refusal's row fences it. */
 
 #include <functional>
 #include <memory>
@@ -60,7 +60,7 @@
     /** The write was refused: another record is there, or none. */
     void handle_conflict(const ending_ptr &under_way, const StoreCommit &commit);
     void handle_written(const ending_ptr &under_way, const known_job &ended);
-    /** Answers the caller once the owner knows, or cannot be told. */
+    /** Answers the caller once the owner has confirmed, or cannot be reached. */
     void acknowledge(const ending_ptr &under_way, const known_job &ended);
     void tell_owner(const ending_ptr &under_way, const known_job &ended);
 
--- a/src/jobs/job_ender.cc
+++ b/src/jobs/job_ender.cc
@@ -45,7 +45,7 @@
     under_way->callback({});
     return;
   }
-  // Whoever wrote it may not have told the owner: its answer was lost, or it was.
+  // The node that wrote it may have been lost before it notified the owner.
   if (known.record.ended) {
     acknowledge(under_way, known);
     return;
--- a/src/jobs/job_index.h
+++ b/src/jobs/job_index.h
@@ -12,7 +12,7 @@
 
 namespace chalkshed {
 
-/** A job as the store's table told it last. */
+/** A job by the newest version of its record that is known here. */
 struct indexed_job {
   StoredJob record;
   StoreVersion version = 0;
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -64,7 +64,7 @@
   void drain(std::function<void()> done);
   size_t owned_jobs() const { return owned_.size(); }
 
-  // What waits on routes whose queue is limited, as this node reports it and hears of it.
+  // Queues of the routes that limit them: own remainders to report, and those of other nodes.
   job_queues& queues() { return queues_; }
   // Called when this node owns a further job, so that peers hear of it soon.
   void set_on_queue_changed(std::function<void()> callback) {
--- a/tests/jobs/ended_job_property_test.cc
+++ b/tests/jobs/ended_job_property_test.cc
@@ -7,11 +7,11 @@
 #include <rapidcheck/gtest.h>
 
 #include "tests/jobs/cluster_troubles.h"
+#include "tests/jobs/ended_job_fixture.h"
 
 namespace chalkshed {
 namespace {
 
-constexpr Duration kCancelBound = seconds(3);
 constexpr Duration kStep = milliseconds(150);
 constexpr uint64_t kEvents = 6;
 constexpr size_t kItems = 150;
--- a/tests/jobs/ended_job_test.cc
+++ b/tests/jobs/ended_job_test.cc
@@ -8,51 +8,12 @@
 #include <gtest/gtest.h>
 
 #include "src/jobs/job_rows.h"
-#include "tests/serving/serving_cluster.h"
+#include "tests/jobs/ended_job_fixture.h"
 
 namespace chalkshed {
 namespace {
 
-// The users' bound: from the acknowledged end of a job to the last item that begins at a worker.
-constexpr Duration kCancelBound = seconds(3);
-
-class EndedJobTest : public testing::Test {
- protected:
-  // A job whose items run for a quarter of a second each, a few at a time, for over ten seconds.
-  void begin_job(ServingCluster& cluster, size_t items = 200) {
-    cluster.answer_all(5, milliseconds(50));
-    std::optional<Expected<std::monostate>> accepted;
-    cluster.node("n0").jobs().submit(
-        cluster.job("j1", items), [&](const Expected<std::monostate>& told) { accepted = told; });
-    cluster.clock.run_for(milliseconds(600));
-    ASSERT_TRUE(accepted && *accepted);
-    ASSERT_GT(cluster.workers.calls.size(), 0U);
-  }
-
-  // Ends the job at that node. @return when the end was acknowledged.
-  MonotonicTime end_job(ServingCluster& cluster, const std::string& node) {
-    std::optional<MonotonicTime> acknowledged;
-    cluster.node(node).jobs().end("j1", [&](const Expected<std::monostate>& told) {
-      if (told) {
-        acknowledged = cluster.clock.monotonic_now();
-      }
-    });
-    for (int step = 0; step < 500 && !acknowledged; ++step) {
-      cluster.clock.run_for(milliseconds(10));
-    }
-    EXPECT_TRUE(acknowledged) << "the end was not acknowledged";
-    return acknowledged.value_or(cluster.clock.monotonic_now());
-  }
-
-  // How many items begin at workers from now on, within five seconds beyond the bound.
-  size_t items_begun_beyond_bound(ServingCluster& cluster, MonotonicTime acknowledged) {
-    const Duration left = acknowledged + kCancelBound - cluster.clock.monotonic_now();
-    cluster.clock.run_for(std::max(left, Duration(0)));
-    const size_t before = cluster.workers.calls.size();
-    cluster.clock.run_for(seconds(5));
-    return cluster.workers.calls.size() - before;
-  }
-};
+class EndedJobTest : public EndedJobFixture {};
 
 // The store serves the node that ends the job and says nothing to its owner, which hears its peers
 // all the time.
--- a/tests/jobs/stale_view_test.cc
+++ b/tests/jobs/stale_view_test.cc
@@ -6,49 +6,13 @@
 
 #include "chalkshed/row_handover.h"
 #include "src/jobs/job_rows.h"
+#include "tests/jobs/ended_job_fixture.h"
 #include "tests/serving/partly_deaf_node.h"
 
 namespace chalkshed {
 namespace {
 
-constexpr Duration kCancelBound = seconds(3);
-
-class StaleViewTest : public testing::Test {
- protected:
-  void submit(ServingCluster& cluster, const std::string& node, size_t items) {
-    cluster.node(node).jobs().submit(
-        cluster.job("j1", items),
-        [&](const Expected<std::monostate>& told) { accepted = accepted || told.has_value(); });
-  }
-  void begin_job(ServingCluster& cluster, size_t items = 200) {
-    cluster.answer_all(5, milliseconds(50));
-    submit(cluster, "n0", items);
-    cluster.clock.run_for(milliseconds(600));
-    ASSERT_TRUE(accepted);
-    ASSERT_GT(cluster.workers.calls.size(), 0U);
-  }
-  MonotonicTime end_job(ServingCluster& cluster, const std::string& node) {
-    std::optional<MonotonicTime> acknowledged;
-    cluster.node(node).jobs().end("j1", [&](const Expected<std::monostate>& told) {
-      if (told) {
-        acknowledged = cluster.clock.monotonic_now();
-      }
-    });
-    for (int step = 0; step < 500 && !acknowledged; ++step) {
-      cluster.clock.run_for(milliseconds(10));
-    }
-    EXPECT_TRUE(acknowledged) << "the end was not acknowledged";
-    return acknowledged.value_or(cluster.clock.monotonic_now());
-  }
-  size_t begun_beyond_bound(ServingCluster& cluster, MonotonicTime acknowledged, Duration watched) {
-    const Duration left = acknowledged + kCancelBound - cluster.clock.monotonic_now();
-    cluster.clock.run_for(std::max(left, Duration(0)));
-    const size_t before = cluster.workers.calls.size();
-    cluster.clock.run_for(watched);
-    return cluster.workers.calls.size() - before;
-  }
-  bool accepted = false;
-};
+class StaleViewTest : public EndedJobFixture {};
 
 // The owner is cut off from store and peers, the job is ended. After gone_after (30 s) all peers
 // count as gone, so that nobody "may reach the store", and the owner starts items again.
@@ -60,7 +24,7 @@
   cluster.peers_answer = false;
   cluster.clock.run_for(milliseconds(100));
   const MonotonicTime acknowledged = end_job(cluster, "n1");
-  EXPECT_EQ(begun_beyond_bound(cluster, acknowledged, seconds(45)), 0U);
+  EXPECT_EQ(items_begun_beyond_bound(cluster, acknowledged, seconds(45)), 0U);
 }
 
 // The same with an owner that stood still for that long: it starts items before it reads anything.
@@ -91,7 +55,7 @@
   cluster.shared.trouble.silent = false;
   cluster.shared.wake_followers();
   const MonotonicTime acknowledged = end_job(cluster, "n1");
-  EXPECT_EQ(begun_beyond_bound(cluster, acknowledged, seconds(6)), 0U);
+  EXPECT_EQ(items_begun_beyond_bound(cluster, acknowledged, seconds(6)), 0U);
 }
 
 // The node that takes a job over follows nothing any more (the answers to its questions are lost),
@@ -120,7 +84,7 @@
   cluster.nodes.at("n1")->dispatcher.thaw();
   cluster.clock.run_for(milliseconds(100));
   const MonotonicTime acknowledged = end_job(cluster, "n1");
-  EXPECT_EQ(begun_beyond_bound(cluster, acknowledged, seconds(8)), 0U);
+  EXPECT_EQ(items_begun_beyond_bound(cluster, acknowledged, seconds(8)), 0U);
 }
 
 // The first end is written, its answer is lost; the caller ends the job again at the same node,
@@ -189,7 +153,7 @@
   }
   submit(cluster, "n0", 1);
   cluster.clock.run_for(milliseconds(300));
-  ASSERT_TRUE(accepted);
+  ASSERT_TRUE(accepted_);
   Duration blocked{0};
   cluster.clock.run_for(milliseconds(600));
   ASSERT_EQ(cluster.workers.calls.size(), 4U);
@@ -215,10 +179,10 @@
     cluster.request("/fixed/x", "r" + std::to_string(number));
   }
   owner.node.jobs().submit(cluster.job("j1", 1), [&](const Expected<std::monostate>& told) {
-    accepted = told.has_value();
+    accepted_ = told.has_value();
   });
   cluster.clock.run_for(milliseconds(300));
-  ASSERT_TRUE(accepted);
+  ASSERT_TRUE(accepted_);
   owner.store.deaf = true;
   cluster.clock.run_for(seconds(4));
   ASSERT_EQ(cluster.workers.calls.size(), 4U);
