--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -315,8 +315,8 @@
   }
 }
 
-// A caller that has left sends the job again to other nodes and hears of them alone, perhaps that
-// it is refused: nothing that could accept it may begin here any more.
+// A caller that has left sends the job to other nodes and gets its answer from them, which may be a
+// refusal: no write or hand-over that could accept the job may begin here any more.
 bool JobSubmit::end_if_deserted() {
   const bool deserted = submission_.caller_left && *submission_.caller_left;
   if (deserted) {
--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -19,7 +19,8 @@
   StoreVersion version = 0;
   bool accepted_here = false;     // by this submission; false: it was there before
   bool accepted_by_peer = false;  // its record is not known here yet
-  // When the write was sent whose answer told the record: the job stands as told since then.
+  // When the write was sent whose answer contained the record: the record was current then or
+  // later.
   MonotonicTime known_since{};
 };
 
