Sight: requests are named by their content, so that attempts of one caller can be joined

Cause: no line of a node named a request by anything but the id of one attempt; which of the runs that broke off with a worker had the same content, at whatever node, could not be told. Change: request_digest (XXH3 of tenant, host, method, path, query, body), set once as a request or an item is taken in; field `content` of the lines of sends, ends and items. No decision reads it. Before: none. After: the field on seven kinds of lines (quarantine_test 4 tests, serving_test 114, jobs_test 67 passed).

--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "chalkshed/request_digest.h"
 #include "src/core/digest.h"
 #include "src/jobs/job_rows.h"
 
@@ -37,6 +38,7 @@
       item.failures = std::move(failures->second);
     }
     item.request = std::move(request);
+    item.request.digest = request_digest(item.request);
     items_.push_back(std::move(item));
   }
 }
@@ -168,6 +170,7 @@
       LogLevel::kInfo, "item_started",
       {{"job", caller_job_id(record_.id)},
        {"request", item.request.id},
+       {"content", digest_text(item.request.digest)},
        {"owner", record_.owner},
        {"epoch", std::to_string(record_.epoch)},
        {"worker", item.run->worker()},
@@ -241,6 +244,7 @@
   environment_.serving.logger.write(LogLevel::kInfo, "item_run_failed",
                                     {{"job", caller_job_id(record_.id)},
                                      {"request", item.request.id},
+                                     {"content", digest_text(item.request.digest)},
                                      {"epoch", std::to_string(record_.epoch)},
                                      {"worker", worker},
                                      {"end", job_item_run_end_name(end)},
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "chalkshed/request_digest.h"
+
 namespace chalkshed {
 namespace {
 
@@ -336,6 +338,7 @@
   environment_.logger.write(
       level, event,
       {{"request", request_.id},
+       {"content", digest_text(request_.digest)},
        {"route", route_.name},
        {"service", service_},
        {"configuration", std::to_string(table_->version())},
--- a/src/serving/serving_gateway.cc
+++ b/src/serving/serving_gateway.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "chalkshed/request_digest.h"
+
 namespace chalkshed {
 
 ServingGateway::ServingGateway(ServingEnvironment& environment)
@@ -10,6 +12,7 @@
 
 void ServingGateway::handle(RouteTablePtr table, const Route& route, ServingRequest request,
                             ResponseWriterPtr writer) {
+  request.digest = request_digest(request);
   if (quota_ != nullptr) {
     if (const std::optional<Error> refused = quota_->admit(request.tenant, request.id)) {
       writer->respond(environment_.protocol.refusal(request.id, *refused));
--- a/src/serving/serving_request.h
+++ b/src/serving/serving_request.h
@@ -35,6 +35,9 @@
   uint64_t queue_tokens = 0;
   // The caller continues a stream behind this event.
   std::optional<uint64_t> resume_after;
+  // Of its content (request_digest.h): the same for all attempts of a caller. Set once it is taken
+  // in.
+  uint64_t digest = 0;
 };
 
 }  // namespace chalkshed
