--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -58,9 +58,8 @@
     uint64_t digest = 0; // of the request
     uint32_t worker = 0; // hash of the worker's incarnation
     MonotonicTime at{};
-    /** Silence is mostly a busy worker: it proves nothing until the worker is known to have ended.
-     */
-    bool silent = false;
+    /** Other causes are likelier: it counts only once the worker is known to have ended. */
+    bool weak = false;
 };
 
 /** Whether a content may be sent to a worker. */
@@ -86,6 +85,8 @@
     void note_over(uint64_t digest);
     /** A run that broke off, here or as a peer tells. \return Whether it was not known. */
     bool note_broken(const broken_run &run);
+    /** The run was not alone in breaking off then. */
+    void weaken(const broken_run &run);
     /** Evidence up to that time proves nothing any more: a run that was sent then brought a whole
      * answer, or an operator released the content. \return Whether there was any. */
     bool clear(uint64_t digest, MonotonicTime up_to);
@@ -125,7 +126,7 @@
     Duration lifetime(const broken_worker &broken) const;
     static bool counts(const broken_worker &broken) {
         return broken.fate == worker_fate::kEnded ||
-               (broken.fate == worker_fate::kUnknown && !broken.run.silent);
+               (broken.fate == worker_fate::kUnknown && !broken.run.weak);
     }
     const content *find(uint64_t digest) const;
     static size_t ends_of(const content &known);
--- a/include/chalkshed/request_quarantine.h
+++ b/include/chalkshed/request_quarantine.h
@@ -28,6 +28,10 @@
     /** A worker whose entry stands unchanged this long after a run broke off has not ended: three
      * heartbeats of 1.2 s, at most, and the lag of the list of workers. */
     Duration entry_gone_within = std::chrono::seconds(6);
+    /** Runs of this node that break off at several workers within this time have a common cause in
+     * the network or a rack: a request ends one worker. In a day of resets an item was held for six
+     * seconds whose connections were reset three times within 1.1 s, with all others of its node. */
+    Duration common_cause = std::chrono::milliseconds(50);
     /** An answer that reaches this node so much later than the end of a connection reached a peer
      * was not on its way before: a tenth of a second is over ten times the way between zones. */
     Duration answer_lag = std::chrono::milliseconds(100);
@@ -49,6 +53,7 @@
     /** A run of this node begins. \return To be called once it is over, whatever its end; may be
      * called after this is gone, since runs are destroyed in a later turn of the loop. */
     std::function<void()> note_begun(uint64_t digest);
+    /** \param silent The worker's connection stood: most such workers are busy. */
     void note_broken(uint64_t digest, const ServingWorker &worker, bool silent);
     void note_answered(uint64_t digest, MonotonicTime sent);
 
@@ -83,10 +88,15 @@
     }
 
 private:
+    /** Takes runs for weak evidence that broke off together with runs at other workers. */
+    void compare_with_recent(broken_run &run);
+    /** Tells of runs that broke off alone, once that is certain. */
+    void tell_recent();
     worker_fate fate_of(const broken_run &run) const;
     void review();
     void review_soon(uint64_t digest);
     void log_broken(const broken_run &run, const char *source) const;
+    void log_confirmed(const broken_run &run) const;
     /** Logs that the content is held, or ceases to be, since the last look. */
     void update_held(uint64_t digest);
     void update_all_held();
@@ -98,12 +108,15 @@
     const quarantine_knobs knobs_;
     crash_evidence evidence_;
     std::set<uint64_t> held_;
+    /** Runs of this node that broke off within the last common_cause. */
+    std::vector<broken_run> recent_;
     std::function<void(const broken_run &)> on_broken_;
     std::function<void(const answered_run &)> on_answered_;
     std::function<void()> on_reviewed_;
     std::function<bool(uint64_t)> tries_ = [](uint64_t) { return true; };
     std::function<Duration()> view_age_ = [] { return Duration(0); };
     TimerPtr timer_;
+    TimerPtr recent_timer_;
     Lifetime lifetime_;
 };
 
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -118,6 +118,7 @@
   ServingGateway& gateway() { return gateway_; }
   JobService& jobs() { return jobs_; }
   WorkerSet& workers() { return workers_; }
+  const request_quarantine& quarantine() const { return quarantine_; }
   // Answers questions of other nodes; callers must not reach it.
   HttpHandler& peer_handler() { return row_server_; }
   SessionView& peers() { return peers_; }
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -54,6 +54,16 @@
     return true;
 }
 
+void crash_evidence::weaken(const broken_run &run) {
+    const auto found = contents_.find(run.digest);
+    if (found == contents_.end()) {
+        return;
+    }
+    for (broken_worker &broken : found->second.workers) {
+        broken.run.weak = broken.run.weak || broken.run.worker == run.worker;
+    }
+}
+
 bool crash_evidence::clear(uint64_t digest, MonotonicTime up_to) {
     const auto found = contents_.find(digest);
     if (found == contents_.end()) {
--- a/src/quarantine/quarantine_rows.cc
+++ b/src/quarantine/quarantine_rows.cc
@@ -105,7 +105,9 @@
     }
     known.version = row.version;
     known.runs = decode_quarantine(*digest, row.value, clock_offset());
-    for (const broken_run &run : known.runs) {
+    for (broken_run &run : known.runs) {
+        // A time to come would never be forgotten.
+        run.at = std::min(run.at, time_source_.monotonic_now());
         quarantine_.learn_broken(run);
     }
 }
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -7,6 +7,10 @@
 namespace chalkshed {
 namespace {
 
+// Who saw a run break off.
+constexpr const char *kOwn = "own";
+constexpr const char *kTold = "told";
+
 std::string milliseconds_text(Duration duration) {
     return std::to_string(duration / std::chrono::milliseconds(1));
 }
@@ -18,7 +22,8 @@
                                        MetricsRegistry &metrics, const quarantine_knobs &knobs)
     : time_source_(time_source), workers_(workers), logger_(logger), metrics_(metrics),
       knobs_(knobs), evidence_(knobs.evidence),
-      timer_(dispatcher.create_timer([this] { review(); })) {}
+      timer_(dispatcher.create_timer([this] { review(); })),
+      recent_timer_(dispatcher.create_timer([this] { tell_recent(); })) {}
 
 run_permit request_quarantine::permit(uint64_t digest) const {
     if (evidence_.ends(digest) == 0) {
@@ -59,16 +64,44 @@
 }
 
 void request_quarantine::note_broken(uint64_t digest, const ServingWorker &worker, bool silent) {
-    const broken_run run{digest, static_cast<uint32_t>(worker.hash), time_source_.monotonic_now(),
-                         silent};
-    if (!evidence_.note_broken(run)) {
-        return;
+    broken_run run{digest, static_cast<uint32_t>(worker.hash), time_source_.monotonic_now(),
+                   silent};
+    if (!silent) {
+        compare_with_recent(run);
+    }
+    if (evidence_.note_broken(run)) {
+        log_broken(run, kOwn);
+        review_soon(digest);
+    }
+}
+
+void request_quarantine::compare_with_recent(broken_run &run) {
+    for (broken_run &other : recent_) {
+        if (other.worker != run.worker && run.at - other.at < knobs_.common_cause) {
+            run.weak = true;
+            other.weak = true;
+            evidence_.weaken(other);
+            update_held(other.digest);
+        }
     }
-    log_broken(run, "own");
-    if (!silent && on_broken_) {
-        on_broken_(run);
+    recent_.push_back(run);
+    if (!recent_timer_->enabled()) {
+        recent_timer_->enable(knobs_.common_cause);
+    }
+}
+
+void request_quarantine::tell_recent() {
+    const MonotonicTime now = time_source_.monotonic_now();
+    for (const broken_run &run : std::exchange(recent_, {})) {
+        if (now - run.at < knobs_.common_cause) {
+            recent_.push_back(run);
+        } else if (!run.weak && on_broken_) {
+            on_broken_(run);
+        }
+    }
+    if (!recent_.empty()) {
+        recent_timer_->enable(recent_.front().at + knobs_.common_cause - now);
     }
-    review_soon(digest);
 }
 
 void request_quarantine::note_answered(uint64_t digest, MonotonicTime sent) {
@@ -82,7 +115,7 @@
 
 void request_quarantine::learn_broken(const broken_run &run) {
     if (evidence_.note_broken(run)) {
-        log_broken(run, "told");
+        log_broken(run, kTold);
         review_soon(run.digest);
     }
 }
@@ -109,12 +142,8 @@
     const std::vector<broken_run> ended =
         evidence_.review([this](const broken_run &run) { return fate_of(run); }, now);
     for (const broken_run &run : ended) {
-        logger_.write(LogLevel::kInfo, "worker_end_confirmed",
-                      {{"content", digest_text(run.digest)},
-                       {"worker_hash", std::to_string(run.worker)},
-                       {"broken_ms_ago", milliseconds_text(now - run.at)},
-                       {"workers_ended", std::to_string(evidence_.ends(run.digest))}});
-        if (run.silent && on_broken_) {
+        log_confirmed(run);
+        if (run.weak && on_broken_) {
             on_broken_(run);
         }
     }
@@ -145,21 +174,39 @@
     return answered || would_be_gone ? worker_fate::kAlive : worker_fate::kUnknown;
 }
 
+// Each crash breaks off runs of innocent requests: of what peers tell, only what repeats is logged.
 void request_quarantine::log_broken(const broken_run &run, const char *source) const {
+    metrics_
+        .counter("chalkshed_runs_broken_off_total",
+                 "Runs that broke off with their worker's connection, by who saw it.",
+                 {{"source", source}})
+        .add(1);
+    const size_t ends = evidence_.ends(run.digest);
+    if (source == kTold && ends < 2) {
+        return;
+    }
     const WorkerPtr worker = workers_.find_hash(run.worker);
     logger_.write(LogLevel::kInfo, "run_broken_off",
                   {{"content", digest_text(run.digest)},
                    {"worker", worker ? worker->record.incarnation : ""},
                    {"worker_hash", std::to_string(run.worker)},
                    {"source", source},
-                   {"silent", run.silent ? "yes" : "no"},
+                   {"weak", run.weak ? "yes" : "no"},
                    {"broken_ms_ago", milliseconds_text(time_source_.monotonic_now() - run.at)},
-                   {"workers_ended", std::to_string(evidence_.ends(run.digest))}});
-    metrics_
-        .counter("chalkshed_runs_broken_off_total",
-                 "Runs that broke off with their worker's connection, by who saw it.",
-                 {{"source", source}})
-        .add(1);
+                   {"workers_ended", std::to_string(ends)}});
+}
+
+void request_quarantine::log_confirmed(const broken_run &run) const {
+    const size_t ends = evidence_.ends(run.digest);
+    if (ends < 2) {
+        return;
+    }
+    logger_.write(
+        LogLevel::kInfo, "worker_end_confirmed",
+        {{"content", digest_text(run.digest)},
+         {"worker_hash", std::to_string(run.worker)},
+         {"broken_ms_ago", milliseconds_text(time_source_.monotonic_now() - run.at)},
+         {"workers_ended", std::to_string(ends)}});
 }
 
 void request_quarantine::update_held(uint64_t digest) {
--- a/tests/quarantine/ending_fleet.h
+++ b/tests/quarantine/ending_fleet.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "chalkshed/request_digest.h"
 #include "tests/serving/serving_cluster.h"
 
 namespace chalkshed {
@@ -33,6 +34,7 @@
         std::string content;
         MonotonicTime sent;
         std::string worker;
+        std::string node; // that sent it
     };
 
     ending_fleet() : ending_fleet(knobs{}) {}
@@ -90,6 +92,46 @@
         call_after(cluster.loop, knobs_.returns_after, [this, number] { start_worker(number); });
     }
 
+    void end_worker_at(const Address &address) {
+        end_worker(number_of(address));
+    }
+    /** The worker says that it will leave. */
+    void announce_leaving(const Address &address) {
+        write_entry(number_of(address), "draining");
+    }
+    static uint64_t digest_of(const std::string &path, const std::string &content) {
+        ServingRequest request;
+        request.host = "a.example";
+        request.message.method = "POST";
+        request.message.path = path;
+        request.message.body = content;
+        return request_digest(request);
+    }
+
+    /** All connections of the node to workers are reset. */
+    void reset_connections(const std::string &node) {
+        for (ScriptedCall &call : cluster.workers.calls) {
+            if (call.open() && call.sender.starts_with(node + "#")) {
+                call.fail(Ran::kUnknown);
+            }
+        }
+    }
+    /** Runs for that long, and notes which contents any node holds meanwhile. */
+    void run_for(Duration length) {
+        constexpr Duration kStep = milliseconds(10);
+        for (Duration passed{0}; passed < length; passed += kStep) {
+            cluster.clock.run_for(kStep);
+            for (const auto &[name, node] : cluster.nodes) {
+                if (node) {
+                    const auto now_held = node->node.quarantine().evidence().all_quarantined();
+                    held.insert(now_held.begin(), now_held.end());
+                }
+            }
+        }
+    }
+
+    /** Digests of contents that some node has held. */
+    std::set<uint64_t> held;
     std::set<std::string> fatal;
     std::vector<fatal_run> runs;
     /** When workers ended by each content. */
@@ -113,6 +155,7 @@
         std::string id;
         bool up = false;
         int starts = 0;
+        int64_t born = 0; // Unix milliseconds
     };
 
     static Address address_of(size_t number) {
@@ -125,19 +168,30 @@
         started.up = true;
         started.id = "i-" + std::to_string(number) +
                      (knobs_.keeps_id ? "" : "-" + std::to_string(started.starts));
-        const auto now = cluster.clock.wall_now().time_since_epoch() / milliseconds(1);
-        const nlohmann::json entry = {
-            {"service", "engines"}, {"address", to_string(address_of(number))},
-            {"zone", "zone-a"},     {"slots", 6},
-            {"state", "ready"},     {"born", now}};
-        cluster.put("servers", started.id, entry.dump());
+        started.born = cluster.clock.wall_now().time_since_epoch() / milliseconds(1);
+        write_entry(number, "ready");
     }
 
-    void take_call(ScriptedCall &call) {
+    void write_entry(size_t number, const std::string &state) {
+        const nlohmann::json entry = {{"service", "engines"},
+                                      {"address", to_string(address_of(number))},
+                                      {"zone", "zone-a"},
+                                      {"slots", 6},
+                                      {"state", state},
+                                      {"born", workers_[number].born}};
+        cluster.put("servers", workers_[number].id, entry.dump());
+    }
+
+    static size_t number_of(const Address &address) {
         size_t number = 0;
-        while (!(address_of(number) == call.worker)) {
+        while (!(address_of(number) == address)) {
             ++number;
         }
+        return number;
+    }
+
+    void take_call(ScriptedCall &call) {
+        const size_t number = number_of(call.worker);
         worker &asked = workers_[number];
         if (!asked.up) {
             call_after(cluster.loop, milliseconds(1), [&call] {
@@ -165,7 +219,8 @@
 
     void begin_fatal(ScriptedCall &call, size_t number, const std::string &id) {
         const std::string content = call.request.body;
-        runs.push_back({content, cluster.clock.monotonic_now(), id});
+        const std::string node = call.sender.substr(0, call.sender.find('#'));
+        runs.push_back({content, cluster.clock.monotonic_now(), id, node});
         call.begin();
         call_after(cluster.loop, knobs_.ends_after, [this, &call, number, id, content] {
             if (call.open() && workers_[number].up && workers_[number].id == id) {
--- /dev/null
+++ b/tests/quarantine/shared_evidence_test.cc
@@ -0,0 +1,160 @@
+/** \file
+ * What one node knows of a fatal request reaches the others and outlasts it. */
+
+#include <gtest/gtest.h>
+
+#include "chalkshed/quarantine_rows.h"
+#include "tests/quarantine/ending_fleet.h"
+
+namespace chalkshed {
+namespace {
+
+constexpr const char *kFatal = "ends its worker";
+constexpr const char *kPath = "/fixed/1";
+
+/** Sends the fatal content until it is held, and lets the store hear of it. */
+void let_it_be_held(ending_fleet &fleet) {
+    fleet.fatal = {kFatal};
+    while (fleet.held.empty()) {
+        fleet.send(fleet.any_node(), kPath, kFatal);
+        fleet.run_for(milliseconds(300));
+    }
+    fleet.run_for(seconds(1));
+}
+
+bool holds(ending_fleet &fleet, const std::string &node) {
+    return fleet.cluster.node(node).quarantine().evidence().quarantined(
+        ending_fleet::digest_of(kPath, kFatal));
+}
+
+size_t rows(ending_fleet &fleet) {
+    return fleet.cluster.shared.rows.read({kQuarantineTable, "", "", ""}).rows.size();
+}
+
+TEST(SharedEvidence, ARefusalIsTrueAndSaysWhenToComeBack) {
+    ending_fleet fleet;
+    let_it_be_held(fleet);
+    const size_t runs = fleet.runs.size();
+    const SeenAnswerPtr answer = fleet.send("n1", kPath, kFatal);
+    fleet.run_for(seconds(1));
+    EXPECT_EQ(answer->status, 503);
+    EXPECT_GE(std::stod(answer->header("Retry-After")), 1.0);
+    EXPECT_EQ(fleet.runs.size(), runs);
+}
+
+TEST(SharedEvidence, ARestartOfAllNodesForgetsNothing) {
+    ending_fleet fleet;
+    let_it_be_held(fleet);
+    for (const std::string node : {"n0", "n1", "n2"}) {
+        fleet.cluster.kill_node(node);
+    }
+    for (const std::string node : {"n0", "n1", "n2"}) {
+        fleet.cluster.start_node(node);
+    }
+    fleet.run_for(milliseconds(500));
+    for (const std::string node : {"n0", "n1", "n2"}) {
+        EXPECT_TRUE(holds(fleet, node)) << node;
+    }
+}
+
+TEST(SharedEvidence, ANodeThatNoPeerReachesLearnsFromTheStore) {
+    ending_fleet fleet;
+    fleet.cluster.hub.cut.insert(fleet.cluster.nodes.at("n2")->address);
+    fleet.fatal = {kFatal};
+    while (fleet.held.empty()) {
+        fleet.send("n0", kPath, kFatal);
+        fleet.run_for(milliseconds(300));
+    }
+    fleet.run_for(seconds(1));
+    EXPECT_TRUE(holds(fleet, "n2"));
+}
+
+TEST(SharedEvidence, WithoutTheStorePeersTellEachOther) {
+    ending_fleet fleet;
+    fleet.cluster.shared.trouble.silent = true;
+    let_it_be_held(fleet);
+    for (const std::string node : {"n0", "n1", "n2"}) {
+        EXPECT_TRUE(holds(fleet, node)) << node;
+    }
+}
+
+TEST(SharedEvidence, WhatTheStoreCouldNotBeToldIsWrittenOnceItReturns) {
+    ending_fleet fleet;
+    fleet.cluster.shared.trouble.down = true;
+    let_it_be_held(fleet);
+    EXPECT_EQ(rows(fleet), 0U);
+    fleet.cluster.shared.trouble = {};
+    fleet.cluster.shared.wake_followers();
+    fleet.run_for(seconds(20));
+    EXPECT_EQ(rows(fleet), 1U);
+}
+
+TEST(SharedEvidence, OneOfManyNodesWrites) {
+    ending_fleet::knobs knobs;
+    knobs.nodes = 20;
+    ending_fleet fleet(knobs);
+    const uint64_t calls = fleet.cluster.shared.rows.version();
+    let_it_be_held(fleet);
+    EXPECT_EQ(rows(fleet), 1U);
+    // Ends and starts of workers write too: two rows for each of three or four workers.
+    EXPECT_LE(fleet.cluster.shared.rows.version() - calls, 12U);
+}
+
+TEST(SharedEvidence, AContentThatBecomesHarmlessIsFoundOutAndItsRowRemoved) {
+    ending_fleet fleet;
+    let_it_be_held(fleet);
+    fleet.fatal.clear();
+    SeenAnswerPtr answer;
+    for (int second = 0; second < 20; ++second) {
+        for (const std::string node : {"n0", "n1", "n2"}) {
+            answer = fleet.send(node, kPath, kFatal);
+            fleet.run_for(milliseconds(333));
+        }
+    }
+    fleet.run_for(seconds(2));
+    EXPECT_EQ(answer->status, 200);
+    EXPECT_EQ(rows(fleet), 0U);
+    for (const std::string node : {"n0", "n1", "n2"}) {
+        EXPECT_FALSE(holds(fleet, node)) << node;
+    }
+}
+
+TEST(SharedEvidence, RemovingTheRowReleasesTheContentEverywhere) {
+    ending_fleet fleet;
+    let_it_be_held(fleet);
+    fleet.cluster.put(kQuarantineTable, digest_text(ending_fleet::digest_of(kPath, kFatal)),
+                      std::nullopt);
+    fleet.run_for(milliseconds(500));
+    for (const std::string node : {"n0", "n1", "n2"}) {
+        EXPECT_FALSE(holds(fleet, node)) << node;
+    }
+}
+
+TEST(SharedEvidence, RowsOfOtherWritersHarmNothing) {
+    ending_fleet fleet;
+    const std::string digest = digest_text(ending_fleet::digest_of(kPath, kFatal));
+    fleet.cluster.put(kQuarantineTable, "no digest", "1 2\n");
+    fleet.cluster.put(kQuarantineTable, std::string("\xff\xfe", 2), "1 2\n");
+    fleet.cluster.put(kQuarantineTable, digest,
+                      "x y\n1\n-1 5\n99999999999 1\n1 99999999999999999999\n\n\xff 1\n");
+    fleet.run_for(seconds(1));
+    EXPECT_FALSE(holds(fleet, "n0"));
+    let_it_be_held(fleet);
+    for (const std::string node : {"n0", "n1", "n2"}) {
+        EXPECT_TRUE(holds(fleet, node)) << node;
+    }
+}
+
+TEST(SharedEvidence, RowsKeepWorkersAndTimes) {
+    const MonotonicTime time{seconds(50)};
+    const Duration offset = seconds(7);
+    const std::vector<broken_run> runs = {{3, 41, time, false}, {3, 42, time + seconds(2), false}};
+    const std::string value = encode_quarantine(runs, offset);
+    const std::vector<broken_run> read = decode_quarantine(3, value, offset);
+    ASSERT_EQ(read.size(), 2U);
+    EXPECT_EQ(read[1].worker, 42U);
+    EXPECT_EQ(read[1].at, time + seconds(2));
+}
+
+} // namespace
+} // namespace chalkshed
