--- a/include/chalkshed/request_quarantine.h
+++ b/include/chalkshed/request_quarantine.h
@@ -30,7 +30,8 @@
     Duration entry_gone_within = std::chrono::seconds(6);
     /** Runs of this node that break off at several workers within this time have a common cause in
      * the network or a rack: a request ends one worker. In a day of resets an item was held for six
-     * seconds whose connections were reset three times within 1.1 s, with all others of its node. */
+     * seconds whose connections were reset three times within 1.1 s, with all others of its node.
+     */
     Duration common_cause = std::chrono::milliseconds(50);
     /** An answer that reaches this node so much later than the end of a connection reached a peer
      * was not on its way before: a tenth of a second is over ten times the way between zones. */
--- a/src/logging/structured_logger.cc
+++ b/src/logging/structured_logger.cc
@@ -3,9 +3,11 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
+#include "src/core/utf8.h"
 #include "src/logging/bounded_sink.h"
 
 namespace chalkshed {
@@ -125,7 +127,9 @@
   for (const LogField& field : fields) {
     append_pair(line, format, field.name, field.value);
   }
-  return line;
+  // Entries of the store and requests bring any bytes; readers of logs take lines for UTF-8.
+  const bool ascii = std::none_of(line.begin(), line.end(), [](char letter) { return letter < 0; });
+  return ascii ? line : with_valid_utf8(line);
 }
 
 }  // namespace chalkshed
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -201,12 +201,11 @@
     if (ends < 2) {
         return;
     }
-    logger_.write(
-        LogLevel::kInfo, "worker_end_confirmed",
-        {{"content", digest_text(run.digest)},
-         {"worker_hash", std::to_string(run.worker)},
-         {"broken_ms_ago", milliseconds_text(time_source_.monotonic_now() - run.at)},
-         {"workers_ended", std::to_string(ends)}});
+    logger_.write(LogLevel::kInfo, "worker_end_confirmed",
+                  {{"content", digest_text(run.digest)},
+                   {"worker_hash", std::to_string(run.worker)},
+                   {"broken_ms_ago", milliseconds_text(time_source_.monotonic_now() - run.at)},
+                   {"workers_ended", std::to_string(ends)}});
 }
 
 void request_quarantine::update_held(uint64_t digest) {
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -25,6 +25,12 @@
   return hash;
 }
 
+// Of one start of a worker.
+uint64_t hash_of(const WorkerRecord& record) {
+  const auto started = static_cast<uint64_t>(record.started.time_since_epoch().count());
+  return content_hash(record.incarnation, started) & UINT32_MAX;
+}
+
 double seconds_of(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 // @return a number in [0, 1) that the hash stands for.
@@ -87,13 +93,18 @@
 
 void WorkerSet::update(const WorkerRecord& record) {
   WorkerPtr& worker = workers_[record.incarnation];
+  const bool restarted = worker && worker->record.started != record.started;
+  if (restarted) {
+    drop(worker);
+    worker.reset();  // it knows nothing of before, and nothing of before holds of it
+  }
   const bool is_new = !worker;
   if (is_new) {
     worker = std::make_shared<ServingWorker>();
     worker->outcomes = worker_outcomes(knobs_.outcomes);
     worker->own_order = unit_of(content_hash(record.incarnation, own_order_));
     // Two workers that share a hash, one pair in a thousand fleets of 3,000, share their load.
-    worker->hash = content_hash(record.incarnation) & UINT32_MAX;
+    worker->hash = hash_of(record);
     by_hash_[worker->hash] = worker;
   }
   if (is_new || worker->record.service != record.service) {
@@ -117,22 +128,33 @@
   forget_old();
 }
 
+void WorkerSet::reject(const std::string& incarnation) {
+  const WorkerPtr worker = find(incarnation);
+  remove(incarnation);
+  if (worker) {
+    worker->record.leaving = true;
+  }
+}
+
 void WorkerSet::forget_old() {
   const MonotonicTime now = time_source_.monotonic_now();
   std::erase_if(workers_, [&](const auto& entry) {
     ServingWorker& worker = *entry.second;
     const bool old = !worker.listed && now - worker.unlisted_since > knobs_.unlisted_grace;
     if (old) {
-      by_hash_.erase(worker.hash);
-      std::erase(service_of(worker.record.service).workers, entry.second);
-      // Places that this node still holds there are counted until they are given up.
-      worker.counts->online -= worker.online_of_others();
-      worker.others_online = 0;
+      drop(entry.second);
     }
     return old;
   });
 }
 
+void WorkerSet::drop(const WorkerPtr& worker) {
+  by_hash_.erase(worker->hash);
+  std::erase(service_of(worker->record.service).workers, worker);
+  worker->counts->online -= worker->online_of_others();
+  worker->others_online = 0;
+}
+
 bool WorkerSet::add_peer_load(uint64_t worker, int32_t online, int32_t batch) {
   const auto found = by_hash_.find(worker);
   if (found == by_hash_.end()) {
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -26,7 +26,7 @@
 
 namespace chalkshed {
 
-// What the source of truth tells of a worker. Every start of a worker is a new incarnation.
+// What the source of truth tells of a worker. A start of a worker is told by its name and time.
 struct WorkerRecord {
   std::string incarnation;
   std::string service;
@@ -34,6 +34,8 @@
   std::string zone;
   uint32_t slots = 1;
   bool leaving = false;
+  // When it started, where it says so: it may start again under its name. The epoch: not said.
+  WallTime started{};
 };
 
 enum class WorkClass { kOnline, kBatch };
@@ -125,6 +127,8 @@
   // From the source of truth.
   void update(const WorkerRecord& record);
   void remove(const std::string& incarnation);
+  // Its record cannot be read: it takes nothing new, not even as a last resort, until one can.
+  void reject(const std::string& incarnation);
 
   // @return a place, or null when no worker may take the request now.
   WorkerPlacePtr take_place(const PlaceRequest& request);
@@ -231,6 +235,9 @@
   double rank_of(const ServingWorker& worker, double cost);
   WorkerPlacePtr make_place(WorkerPtr worker, const Choice& choice);
   void forget_old();
+  // The worker, or this start of it, is gone. Places that this node still holds there are counted
+  // until they are given up.
+  void drop(const WorkerPtr& worker);
 
   TimeSource& time_source_;
   RandomGenerator& random_;
--- a/src/serving/worker_watch.cc
+++ b/src/serving/worker_watch.cc
@@ -16,6 +16,7 @@
                    {"store_version", std::to_string(row.version)},
                    {"reason", record.error().message},
                    {"remedy", record.error().remedy}});
+    workers_.reject(row.key.key);
     return;
   }
   logger_.write(LogLevel::kInfo, "worker_listed",
--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -62,6 +62,7 @@
     store.put(kWorkerTable, id,
               nlohmann::json{{"service", "s"},
                              {"address", to_string(worker.server.local())},
+                             {"zone", "zone-a"},
                              {"slots", 8},
                              {"state", "ready"}}
                   .dump());
--- a/tests/platform/record_codec_test.cc
+++ b/tests/platform/record_codec_test.cc
@@ -1,6 +1,8 @@
 #include "platform/record_codec.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace chalkshed::platform {
 namespace {
@@ -111,5 +113,92 @@
   EXPECT_FALSE(decode_worker("i-1", "not json"));
 }
 
+nlohmann::json worker_entry() {
+  return {
+      {"service", "s"}, {"address", "10.0.0.9:8080"}, {"zone", "z"},        {"version", "v1"},
+      {"slots", 19},    {"state", "ready"},           {"cold_left_ms", 12}, {"born", 1764630000000},
+      {"seq", 4}};
+}
+
+TEST(DecodeWorkerTest, TellsTheStartsOfAWorkerApart) {
+  nlohmann::json entry = worker_entry();
+  const Expected<WorkerRecord> first = decode_worker("i-1", entry.dump());
+  entry["born"] = 1764630005000;
+  const Expected<WorkerRecord> second = decode_worker("i-1", entry.dump());
+  ASSERT_TRUE(first);
+  ASSERT_TRUE(second);
+  EXPECT_EQ(first->incarnation, second->incarnation);
+  EXPECT_NE(first->started, second->started);
+  entry.erase("born");
+  EXPECT_TRUE(decode_worker("i-1", entry.dump()));
+}
+
+// Each entry of another writer names no worker to use.
+TEST(DecodeWorkerTest, AnEntryWithMissingFieldsIsRejected) {
+  for (const char* field : {"service", "address", "zone", "slots", "state"}) {
+    nlohmann::json entry = worker_entry();
+    entry.erase(field);
+    const Expected<WorkerRecord> record = decode_worker("i-1", entry.dump());
+    ASSERT_FALSE(record) << field;
+    EXPECT_NE(record.error().message.find(field), std::string::npos) << record.error().message;
+  }
+}
+
+TEST(DecodeWorkerTest, AnEntryWithFieldsOfAnotherTypeIsRejected) {
+  const std::vector<nlohmann::json> no_text = {nullptr, true, -1,
+                                               0.5,     {1},  {{"deep", {{"er", 1}}}}};
+  const std::vector<nlohmann::json> no_number = {nullptr, true, -1, "", "7", {1}, {{"x", 1}}};
+  const std::map<std::string, std::vector<nlohmann::json>> others = {
+      {"service", no_text}, {"address", no_text},        {"zone", no_text},
+      {"version", no_text}, {"state", no_text},          {"slots", no_number},
+      {"seq", no_number},   {"cold_left_ms", no_number}, {"born", no_number}};
+  for (const auto& [field, values] : others) {
+    for (const nlohmann::json& value : values) {
+      nlohmann::json entry = worker_entry();
+      entry[field] = value;
+      EXPECT_FALSE(decode_worker("i-1", entry.dump())) << field << " " << value;
+    }
+  }
+}
+
+TEST(DecodeWorkerTest, AnEntryOfAnUnknownStateOrWithImpossiblePlacesIsRejected) {
+  nlohmann::json entry = worker_entry();
+  for (const char* state : {"", "READY", "ready ", "gone", "starting"}) {
+    entry["state"] = state;
+    EXPECT_FALSE(decode_worker("i-1", entry.dump())) << state;
+  }
+  entry = worker_entry();
+  for (const nlohmann::json& slots :
+       std::vector<nlohmann::json>{0, -1, 1.5, 4294967296, 18446744073709551615ULL, 1e300}) {
+    entry["slots"] = slots;
+    EXPECT_FALSE(decode_worker("i-1", entry.dump())) << slots;
+  }
+}
+
+TEST(DecodeWorkerTest, BytesThatAreNoEntryAreRejectedInAFewWords) {
+  const std::string deep = std::string(20000, '[') + std::string(20000, ']');
+  for (const std::string& bytes :
+       {std::string("\xff\xfe\x00", 3), deep, std::string(60000, 'x'), std::string("[]"),
+        std::string("7"), std::string("null"), "{\"service\": \"" + std::string(60000, '\xc3')}) {
+    const Expected<WorkerRecord> record = decode_worker("i-1", bytes);
+    ASSERT_FALSE(record);
+    constexpr size_t kMostWords = 400;
+    EXPECT_LE(record.error().message.size(), kMostWords);
+  }
+}
+
+RC_GTEST_PROP(DecodeWorkerProperty, AnyBytesAreAnEntryOrAnError, (const std::string& bytes)) {
+  const Expected<WorkerRecord> record = decode_worker("i-1", bytes);
+  RC_ASSERT(record || !record.error().message.empty());
+}
+
+RC_GTEST_PROP(DecodeWorkerProperty, AnEntryWithAChangedByteIsReadOrRejected, ()) {
+  std::string bytes = worker_entry().dump();
+  const auto at = *rc::gen::inRange<size_t>(0, bytes.size());
+  bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+  const Expected<WorkerRecord> record = decode_worker("i-1", bytes);
+  RC_ASSERT(!record || (record->slots >= 1 && !record->service.empty()));
+}
+
 }  // namespace
 }  // namespace chalkshed::platform
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -58,6 +58,33 @@
   EXPECT_EQ(second->current[0].value, bytes);
 }
 
+// The rows of others hold whatever one row is.
+TEST_F(StoreClientTest, ARowThatCannotBeReadHidesNoOther) {
+  ASSERT_TRUE(put("a", "first", 0));
+  ASSERT_TRUE(put("b", "second", 0));
+  for (const char* value : {"\"%%% no base64\"", "7", "null", "{\"x\":[1]}"}) {
+    store.spoils = {{"\"" + encode_base64("first") + "\"", value}};
+    const Expected<RangePage> page = read();
+    ASSERT_TRUE(page) << value;
+    ASSERT_EQ(page->rows.size(), 2U);
+    EXPECT_EQ(page->rows[0].value, "");
+    EXPECT_EQ(page->rows[1].value, "second");
+  }
+}
+
+TEST_F(StoreClientTest, AKeyOfAnyBytesHidesNoOther) {
+  ASSERT_TRUE(put("a-key", "first", 0));
+  ASSERT_TRUE(put("b", "second", 0));
+  for (const char* key :
+       {"\xff\xfe", "\xc3(", "\xed\xa0\x80", "\xf8\x88\x80\x80\x80", "\xe2\x82"}) {
+    store.spoils = {{"a-key", key}};
+    const Expected<RangePage> page = read();
+    ASSERT_TRUE(page);
+    ASSERT_EQ(page->rows.size(), 2U);
+    EXPECT_EQ(page->rows[1].value, "second");
+  }
+}
+
 TEST_F(StoreClientTest, PagesTellThatThereIsMore) {
   put("a", "1", 0);
   put("b", "1", 0);
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -45,10 +45,11 @@
 
   VersionedRows rows;
   std::map<std::string, std::string> objects;
-  std::map<std::string, int> calls;  // by path
-  int status = 0;                    // answers everything with it, unless 0
-  bool lose_commits = false;         // applies them and closes the connection
-  bool cut_short = false;            // answers with half of the bytes, but well framed
+  std::map<std::string, int> calls;           // by path
+  int status = 0;                             // answers everything with it, unless 0
+  bool lose_commits = false;                  // applies them and closes the connection
+  std::map<std::string, std::string> spoils;  // parts of answers that are replaced by others
+  bool cut_short = false;                     // answers with half of the bytes, but well framed
 
  private:
   struct Follower {
@@ -96,7 +97,13 @@
     body["now_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(
                          clock_.monotonic_now().time_since_epoch())
                          .count();
-    const std::string text = body.dump();
+    std::string text = body.dump();
+    for (const auto& [sound, spoilt] : spoils) {
+      const size_t at = text.find(sound);
+      if (at != std::string::npos) {
+        text.replace(at, sound.size(), spoilt);
+      }
+    }
     writer.respond({code,
                     {{"Content-Type", "application/json"}},
                     cut_short ? text.substr(0, text.size() / 2) : text});
--- a/tests/quarantine/crash_evidence_test.cc
+++ b/tests/quarantine/crash_evidence_test.cc
@@ -14,10 +14,16 @@
 constexpr uint64_t kContent = 77;
 constexpr MonotonicTime kStart{seconds(100)};
 
-MonotonicTime at(Duration passed) { return kStart + passed; }
+MonotonicTime at(Duration passed) {
+    return kStart + passed;
+}
 
-worker_fate all_ended(const broken_run &) { return worker_fate::kEnded; }
-worker_fate all_alive(const broken_run &) { return worker_fate::kAlive; }
+worker_fate all_ended(const broken_run &) {
+    return worker_fate::kEnded;
+}
+worker_fate all_alive(const broken_run &) {
+    return worker_fate::kAlive;
+}
 
 /** Runs of the content break off at that many workers, a second apart. */
 void break_off(crash_evidence &evidence, uint32_t workers) {
@@ -90,8 +96,7 @@
     const MonotonicTime first = evidence.next_trial(kContent);
     EXPECT_EQ(first, at(seconds(3)) + knobs.first_trial);
     EXPECT_EQ(evidence.permit(kContent, false, first), run_permit::kQuarantined);
-    EXPECT_EQ(evidence.permit(kContent, true, first - milliseconds(1)),
-              run_permit::kQuarantined);
+    EXPECT_EQ(evidence.permit(kContent, true, first - milliseconds(1)), run_permit::kQuarantined);
     EXPECT_EQ(evidence.permit(kContent, true, first), run_permit::kAlone);
     // The trial ends a worker too.
     evidence.note_begun(kContent, first);
--- a/tests/quarantine/innocent_requests_test.cc
+++ b/tests/quarantine/innocent_requests_test.cc
@@ -1,6 +1,6 @@
 /** \file
- * Requests that were at workers which ended, or whose connections broke, and are not the cause. None of
- * them may be held. */
+ * Requests that were at workers which ended, or whose connections broke, and are not the cause.
+ * None of them may be held. */
 
 #include <gtest/gtest.h>
 
--- a/tests/quarantine/quarantine_property_test.cc
+++ b/tests/quarantine/quarantine_property_test.cc
@@ -1,6 +1,6 @@
 /** \file
- * A fatal request is sent again and again while nodes are lost, restarted, frozen and cut off and the store
- * is in trouble, among innocent ones and ends of workers that nobody caused. */
+ * A fatal request is sent again and again while nodes are lost, restarted, frozen and cut off and
+ * the store is in trouble, among innocent ones and ends of workers that nobody caused. */
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -37,9 +37,14 @@
         load(seconds(8));
     }
 
-    /** Fatal runs that count: by nodes that nothing has happened to for a while, nor to the store. */
-    size_t late_runs() const { return late_runs_; }
-    const std::set<uint64_t> &held() const { return fleet_.held; }
+    /** Fatal runs that count: by nodes that nothing has happened to for a while, nor to the store.
+     */
+    size_t late_runs() const {
+        return late_runs_;
+    }
+    const std::set<uint64_t> &held() const {
+        return fleet_.held;
+    }
 
 private:
     static ending_fleet::knobs knobs_with(const ServingNodeKnobs &node) {
@@ -48,7 +53,9 @@
         knobs.node = node;
         return knobs;
     }
-    MonotonicTime now() const { return fleet_.cluster.clock.monotonic_now(); }
+    MonotonicTime now() const {
+        return fleet_.cluster.clock.monotonic_now();
+    }
 
     void take(const Step &step) {
         switch (step.event) {
--- a/tests/quarantine/worker_ends_test.cc
+++ b/tests/quarantine/worker_ends_test.cc
@@ -40,6 +40,25 @@
     EXPECT_LE(fleet.late_runs(kFatal), kMostLateRuns);
 }
 
+TEST(WorkerEnds, WorkersThatStartAgainUnderTheirIdCountAsEnded) {
+    ending_fleet::knobs knobs;
+    knobs.keeps_id = true;
+    knobs.unlisted_after = seconds(20); // the new start writes first
+    knobs.returns_after = milliseconds(1500);
+    ending_fleet fleet(knobs);
+    fleet.fatal = {kFatal};
+    // Others are answered by the new starts, which says nothing of the old ones.
+    for (int step = 0; step < 300; ++step) {
+        fleet.send(fleet.any_node(), "/fixed/1", "other " + std::to_string(step));
+        if (step % 10 == 0) {
+            fleet.send(fleet.any_node(), "/fixed/1", kFatal);
+        }
+        fleet.cluster.clock.run_for(milliseconds(100));
+    }
+    EXPECT_GE(fleet.ends[kFatal].size(), 3U);
+    EXPECT_LE(fleet.late_runs(kFatal), kMostLateRuns);
+}
+
 TEST(WorkerEnds, AResumedStreamEndsNoMoreWorkersThanAnyOther) {
     ending_fleet fleet;
     fleet.fatal = {kFatal};
