--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -88,11 +88,14 @@
 
 bool RequestRelay::send(bool even_if_full) {
   const run_permit permit = environment_.quarantine.permit(request_.digest);
-  if (permit == run_permit::kWait || permit == run_permit::kQuarantined) {
+  // Equal requests that lost their worker together are all sent again: only those that have not been
+  // at a worker yet wait for each other.
+  const bool waits = permit == run_permit::kWait && runs_ == 0;
+  if (waits || permit == run_permit::kQuarantined) {
     return false;
   }
   PlaceRequest wanted;
-  wanted.alone = permit == run_permit::kAlone;
+  wanted.alone = permit != run_permit::kFree;
   wanted.service = service_;
   wanted.request = &request_;
   wanted.tried = &tried_;
--- a/tests/quarantine/innocent_requests_test.cc
+++ b/tests/quarantine/innocent_requests_test.cc
@@ -58,6 +58,21 @@
     EXPECT_TRUE(fleet.held.contains(fleet.digest_of("/fixed/1", "fatal")));
 }
 
+TEST(InnocentRequests, EqualCallsThatLoseTheirWorkerAreAllSentAgain) {
+    ending_fleet fleet;
+    std::vector<SeenAnswerPtr> answers;
+    for (int call = 0; call < 20; ++call) {
+        answers.push_back(fleet.send("n0", "/plain/status", "status"));
+    }
+    fleet.run_for(milliseconds(100));
+    fleet.end_worker_at(fleet.cluster.workers.calls.front().worker);
+    fleet.run_for(seconds(2));
+    for (const SeenAnswerPtr &answer : answers) {
+        EXPECT_EQ(answer->status, 200);
+    }
+    EXPECT_TRUE(fleet.held.empty());
+}
+
 TEST(InnocentRequests, ARequestWhoseWorkersLeaveAsPlannedIsNotHeld) {
     ending_fleet fleet;
     for (size_t number = 0; number < 6; ++number) {
