Fleet soak: contents that end their workers, sent again and again to real nodes, with two checks

Cause: no rig of ours had workers that end by what they are asked, so that the incident could come back unseen. Change: caller processes send fatal contents at a rate to any node; a worker that begins one ends 2 to 90 ms later and starts again 2 to 3.6 s later, half of the time under its id with a new `born`. Sound records of the checks' test hold four runs more.

--- a/tests/soak/fleet/checks.cc
+++ b/tests/soak/fleet/checks.cc
@@ -35,6 +35,8 @@
     named_check{check_kind::kListing, "listing"},
     named_check{check_kind::kCompleteJob, "complete_job"},
     named_check{check_kind::kLeavingWorker, "leaving_worker"},
+    named_check{check_kind::kFatalContent, "fatal_content"},
+    named_check{check_kind::kInnocent, "innocent"},
 };
 
 int64_t in_ms(Duration length) {
@@ -105,6 +107,8 @@
     void check_listing(const std::string &id, const job_history &job);
     void check_complete(const std::string &id, const job_history &job);
     void check_leaving_workers();
+    void check_fatal_contents();
+    void check_innocent(const std::string &id, const request_history &request);
     void check_lag();
 
     /** Whether the sender of the run or its store was disturbed within `contact` before it. */
@@ -137,6 +141,7 @@
         check_job(id, job);
     }
     check_leaving_workers();
+    check_fatal_contents();
     check_lag();
     report_.end_to_last_begin = spread_of(std::move(last_begins_));
     return std::move(report_);
@@ -237,6 +242,49 @@
         }
     }
     check_answer(id, request);
+    check_innocent(id, request);
+}
+
+void checker::check_innocent(const std::string &id, const request_history &request) {
+    const bool fatal = history_.fatal_ends.contains(request.send->message.body_digest);
+    if (history_.fatal_ends.empty() || fatal || request.answer == nullptr) {
+        return;
+    }
+    ++report_.checks[check_kind::kInnocent].tested;
+    if (request.answer->held) {
+        violate(check_kind::kInnocent, request.answer->at,
+                id + " was refused by " + request.send->node +
+                    " as if workers ended under it, and none had");
+    }
+}
+
+void checker::check_fatal_contents() {
+    constexpr size_t kEndsKnown = 3;
+    constexpr size_t kMostLate = 3;
+    std::map<std::string, std::vector<const run_begin *>> late;
+    for (const run_begin *run : history_.runs) {
+        const auto found = history_.fatal_ends.find(run->message.body_digest);
+        const bool known = found != history_.fatal_ends.end() && found->second.size() >= kEndsKnown;
+        if (known && run->at > found->second[kEndsKnown - 1] + bounds_.contact) {
+            late[found->first].push_back(run);
+        }
+    }
+    for (const auto &[content, ends] : history_.fatal_ends) {
+        if (ends.size() < kEndsKnown) {
+            continue;
+        }
+        ++report_.checks[check_kind::kFatalContent].tested;
+        size_t by_calm_nodes = 0;
+        for (const run_begin *run : late[content]) {
+            by_calm_nodes += sender_disturbed(*run) ? 0 : 1;
+            if (by_calm_nodes > kMostLate) {
+                violate(check_kind::kFatalContent, run->at,
+                        where(*run) + " though workers had ended under its content, " +
+                            std::to_string(ends.size()) + " in all");
+                break;
+            }
+        }
+    }
 }
 
 void checker::check_answer(const std::string &id, const request_history &request) {
--- a/tests/soak/fleet/checks.h
+++ b/tests/soak/fleet/checks.h
@@ -28,6 +28,8 @@
     kListing,        /**< listed items keep position, state and text */
     kCompleteJob,    /**< an accepted job that nobody ended lists each item */
     kLeavingWorker,  /**< a leaving worker gets nothing beyond its bound */
+    kFatalContent,   /**< what has ended three workers reaches at most three more, a while later */
+    kInnocent,       /**< no other request is refused for what workers ended under */
 };
 
 /** All kinds in the order of the report. */
--- a/tests/soak/fleet/deployment.cc
+++ b/tests/soak/fleet/deployment.cc
@@ -512,6 +512,10 @@
     fields.time("end_soon_ms", callers.end_soon, milliseconds(1), 1, kMostMs);
     fields.percent("end_unseen_percent", callers.end_unseen_percent);
     fields.percent("end_twice_percent", callers.end_twice_percent);
+    constexpr uint64_t kMostFatal = 100;
+    constexpr double kMostFatalPerMinute = 6000;
+    fields.whole("fatal_contents", callers.fatal_contents, 0, kMostFatal);
+    fields.number("fatal_per_minute", callers.fatal_per_minute, 0, kMostFatalPerMinute);
     fields.finish();
     if (callers.end_soon_percent + callers.end_unseen_percent > 100) {
         fields.problem("end_unseen_percent", "more than all jobs are ended",
--- a/tests/soak/fleet/deployment.h
+++ b/tests/soak/fleet/deployment.h
@@ -88,6 +88,10 @@
     uint64_t end_unseen_percent = 5;
     /** Jobs that are ended at two nodes at the same time. */
     uint64_t end_twice_percent = 5;
+    /** Contents of each caller process that end each worker that begins one, and how often each of
+     * them is sent. */
+    uint64_t fatal_contents = 0;
+    double fatal_per_minute = 60;
 };
 
 /** A kind of fault and how often it comes. */
--- a/tests/soak/fleet/expected_answers.cc
+++ b/tests/soak/fleet/expected_answers.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr char kItemSeparator = '-';
+constexpr std::string_view kFatalMark = "ends its worker ";
 constexpr size_t kEventBytes = 75;
 constexpr size_t kPlainBytes = 800;
 
@@ -86,6 +87,14 @@
     return filled(id, kPlainBytes);
 }
 
+std::string fatal_body(uint64_t caller, uint64_t number) {
+    return std::string(kFatalMark) + std::to_string(caller) + "-" + std::to_string(number);
+}
+
+bool is_fatal(const std::string &body) {
+    return body.starts_with(kFatalMark);
+}
+
 std::string request_body(const std::string &id, uint64_t length) {
     std::mt19937_64 engine(content_hash(id));
     std::string body;
--- a/tests/soak/fleet/expected_answers.h
+++ b/tests/soak/fleet/expected_answers.h
@@ -38,6 +38,10 @@
 std::string whole_text(const std::string &id, uint64_t events);
 /** The body of an answer that is no stream. */
 std::string plain_body(const std::string &id);
+/** A body that ends each worker which begins it. */
+std::string fatal_body(uint64_t caller, uint64_t number);
+bool is_fatal(const std::string &body);
+
 /** A body to send: different for each id, with all bytes that there are. */
 std::string request_body(const std::string &id, uint64_t length);
 
--- a/tests/soak/fleet/fleet_worker.cc
+++ b/tests/soak/fleet/fleet_worker.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "platform/header_names.h"
+#include "src/core/digest.h"
 #include "tests/soak/fleet/expected_answers.h"
 
 namespace chalkshed::soak {
@@ -120,6 +121,9 @@
         added->breaks_before = added->next_event + process_.random.below(events_of(*added));
     }
     running_.emplace(added->number, added);
+    if (is_fatal(added->request.body)) {
+        end_soon_by(*added);
+    }
     const std::weak_ptr<run> weak = added;
     added->timer = process_.dispatcher.create_timer([this, weak] {
         if (const run_ptr current = weak.lock()) {
@@ -135,6 +139,18 @@
     }
 }
 
+void fleet_worker::end_soon_by(const run &fatal) {
+    constexpr Duration kSoonest = milliseconds(2);
+    constexpr Duration kLatest = milliseconds(90);
+    process_.later(process_.between(kSoonest, kLatest),
+                   lifetime_.guard([this, number = fatal.number, id = fatal.id,
+                                    content = content_digest(fatal.request.body)] {
+                       if (!crashed_ && running_.contains(number) && on_fatal) {
+                           on_fatal(id, content);
+                       }
+                   }));
+}
+
 bool fleet_worker::is_stream(const run &current) const {
     const route_options *route = route_of(process_.options.plan, current.request.path);
     return route != nullptr &&
--- a/tests/soak/fleet/fleet_worker.h
+++ b/tests/soak/fleet/fleet_worker.h
@@ -43,6 +43,9 @@
     const Address &address() const {
         return server_.local();
     }
+    WallTime started() const {
+        return started_;
+    }
     /** Ends all runs and connections, as a process that dies. */
     void crash();
     /** Answers from now on ask their callers to close. */
@@ -57,6 +60,8 @@
     }
 
     worker_faults faults;
+    /** Called when the worker is to end by a request that it has begun. */
+    std::function<void(const std::string &id, const std::string &content)> on_fatal;
 
 private:
     struct run {
@@ -78,6 +83,7 @@
     std::optional<HttpResponse> refusal(const HttpRequest &head);
     HttpResponse not_run(int status, const std::string &id) const;
     void begin(const run_ptr &added);
+    void end_soon_by(const run &fatal);
     void begin_next();
     void begin_answer(const run_ptr &current);
     bool is_stream(const run &current) const;
@@ -94,6 +100,8 @@
     std::deque<run_ptr> queue_;
     bool draining_ = false;
     bool crashed_ = false;
+    const WallTime started_ =
+        std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
     wire_server server_;
     Lifetime lifetime_;
 };
--- a/tests/soak/fleet/history.cc
+++ b/tests/soak/fleet/history.cc
@@ -204,6 +204,10 @@
     disturbed.add(entry.part, entry.target, {entry.at, std::max(entry.at, entry.to)});
 }
 
+void run_history::add(const fatal_end &entry) {
+    fatal_ends[entry.content].push_back(entry.at);
+}
+
 void run_history::add(const worker_leaving &entry) {
     leaving.try_emplace(entry.worker, entry.at);
 }
--- a/tests/soak/fleet/history.h
+++ b/tests/soak/fleet/history.h
@@ -88,6 +88,8 @@
     std::vector<const run_begin *> runs;
     /** When the store accepted that a worker leaves. */
     std::unordered_map<std::string, MonotonicTime> leaving;
+    /** When workers ended by each fatal content, in the order of time. */
+    std::map<std::string, std::vector<MonotonicTime>> fatal_ends;
     disturbance_times disturbed;
     /** The worst of each rig process. */
     std::map<std::string, process_lag> lags;
@@ -115,6 +117,7 @@
     void add(const worker_leaving &entry);
     void add(const configuration_written &entry);
     void add(const process_lag &entry);
+    void add(const fatal_end &entry);
     void join_runs();
 
     std::unordered_map<std::string, std::vector<life>> lives_; // by address, in the order of time
--- a/tests/soak/fleet/online_load.cc
+++ b/tests/soak/fleet/online_load.cc
@@ -76,6 +76,37 @@
             arrive(route);
         }
     }
+    for (uint64_t number = 0; number < process_.options.plan.callers.fatal_contents; ++number) {
+        repeat_fatal(number);
+    }
+}
+
+void online_load::repeat_fatal(uint64_t number) {
+    constexpr double kSecondsPerMinute = 60;
+    const double rate = process_.options.plan.callers.fatal_per_minute / kSecondsPerMinute;
+    std::vector<const route_options *> routes;
+    for (const route_options &route : process_.options.plan.routes) {
+        if (route.kind == route_kind::kStreaming) {
+            routes.push_back(&route);
+        }
+    }
+    if (ended_ || routes.empty() || rate <= 0) {
+        return;
+    }
+    process_.later(exponential(process_.random, rate),
+                   [this, number, route = routes[number % routes.size()]] {
+                       send_fatal(*route, number);
+                       repeat_fatal(number);
+                   });
+}
+
+void online_load::send_fatal(const route_options &route, uint64_t number) {
+    const uint64_t node = nodes_.any();
+    const call_ptr fatal = prepare(route, node, kMostTries);
+    fatal->request.path = "/" + route.name + "/fatal-" + std::to_string(number);
+    fatal->request.query.clear();
+    fatal->request.body = fatal_body(process_.options.number, number);
+    send(fatal, connection_to(node, false));
 }
 
 double online_load::factor_now() const {
@@ -222,6 +253,8 @@
     entry.id = sent->id;
     entry.status = result.status;
     entry.whole = result.whole;
+    entry.held = result.status == 503 &&
+                 result.body.find("ended while they ran this request") != std::string::npos;
     entry.matches = matches(*sent, result);
     process_.note(entry);
     if (sent->kept && connection->open() && connection->idle()) {
--- a/tests/soak/fleet/online_load.h
+++ b/tests/soak/fleet/online_load.h
@@ -33,6 +33,10 @@
     using call_ptr = std::shared_ptr<call>;
 
     void arrive(const route_options &route);
+    /** Sends a content that ends its workers, again and again, to any node. */
+    void repeat_fatal(uint64_t number);
+    /** Asks with that body, under an id and a path as usual. */
+    void send_fatal(const route_options &route, uint64_t number);
     void submit(const route_options &route, uint64_t node, int tries);
     call_ptr prepare(const route_options &route, uint64_t node, int tries);
     wire_client_ptr connection_to(uint64_t node, bool kept);
--- a/tests/soak/fleet/records.cc
+++ b/tests/soak/fleet/records.cc
@@ -143,6 +143,7 @@
         visit("kept", entry.kept);
     } else if constexpr (std::is_same_v<type, online_answer>) {
         visit("whole", entry.whole);
+        visit("held", entry.held);
         visit("matches", entry.matches);
     } else if constexpr (std::is_same_v<type, job_send>) {
         visit("items", entry.items);
@@ -155,6 +156,9 @@
         visit("service", entry.service);
         visit("resume_after", entry.resume_after);
         visit("sender_ip", entry.sender_ip);
+    } else if constexpr (std::is_same_v<type, fatal_end>) {
+        visit("id", entry.id);
+        visit("content", entry.content);
     } else if constexpr (std::is_same_v<type, run_end>) {
         visit("outcome", entry.outcome);
     } else if constexpr (std::is_same_v<type, node_start>) {
@@ -211,9 +215,9 @@
 
 /** In the order of the alternatives of `record`. */
 constexpr std::array<const char *, std::variant_size_v<record>> kKinds = {
-    "online_send", "online_answer", "caller_left",    "job_send",      "job_answer",
-    "end_send",    "end_answer",    "listed_item",    "run_begin",     "run_end",
-    "node_start",  "disturbance",   "worker_leaving", "configuration", "lag"};
+    "online_send",    "online_answer", "caller_left", "job_send", "job_answer", "end_send",
+    "end_answer",     "listed_item",   "run_begin",   "run_end",  "node_start", "disturbance",
+    "worker_leaving", "configuration", "lag",         "fatal_end"};
 
 template <size_t Index = 0> record parse_as(const std::string &kind, const json &object) {
     if constexpr (Index == std::variant_size_v<record>) {
--- a/tests/soak/fleet/records.h
+++ b/tests/soak/fleet/records.h
@@ -63,6 +63,8 @@
     /** It has the request's id and signature and, where it is whole, the whole text due to it;
      * where it isn't, what came is the beginning of that text. */
     bool matches = false;
+    /** The request was not run since earlier ones of its content ended their workers. */
+    bool held = false;
 };
 
 /** The caller closed its connection before the answer was whole. */
@@ -180,6 +182,15 @@
     std::string worker;
 };
 
+/** The worker ends since it began a request whose content ends each worker. */
+struct fatal_end {
+    MonotonicTime at{};
+    std::string worker;
+    std::string id;
+    /** body_digest of the request: all requests of one fatal content have the same. */
+    std::string content;
+};
+
 /** The store has accepted a configuration. */
 struct configuration_written {
     MonotonicTime at{};
@@ -198,7 +209,7 @@
 
 using record = std::variant<online_send, online_answer, caller_left, job_send, job_answer, end_send,
                             end_answer, listed_item, run_begin, run_end, node_start, disturbance,
-                            worker_leaving, configuration_written, process_lag>;
+                            worker_leaving, configuration_written, process_lag, fatal_end>;
 
 /** \return The record as one line without its line feed. */
 std::string write_record(const record &entry);
--- a/tests/soak/fleet/worker_role.cc
+++ b/tests/soak/fleet/worker_role.cc
@@ -63,12 +63,22 @@
                                const Address &local) {
     const std::string incarnation =
         "i-" + std::to_string(process_.options.number) + "-" + std::to_string(++next_incarnation_);
+    return add(service, zone, local, incarnation);
+}
+
+fleet_worker &worker_role::add(const service_options &service, const std::string &zone,
+                               const Address &local, const std::string &incarnation) {
     workers_.push_back(std::make_unique<fleet_worker>(process_, service, incarnation, zone, local));
-    write(*workers_.back(), "ready", [] {});
-    return *workers_.back();
+    fleet_worker &added = *workers_.back();
+    added.on_fatal = [this, &added](const std::string &id, const std::string &content) {
+        end_by_request(added, id, content);
+    };
+    write(added, "ready", [] {});
+    return added;
 }
 
 void worker_role::write(const fleet_worker &worker, const char *state, done_callback done) {
+    const auto born = worker.started().time_since_epoch() / milliseconds(1);
     const json fields = {{"service", worker.service().name},
                          {"address", to_string(worker.address())},
                          {"zone", worker.zone()},
@@ -76,6 +86,7 @@
                          {"slots", worker.service().slots},
                          {"state", state},
                          {"cold_left_ms", 0},
+                         {"born", born},
                          {"seq", 1}};
     put({{"table", platform::kWorkerTable},
          {"key", worker.incarnation()},
@@ -173,6 +184,30 @@
     process_.later(kAddressRests, [this, worker] { follow(*worker); });
 }
 
+void worker_role::end_by_request(fleet_worker &worker, const std::string &id,
+                                 const std::string &content) {
+    fatal_end entry;
+    entry.at = process_.now();
+    entry.worker = worker.incarnation();
+    entry.id = id;
+    entry.content = content;
+    process_.note(entry);
+    disturb(worker, "worker_ends", kMissed);
+    worker.crash();
+    const bool keeps_id = process_.chance(50);
+    const Duration pause = process_.between(kAddressRests, kMissed);
+    if (!keeps_id) {
+        process_.later(kMissed, [this, &worker] { remove(worker.incarnation(), [] {}); });
+    }
+    process_.later(pause, [this, &worker, keeps_id] {
+        if (keeps_id) {
+            add(worker.service(), worker.zone(), worker.address(), worker.incarnation());
+        } else {
+            add(worker.service(), worker.zone(), worker.address());
+        }
+    });
+}
+
 /** At the address of the one that has ended, which nodes may still hold connections of, and half of
  * the time for another service. */
 void worker_role::follow(const fleet_worker &ended) {
--- a/tests/soak/fleet/worker_role.h
+++ b/tests/soak/fleet/worker_role.h
@@ -42,7 +42,11 @@
     void mute(Duration length);
     void leave();
     void crash();
+    /** It begins anew some seconds later, half of the time under the id that it had. */
+    void end_by_request(fleet_worker &worker, const std::string &id, const std::string &content);
     void follow(const fleet_worker &ended);
+    fleet_worker &add(const service_options &service, const std::string &zone, const Address &local,
+                      const std::string &incarnation);
     void heal();
 
     role_process process_;
--- a/tests/soak_fleet/checks_test.cc
+++ b/tests/soak_fleet/checks_test.cc
@@ -38,6 +38,7 @@
         add_requests();
         add_jobs();
         add_leaving_worker();
+        add_fatal_content();
         add(process_lag{at(100'000), "caller-1", 100, milliseconds(1), milliseconds(5),
                         milliseconds(80)});
     }
@@ -81,6 +82,24 @@
         add(online_answer{at(44'500), "r-4", 200, true, true});
     }
 
+    /** One that ends three workers and a fourth a while later. */
+    void add_fatal_content() {
+        for (int64_t second = 50; second < 53; ++second) {
+            send_fatal(second * 1000);
+        }
+        send_fatal(58'000);
+    }
+    void send_fatal(int64_t when, const std::string &sender = "127.0.0.1") {
+        const std::string number = std::to_string(++fatal_);
+        carried_message fatal = message("/stream/fatal");
+        add(online_send{at(when), "f-" + number, "n-1", fatal, false, false});
+        add(run_begin{at(when + 10), ++runs_, "w-f" + number, "engines", "f-" + number, fatal, 0,
+                      sender});
+        add(fatal_end{at(when + 50), "w-f" + number, "f-" + number, fatal.body_digest});
+        add(run_end{at(when + 50), runs_, "w-f" + number, "f-" + number, run_outcome::kBroken});
+        add(caller_left{at(when + 55), "f-" + number});
+    }
+
     static std::vector<sent_item> items_of(const std::string &job) {
         return {{job + "-0", message("/list/" + job + "-0")},
                 {job + "-1", message("/list/" + job + "-1")}};
@@ -147,6 +166,7 @@
     deployment deployment_;
     std::vector<record> records_;
     uint64_t runs_ = 0;
+    uint64_t fatal_ = 0;
 };
 
 TEST_F(fleet_checks, pass_sound_records_and_count_each_case) {
@@ -157,8 +177,8 @@
         EXPECT_GE(report.checks.at(kind).tested, 1U) << check_name(kind);
     }
     EXPECT_TRUE(report.passed());
-    EXPECT_EQ(report.runs, 7U);
-    EXPECT_EQ(report.checks.at(check_kind::kSent).tested, 7U);
+    EXPECT_EQ(report.runs, 11U);
+    EXPECT_EQ(report.checks.at(check_kind::kSent).tested, 11U);
     EXPECT_EQ(report.checks.at(check_kind::kListing).tested, 2U);
 }
 
@@ -574,5 +594,34 @@
     EXPECT_FALSE(report.at("passed").get<bool>());
 }
 
+// What ends its workers is kept from them, and nothing else is.
+
+TEST_F(fleet_checks, a_fatal_content_that_reaches_a_fourth_worker_late_is_found) {
+    for (int64_t second = 59; second < 62; ++second) {
+        send_fatal(second * 1000);
+    }
+    expect_found(check_kind::kFatalContent, 1);
+}
+
+TEST_F(fleet_checks, late_runs_of_a_fatal_content_by_disturbed_nodes_do_not_count) {
+    disturb(58'500, 59'500, disturbed_part::kNode, "n-1");
+    for (int64_t second = 59; second < 62; ++second) {
+        send_fatal(second * 1000);
+    }
+    expect_found(check_kind::kFatalContent, 0);
+}
+
+TEST_F(fleet_checks, a_fatal_content_may_end_workers_until_three_are_known) {
+    for (int64_t ms = 53'100; ms < 55'000; ms += 200) {
+        send_fatal(ms);
+    }
+    expect_found(check_kind::kFatalContent, 0);
+}
+
+TEST_F(fleet_checks, an_innocent_request_that_is_held_is_found) {
+    answer_of("r-2").held = true;
+    expect_found(check_kind::kInnocent, 1);
+}
+
 } // namespace
 } // namespace chalkshed::soak
--- a/tests/soak_fleet/records_test.cc
+++ b/tests/soak_fleet/records_test.cc
@@ -26,7 +26,7 @@
 std::vector<record> one_of_each() {
     return {
         online_send{at(1), "r-1", "n-1", message(), true, true},
-        online_answer{at(2), "r-1", 200, true, true},
+        online_answer{at(2), "r-1", 200, true, true, true},
         caller_left{at(3), "r-1"},
         job_send{at(4), "j-1", 2, "n-2", {{"j-1-0", message()}, {"j-1-1", message()}}},
         job_answer{at(5), "j-1", 2, "n-2", 202},
@@ -39,7 +39,8 @@
         disturbance{at(12), at(20), "store_cut", disturbed_part::kStore, "n-1"},
         worker_leaving{at(13), "w-1"},
         configuration_written{at(14), 9},
-        process_lag{at(15), "caller-1", 100, milliseconds(1), milliseconds(2), milliseconds(3)}};
+        process_lag{at(15), "caller-1", 100, milliseconds(1), milliseconds(2), milliseconds(3)},
+        fatal_end{at(16), "w-1", "r-1", "4567"}};
 }
 
 class fleet_records : public ::testing::Test {
