--- a/src/event/event_dispatcher.cc
+++ b/src/event/event_dispatcher.cc
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 #include <algorithm>
+#include <ctime>
 #include <memory>
 #include <stdexcept>
 #include <utility>
@@ -18,6 +19,13 @@
   return timeval_of(std::max(delay, Duration::zero()) + kTruncation);
 }
 
+Duration read_clock(clockid_t clock) {
+  timespec now{};
+  clock_gettime(clock, &now);
+  return std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
+                                              std::chrono::nanoseconds(now.tv_nsec));
+}
+
 event_base* create_base() {
   event_config* config = event_config_new();
   // The default timers of libevent are as coarse as the kernel's tick and count from the begin of
@@ -37,12 +45,12 @@
 
 class EventTimer : public Timer {
  public:
-  EventTimer(event_base* base, std::unordered_set<EventTimer*>& living,
-             std::function<void()> callback)
-      : living_(&living),
+  EventTimer(EventDispatcher& dispatcher, std::function<void()> callback)
+      : dispatcher_(dispatcher),
+        living_(&dispatcher.timers_),
         callback_(std::move(callback)),
-        event_(evtimer_new(base, &EventTimer::on_fire, this)) {
-    living.insert(this);
+        event_(evtimer_new(dispatcher.base_, &EventTimer::on_fire, this)) {
+    living_->insert(this);
   }
   ~EventTimer() override {
     if (living_ != nullptr) {
@@ -54,9 +62,18 @@
   EventTimer& operator=(const EventTimer&) = delete;
 
   void enable(Duration delay) override {
+    due_ = steady_now() + delay;
     const timeval timeout = timer_delay(delay);
     evtimer_add(event_, &timeout);
   }
+  // The machine was suspended for so long while the timer waited.
+  void hasten(Duration suspended) {
+    if (enabled()) {
+      due_ -= suspended;
+      const timeval timeout = timer_delay(due_ - steady_now());
+      evtimer_add(event_, &timeout);
+    }
+  }
   void disable() override { evtimer_del(event_); }
   bool enabled() const override { return evtimer_pending(event_, nullptr) != 0; }
   // The loop ends. Destroys the timer if its own callback holds it.
@@ -68,14 +85,20 @@
 
  private:
   static void on_fire(int /*socket*/, short /*what*/, void* argument) {
+    auto* timer = static_cast<EventTimer*>(argument);
+    timer->dispatcher_.count_suspension();
     // A copy: the callback may destroy its own timer.
-    const std::function<void()> callback = static_cast<EventTimer*>(argument)->callback_;
+    const std::function<void()> callback = timer->callback_;
     callback();
   }
+  // Of the clock by which the loop's timers run.
+  static Duration steady_now() { return read_clock(CLOCK_MONOTONIC); }
 
+  EventDispatcher& dispatcher_;
   std::unordered_set<EventTimer*>* living_;  // null once the loop has ended
   std::function<void()> callback_;
   event* event_;
+  Duration due_{0};
 };
 
 struct EventDispatcher::SignalHandler {
@@ -83,8 +106,28 @@
   event* signal_event = nullptr;
 };
 
-EventDispatcher::EventDispatcher()
-    : base_(create_base()), posted_event_(evtimer_new(base_, &EventDispatcher::on_posted, this)) {}
+Duration system_suspension() {
+  // A thread that loses the processor between two readings would take that for a suspension.
+  constexpr Duration kTogether = std::chrono::milliseconds(1);
+  constexpr int kMostTries = 5;
+  Duration suspension{0};
+  for (int tries = 0; tries < kMostTries; ++tries) {
+    const Duration before = read_clock(CLOCK_MONOTONIC);
+    const Duration with = read_clock(CLOCK_BOOTTIME);
+    const Duration after = read_clock(CLOCK_MONOTONIC);
+    suspension = with - after;
+    if (after - before < kTogether) {
+      break;
+    }
+  }
+  return suspension;
+}
+
+EventDispatcher::EventDispatcher(std::function<Duration()> suspension)
+    : suspension_(std::move(suspension)),
+      counted_suspension_(suspension_()),
+      base_(create_base()),
+      posted_event_(evtimer_new(base_, &EventDispatcher::on_posted, this)) {}
 
 EventDispatcher::~EventDispatcher() {
   for (const std::unique_ptr<SignalHandler>& handler : signal_handlers_) {
@@ -100,7 +143,7 @@
 }
 
 TimerPtr EventDispatcher::create_timer(std::function<void()> callback) {
-  return std::make_unique<EventTimer>(base_, timers_, std::move(callback));
+  return std::make_unique<EventTimer>(*this, std::move(callback));
 }
 
 void EventDispatcher::post(std::function<void()> callback) {
@@ -124,6 +167,19 @@
   }
 }
 
+void EventDispatcher::count_suspension() {
+  // A timer that is late by less is no worse than one on a busy machine.
+  constexpr Duration kShortest = std::chrono::milliseconds(100);
+  const Duration suspended = suspension_() - counted_suspension_;
+  if (suspended < kShortest) {
+    return;
+  }
+  counted_suspension_ += suspended;
+  for (EventTimer* timer : timers_) {
+    timer->hasten(suspended);
+  }
+}
+
 void EventDispatcher::run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
 
 void EventDispatcher::run_once(bool may_block) {
--- a/src/event/event_dispatcher.h
+++ b/src/event/event_dispatcher.h
@@ -14,9 +14,13 @@
 
 class EventTimer;
 
+// @return how long this machine has been suspended since it started, in all.
+Duration system_suspension();
+
 class EventDispatcher : public Dispatcher {
  public:
-  EventDispatcher();
+  // @param suspension tells system_suspension(); tests give their own.
+  explicit EventDispatcher(std::function<Duration()> suspension = &system_suspension);
   ~EventDispatcher() override;
   EventDispatcher(const EventDispatcher&) = delete;
   EventDispatcher& operator=(const EventDispatcher&) = delete;
@@ -39,7 +43,13 @@
   struct SignalHandler;
   static void on_posted(int socket, short what, void* argument);
   void run_posted();
+  // Fires the timers that came due while the machine was suspended: the kernel's timers stand still
+  // then, and what they wait for does not.
+  void count_suspension();
+  friend class EventTimer;
 
+  const std::function<Duration()> suspension_;
+  Duration counted_suspension_;
   event_base* base_;
   event* posted_event_;
   std::vector<std::function<void()>> posted_;
--- a/tests/event/event_dispatcher_test.cc
+++ b/tests/event/event_dispatcher_test.cc
@@ -41,6 +41,33 @@
   }
 }
 
+// The kernel's timers stand still while a machine is suspended; requests, leases and questions grow
+// old. After a suspension of 30 s every timer would fire 30 s late.
+TEST(EventDispatcherTest, ASuspendedMachineCountsTheTimeForItsTimers) {
+  Duration suspended{0};
+  EventDispatcher dispatcher([&] { return suspended; });
+  bool due = false;
+  bool later = false;
+  const TimerPtr waits = dispatcher.create_timer([&] { due = true; });
+  const TimerPtr waits_longer = dispatcher.create_timer([&] { later = true; });
+  waits->enable(std::chrono::seconds(30));
+  waits_longer->enable(std::chrono::hours(1));
+  int ticks = 0;
+  TimerPtr tick;
+  tick = dispatcher.create_timer([&] {
+    suspended = ++ticks == 3 ? std::chrono::seconds(31) : suspended;
+    tick->enable(std::chrono::milliseconds(1));
+  });
+  tick->enable(std::chrono::milliseconds(1));
+  constexpr int kMostTicks = 100;
+  while (!due && ticks < kMostTicks) {
+    dispatcher.run_once(true);
+  }
+  EXPECT_TRUE(due);
+  EXPECT_FALSE(later);
+  EXPECT_TRUE(waits_longer->enabled());
+}
+
 TEST(EventDispatcherTest, TimerMayDestroyItself) {
   EventDispatcher dispatcher;
   TimerPtr timer;
