Items are started and stopped by an item_scheduler of their own; numbers are read from text at one place

Change: item_scheduler takes over the starting, preempting and yielding, moved unchanged but for one function that is split in two; src/core/number_text.h. No decision changes.

--- a/src/batch/batch_service.cc
+++ b/src/batch/batch_service.cc
@@ -1,9 +1,9 @@
 #include "src/batch/batch_service.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "src/batch/batch_format.h"
+#include "src/core/number_text.h"
 #include "src/gateway/authentication.h"
 #include "src/http/error_response.h"
 
@@ -25,15 +25,6 @@
   return response;
 }
 
-std::optional<uint64_t> parse_number(std::string_view text) {
-  uint64_t number = 0;
-  const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (text.empty() || code != std::errc() || end != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 // @return the value of a query parameter; job ids and numbers need no unescaping.
 std::optional<std::string> query_parameter(std::string_view query, std::string_view name) {
   while (!query.empty()) {
@@ -54,7 +45,7 @@
   if (!text) {
     return fallback;
   }
-  const auto number = parse_number(*text);
+  const auto number = parse_number<uint64_t>(*text);
   if (!number) {
     std::string message = "the parameter ";
     message.append(name).append("=").append(*text).append(" is not a number");
@@ -177,7 +168,7 @@
   submission.tenant = call->tenant;
   submission.deadline = knobs_.default_deadline;
   if (const auto deadline = find_header(call->request.headers, kDeadlineHeader)) {
-    const auto milliseconds = parse_number(*deadline);
+    const auto milliseconds = parse_number<uint64_t>(*deadline);
     if (!milliseconds || *milliseconds == 0) {
       call->fail(not_run(ErrorKind::kInvalidRequest,
                          "the header X-Chalkshed-Deadline-Ms is not a number above 0",
--- a/src/http/response_parser.cc
+++ b/src/http/response_parser.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
+
+#include "src/core/number_text.h"
 
 namespace chalkshed {
 namespace {
@@ -47,8 +48,6 @@
   });
 }
 
-std::optional<uint64_t> parse_number(std::string_view text, int base);
-
 // The timeout of a Keep-Alive header such as "timeout=5, max=100".
 std::optional<uint32_t> parse_keep_alive(std::string_view text) {
   constexpr std::string_view kName = "timeout=";
@@ -58,21 +57,11 @@
     return std::nullopt;
   }
   const std::string_view rest = text.substr(begin + kName.size());
-  const auto seconds = parse_number(trim(rest.substr(0, rest.find(','))), 10);
+  const auto seconds = parse_number<uint64_t>(trim(rest.substr(0, rest.find(','))));
   return seconds ? std::optional(static_cast<uint32_t>(std::min(*seconds, kMostSeconds)))
                  : std::nullopt;
 }
 
-std::optional<uint64_t> parse_number(std::string_view text, int base) {
-  uint64_t value = 0;
-  const char* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, value, base);
-  if (text.empty() || result.ec != std::errc() || result.ptr != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 }  // namespace
 
 ResponseHeadParser::Progress ResponseHeadParser::add_line(std::string_view line) {
@@ -94,7 +83,7 @@
     return false;
   }
   http_1_0_ = line[kVersion.size()] == '0';
-  const auto status = parse_number(line.substr(kStatusOffset, kStatusDigits), 10);
+  const auto status = parse_number<uint64_t>(line.substr(kStatusOffset, kStatusDigits));
   head_.status = static_cast<int>(status.value_or(0));
   return head_.status >= 100;
 }
@@ -139,7 +128,7 @@
     return lower_case(*encoding) == "chunked" ? Progress::kComplete : Progress::kMalformed;
   }
   if (const auto length = find_header(head_.headers, "Content-Length")) {
-    const std::optional<uint64_t> parsed = parse_number(*length, 10);
+    const std::optional<uint64_t> parsed = parse_number<uint64_t>(*length);
     head_.framing = BodyFraming::kLength;
     head_.content_length = parsed.value_or(0);
     return parsed ? Progress::kComplete : Progress::kMalformed;
@@ -150,7 +139,7 @@
 }
 
 std::optional<uint64_t> parse_chunk_size(std::string_view line) {
-  return parse_number(trim(line.substr(0, line.find(';'))), kHexadecimal);
+  return parse_number<uint64_t>(trim(line.substr(0, line.find(';'))), kHexadecimal);
 }
 
 }  // namespace chalkshed
--- /dev/null
+++ b/src/jobs/item_scheduler.cc
@@ -0,0 +1,112 @@
+#include "chalkshed/item_scheduler.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace chalkshed {
+
+item_scheduler::item_scheduler(JobEnvironment& environment, SessionView& sessions,
+                               const owned_job_map& owned, std::function<bool()> may_start)
+    : environment_(environment),
+      sessions_(sessions),
+      owned_(owned),
+      may_start_(std::move(may_start)),
+      items_timer_(environment.serving.dispatcher.create_timer([this] { start_items(); })),
+      yield_timer_(environment.serving.dispatcher.create_timer([this] { yield_places(); })) {}
+
+void item_scheduler::start() { yield_timer_->enable(environment_.knobs.yield_interval); }
+
+void item_scheduler::start_items() {
+  if (stopped_) {
+    return;
+  }
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  if (now - burst_began_ >= environment_.knobs.item_burst_interval) {
+    burst_began_ = now;
+    items_in_burst_ = 0;
+  }
+  bool waiting = false;
+  while (may_start_()) {
+    OwnedJob* next = nullptr;
+    std::optional<Duration> first;
+    for (const auto& [id, owned] : owned_) {
+      const std::optional<Duration> slack = owned.job->next_slack();
+      waiting = waiting || slack;
+      if (slack && (!first || starts_before(*slack, *first)) && may_run(*owned.job)) {
+        next = owned.job.get();
+        first = slack;
+      }
+    }
+    const bool burst_over = items_in_burst_ >= environment_.knobs.most_items_at_a_time;
+    if (next == nullptr || burst_over || !next->start_item()) {
+      break;
+    }
+    ++items_in_burst_;
+  }
+  constexpr Duration kLookAgain = std::chrono::milliseconds(50);
+  if (waiting && !items_timer_->enabled()) {
+    items_timer_->enable(kLookAgain);
+  }
+}
+
+// An end is acknowledged by whichever node wrote it, though the owner has not heard of it. While
+// the store answers no node, none can acknowledge one, and batch goes on.
+bool item_scheduler::may_run(const OwnedJob& job) const {
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  const Duration age = std::min(environment_.view_age(), now - job.confirmed());
+  return age <= environment_.knobs.longest_view_age || !sessions_.others_may_reach_store();
+}
+
+bool item_scheduler::preempt_one(const OwnedJob::AtWorker& at) {
+  OwnedJob* owner = nullptr;
+  std::optional<OwnedJob::Preemptible> first;
+  for (const auto& [id, owned] : owned_) {
+    const auto run = owned.job->first_to_yield(at);
+    if (run && (!first || starts_before(first->slack, run->slack))) {
+      owner = owned.job.get();
+      first = run;
+    }
+  }
+  if (owner != nullptr) {
+    owner->preempt(*first);
+  }
+  return owner != nullptr;
+}
+
+// Online work never waits behind batch: runs that must start soon are preempted too, as the last.
+void item_scheduler::preempt_items(size_t count) {
+  while (count > 0 && preempt_one([](const ServingWorker&) { return true; })) {
+    --count;
+  }
+}
+
+void item_scheduler::yield_places() {
+  yield_timer_->enable(environment_.knobs.yield_interval);
+  WorkerSet& workers = environment_.serving.workers;
+  for (const std::string& service : workers.services_with_batch()) {
+    const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+    const double wanted = workers.batch_runs_to_stop(service);
+    if (wanted <= 0 || now < yield_after_[service]) {
+      continue;
+    }
+    yield_after_[service] = now + sessions_.view_lag();
+    // Rounded at random, so that the nodes together stop as many as are wanted.
+    const double rounding = environment_.serving.random.unit();
+    yield_places_of(service, static_cast<size_t>(wanted + rounding));
+  }
+}
+
+void item_scheduler::yield_places_of(const std::string& service, size_t count) {
+  const WorkerSet& workers = environment_.serving.workers;
+  const auto of_service = [&](const ServingWorker& worker) {
+    return worker.record.service == service;
+  };
+  const auto at_full_worker = [&](const ServingWorker& worker) {
+    return of_service(worker) && workers.load_of(worker) >= worker.record.slots;
+  };
+  while (count > 0 && (preempt_one(at_full_worker) || preempt_one(of_service))) {
+    --count;
+  }
+}
+
+}  // namespace chalkshed
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -24,7 +24,6 @@
                        std::function<bool()> may_start)
     : environment_(environment),
       sessions_(sessions),
-      may_start_(std::move(may_start)),
       loader_(environment),
       reader_(environment),
       remover_(environment),
@@ -36,13 +35,12 @@
              [this](const known_job& known) { note(known.record, known.version); }),
       recorder_(environment.store, environment.serving.dispatcher, environment.serving.logger,
                 environment.knobs.store_retry),
-      sweep_timer_(environment.serving.dispatcher.create_timer([this] { sweep(); })),
-      items_timer_(environment.serving.dispatcher.create_timer([this] { start_items(); })),
-      yield_timer_(environment.serving.dispatcher.create_timer([this] { yield_places(); })) {}
+      scheduler_(environment, sessions, owned_, std::move(may_start)),
+      sweep_timer_(environment.serving.dispatcher.create_timer([this] { sweep(); })) {}
 
 void JobService::start() {
   sweep_timer_->enable(environment_.knobs.sweep_interval);
-  yield_timer_->enable(environment_.knobs.yield_interval);
+  scheduler_.start();
 }
 
 void JobService::on_row(const StoredRow& row) {
@@ -119,7 +117,7 @@
   if (on_ownership_changed_) {
     on_ownership_changed_();
   }
-  start_items();
+  scheduler_.start_items();
 }
 
 void JobService::drop(const std::string& job, const std::string& reason) {
@@ -298,94 +296,6 @@
              std::move(callback));
 }
 
-void JobService::start_items() {
-  if (draining_) {
-    return;
-  }
-  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
-  if (now - burst_began_ >= environment_.knobs.item_burst_interval) {
-    burst_began_ = now;
-    items_in_burst_ = 0;
-  }
-  bool waiting = false;
-  while (may_start_()) {
-    OwnedJob* next = nullptr;
-    std::optional<Duration> first;
-    for (const auto& [id, owned] : owned_) {
-      const std::optional<Duration> slack = owned.job->next_slack();
-      waiting = waiting || slack;
-      if (slack && (!first || starts_before(*slack, *first)) && may_run(*owned.job)) {
-        next = owned.job.get();
-        first = slack;
-      }
-    }
-    const bool burst_over = items_in_burst_ >= environment_.knobs.most_items_at_a_time;
-    if (next == nullptr || burst_over || !next->start_item()) {
-      break;
-    }
-    ++items_in_burst_;
-  }
-  constexpr Duration kLookAgain = std::chrono::milliseconds(50);
-  if (waiting && !items_timer_->enabled()) {
-    items_timer_->enable(kLookAgain);
-  }
-}
-
-// An end is acknowledged by whichever node wrote it, though the owner has not heard of it. While
-// the store answers no node, none can acknowledge one, and batch goes on.
-bool JobService::may_run(const OwnedJob& job) const {
-  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
-  const Duration age = std::min(environment_.view_age(), now - job.confirmed());
-  return age <= environment_.knobs.longest_view_age || !sessions_.others_may_reach_store();
-}
-
-bool JobService::preempt_one(const OwnedJob::AtWorker& at) {
-  OwnedJob* owner = nullptr;
-  std::optional<OwnedJob::Preemptible> first;
-  for (const auto& [id, owned] : owned_) {
-    const auto run = owned.job->first_to_yield(at);
-    if (run && (!first || starts_before(first->slack, run->slack))) {
-      owner = owned.job.get();
-      first = run;
-    }
-  }
-  if (owner != nullptr) {
-    owner->preempt(*first);
-  }
-  return owner != nullptr;
-}
-
-// Online work never waits behind batch: runs that must start soon are preempted too, as the last.
-void JobService::preempt_items(size_t count) {
-  while (count > 0 && preempt_one([](const ServingWorker&) { return true; })) {
-    --count;
-  }
-}
-
-void JobService::yield_places() {
-  yield_timer_->enable(environment_.knobs.yield_interval);
-  WorkerSet& workers = environment_.serving.workers;
-  for (const std::string& service : workers.services_with_batch()) {
-    const MonotonicTime now = environment_.serving.time_source.monotonic_now();
-    const double wanted = workers.batch_runs_to_stop(service);
-    if (wanted <= 0 || now < yield_after_[service]) {
-      continue;
-    }
-    yield_after_[service] = now + sessions_.view_lag();
-    // Rounded at random, so that the nodes together stop as many as are wanted.
-    auto count = static_cast<size_t>(wanted + environment_.serving.random.unit());
-    const auto of_service = [&](const ServingWorker& worker) {
-      return worker.record.service == service;
-    };
-    const auto at_full_worker = [&](const ServingWorker& worker) {
-      return of_service(worker) && workers.load_of(worker) >= worker.record.slots;
-    };
-    while (count > 0 && (preempt_one(at_full_worker) || preempt_one(of_service))) {
-      --count;
-    }
-  }
-}
-
 void JobService::sweep() {
   sweep_timer_->enable(environment_.knobs.sweep_interval);
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
@@ -407,7 +317,7 @@
   }
   sweep_refusals(now);
   queues_.show();
-  start_items();
+  scheduler_.start_items();
 }
 
 void JobService::sweep_refusals(MonotonicTime now) {
@@ -549,6 +459,7 @@
 
 void JobService::drain(std::function<void()> done) {
   draining_ = true;
+  scheduler_.stop_starting();
   drain_began_ = environment_.serving.time_source.monotonic_now();
   on_drained_ = std::move(done);
   sessions_.begin_drain();
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "chalkshed/caller_identity.h"
+#include "chalkshed/item_scheduler.h"
 #include "chalkshed/job_ender.h"
 #include "chalkshed/queue_admission.h"
 #include "src/core/lifetime.h"
@@ -56,9 +57,9 @@
   }
 
   // Starts waiting items while workers have room.
-  void start_items();
+  void start_items() { scheduler_.start_items(); }
   // Stops up to `count` runs: online requests wait for their places.
-  void preempt_items(size_t count);
+  void preempt_items(size_t count) { scheduler_.preempt_items(count); }
   // Planned stop: starts nothing more, lets items under way end, gives the jobs to other nodes,
   // then calls `done` once.
   void drain(std::function<void()> done);
@@ -87,13 +88,6 @@
   void adopt(const StoredJob& record, StoreVersion version, MonotonicTime known_since,
              LoadedJob loaded);
   void drop(const std::string& job, const std::string& reason);
-  // Stops this node's share of the runs that leave online work too few slots, and then waits until
-  // the slots freed by all nodes are known: otherwise the same lack is made good several times.
-  void yield_places();
-  // Whether what this node knows of the job is new enough to start a run by it.
-  bool may_run(const OwnedJob& job) const;
-  // Stops the run at such a worker that is the first to give way. @return whether there was one.
-  bool preempt_one(const OwnedJob::AtWorker& at);
   void sweep();
   // Looks after the rows of refusals of one partition after another, at one node of the fleet.
   void sweep_refusals(MonotonicTime now);
@@ -114,7 +108,6 @@
 
   JobEnvironment& environment_;
   SessionView& sessions_;
-  std::function<bool()> may_start_;
   JobLoader loader_;
   ResultReader reader_;
   JobRemover remover_;
@@ -125,6 +118,7 @@
   queue_admission admission_;
   job_ender ender_;
   failure_recorder recorder_;
+  item_scheduler scheduler_;
   std::function<void()> on_queue_changed_;
   std::function<void()> on_ownership_changed_;
   bool removing_ = false;
@@ -133,16 +127,11 @@
   std::map<uint64_t, std::unique_ptr<JobSubmit>> submits_;
   uint64_t next_submit_ = 0;
   std::map<std::string, uint32_t> submitting_;  // submissions under way, by job
-  MonotonicTime burst_began_{};
-  size_t items_in_burst_ = 0;
   bool takeovers_slow_ = false;  // the last takeover or load was slow, or was not answered
   bool draining_ = false;
   MonotonicTime drain_began_{};
   std::function<void()> on_drained_;
   TimerPtr sweep_timer_;
-  TimerPtr items_timer_;
-  TimerPtr yield_timer_;
-  std::map<std::string, MonotonicTime> yield_after_;  // by service
   Lifetime lifetime_;
 };
 
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -2,6 +2,7 @@
 
 #include "chalkshed/request_digest.h"
 #include "src/core/call_after.h"
+#include "src/core/number_text.h"
 #include "src/jobs/job_rows.h"
 
 namespace chalkshed {
@@ -256,7 +257,7 @@
   dependencies_.logger.write(LogLevel::kInfo, "request_refused",
                              {{"request", request_id},
                               {"reason", error.message},
-                              {"draining_ms", std::to_string(draining.count() / 1000)}});
+                              {"draining_ms", milliseconds_text(draining)}});
   return error;
 }
 
@@ -299,14 +300,13 @@
                     "send it again, or to another node");
     error.retry_after = kUntilCurrent;
   }
-  dependencies_.logger.write(
-      LogLevel::kInfo, "request_rejected",
-      {{"request", request_id},
-       {"kind", std::string(error_kind_name(error.kind))},
-       {"reason", error.message},
-       {"configuration", std::to_string(route_watch_.current()->version())},
-       {"behind_peers", route_table_.behind() ? "yes" : "no"},
-       {"store_silence_ms", std::to_string(peers_.own_store_silence().count() / 1000)}});
+  dependencies_.logger.write(LogLevel::kInfo, "request_rejected",
+                             {{"request", request_id},
+                              {"kind", std::string(error_kind_name(error.kind))},
+                              {"reason", error.message},
+                              {"configuration", std::to_string(route_watch_.current()->version())},
+                              {"behind_peers", route_table_.behind() ? "yes" : "no"},
+                              {"store_silence_ms", milliseconds_text(peers_.own_store_silence())}});
   return error;
 }
 
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "src/core/digest.h"
+#include "src/core/number_text.h"
 
 namespace chalkshed {
 namespace {
@@ -260,7 +261,7 @@
     return;
   }
   logger_.write(LogLevel::kWarning, "process_stood_still",
-                {{"milliseconds", std::to_string(pause.count() / 1000)}});
+                {{"milliseconds", milliseconds_text(pause)}});
   clock_.excuse(pause);
   heard_anyone_ += pause;
   for (auto& [node, peer] : peers_) {
@@ -538,7 +539,7 @@
       logger_.write(LogLevel::kInfo, "worker_suspected",
                     {{"worker", suspect->record.incarnation},
                      {"told_by", peer.session},
-                     {"failed_ms_ago", std::to_string((now - times.failed).count() / 1000)},
+                     {"failed_ms_ago", milliseconds_text(now - times.failed)},
                      {"failures", std::to_string(told.failures)}});
     }
   }
@@ -604,15 +605,14 @@
 void PeerExchange::log_judgement(const std::string& node, const Peer& peer,
                                  LapseReason reason) const {
   const bool now_lapsed = reason != LapseReason::kNone;
-  logger_.write(
-      LogLevel::kInfo, now_lapsed ? "session_lapsed" : "session_regained",
-      {{"peer", node},
-       {"session", peer.session},
-       {"reason", name_of(reason)},
-       {"heard_ms_ago", std::to_string((time_source_.monotonic_now() - peer.heard).count() / 1000)},
-       {"patience_ms", std::to_string(patience_with(peer).count() / 1000)},
-       {"store_patience_ms", std::to_string(store_patience().count() / 1000)},
-       {"its_store_silence_ms", std::to_string(peer.store_silence.count() / 1000)}});
+  logger_.write(LogLevel::kInfo, now_lapsed ? "session_lapsed" : "session_regained",
+                {{"peer", node},
+                 {"session", peer.session},
+                 {"reason", name_of(reason)},
+                 {"heard_ms_ago", milliseconds_text(time_source_.monotonic_now() - peer.heard)},
+                 {"patience_ms", milliseconds_text(patience_with(peer))},
+                 {"store_patience_ms", milliseconds_text(store_patience())},
+                 {"its_store_silence_ms", milliseconds_text(peer.store_silence)}});
   if (now_lapsed) {
     metrics_
         .counter("chalkshed_sessions_lapsed_total",
--- a/src/quarantine/quarantine_rows.cc
+++ b/src/quarantine/quarantine_rows.cc
@@ -1,25 +1,16 @@
 #include "chalkshed/quarantine_rows.h"
 
 #include <algorithm>
-#include <charconv>
 #include <optional>
 
 #include "chalkshed/request_digest.h"
+#include "src/core/number_text.h"
 
 namespace chalkshed {
 namespace {
 
 constexpr int kHexadecimal = 16;
 
-template <typename Number>
-std::optional<Number> parse_number(std::string_view text, int base = 10) {
-    Number value = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, value, base);
-    const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
-    return whole ? std::optional(value) : std::nullopt;
-}
-
 // "WORKER MILLISECONDS": the hash of the worker's incarnation, and when its run broke off.
 std::optional<broken_run> parse_line(uint64_t digest, std::string_view line, Duration offset) {
     const size_t space = line.find(' ');
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "chalkshed/request_digest.h"
+#include "src/core/number_text.h"
 
 namespace chalkshed {
 namespace {
@@ -11,10 +12,6 @@
 constexpr const char *kOwn = "own";
 constexpr const char *kTold = "told";
 
-std::string milliseconds_text(Duration duration) {
-    return std::to_string(duration / std::chrono::milliseconds(1));
-}
-
 } // namespace
 
 request_quarantine::request_quarantine(TimeSource &time_source, Dispatcher &dispatcher,
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -3,16 +3,13 @@
 #include <algorithm>
 
 #include "chalkshed/request_digest.h"
+#include "src/core/number_text.h"
 
 namespace chalkshed {
 namespace {
 
 constexpr int kInternalServerError = 500;
 
-std::string milliseconds_text(Duration duration) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 }  // namespace
 
 std::string_view relay_end_name(RelayEnd end) {
@@ -88,8 +85,8 @@
 
 bool RequestRelay::send(bool even_if_full) {
   const run_permit permit = environment_.quarantine.permit(request_.digest);
-  // Equal requests that lost their worker together are all sent again: only those that have not been
-  // at a worker yet wait for each other.
+  // Equal requests that lost their worker together are all sent again: only those that have not
+  // been at a worker yet wait for each other.
   const bool waits = permit == run_permit::kWait && runs_ == 0;
   if (waits || permit == run_permit::kQuarantined) {
     return false;
--- a/src/tenant_quota/tenant_quota.cc
+++ b/src/tenant_quota/tenant_quota.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/core/number_text.h"
+
 namespace chalkshed {
 namespace {
 
@@ -21,10 +23,6 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-std::string milliseconds_text(Duration duration) {
-    return std::to_string(duration / std::chrono::milliseconds(1));
-}
-
 } // namespace
 
 tenant_quota::tenant_quota(TimeSource &time_source, RandomGenerator &random,
