--- a/include/chalkshed/item_scheduler.h
+++ b/include/chalkshed/item_scheduler.h
@@ -2,8 +2,9 @@
 #define CHALKSHED_ITEM_SCHEDULER_H
 
 /** \file
- * Which items of this node's jobs run now: starts those that are due first while there is room, and stops
- * runs where online work needs their places. Who owns which job is decided elsewhere (JobService). */
+ * Which items of this node's jobs run now: starts those that are due first while there is room, and
+ * stops runs where online work needs their places. Who owns which job is decided elsewhere
+ * (JobService). */
 
 #include <functional>
 #include <map>
--- a/tests/soak_fleet/records_test.cc
+++ b/tests/soak_fleet/records_test.cc
@@ -24,23 +24,22 @@
 
 /** One of each type, each field with a value of its own. */
 std::vector<record> one_of_each() {
-    return {
-        online_send{at(1), "r-1", "n-1", message(), true, true},
-        online_answer{at(2), "r-1", 200, true, true, true},
-        caller_left{at(3), "r-1"},
-        job_send{at(4), "j-1", 2, "n-2", {{"j-1-0", message()}, {"j-1-1", message()}}},
-        job_answer{at(5), "j-1", 2, "n-2", 202},
-        end_send{at(6), "j-1", "n-3"},
-        end_answer{at(7), "j-1", "n-3", 200},
-        listed_item{at(8), "j-1", 4, "j-1-0", true, true},
-        run_begin{at(9), 77, "w-1", "engines", "j-1-0", message(), 3, "127.0.0.2"},
-        run_end{at(10), 77, "w-1", "j-1-0", run_outcome::kBroken},
-        node_start{at(11), "n-1", "127.0.0.1", 4711},
-        disturbance{at(12), at(20), "store_cut", disturbed_part::kStore, "n-1"},
-        worker_leaving{at(13), "w-1"},
-        configuration_written{at(14), 9},
-        process_lag{at(15), "caller-1", 100, milliseconds(1), milliseconds(2), milliseconds(3)},
-        fatal_end{at(16), "w-1", "r-1", "4567"}};
+    return {online_send{at(1), "r-1", "n-1", message(), true, true},
+            online_answer{at(2), "r-1", 200, true, true, true},
+            caller_left{at(3), "r-1"},
+            job_send{at(4), "j-1", 2, "n-2", {{"j-1-0", message()}, {"j-1-1", message()}}},
+            job_answer{at(5), "j-1", 2, "n-2", 202},
+            end_send{at(6), "j-1", "n-3"},
+            end_answer{at(7), "j-1", "n-3", 200},
+            listed_item{at(8), "j-1", 4, "j-1-0", true, true},
+            run_begin{at(9), 77, "w-1", "engines", "j-1-0", message(), 3, "127.0.0.2"},
+            run_end{at(10), 77, "w-1", "j-1-0", run_outcome::kBroken},
+            node_start{at(11), "n-1", "127.0.0.1", 4711},
+            disturbance{at(12), at(20), "store_cut", disturbed_part::kStore, "n-1"},
+            worker_leaving{at(13), "w-1"},
+            configuration_written{at(14), 9},
+            process_lag{at(15), "caller-1", 100, milliseconds(1), milliseconds(2), milliseconds(3)},
+            fatal_end{at(16), "w-1", "r-1", "4567"}};
 }
 
 class fleet_records : public ::testing::Test {
