--- a/tests/quarantine/innocent_requests_test.cc
+++ b/tests/quarantine/innocent_requests_test.cc
@@ -60,8 +60,10 @@
 
 TEST(InnocentRequests, EqualCallsThatLoseTheirWorkerAreAllSentAgain) {
     ending_fleet fleet;
+    constexpr size_t kCalls = 20;
     std::vector<SeenAnswerPtr> answers;
-    for (int call = 0; call < 20; ++call) {
+    answers.reserve(kCalls);
+    while (answers.size() < kCalls) {
         answers.push_back(fleet.send("n0", "/plain/status", "status"));
     }
     fleet.run_for(milliseconds(100));
