--- a/tests/quarantine/shared_evidence_test.cc
+++ b/tests/quarantine/shared_evidence_test.cc
@@ -42,6 +42,22 @@
     EXPECT_EQ(fleet.runs.size(), runs);
 }
 
+TEST(SharedEvidence, ARequestThatHasRunIsNeverToldThatItHasNot) {
+    ending_fleet fleet;
+    fleet.fatal = {kFatal};
+    size_t refused = 0;
+    for (int attempt = 0; attempt < 8; ++attempt) {
+        const size_t runs = fleet.runs.size();
+        const SeenAnswerPtr answer = fleet.send("n0", "/plain/1", kFatal);
+        fleet.run_for(seconds(1));
+        const bool ran = fleet.runs.size() > runs;
+        ASSERT_NE(answer->status, 0);
+        EXPECT_EQ(promises_not_run(answer->status), !ran) << answer->status;
+        refused += ran ? 0 : 1;
+    }
+    EXPECT_GE(refused, 1U);
+}
+
 TEST(SharedEvidence, ARestartOfAllNodesForgetsNothing) {
     ending_fleet fleet;
     let_it_be_held(fleet);
