--- a/include/chalkshed/crash_exchange.h
+++ b/include/chalkshed/crash_exchange.h
@@ -4,8 +4,8 @@
 /** \file
  * Tells the other nodes at once, by datagram, which runs of this node broke off and which contents
  * were answered since. One node alone sees few of the workers that a content ends: its caller comes
- * back at any node. What is lost is told again a few times; what lasts is in the store
- * (quarantine_rows.h). */
+ * back at any node. Each message is repeated a few times against loss; the durable copy is in the
+ * store (quarantine_rows.h). */
 
 #include <deque>
 #include <string_view>
@@ -24,7 +24,8 @@
     Duration gather = std::chrono::milliseconds(20);
     /** Of this node, to all peers together. */
     double datagrams_per_second = 1000;
-    /** Each piece of news is told so often, first after this pause, which doubles. */
+    /** How often each entry is sent, and the interval before its first repetition, which doubles.
+     */
     int most_tells = 4;
     Duration first_repeat = std::chrono::milliseconds(400);
     /** News that wait; beyond, the oldest go. A node with so many broken runs a second is itself
--- a/include/chalkshed/request_quarantine.h
+++ b/include/chalkshed/request_quarantine.h
@@ -48,7 +48,7 @@
     run_permit permit(uint64_t digest) const;
     /** The same for work that this node alone runs, so that it needs no other's leave to try. */
     run_permit permit_owned(uint64_t digest) const;
-    /** \return What the caller of a request that is held is told. It has not run. */
+    /** \return The error that answers a quarantined request. It has not run. */
     Error refusal(uint64_t digest, const std::string &request_id) const;
 
     /** A run of this node begins. \return To be called once it is over, whatever its end; may be
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -75,8 +75,8 @@
   return soon ? batch_urgency::kUrgent : batch_urgency::kNormal;
 }
 
-// An item that ends its workers waits until it may be tried again or is too old: nothing else that
-// a caller may be told ends it. Its job's owner alone runs it, and so tries it.
+// A quarantined item waits until its next trial or until its retention time is over: no other
+// result may be listed for it. Only the owner of its job runs it, so the owner makes the trial.
 bool OwnedJob::is_held(const Item& item) const {
   const run_permit permit = environment_.serving.quarantine.permit_owned(item.request.digest);
   return permit == run_permit::kQuarantined || permit == run_permit::kWait;
