Innocent requests among racks lost, a release and a fatal request; the check of late runs without datagrams and rows

Cause: no run counted innocent requests while racks were lost and workers replaced; the spread was never switched off. No product code.

--- a/tests/quarantine/ending_fleet.h
+++ b/tests/quarantine/ending_fleet.h
@@ -99,6 +99,14 @@
     void announce_leaving(const Address &address) {
         write_entry(number_of(address), "draining");
     }
+    /** As a release does: the worker says that it will leave, serves on, and ends. */
+    void replace_worker(size_t number) {
+        if (!workers_[number].up) {
+            return;
+        }
+        write_entry(number, "draining");
+        call_after(cluster.loop, seconds(2), [this, number] { end_worker(number); });
+    }
     static uint64_t digest_of(const std::string &path, const std::string &content) {
         ServingRequest request;
         request.host = "a.example";
--- a/tests/quarantine/innocent_requests_test.cc
+++ b/tests/quarantine/innocent_requests_test.cc
@@ -58,6 +58,44 @@
     EXPECT_TRUE(fleet.held.contains(fleet.digest_of("/fixed/1", "fatal")));
 }
 
+// A rack of five workers is lost every four seconds, one worker after the other is replaced, and a
+// fatal request comes all the while; callers whose answer broke off come again once.
+TEST(InnocentRequests, NoneIsHeldAmongRacksLostAReleaseAndAFatalRequest) {
+    ending_fleet::knobs knobs;
+    knobs.workers = 30;
+    ending_fleet fleet(knobs);
+    fleet.fatal = {"fatal"};
+    std::map<std::string, SeenAnswerPtr> first_tries;
+    size_t tried_again = 0;
+    for (int step = 0; step < 1000; ++step) {
+        const std::string content = "other " + std::to_string(step);
+        first_tries[content] = fleet.send(fleet.any_node(), "/fixed/1", content);
+        if (step % 12 == 0) {
+            fleet.send(fleet.any_node(), "/fixed/1", "fatal");
+        }
+        if (step % 200 == 100) {
+            for (size_t number = 5; number < 10; ++number) {
+                fleet.end_worker(number);
+            }
+        }
+        if (step % 50 == 0) {
+            fleet.replace_worker(10 + static_cast<size_t>(step / 50) % 20);
+        }
+        fleet.run_for(milliseconds(20));
+        for (auto &[broken, answer] : first_tries) {
+            if (answer && (answer->aborted || answer->status >= 500)) {
+                answer = nullptr;
+                ++tried_again;
+                fleet.send(fleet.any_node(), "/fixed/1", broken);
+            }
+        }
+    }
+    EXPECT_GE(tried_again, 20U);
+    EXPECT_EQ(fleet.held, (std::set<uint64_t>{fleet.digest_of("/fixed/1", "fatal")}));
+    constexpr size_t kMostLateRuns = 3;
+    EXPECT_LE(fleet.late_runs("fatal"), kMostLateRuns);
+}
+
 TEST(InnocentRequests, EqualCallsThatLoseTheirWorkerAreAllSentAgain) {
     ending_fleet fleet;
     constexpr size_t kCalls = 20;
--- a/tests/quarantine/quarantine_property_test.cc
+++ b/tests/quarantine/quarantine_property_test.cc
@@ -154,6 +154,31 @@
     EXPECT_GT(run.late_runs(), kMostLateRuns);
 }
 
+/** \return Late runs of a fatal content that comes to 12 nodes in turn. */
+size_t late_runs_among_many_nodes(bool datagrams, bool rows) {
+    ending_fleet::knobs knobs;
+    knobs.nodes = 12;
+    ending_fleet fleet(knobs);
+    fleet.fatal = {kFatal};
+    for (const auto &[name, node] : fleet.cluster.nodes) {
+        if (!datagrams) {
+            fleet.cluster.hub.cut.insert(node->address);
+        }
+        node->store.set_cut(!rows);
+    }
+    for (int step = 0; step < 60; ++step) {
+        fleet.send(fleet.any_node(), "/fixed/1", kFatal);
+        fleet.run_for(milliseconds(300));
+    }
+    return fleet.late_runs(kFatal);
+}
+
+TEST(QuarantineSafeguards, WithoutRowsDatagramsSufficeAndWithoutBothTheCheckFails) {
+    EXPECT_LE(late_runs_among_many_nodes(true, true), kMostLateRuns);
+    EXPECT_LE(late_runs_among_many_nodes(true, false), kMostLateRuns);
+    EXPECT_GT(late_runs_among_many_nodes(false, false), kMostLateRuns);
+}
+
 TEST(QuarantineSafeguards, WithOneEndForProofInnocentRequestsAreHeld) {
     ServingNodeKnobs hasty;
     hasty.quarantine.evidence.ends_to_quarantine = 1;
