Evacuated zones, cold workers, starts of large fleets: four changes that share their files

Evacuated zones (src/evacuation). Cause: rows evacuate/ZONE of the operator's table were read nowhere. Now an observer of that table marks the workers of the zone; a marked worker counts as leaving, so that no way leads there: retry, resumption, items, last resort of unlisted workers. The rows travel as the configuration does (followed, told by peers, handed over). While all workers of a service are evacuated, requests are refused at once. A row that cannot be read changes nothing and is logged. Cold workers (src/cold_start). Cause: how many requests a cold worker bears was not known to anybody. While it is cold, two senders, drawn from all announced nodes, send it half of what is allowed. Work a row that walked a collection: each announcement of a peer recounted all peers and copied them (now once a turn of the loop), each record of a worker looked through all workers (now a queue of those that are gone), each of 10,000 listed workers wrote a line. A list that is refused goes on at its page in place of its beginning, and retries are spread. 4. First copy of a large table from a peer (src/watch/first_copy): in a fleet with relays, only these read a table of more than 250 rows from the store; the others have it from nodes of their zone. Found on the way by the tests of jobs and relays: small tables must not wait for peers; one call lists them as before.

--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -28,6 +28,8 @@
                knobs.serving,
                quarantine_},
       route_watch_(dependencies.logger, tables.configuration_key, tables.decode_routes),
+      evacuated_zones_(dependencies.logger, workers_, tables.evacuations),
+      operator_rows_({&route_watch_, &evacuated_zones_}),
       worker_watch_(dependencies.logger, workers_, tables.decode_worker),
       gateway_(serving_),
       batch_draw_(dependencies.random),
@@ -48,21 +50,25 @@
       job_environment_{serving_, route_watch_,           fresh_store_, dependencies.objects,
                        clock_,   dependencies.job_codec, batch_draw_,  knobs.jobs},
       jobs_(job_environment_, peers_, [this] { return !gateway_.any_waiting(); }),
-      route_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                   dependencies.logger, tables.configuration_table, {""}, route_watch_,
-                   {.pace = knobs.watch.configuration, .keep_values = true}),
-      worker_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                    dependencies.logger, tables.worker_table, {""}, worker_watch_,
-                    {.pace = knobs.watch.workers, .keep_values = true}),
+      route_table_(
+          dependencies.time_source, dependencies.dispatcher, watched_store_, dependencies.logger,
+          tables.configuration_table, {""}, operator_rows_,
+          {.pace = knobs.watch.configuration, .keep_values = true, .random = &dependencies.random}),
+      worker_table_(
+          dependencies.time_source, dependencies.dispatcher, watched_store_, dependencies.logger,
+          tables.worker_table, {""}, worker_watch_,
+          {.pace = knobs.watch.workers, .keep_values = true, .random = &dependencies.random}),
       job_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                  dependencies.logger, kStoredJobTable, job_partitions(), jobs_,
-                 {.pace = knobs.watch.jobs}),
+                 {.pace = knobs.watch.jobs, .random = &dependencies.random}),
       node_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                  dependencies.logger, kNodeTable, {""}, peers_, {.pace = knobs.watch.jobs}),
+                  dependencies.logger, kNodeTable, {""}, peers_,
+                  {.pace = knobs.watch.jobs, .random = &dependencies.random}),
       quarantine_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                         dependencies.logger, kQuarantineTable, {""}, quarantine_rows_,
-                        {.pace = knobs.watch.quarantine}),
+                        {.pace = knobs.watch.quarantine, .random = &dependencies.random}),
       row_server_(
+          dependencies.time_source,
           {{tables.configuration_table, &route_table_}, {tables.worker_table, &worker_table_}},
           {{kStoredJobTable, [this](const StoredRow& row) { take_end(row); }}}),
       ended_jobs_(dependencies.dispatcher, dependencies.worker_client, dependencies.logger),
@@ -73,10 +79,16 @@
                                                            dependencies_.random.next());
                               }),
       worker_handover_(dependencies.time_source, dependencies.worker_client, dependencies.logger,
-                       tables.worker_table, worker_table_, [this](StoreVersion version) {
+                       tables.worker_table, worker_table_,
+                       [this](StoreVersion version) {
                          return peers_.peer_knowing(&KnownVersions::workers, version,
                                                     dependencies_.random.next());
-                       }) {
+                       }),
+      workers_copy_(
+          {dependencies.time_source, dependencies.dispatcher, dependencies.random,
+           dependencies.worker_client, dependencies.logger},
+          tables.worker_table, worker_table_, [this] { return workers_source(); },
+          [this] { return peers_.zone_peers(); }, knobs.workers_copy) {
   job_environment_.view_age = [this] { return job_table_.age(); };
   workers_.set_on_place_freed([this] { place_soon(); });
   gateway_.set_on_short_of_places([this](size_t count) { jobs_.preempt_items(count); });
@@ -101,17 +113,22 @@
   gateway_.set_quota(&quota_);
   route_watch_.set_on_changed([this] {
     quota_exchange_.set_tenants(route_watch_.current()->tenants());
+    set_cold_starts();
     peers_.load_changed();  // peers hear soon that there is a newer configuration
   });
   peers_.set_on_peers_changed([this](const std::vector<relay_candidate>& peers) {
     quota_exchange_.set_peers(peers);
     crash_exchange_.set_peers(peers);
     quarantine_rows_.set_node_count(peers.size() + 1);
+    note_nodes_listed();
+    workers_.nodes_changed();
   });
   peers_.set_other_reader([this](std::string_view datagram) {
     return quota_exchange_.receive(datagram) || crash_exchange_.receive(datagram);
   });
   connect_quarantine();
+  workers_.set_own_rank(
+      [this](const std::string& worker) { return peers_.announced_rank(worker); });
   route_table_.set_on_missed(
       [this](StoreVersion version) { configuration_handover_.request(version); });
   worker_table_.set_on_missed([this](StoreVersion version) { worker_handover_.request(version); });
@@ -133,6 +150,30 @@
   quarantine_.set_view_age([this] { return worker_table_.age(); });
 }
 
+// Peers are told of from the moment on at which the nodes have been listed.
+void ServingNode::note_nodes_listed() {
+  if (std::exchange(nodes_listed_, true)) {
+    return;
+  }
+  const Duration left = workers_.note_nodes_listed() - dependencies_.time_source.monotonic_now();
+  call_after(dependencies_.dispatcher, left, lifetime_.guard([this] { workers_.nodes_changed(); }));
+}
+
+copy_source ServingNode::workers_source() const {
+  if (!peers_.listed()) {
+    return copy_source::kUnknown;
+  }
+  return peers_.is_relay_member() ? copy_source::kPeers : copy_source::kStore;
+}
+
+void ServingNode::set_cold_starts() {
+  std::map<std::string, cold_start> services;
+  for (const auto& [name, service] : route_watch_.current()->services()) {
+    services[name] = service.cold;
+  }
+  workers_.set_cold_starts(services);
+}
+
 void ServingNode::tell_owner(const std::string& owner, const StoredRow& row,
                              const std::function<void()>& done) {
   const std::optional<Address> address = peers_.address_of(owner);
@@ -194,7 +235,7 @@
 
 void ServingNode::start() {
   route_table_.start();
-  worker_table_.start();
+  workers_copy_.start();
   job_table_.start();
   node_table_.start();
   quarantine_table_.start();
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -7,6 +7,8 @@
 
 #include "chalkshed/caller_identity.h"
 #include "chalkshed/crash_exchange.h"
+#include "chalkshed/evacuated_zones.h"
+#include "chalkshed/first_copy.h"
 #include "chalkshed/quarantine_rows.h"
 #include "chalkshed/quota_exchange.h"
 #include "chalkshed/row_delivery.h"
@@ -27,6 +29,7 @@
   std::string configuration_table;
   std::string configuration_key;
   RouteWatch::Decode decode_routes;
+  evacuation_rows evacuations;  // in the table of the configuration
   std::string worker_table;
   WorkerWatch::Decode decode_worker;
 };
@@ -75,6 +78,7 @@
   WatchKnobs watch;
   quarantine_knobs quarantine;
   quota_exchange_knobs quotas;
+  first_copy_knobs workers_copy;
   // A node that the store has not answered for so long takes no keys, because one of them may have
   // been taken away; nothing: it goes on by what it knows.
   std::optional<Duration> longest_unconfirmed;
@@ -141,6 +145,10 @@
                   const std::function<void()>& done);
   void check_drained();
   void connect_quarantine();
+  copy_source workers_source() const;
+  void note_nodes_listed();
+  // The configuration says what cold workers bear.
+  void set_cold_starts();
 
   ServingNodeDependencies dependencies_;
   ServingNodeKnobs knobs_;
@@ -151,6 +159,8 @@
   request_quarantine quarantine_;
   ServingEnvironment serving_;
   RouteWatch route_watch_;
+  evacuated_zones evacuated_zones_;
+  observer_list operator_rows_;  // of the configuration's table
   WorkerWatch worker_watch_;
   ServingGateway gateway_;
   ServiceDraw batch_draw_;
@@ -170,6 +180,8 @@
   row_delivery ended_jobs_;  // to the nodes that own them
   row_handover configuration_handover_;
   row_handover worker_handover_;
+  first_copy workers_copy_;
+  bool nodes_listed_ = false;
   bool placing_soon_ = false;
   bool draining_ = false;
   bool jobs_drained_ = false;
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -47,7 +47,8 @@
              knobs.relays),
       tick_timer_(dispatcher.create_timer([this] { tick(); })),
       send_timer_(dispatcher.create_timer([this] { send_heartbeats(); })),
-      announce_timer_(dispatcher.create_timer([this] { announce(); })) {
+      announce_timer_(dispatcher.create_timer([this] { announce(); })),
+      count_timer_(dispatcher.create_timer([this] { count_peers(); })) {
   datagrams_.set_receiver(lifetime_.guard(
       [this](const Address& /*from*/, std::string_view datagram) { receive(datagram); }));
 }
@@ -97,7 +98,7 @@
     peer.capacity = fields.value("capacity", 0.0);
   }
   ++announcements_;
-  count_peers();
+  count_peers_soon();
   peer.announcement = row.version;
   peer.announced = time_source_.monotonic_now();
   unannounced_.erase(session);
@@ -141,6 +142,12 @@
   on_role_changed_ = std::move(callback);
 }
 
+void PeerExchange::count_peers_soon() {
+  if (!count_timer_->enabled()) {
+    count_timer_->enable(Duration(0));
+  }
+}
+
 void PeerExchange::count_peers() {
   near_peers_ = static_cast<size_t>(std::count_if(
       peers_.begin(), peers_.end(), [this](const auto& entry) { return near(entry.second); }));
@@ -685,6 +692,27 @@
   return Address{best->peer->address.ip, best->peer->caller_port};
 }
 
+std::vector<Address> PeerExchange::zone_peers() const {
+  std::vector<Address> addresses;
+  for (const auto& [node, peer] : peers_) {
+    if (near(peer) && !peer.lapsed && !peer.address.ip.empty()) {
+      addresses.push_back(peer.address);
+    }
+  }
+  return addresses;
+}
+
+std::optional<size_t> PeerExchange::announced_rank(const std::string& key) const {
+  if (!listed_) {
+    return std::nullopt;
+  }
+  const uint64_t seed = content_hash(key);
+  const uint64_t own = content_hash(identity_.node, seed);
+  return std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return !entry.second.session.empty() && content_hash(entry.first, seed) > own;
+  });
+}
+
 size_t PeerExchange::rank(const std::string& key) const {
   const uint64_t seed = content_hash(key);
   const uint64_t own = content_hash(identity_.node, seed);
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -130,10 +130,17 @@
   void set_on_role_changed(std::function<void()> callback);
   // Whether the loads of other nodes come from a relay, because there are many nodes.
   bool is_relay_member() const { return relayed() && !relay_.relaying(); }
+  // Whether the nodes have been listed once.
+  bool listed() const { return listed_; }
+  // @return where the nodes of this node's zone take questions of peers.
+  std::vector<Address> zone_peers() const;
   bool relayed() const { return peers_.size() > knobs_.most_peers_without_relays; }
   // The store may hold answers to this node for so long; only a longer silence says anything.
   void set_store_wait(Duration wait) { store_wait_ = wait; }
   // @param table names the version that counts.
+  // @return how many announced nodes come before this one for the key, whether they live or not, or
+  // nothing before they have been listed: the same at all nodes that know the store's table.
+  std::optional<size_t> announced_rank(const std::string& key) const;
   // @return where a peer takes questions of other nodes that has a row of that version or newer,
   // drawn from all such peers; nothing if none is known.
   std::optional<Address> peer_knowing(StoreVersion KnownVersions::*table, StoreVersion version,
@@ -197,6 +204,8 @@
   Duration idle_interval(bool near) const;
   // Until the peer's next heartbeat, as it has promised.
   Duration expected_interval(const Peer& peer) const;
+  // Counts the peers once in this turn of the loop: a page of the table brings hundreds of them.
+  void count_peers_soon();
   void count_peers();
   void excuse_own_pause();
   void judge_peers();
@@ -261,6 +270,7 @@
   TimerPtr tick_timer_;
   TimerPtr send_timer_;
   TimerPtr announce_timer_;
+  TimerPtr count_timer_;
   Lifetime lifetime_;
 };
 
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -59,6 +59,11 @@
   if (refuse_if_held()) {
     return;
   }
+  if (environment_.workers.all_evacuated(service_)) {
+    refuse(ErrorKind::kUnavailable,
+           "all workers of service '" + service_ + "' are in evacuated zones");
+    return;
+  }
   if (behind_others || !send(false)) {
     wait_for_place();
   }
--- a/src/serving/route_table.h
+++ b/src/serving/route_table.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "chalkshed/cold_start_limit.h"
 #include "chalkshed/tenant_table.h"
 #include "src/core/time.h"
 
@@ -61,6 +62,7 @@
   uint32_t max_connections = 0;
   bool generates = false;      // its workers are model engines that batch continuously
   uint64_t memory_tokens = 0;  // of one engine, for running requests and cached prompts
+  cold_start cold{};           // what its workers bear while they are cold
 };
 
 // Bounds on what a caller may send and how long it may take.
--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "chalkshed/batch_room.h"
+#include "chalkshed/cold_start_limit.h"
 #include "chalkshed/worker_outcomes.h"
 #include "src/core/time.h"
 
@@ -25,6 +26,11 @@
   double prompt_tokens_per_millisecond = 60.0;
   // What each further request at a worker costs a new one, in milliseconds.
   double milliseconds_per_request = 1.0;
+  // What may be sent to workers that have just started.
+  cold_start_knobs cold_start;
+  // A cold worker counts as if it had this many milliseconds more to do: it takes what no warm one
+  // has room for.
+  double cold_milliseconds = 50.0;
   // What a worker whose places are all taken costs, and each request that waits there.
   double full_milliseconds = 100.0;
   double waiting_milliseconds = 50.0;
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -64,7 +64,8 @@
       knobs_(knobs),
       started_(time_source.monotonic_now()),
       own_order_(random.next()),
-      prompt_rate_(knobs.prompt_tokens_per_millisecond) {}
+      prompt_rate_(knobs.prompt_tokens_per_millisecond),
+      cold_limit_(knobs.cold_start) {}
 
 WorkerSet::Service& WorkerSet::service_of(const std::string& name) {
   const auto found = services_.find(name);
@@ -113,6 +114,9 @@
   worker->record = record;
   worker->replaced = false;
   worker->listed = true;
+  worker->evacuated = evacuated_zones_.contains(record.zone);
+  cold_limit_.note_cold(worker->cold, record.incarnation, service_of(record.service).cold,
+                        record.cold_left, time_source_.monotonic_now());
   forget_old();
   if (is_new && on_place_freed_) {
     on_place_freed_();
@@ -124,6 +128,7 @@
   if (found != workers_.end() && found->second->listed) {
     found->second->listed = false;
     found->second->unlisted_since = time_source_.monotonic_now();
+    unlisted_.push_back({found->second, found->second->unlisted_since});
   }
   forget_old();
 }
@@ -138,14 +143,92 @@
 
 void WorkerSet::forget_old() {
   const MonotonicTime now = time_source_.monotonic_now();
-  std::erase_if(workers_, [&](const auto& entry) {
-    ServingWorker& worker = *entry.second;
-    const bool old = !worker.listed && now - worker.unlisted_since > knobs_.unlisted_grace;
-    if (old) {
-      drop(entry.second);
+  while (!unlisted_.empty() && now - unlisted_.front().since > knobs_.unlisted_grace) {
+    const WorkerPtr worker = unlisted_.front().worker.lock();
+    const MonotonicTime since = unlisted_.front().since;
+    unlisted_.pop_front();
+    // It may have been listed, and perhaps removed again, or have started anew since then.
+    const bool gone = worker && !worker->listed && worker->unlisted_since == since;
+    const auto found = gone ? workers_.find(worker->record.incarnation) : workers_.end();
+    if (found != workers_.end() && found->second == worker) {
+      workers_.erase(found);
+      drop(worker);
     }
-    return old;
-  });
+  }
+}
+
+size_t WorkerSet::evacuate(const std::string& zone) {
+  evacuated_zones_.insert(zone);
+  size_t workers = 0;
+  for (const auto& [incarnation, worker] : workers_) {
+    if (worker->record.zone == zone) {
+      worker->evacuated = true;
+      workers += worker->listed ? 1 : 0;
+    }
+  }
+  return workers;
+}
+
+// Its workers may have turned cold shortly before, and their records may tell so a moment later.
+size_t WorkerSet::readmit(const std::string& zone) {
+  if (evacuated_zones_.erase(zone) == 0) {
+    return 0;
+  }
+  const MonotonicTime now = time_source_.monotonic_now();
+  size_t workers = 0;
+  for (const auto& [incarnation, worker] : workers_) {
+    if (worker->record.zone != zone) {
+      continue;
+    }
+    worker->evacuated = false;
+    const cold_start& cold = service_of(worker->record.service).cold;
+    cold_limit_.note_cold(worker->cold, incarnation, cold, cold.lasts, now);
+    workers += worker->listed ? 1 : 0;
+  }
+  if (workers > 0 && on_place_freed_) {
+    on_place_freed_();
+  }
+  return workers;
+}
+
+bool WorkerSet::all_evacuated(std::string_view name) const {
+  const Service* service = evacuated_zones_.empty() ? nullptr : find_service(name);
+  if (service == nullptr) {
+    return false;
+  }
+  const auto listed = [](const WorkerPtr& worker) { return worker->listed; };
+  const auto open = [&](const WorkerPtr& worker) { return listed(worker) && !worker->evacuated; };
+  return std::any_of(service->workers.begin(), service->workers.end(), listed) &&
+         std::none_of(service->workers.begin(), service->workers.end(), open);
+}
+
+void WorkerSet::set_cold_starts(const std::map<std::string, cold_start>& services) {
+  for (auto& [name, service] : services_) {
+    service.cold = {};
+  }
+  for (const auto& [name, cold] : services) {
+    service_of(name).cold = cold;
+  }
+  nodes_changed();  // the rate decides how many senders there are
+}
+
+MonotonicTime WorkerSet::note_nodes_listed() {
+  cold_limit_.note_nodes_listed(time_source_.monotonic_now());
+  return *cold_limit_.settled();
+}
+
+void WorkerSet::nodes_changed() {
+  const MonotonicTime now = time_source_.monotonic_now();
+  for (auto& [name, service] : services_) {
+    if (service.cold.requests_per_second <= 0) {
+      continue;
+    }
+    for (const WorkerPtr& worker : service.workers) {
+      if (worker->cold.until > now) {
+        cold_limit_.draw_sender(worker->cold, worker->record.incarnation, service.cold, now);
+      }
+    }
+  }
 }
 
 void WorkerSet::drop(const WorkerPtr& worker) {
@@ -253,7 +336,8 @@
     one.batch = worker->batch_in_flight + static_cast<uint32_t>(std::max(worker->others_batch, 0));
     one.own_batch = worker->batch_in_flight;
     all += one;
-    if (!worker->outcomes.suspect(now)) {
+    if (!worker->outcomes.suspect(now) &&
+        !cold_start_limit::limited(worker->cold, service.cold, now)) {
       sound += one;
     }
   }
@@ -281,8 +365,11 @@
 }
 
 bool WorkerSet::usable(const ServingWorker& worker, const Choice& choice) const {
-  return !leaves(worker) &&
-         (choice.request.even_if_full || load_at(worker, choice.now) < worker.record.slots);
+  const bool limited = cold_start_limit::limited(worker.cold, choice.service.cold, choice.now);
+  if (leaves(worker) || (limited && !cold_start_limit::may_send(worker.cold, choice.now))) {
+    return false;
+  }
+  return choice.request.even_if_full || load_at(worker, choice.now) < worker.record.slots;
 }
 
 Duration WorkerSet::reading_time(const ServingWorker& worker) const {
@@ -301,6 +388,9 @@
     milliseconds +=
         knobs_.full_milliseconds + knobs_.waiting_milliseconds * (load - worker.record.slots);
   }
+  if (cold_start_limit::limited(worker.cold, choice.service.cold, choice.now)) {
+    milliseconds += knobs_.cold_milliseconds;
+  }
   if (choice.request.alone) {
     milliseconds += knobs_.milliseconds_per_request_at_risk * load;
   }
@@ -418,6 +508,9 @@
   const bool many = ++places_taken_ % knobs_.notable_places == 0;
   notable_changes_ += many || tokens >= knobs_.long_prompt_tokens ? 1 : 0;
   add_reading(*worker, tokens);
+  if (cold_start_limit::limited(worker->cold, choice.service.cold, choice.now)) {
+    cold_limit_.note_sent(worker->cold, choice.service.cold, choice.now);
+  }
   // A place may outlive this node's parts: its request is destroyed in a later turn of the loop.
   auto place = std::make_unique<WorkerPlace>(std::move(worker), request.work,
                                              lifetime_.guard([this] { note_place_freed(); }));
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,6 +15,7 @@
 #include <vector>
 
 #include "chalkshed/batch_room.h"
+#include "chalkshed/cold_start_limit.h"
 #include "chalkshed/worker_outcomes.h"
 #include "src/core/address.h"
 #include "src/core/lifetime.h"
@@ -36,6 +38,7 @@
   bool leaving = false;
   // When it started, where it says so: it may start again under its name. The epoch: not said.
   WallTime started{};
+  Duration cold_left{0};  // it says that it stays cold for so long
 };
 
 enum class WorkClass { kOnline, kBatch };
@@ -55,6 +58,8 @@
   double own_order = 0;  // in [0, 1): its position in this node's order among the workers
   bool listed = true;    // false: its record is gone
   MonotonicTime unlisted_since{};
+  bool evacuated = false;  // with its zone
+  cold_state cold;
   uint32_t online_in_flight = 0;  // of this node
   uint32_t batch_in_flight = 0;
   // What the other nodes have in flight there, as far as told.
@@ -133,6 +138,21 @@
   // @return a place, or null when no worker may take the request now.
   WorkerPlacePtr take_place(const PlaceRequest& request);
 
+  // The operator wants nothing more sent to the workers of that zone, also those that are listed
+  // later, or wants it again. @return how many workers are listed there.
+  size_t evacuate(const std::string& zone);
+  size_t readmit(const std::string& zone);
+  // Whether workers of the service are listed, and all of them are evacuated: waiting is in vain.
+  bool all_evacuated(std::string_view service) const;
+
+  // What cold workers bear, by service; a service that is not named has no limit.
+  void set_cold_starts(const std::map<std::string, cold_start>& services);
+  void set_own_rank(cold_start_limit::own_rank rank) { cold_limit_.set_own_rank(std::move(rank)); }
+  // The other nodes have been listed. @return when nodes_changed() is to be called for it.
+  MonotonicTime note_nodes_listed();
+  // Nodes have been announced or removed: other ones may send to cold workers now.
+  void nodes_changed();
+
   // What another node has in flight at the worker of that hash has changed by so much.
   // @return false when the worker is not known (yet): nothing has been counted.
   bool add_peer_load(uint64_t worker, int32_t online, int32_t batch);
@@ -192,6 +212,7 @@
     std::vector<WorkerPtr> workers;
     std::shared_ptr<ServiceCounts> counts = std::make_shared<ServiceCounts>();
     batch_room room;
+    cold_start cold;
   };
   // The workers to which requests with this shared prompt are sent first, the first one first.
   using PrefixOwners = std::vector<const ServingWorker*>;
@@ -209,13 +230,13 @@
   void move_to_service(const WorkerPtr& worker, const std::string& name);
   uint32_t load_at(const ServingWorker& worker, MonotonicTime now) const;
   static bool leaves(const ServingWorker& worker) {
-    return worker.record.leaving || worker.replaced;
+    return worker.record.leaving || worker.replaced || worker.evacuated;
   }
   static bool stays(const ServingWorker& worker) { return worker.listed && !leaves(worker); }
   bool usable(const ServingWorker& worker, const Choice& choice) const;
-  // Without workers that are suspect, unless all are: their places look free and are none. With 13
-  // of 89 workers down, batch saw 60 free places in a burst, gave nothing back, and four streams in
-  // ten were late.
+  // Without workers that are suspect or cold, unless all are: their places look free and are none.
+  // With 13 of 89 workers down, batch saw 60 free places in a burst, gave nothing back, and four
+  // streams in ten were late.
   service_load load_of_service(const Service& service) const;
   void observe_online(Service& service);
   void note_place_freed();
@@ -234,6 +255,7 @@
   // What decides among workers; the least is chosen. @param cost in milliseconds.
   double rank_of(const ServingWorker& worker, double cost);
   WorkerPlacePtr make_place(WorkerPtr worker, const Choice& choice);
+  // Drops the workers whose records have been gone for too long.
   void forget_old();
   // The worker, or this start of it, is gone. Places that this node still holds there are counted
   // until they are given up.
@@ -249,6 +271,15 @@
   std::map<std::string, WorkerPtr> workers_;  // by incarnation
   std::map<uint64_t, WorkerPtr> by_hash_;
   std::map<std::string, Service, std::less<>> services_;
+  std::set<std::string> evacuated_zones_;
+  cold_start_limit cold_limit_;
+  // Workers whose records were removed, the first one first. Looked through whole for each record,
+  // the workers took 5 x 10^7 steps while 10,000 of them were listed.
+  struct Unlisted {
+    std::weak_ptr<ServingWorker> worker;
+    MonotonicTime since{};
+  };
+  std::deque<Unlisted> unlisted_;
   uint64_t notable_changes_ = 0;
   uint64_t outcome_changes_ = 0;
   uint64_t places_taken_ = 0;
--- a/src/serving/worker_watch.cc
+++ b/src/serving/worker_watch.cc
@@ -1,5 +1,7 @@
 #include "src/serving/worker_watch.h"
 
+#include <utility>
+
 namespace chalkshed {
 
 void WorkerWatch::on_row(const StoredRow& row) {
@@ -19,15 +21,26 @@
     workers_.reject(row.key.key);
     return;
   }
-  logger_.write(LogLevel::kInfo, "worker_listed",
-                {{"worker", record->incarnation},
-                 {"service", record->service},
-                 {"address", to_string(record->address)},
-                 {"zone", record->zone},
-                 {"slots", std::to_string(record->slots)},
-                 {"leaving", record->leaving ? "yes" : "no"},
-                 {"store_version", std::to_string(row.version)}});
+  // A line for each of 10,000 workers took a node longer than reading them.
+  const LogLevel level = listed_ ? LogLevel::kInfo : LogLevel::kDebug;
+  if (logger_.enabled(level)) {
+    logger_.write(level, "worker_listed",
+                  {{"worker", record->incarnation},
+                   {"service", record->service},
+                   {"address", to_string(record->address)},
+                   {"zone", record->zone},
+                   {"slots", std::to_string(record->slots)},
+                   {"leaving", record->leaving ? "yes" : "no"},
+                   {"store_version", std::to_string(row.version)}});
+  }
   workers_.update(*record);
 }
 
+void WorkerWatch::on_listed() {
+  if (!std::exchange(listed_, true)) {
+    logger_.write(LogLevel::kInfo, "workers_known",
+                  {{"workers", std::to_string(workers_.workers().size())}});
+  }
+}
+
 }  // namespace chalkshed
--- a/src/serving/worker_watch.h
+++ b/src/serving/worker_watch.h
@@ -20,8 +20,10 @@
       : logger_(logger), workers_(workers), decode_(std::move(decode)) {}
 
   void on_row(const StoredRow& row) override;
+  void on_listed() override;
 
  private:
+  bool listed_ = false;
   Logger& logger_;
   WorkerSet& workers_;
   const Decode decode_;
--- /dev/null
+++ b/src/watch/first_copy.cc
@@ -0,0 +1,100 @@
+#include "chalkshed/first_copy.h"
+
+#include "chalkshed/row_handover.h"
+#include "src/core/number_text.h"
+
+namespace chalkshed {
+namespace {
+
+constexpr int kOk = 200;
+
+}  // namespace
+
+first_copy::first_copy(const environment& around, std::string table, TableWatcher& watcher,
+                       std::function<copy_source()> source,
+                       std::function<std::vector<Address>()> peers, const first_copy_knobs& knobs)
+    : environment_(around),
+      table_(std::move(table)),
+      watcher_(watcher),
+      source_(std::move(source)),
+      peers_(std::move(peers)),
+      knobs_(knobs),
+      timer_(around.dispatcher.create_timer([this] { look(); })) {}
+
+void first_copy::start() {
+  started_ = environment_.time_source.monotonic_now();
+  patience_ = knobs_.patience +
+              std::chrono::duration_cast<Duration>(knobs_.patience * environment_.random.unit());
+  watcher_.start_unless_large(lifetime_.guard([this] { look(); }));
+}
+
+void first_copy::look() {
+  const Duration elapsed = environment_.time_source.monotonic_now() - started_;
+  const copy_source source = source_();
+  if (source == copy_source::kUnknown && elapsed >= knobs_.nodes_patience) {
+    read_store("the nodes are not known");
+    return;
+  }
+  if (source == copy_source::kStore) {
+    read_store("it is this node's part");
+    return;
+  }
+  if (source == copy_source::kPeers && elapsed >= patience_) {
+    read_store("no peer has given a copy");
+    return;
+  }
+  if (source == copy_source::kPeers) {
+    ask_peer();
+    return;
+  }
+  timer_->enable(knobs_.pause);
+}
+
+void first_copy::read_store(const char* reason) {
+  environment_.logger.write(
+      LogLevel::kInfo, "table_read_from_store",
+      {{"table", table_},
+       {"reason", reason},
+       {"peers_asked", std::to_string(asked_)},
+       {"elapsed_ms", milliseconds_text(environment_.time_source.monotonic_now() - started_)}});
+  watcher_.start();
+}
+
+void first_copy::ask_peer() {
+  const std::vector<Address> peers = peers_();
+  if (peers.empty()) {
+    timer_->enable(knobs_.pause);
+    return;
+  }
+  ++asked_;
+  const Address& peer = peers[environment_.random.next() % peers.size()];
+  HttpRequest question;
+  question.method = "GET";
+  question.path = copy_path(table_);
+  HttpCallOptions options;
+  options.pool = "peers";
+  options.connect_timeout = knobs_.connect_timeout;
+  options.idle_timeout = knobs_.answer_timeout;
+  environment_.client.fetch(peer, question, options,
+                            lifetime_.guard([this, peer](const Expected<HttpResponse>& answer) {
+                              handle_answer(peer, answer);
+                            }));
+}
+
+void first_copy::handle_answer(const Address& peer, const Expected<HttpResponse>& answer) {
+  const auto copy =
+      answer && answer->status == kOk ? decode_copy(table_, answer->body) : std::nullopt;
+  if (!copy) {
+    if (answer && answer->status == kOk) {
+      environment_.logger.write(LogLevel::kWarning, "copy_rejected",
+                                {{"table", table_},
+                                 {"peer", to_string(peer)},
+                                 {"reason", "its bytes form no copy of the table"}});
+    }
+    timer_->enable(knobs_.pause);
+    return;
+  }
+  watcher_.begin_with(*copy);
+}
+
+}  // namespace chalkshed
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -22,7 +22,15 @@
       })),
       hint_timer_(dispatcher.create_timer([this] { check_hint(); })) {}
 
-void TableWatcher::start() { list(); }
+void TableWatcher::start() {
+  on_large_ = nullptr;
+  list();
+}
+
+void TableWatcher::start_unless_large(std::function<void()> on_large) {
+  on_large_ = std::move(on_large);
+  list();
+}
 
 void TableWatcher::list() {
   listing_.clear();
@@ -40,11 +48,17 @@
   RangeRead range;
   range.table = table_;
   range.partition = partitions_[index];
-  range.first_key = std::move(from);
+  range.first_key = from;
+  // With the workers of some hundred nodes a table is still listed with one call; of a larger one
+  // this part costs a thousand nodes 60 MB.
+  constexpr uint32_t kRowsOfSmallTable = 250;
+  range.limit = on_large_ ? kRowsOfSmallTable : range.limit;
   store_.read_range(std::move(range),
-                    lifetime_.guard([this, index](const Expected<RangePage>& page) {
+                    lifetime_.guard([this, index, from](const Expected<RangePage>& page) {
                       if (!page) {
-                        retry(page.error(), [this] { list(); });
+                        // The pages before are kept: begun anew each time, a list of 50 pages need
+                        // never end at a store that turns away one call in ten.
+                        retry(page.error(), [this, index, from] { list_partition(index, from); });
                         return;
                       }
                       handle_page(index, *page);
@@ -57,6 +71,10 @@
     listing_[row.key] = row.version;
     tell(row);
   }
+  if (page.more && on_large_) {
+    std::exchange(on_large_, nullptr)();
+    return;
+  }
   const std::string& partition = partitions_[index];
   const auto [entry, is_new] = partition_versions_.try_emplace(partition, page.stamp.version);
   entry->second = std::min(entry->second, page.stamp.version);
@@ -85,6 +103,7 @@
   for (const StoredRow& row : gone) {
     tell(row);
   }
+  on_large_ = nullptr;
   const bool stale = version < followed_;
   as_of_ = stale ? as_of_ : std::max(as_of_, list_asked_);
   followed_ = version;
@@ -211,6 +230,39 @@
   return rows;
 }
 
+std::optional<table_copy> TableWatcher::whole_table() const {
+  if (!listed_) {
+    return std::nullopt;
+  }
+  table_copy copy;
+  copy.through = followed_;
+  copy.age = age();
+  for (const auto& [key, known] : known_) {
+    if (!known.removed) {
+      copy.rows.push_back({key, known.value, known.version, false});
+    }
+  }
+  return copy;
+}
+
+void TableWatcher::begin_with(const table_copy& copy) {
+  if (listed_) {
+    return;
+  }
+  listed_ = true;
+  for (const StoredRow& row : copy.rows) {
+    tell(row);
+  }
+  followed_ = copy.through;
+  as_of_ = time_source_.monotonic_now() - copy.age;
+  logger_.write(LogLevel::kInfo, "table_copied",
+                {{"table", table_},
+                 {"version", std::to_string(followed_)},
+                 {"rows", std::to_string(copy.rows.size())}});
+  observer_.on_listed();
+  follow();
+}
+
 void TableWatcher::heard() {
   last_heard_ = time_source_.monotonic_now();
   misses_ = 0;
@@ -230,7 +282,9 @@
   const Duration delay = std::min(knobs_.first_retry * (1U << std::min(failures_, kMostDoublings)),
                                   knobs_.longest_retry);
   retry_action_ = std::move(action);
-  retry_timer_->enable(std::max(delay, error.retry_after.value_or(Duration(0))));
+  const Duration pause = std::max(delay, error.retry_after.value_or(Duration(0)));
+  const double spread = knobs_.random == nullptr ? 0.0 : knobs_.random->unit();
+  retry_timer_->enable(pause + std::chrono::duration_cast<Duration>(pause * spread));
 }
 
 }  // namespace chalkshed
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -6,11 +6,13 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "src/core/dispatcher.h"
 #include "src/core/lifetime.h"
+#include "src/core/random.h"
 #include "src/core/time.h"
 #include "src/logging/logger.h"
 #include "src/platform/watched_store.h"
@@ -26,6 +28,33 @@
   virtual void on_listed() {}
 };
 
+// Hands the rows of one table to several observers, which must outlive it.
+class observer_list : public TableObserver {
+ public:
+  explicit observer_list(std::vector<TableObserver*> observers)
+      : observers_(std::move(observers)) {}
+  void on_row(const StoredRow& row) override {
+    for (TableObserver* observer : observers_) {
+      observer->on_row(row);
+    }
+  }
+  void on_listed() override {
+    for (TableObserver* observer : observers_) {
+      observer->on_listed();
+    }
+  }
+
+ private:
+  const std::vector<TableObserver*> observers_;
+};
+
+// All rows of a table as one node knows them.
+struct table_copy {
+  std::vector<StoredRow> rows;  // none that is removed
+  StoreVersion through = 0;  // all changes up to here are in the rows, and perhaps some later ones
+  Duration age{0};           // the table stood like this so long ago, or newer
+};
+
 // How often a table is asked for.
 struct WatchPace {
   // How long the store may hold the answer back when nothing changes. Bounds how long a lost
@@ -46,6 +75,9 @@
   Duration longest_retry = std::chrono::milliseconds(800);
   // The values of rows are kept, so that they can be handed to other nodes.
   bool keep_values = false;
+  // Spreads repeated questions over twice the pause, so that all nodes that the store turned away
+  // together don't come back together. Null: they are not spread. Must outlive the watcher.
+  RandomGenerator* random = nullptr;
 };
 
 class TableWatcher {
@@ -57,6 +89,9 @@
                const TableWatcherKnobs& knobs = {});
 
   void start();
+  // Lists the table unless it is large: then `on_large` is called behind its first rows, and the
+  // rest is left to begin_with() or start().
+  void start_unless_large(std::function<void()> on_large);
   // Asks for changes anew if an answer is awaited: it may be lost.
   void refresh();
   void set_pace(const WatchPace& pace) { pace_ = pace; }
@@ -73,6 +108,10 @@
   void learn(const StoredRow& row) { tell(row); }
   // Rows that are newer than that version; needs keep_values.
   std::vector<StoredRow> rows_after(StoreVersion version) const;
+  // @return the table, if it is known whole; needs keep_values.
+  std::optional<table_copy> whole_table() const;
+  // A peer's copy stands for the first list, if that has not been made yet.
+  void begin_with(const table_copy& copy);
   // Called when a row that other nodes know has not arrived in time.
   void set_on_missed(std::function<void(StoreVersion)> callback) {
     on_missed_ = std::move(callback);
@@ -126,10 +165,11 @@
   StoreVersion followed_ = 0;  // all changes up to here are known
   bool listed_ = false;
   uint32_t failures_ = 0;
-  uint32_t misses_ = 0;     // hints in a row without the row, since the store answered last
-  bool following_ = false;  // an answer with changes is awaited
-  bool gathering_ = false;  // changes have come, and the next are asked for later
-  uint64_t asked_ = 0;      // follow calls made; answers to any but the last are left aside
+  uint32_t misses_ = 0;             // hints in a row without the row, since the store answered last
+  bool following_ = false;          // an answer with changes is awaited
+  bool gathering_ = false;          // changes have come, and the next are asked for later
+  uint64_t asked_ = 0;              // follow calls made; answers to any but the last are left aside
+  std::function<void()> on_large_;  // while it is not known whether the table is large
   std::function<void()> on_regained_;
   std::function<void(StoreVersion)> on_missed_;
   MonotonicTime last_heard_{};
--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -142,7 +142,12 @@
       {"n", "n#1", "z", datagrams.local()},
       {time_source, dispatcher, random, rows, objects, worker_client, datagrams, wire, job_wire,
        logger, metrics},
-      {kOperatorTable, kConfigurationKey, &decode_routes, kWorkerTable, &decode_worker}};
+      {kOperatorTable,
+       kConfigurationKey,
+       &decode_routes,
+       {kEvacuationPrefix, &check_evacuation},
+       kWorkerTable,
+       &decode_worker}};
   Ingress ingress{node, wire};
   Readiness readiness{node, metrics};
   HttpServer front{dispatcher, {"127.0.0.1", 0}, ingress};
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -182,8 +182,12 @@
         node({name, name + "#" + std::to_string(start), zone, address, kCallerPort},
              {clock, dispatcher, random, store, store, calls, datagrams, request_wire(), job_wire(),
               logger, metrics},
-             {platform::kOperatorTable, platform::kConfigurationKey, &platform::decode_routes,
-              platform::kWorkerTable, &platform::decode_worker},
+             {platform::kOperatorTable,
+              platform::kConfigurationKey,
+              &platform::decode_routes,
+              {platform::kEvacuationPrefix, &platform::check_evacuation},
+              platform::kWorkerTable,
+              &platform::decode_worker},
              knobs) {
     node.start();
   }
