Members of a zone with relays have workers from peers; a heartbeat looks at the workers in use alone

Cause: every change of a worker's row went from the store to every node, and a node that lacked rows asked a peer for "all newer rows", which walked its whole table (10,000 rows) and told no removal that the peer itself had never seen. Now pages say from which version to which they are complete; where a peer doesn't know what was removed meanwhile it gives the whole table, and what that lacks is gone (RowHandoverTest.ARemovalIsHandedOnAlsoByANodeThatListedTheTableLater; a fault of before: a node that the store turned away kept a worker that had left if its peer had started since). Rows are kept in the order of their versions. While a relay that has the store tells of changes, a member takes them from peers of its zone and asks the store each 5 s whether there is anything else; once the relay is silent or has lost the store, it asks at the pace of before again (MembersHaveALeavingWorkerFromTheStoreWhileTheRelaysAreCutOff). Cause: each heartbeat looked at all 10,000 workers for the few that the node uses; in traffic that was a third of the processor time of the nodes' own code (perf, self time, 2.8 of 7.4 points). Now the worker set keeps those in use.

Passed: serving, watch, load_relay, peers, jobs, evacuation tests.

--- a/include/chalkshed/load_relay.h
+++ b/include/chalkshed/load_relay.h
@@ -55,6 +55,9 @@
     Duration first_relay_silence = std::chrono::milliseconds(350);
     /** What a relay said counts no more after this long; a burst lasts longer than that. */
     Duration digest_lifetime = std::chrono::milliseconds(1500);
+    /** A relay that the store has not answered for so long may lack what is new, and says so: with
+     * nothing to tell, the store holds its answers for 1.5 s. */
+    Duration store_contact = std::chrono::milliseconds(2000);
     /** A digest of so many entries and sessions fits into a datagram. */
     size_t most_entries = 100;
     size_t most_lapsed = 24;
@@ -132,6 +135,10 @@
     bool relaying() const {
         return rank_ < knobs_.relays_a_zone;
     }
+    /** Whether this node hears a relay of its zone that knows what is new in the store's tables. */
+    bool hears_informed_relay() const {
+        return !view_.session.empty() && view_informed_;
+    }
     /** Where this node reports its load. */
     const std::vector<Address> &report_to() const {
         return report_to_;
@@ -204,6 +211,8 @@
     std::map<std::string, zone_source> zones_;
     /** What this zone's relay says, at any other node. */
     zone_source view_;
+    /** Whether that relay knows what is new in the store's tables, by its last digest. */
+    bool view_informed_ = false;
     MonotonicTime first_relay_heard_{};
     /** Sessions that are gone, by the zone whose relay says so. */
     std::map<std::string, lapsed_report> lapsed_;
--- a/include/chalkshed/row_handover.h
+++ b/include/chalkshed/row_handover.h
@@ -28,21 +28,22 @@
 /** \return Nothing when the bytes form no page of that table. */
 std::optional<std::vector<StoredRow>> decode_rows(const std::string &table, std::string_view bytes);
 
-/** A whole table, as one node knows it. */
-std::string encode_copy(const std::string &table, const table_copy &copy);
-/** \return Nothing when the bytes are no copy of that table. */
-std::optional<table_copy> decode_copy(const std::string &table, std::string_view bytes);
+std::string encode_page(const std::string &table, const table_page &page);
+/** \return Nothing when the bytes form no page of that table. */
+std::optional<table_page> decode_page(const std::string &table, std::string_view bytes);
 
 /** Where a peer takes rows of the table that are sent to it. */
 std::string rows_path(const std::string &table);
-/** Where a peer gives a copy of the whole table. */
-std::string copy_path(const std::string &table);
+/** Where a peer tells what has changed in the table behind that version. */
+std::string rows_path(const std::string &table, StoreVersion since);
 
 struct row_handover_server_knobs {
-    /** Between two copies of a table that a node gives. A copy of 10,000 rows has 2.5 MB, which a
-     * link of 30 Mbit/s carries in 0.7 s: a few are held in memory at a time. Each node that has
-     * one gives some itself, so that 200 nodes have theirs after some four seconds. */
-    Duration between_copies = std::chrono::milliseconds(400);
+    /** A page of more rows than this is large. */
+    size_t rows_of_large_page = 1000;
+    /** Between two large pages that a node gives. One of 10,000 rows has 2.5 MB, which a link of
+     * 30 Mbit/s carries in 0.7 s: a few are held in memory at a time. Each node that has one gives
+     * some itself, so that 200 nodes have theirs after some four seconds. */
+    Duration between_large_pages = std::chrono::milliseconds(400);
 };
 
 /** Answers peers, and takes rows that they bring. Serves only nodes: the rows hold what operators
@@ -63,8 +64,7 @@
     void handle(HttpRequest request, ResponseWriterPtr writer) override;
 
 private:
-    void give(const HttpRequest &request, ResponseWriter &writer) const;
-    void give_copy(const HttpRequest &request, ResponseWriter &writer);
+    void give(const HttpRequest &request, ResponseWriter &writer);
     void take(const HttpRequest &request, ResponseWriter &writer) const;
 
     TimeSource &time_source_;
--- a/src/load_relay/load_relay.cc
+++ b/src/load_relay/load_relay.cc
@@ -217,6 +217,7 @@
                 view_age_.observe(std::chrono::duration<double>(now - view_.heard).count());
             }
             take(view_, *digest);
+            view_informed_ = digest->known.workers > 0;
         }
     } else if (!own_zone && digest->zone_sum && relaying()) {
         take(zones_[sender->zone], *digest);
@@ -278,7 +279,8 @@
     digest.sequence = ++sequence_;
     digest.zone_sum = zone_sum;
     digest.store_version = clock_.newest();
-    if (own_versions_) {
+    const Duration store_silence = time_source_.monotonic_now() - clock_.last_heard();
+    if (own_versions_ && store_silence <= knobs_.store_contact) {
         digest.known = own_versions_();
     }
     digest.lapsed = zone_sum ? own_lapsed() : all_lapsed();
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -201,7 +201,9 @@
         std::min(configuration.longest_wait, *knobs_.longest_unconfirmed / 2);
   }
   route_table_.set_pace(configuration);
-  worker_table_.set_pace(member ? watch.member_workers : watch.workers);
+  worker_table_.set_pace(peers_.hears_informed_relay() ? watch.told_workers
+                         : member                      ? watch.member_workers
+                                                       : watch.workers);
   node_table_.set_pace(peers_.relayed() ? watch.member_jobs : watch.jobs);
   pace_jobs();
   peers_.set_store_wait(configuration.longest_wait - watch.configuration.longest_wait);
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -66,6 +66,11 @@
   // Some worker's row changes every second. A worker that leaves may get new work for two seconds.
   WatchPace member_workers{.longest_wait = std::chrono::seconds(10),
                            .gather = std::chrono::seconds(1)};
+  // While a relay tells of changes. Without it, or once it has lost the store, the pace above holds
+  // again within two seconds.
+  WatchPace told_workers{.longest_wait = std::chrono::seconds(10),
+                         .gather = std::chrono::seconds(5),
+                         .from_peers = true};
   WatchPace member_jobs{.longest_wait = std::chrono::seconds(10),
                         .gather = std::chrono::milliseconds(1500)};
 };
@@ -126,6 +131,8 @@
   // Answers questions of other nodes; callers must not reach it.
   HttpHandler& peer_handler() { return row_server_; }
   SessionView& peers() { return peers_; }
+  // Whether other nodes relay what this one knows of loads and workers.
+  bool is_relay_member() const { return peers_.is_relay_member(); }
 
  private:
   void place_soon();
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -286,6 +286,10 @@
   }
   judge_peers();
   update_relays();
+  const bool informed = hears_informed_relay();
+  if (std::exchange(heard_informed_relay_, informed) != informed && on_role_changed_) {
+    on_role_changed_();
+  }
   const Duration idle = relayed() ? knobs_.heartbeat_interval : idle_interval(true);
   if (time_source_.monotonic_now() - sent_ >= idle) {
     send_heartbeats();
@@ -308,7 +312,7 @@
   if (own_versions_) {
     heartbeat.known = own_versions_();
   }
-  for (const auto& [incarnation, worker] : workers_.workers()) {
+  for (const auto& [hash, worker] : workers_.active_workers()) {
     if (worker->in_flight() > 0 && heartbeat.loads.size() < kMostLoads) {
       heartbeat.loads.push_back({worker->hash, static_cast<uint16_t>(worker->online_in_flight),
                                  static_cast<uint16_t>(worker->batch_in_flight),
@@ -476,15 +480,18 @@
   }
 }
 
-// Any of them: a node that lacks a row is seldom the only one.
+// Any of them: a node that lacks a row is seldom the only one. Of this zone, if there are any: what
+// goes between zones has its price.
 std::optional<Address> PeerExchange::peer_knowing(StoreVersion KnownVersions::*table,
                                                   StoreVersion version, uint64_t draw) const {
-  std::vector<const Peer*> knowing;
+  std::vector<const Peer*> near_ones;
+  std::vector<const Peer*> far_ones;
   for (const auto& [node, peer] : peers_) {
     if (peer.known.*table >= version && !peer.lapsed && !peer.address.ip.empty()) {
-      knowing.push_back(&peer);
+      (near(peer) ? near_ones : far_ones).push_back(&peer);
     }
   }
+  const std::vector<const Peer*>& knowing = near_ones.empty() ? far_ones : near_ones;
   return knowing.empty() ? std::nullopt : std::optional(knowing[draw % knowing.size()]->address);
 }
 
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -130,6 +130,8 @@
   void set_on_role_changed(std::function<void()> callback);
   // Whether the loads of other nodes come from a relay, because there are many nodes.
   bool is_relay_member() const { return relayed() && !relay_.relaying(); }
+  // Whether a relay tells this node what is new in the store's tables.
+  bool hears_informed_relay() const { return is_relay_member() && relay_.hears_informed_relay(); }
   // Whether the nodes have been listed once.
   bool listed() const { return listed_; }
   // @return where the nodes of this node's zone take questions of peers.
@@ -265,6 +267,7 @@
   MonotonicTime unknown_logged_{};
   load_relay relay_;
   bool was_relayed_ = false;
+  bool heard_informed_relay_ = false;
   uint64_t announcements_ = 0;
   uint64_t passed_to_relay_ = 0;  // hash of the peers as load_relay was given them last
   TimerPtr tick_timer_;
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -266,6 +266,9 @@
   worker_outcomes& outcomes = found->second->outcomes;
   const bool was_suspect = outcomes.suspect(now);
   outcomes.merge(told);
+  if (outcomes.worth_telling(now)) {
+    active_[worker] = found->second;  // a success here is newer than the failure
+  }
   return !was_suspect && outcomes.suspect(now) ? found->second : nullptr;
 }
 
@@ -292,6 +295,20 @@
   return found == by_hash_.end() ? nullptr : found->second;
 }
 
+void WorkerSet::note_active(const ServingWorker& worker) {
+  if (const WorkerPtr known = find_hash(worker.hash)) {
+    active_[worker.hash] = known;
+  }
+}
+
+const std::map<uint64_t, WorkerPtr>& WorkerSet::active_workers() {
+  const MonotonicTime now = time_source_.monotonic_now();
+  std::erase_if(active_, [now](const auto& entry) {
+    return entry.second->in_flight() == 0 && !entry.second->outcomes.worth_telling(now);
+  });
+  return active_;
+}
+
 bool WorkerSet::knows(std::string_view service) const {
   const Service* found = find_service(service);
   return found != nullptr && !found->workers.empty();
@@ -508,6 +525,7 @@
   const bool many = ++places_taken_ % knobs_.notable_places == 0;
   notable_changes_ += many || tokens >= knobs_.long_prompt_tokens ? 1 : 0;
   add_reading(*worker, tokens);
+  active_[worker->hash] = worker;
   if (cold_start_limit::limited(worker->cold, choice.service.cold, choice.now)) {
     cold_limit_.note_sent(worker->cold, choice.service.cold, choice.now);
   }
@@ -546,6 +564,7 @@
     ++outcome_changes_;
   }
   worker.outcomes.note_success(now);
+  note_active(worker);
   worker.avoided_until = {};
 }
 
@@ -555,6 +574,7 @@
 
 void WorkerSet::note_failure(ServingWorker& worker, MonotonicTime sent) {
   worker.outcomes.note_failure(sent, time_source_.monotonic_now());
+  note_active(worker);
   ++notable_changes_;
   ++outcome_changes_;
   if (on_load_changed_) {
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -197,6 +197,10 @@
   // Services at whose workers this node has batch runs.
   std::vector<std::string> services_with_batch() const;
   const std::map<std::string, WorkerPtr>& workers() const { return workers_; }
+  // Workers, by hash, at which this node has requests in flight or has seen outcomes that peers
+  // should hear of. Of 10,000 workers a node uses a few: looking for them took a third of its
+  // processor time.
+  const std::map<uint64_t, WorkerPtr>& active_workers();
   // @return the worker, or null.
   WorkerPtr find(const std::string& incarnation) const;
   // @return the worker of that hash, or null.
@@ -255,6 +259,7 @@
   // What decides among workers; the least is chosen. @param cost in milliseconds.
   double rank_of(const ServingWorker& worker, double cost);
   WorkerPlacePtr make_place(WorkerPtr worker, const Choice& choice);
+  void note_active(const ServingWorker& worker);
   // Drops the workers whose records have been gone for too long.
   void forget_old();
   // The worker, or this start of it, is gone. Places that this node still holds there are counted
@@ -270,6 +275,7 @@
   PromptRate prompt_rate_;
   std::map<std::string, WorkerPtr> workers_;  // by incarnation
   std::map<uint64_t, WorkerPtr> by_hash_;
+  std::map<uint64_t, WorkerPtr> active_;  // and some that are so no more
   std::map<std::string, Service, std::less<>> services_;
   std::set<std::string> evacuated_zones_;
   cold_start_limit cold_limit_;
--- a/src/watch/first_copy.cc
+++ b/src/watch/first_copy.cc
@@ -70,7 +70,7 @@
   const Address& peer = peers[environment_.random.next() % peers.size()];
   HttpRequest question;
   question.method = "GET";
-  question.path = copy_path(table_);
+  question.path = rows_path(table_, 0);
   HttpCallOptions options;
   options.pool = "peers";
   options.connect_timeout = knobs_.connect_timeout;
@@ -83,8 +83,8 @@
 
 void first_copy::handle_answer(const Address& peer, const Expected<HttpResponse>& answer) {
   const auto copy =
-      answer && answer->status == kOk ? decode_copy(table_, answer->body) : std::nullopt;
-  if (!copy) {
+      answer && answer->status == kOk ? decode_page(table_, answer->body) : std::nullopt;
+  if (!copy || !copy->whole) {
     if (answer && answer->status == kOk) {
       environment_.logger.write(LogLevel::kWarning, "copy_rejected",
                                 {{"table", table_},
@@ -94,7 +94,7 @@
     timer_->enable(knobs_.pause);
     return;
   }
-  watcher_.begin_with(*copy);
+  watcher_.learn(*copy);
 }
 
 }  // namespace chalkshed
--- a/src/watch/row_handover.cc
+++ b/src/watch/row_handover.cc
@@ -8,11 +8,9 @@
 namespace chalkshed {
 namespace {
 
-/** GET /rows/TABLE/VERSION: the rows of the table that are newer than the version; POST
- * /rows/TABLE: rows that the peer should know. */
+/** GET /rows/TABLE/VERSION: what has changed in the table behind the version, or the whole of it;
+ * POST /rows/TABLE: rows that the peer should know. */
 constexpr std::string_view kPath = "/rows/";
-/** GET /copies/TABLE: the whole table. */
-constexpr std::string_view kCopyPath = "/copies/";
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -22,12 +20,13 @@
   return text == nullptr ? std::string() : text->str();
 }
 
-std::string encode_page(const std::string& table, const std::vector<StoredRow>& rows,
-                        StoreVersion through, Duration age) {
+}  // namespace
+
+std::string encode_page(const std::string& table, const table_page& page) {
   flatbuffers::FlatBufferBuilder builder;
   std::vector<flatbuffers::Offset<wire::HandedRow>> packed;
-  packed.reserve(rows.size());
-  for (const StoredRow& row : rows) {
+  packed.reserve(page.rows.size());
+  for (const StoredRow& row : page.rows) {
     const auto partition = builder.CreateString(row.key.partition);
     const auto key = builder.CreateString(row.key.key);
     const auto value = builder.CreateString(row.value);
@@ -36,74 +35,69 @@
   }
   const auto name = builder.CreateString(table);
   const auto age_us =
-      static_cast<uint64_t>(std::max(age / std::chrono::microseconds(1), Duration::rep{0}));
-  builder.Finish(wire::CreateRowPage(builder, name, builder.CreateVector(packed), through, age_us),
+      static_cast<uint64_t>(std::max(page.age / std::chrono::microseconds(1), Duration::rep{0}));
+  builder.Finish(wire::CreateRowPage(builder, name, builder.CreateVector(packed), page.since,
+                                     page.through, page.whole, age_us),
                  wire::RowPageIdentifier());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
-std::optional<table_copy> decode_page(const std::string& table, std::string_view bytes) {
+std::optional<table_page> decode_page(const std::string& table, std::string_view bytes) {
   flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size());
   if (!wire::VerifyRowPageBuffer(verifier)) {
     return std::nullopt;
   }
-  const wire::RowPage* page = wire::GetRowPage(bytes.data());
-  if (page->table_name()->str() != table) {
+  const wire::RowPage* packed = wire::GetRowPage(bytes.data());
+  if (packed->table_name()->str() != table) {
     return std::nullopt;
   }
-  table_copy copy;
-  copy.through = page->through();
+  table_page page;
+  page.since = packed->since();
+  page.through = packed->through();
+  page.whole = packed->whole() && page.through > 0;
   // An age beyond any use is cut, so that it can be taken from any time.
   constexpr uint64_t kOldest = std::chrono::microseconds(std::chrono::hours(1)).count();
-  copy.age = std::chrono::microseconds(std::min(page->age_us(), kOldest));
-  if (page->rows() != nullptr) {
-    copy.rows.reserve(page->rows()->size());
-    for (const wire::HandedRow* row : *page->rows()) {
-      copy.rows.push_back({{table, text_of(row->partition()), row->key()->str()},
+  page.age = std::chrono::microseconds(std::min(packed->age_us(), kOldest));
+  if (packed->rows() != nullptr) {
+    page.rows.reserve(packed->rows()->size());
+    for (const wire::HandedRow* row : *packed->rows()) {
+      page.rows.push_back({{table, text_of(row->partition()), row->key()->str()},
                            text_of(row->value()),
                            row->version(),
                            row->removed()});
     }
   }
-  return copy;
+  return page;
 }
 
-}  // namespace
-
 std::string encode_rows(const std::string& table, const std::vector<StoredRow>& rows) {
-  return encode_page(table, rows, 0, Duration(0));
+  table_page page;
+  page.rows = rows;
+  return encode_page(table, page);
 }
 
 std::optional<std::vector<StoredRow>> decode_rows(const std::string& table,
                                                   std::string_view bytes) {
-  std::optional<table_copy> page = decode_page(table, bytes);
+  std::optional<table_page> page = decode_page(table, bytes);
   return page ? std::optional(std::move(page->rows)) : std::nullopt;
 }
 
-std::string encode_copy(const std::string& table, const table_copy& copy) {
-  return encode_page(table, copy.rows, copy.through, copy.age);
-}
-
-std::optional<table_copy> decode_copy(const std::string& table, std::string_view bytes) {
-  std::optional<table_copy> copy = decode_page(table, bytes);
-  return copy && copy->through > 0 ? std::move(copy) : std::nullopt;
-}
-
 std::string rows_path(const std::string& table) { return std::string(kPath) + table; }
 
-std::string copy_path(const std::string& table) { return std::string(kCopyPath) + table; }
+std::string rows_path(const std::string& table, StoreVersion since) {
+  return rows_path(table) + "/" + std::to_string(since);
+}
 
 void row_handover_server::handle(HttpRequest request, ResponseWriterPtr writer) {
   if (request.method == "POST") {
     take(request, *writer);
-  } else if (request.path.starts_with(kCopyPath)) {
-    give_copy(request, *writer);
   } else {
     give(request, *writer);
   }
 }
 
-void row_handover_server::give(const HttpRequest& request, ResponseWriter& writer) const {
+// Refused at once where this node has no list of the table yet, or has just given a large one.
+void row_handover_server::give(const HttpRequest& request, ResponseWriter& writer) {
   std::string_view path = request.path;
   const size_t slash = path.rfind('/');
   StoreVersion version = 0;
@@ -117,28 +111,17 @@
     writer.respond({kNotFound, {}, ""});
     return;
   }
-  writer.respond({kOk,
-                  {{"Content-Type", "application/octet-stream"}},
-                  encode_rows(table->first, table->second->rows_after(version))});
-}
-
-// Refused at once unless this node has the whole table and has not just given it to another.
-void row_handover_server::give_copy(const HttpRequest& request, ResponseWriter& writer) {
-  const auto table = given_.find(request.path.substr(kCopyPath.size()));
-  if (table == given_.end()) {
-    writer.respond({kNotFound, {}, ""});
-    return;
-  }
-  const std::optional<table_copy> copy = table->second->whole_table();
+  const std::optional<table_page> page = table->second->page_after(version);
+  const bool large = page && page->rows.size() > knobs_.rows_of_large_page;
   const MonotonicTime now = time_source_.monotonic_now();
-  const bool too_soon = copied_ != MonotonicTime{} && now - copied_ < knobs_.between_copies;
-  if (!copy || too_soon) {
+  const bool too_soon = copied_ != MonotonicTime{} && now - copied_ < knobs_.between_large_pages;
+  if (!page || (large && too_soon)) {
     writer.respond({kUnavailable, {}, ""});
     return;
   }
-  copied_ = now;
+  copied_ = large ? now : copied_;
   writer.respond(
-      {kOk, {{"Content-Type", "application/octet-stream"}}, encode_copy(table->first, *copy)});
+      {kOk, {{"Content-Type", "application/octet-stream"}}, encode_page(table->first, *page)});
 }
 
 void row_handover_server::take(const HttpRequest& request, ResponseWriter& writer) const {
@@ -184,7 +167,7 @@
   asked_ = now;
   HttpRequest question;
   question.method = "GET";
-  question.path = std::string(kPath) + name_ + "/" + std::to_string(table_.newest_row());
+  question.path = rows_path(name_, table_.known_through());
   HttpCallOptions options;
   options.pool = "peers";
   options.connect_timeout = knobs_.connect_timeout;
@@ -197,9 +180,9 @@
 }
 
 void row_handover::handle_answer(const Address& peer, const Expected<HttpResponse>& answer) {
-  const auto rows =
-      answer && answer->status == kOk ? decode_rows(name_, answer->body) : std::nullopt;
-  if (!rows) {
+  const auto page =
+      answer && answer->status == kOk ? decode_page(name_, answer->body) : std::nullopt;
+  if (!page) {
     logger_.write(
         LogLevel::kInfo, "rows_not_handed",
         {{"table", name_},
@@ -207,13 +190,12 @@
          {"reason", answer ? "status " + std::to_string(answer->status) : answer.error().message}});
     return;
   }
-  for (const StoredRow& row : *rows) {
-    table_.learn(row);
-  }
+  table_.learn(*page);
   logger_.write(LogLevel::kInfo, "rows_handed",
                 {{"table", name_},
                  {"peer", to_string(peer)},
-                 {"rows", std::to_string(rows->size())},
+                 {"rows", std::to_string(page->rows.size())},
+                 {"whole", page->whole ? "yes" : "no"},
                  {"newest", std::to_string(table_.newest_row())}});
 }
 
--- a/src/watch/row_page_generated.h
+++ b/src/watch/row_page_generated.h
@@ -108,8 +108,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TABLE_NAME = 4,
     VT_ROWS = 6,
-    VT_THROUGH = 8,
-    VT_AGE_US = 10
+    VT_SINCE = 8,
+    VT_THROUGH = 10,
+    VT_WHOLE = 12,
+    VT_AGE_US = 14
   };
   const flatbuffers::String* table_name() const {
     return GetPointer<const flatbuffers::String*>(VT_TABLE_NAME);
@@ -118,13 +120,17 @@
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chalkshed::wire::HandedRow>>*>(
         VT_ROWS);
   }
+  uint64_t since() const { return GetField<uint64_t>(VT_SINCE, 0); }
   uint64_t through() const { return GetField<uint64_t>(VT_THROUGH, 0); }
+  bool whole() const { return GetField<uint8_t>(VT_WHOLE, 0) != 0; }
   uint64_t age_us() const { return GetField<uint64_t>(VT_AGE_US, 0); }
   bool Verify(flatbuffers::Verifier& verifier) const {
     return VerifyTableStart(verifier) && VerifyOffsetRequired(verifier, VT_TABLE_NAME) &&
            verifier.VerifyString(table_name()) && VerifyOffset(verifier, VT_ROWS) &&
            verifier.VerifyVector(rows()) && verifier.VerifyVectorOfTables(rows()) &&
+           VerifyField<uint64_t>(verifier, VT_SINCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_THROUGH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
            VerifyField<uint64_t>(verifier, VT_AGE_US, 8) && verifier.EndTable();
   }
 };
@@ -141,7 +147,11 @@
           rows) {
     fbb_.AddOffset(RowPage::VT_ROWS, rows);
   }
+  void add_since(uint64_t since) { fbb_.AddElement<uint64_t>(RowPage::VT_SINCE, since, 0); }
   void add_through(uint64_t through) { fbb_.AddElement<uint64_t>(RowPage::VT_THROUGH, through, 0); }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(RowPage::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
   void add_age_us(uint64_t age_us) { fbb_.AddElement<uint64_t>(RowPage::VT_AGE_US, age_us, 0); }
   explicit RowPageBuilder(flatbuffers::FlatBufferBuilder& _fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -158,23 +168,25 @@
     flatbuffers::FlatBufferBuilder& _fbb, flatbuffers::Offset<flatbuffers::String> table_name = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chalkshed::wire::HandedRow>>> rows =
         0,
-    uint64_t through = 0, uint64_t age_us = 0) {
+    uint64_t since = 0, uint64_t through = 0, bool whole = false, uint64_t age_us = 0) {
   RowPageBuilder builder_(_fbb);
   builder_.add_age_us(age_us);
   builder_.add_through(through);
+  builder_.add_since(since);
   builder_.add_rows(rows);
   builder_.add_table_name(table_name);
+  builder_.add_whole(whole);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<RowPage> CreateRowPageDirect(
     flatbuffers::FlatBufferBuilder& _fbb, const char* table_name = nullptr,
     const std::vector<flatbuffers::Offset<chalkshed::wire::HandedRow>>* rows = nullptr,
-    uint64_t through = 0, uint64_t age_us = 0) {
+    uint64_t since = 0, uint64_t through = 0, bool whole = false, uint64_t age_us = 0) {
   auto table_name__ = table_name ? _fbb.CreateString(table_name) : 0;
   auto rows__ =
       rows ? _fbb.CreateVector<flatbuffers::Offset<chalkshed::wire::HandedRow>>(*rows) : 0;
-  return chalkshed::wire::CreateRowPage(_fbb, table_name__, rows__, through, age_us);
+  return chalkshed::wire::CreateRowPage(_fbb, table_name__, rows__, since, through, whole, age_us);
 }
 
 inline const chalkshed::wire::RowPage* GetRowPage(const void* buf) {
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -1,6 +1,7 @@
 #include "src/watch/table_watcher.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace chalkshed {
@@ -107,6 +108,7 @@
   const bool stale = version < followed_;
   as_of_ = stale ? as_of_ : std::max(as_of_, list_asked_);
   followed_ = version;
+  complete_since_ = version;
   listing_.clear();
   if (!std::exchange(listed_, true) || stale || !gone.empty()) {
     logger_.write(LogLevel::kInfo, "table_listed",
@@ -125,7 +127,8 @@
   following_ = true;
   gathering_ = false;
   follow_asked_ = time_source_.monotonic_now();
-  store_.read_changes(table_, followed_, pace_.longest_wait,
+  const Duration wait = pace_.from_peers ? Duration(0) : pace_.longest_wait;
+  store_.read_changes(table_, followed_, wait,
                       lifetime_.guard([this, asked](const Expected<TableChanges>& changes) {
                         if (asked == asked_) {
                           handle_changes(changes);
@@ -134,7 +137,7 @@
 }
 
 void TableWatcher::follow_later(bool changed) {
-  if (!changed || pace_.gather <= Duration(0)) {
+  if (pace_.gather <= Duration(0) || (!changed && !pace_.from_peers)) {
     follow();
     return;
   }
@@ -152,6 +155,14 @@
   }
 }
 
+void TableWatcher::set_pace(const WatchPace& pace) {
+  const bool was_from_peers = std::exchange(pace_, pace).from_peers;
+  if (gathering_ && was_from_peers && !pace.from_peers) {
+    retry_timer_->disable();
+    follow();
+  }
+}
+
 void TableWatcher::refresh() {
   if (following_) {
     follow();
@@ -161,16 +172,26 @@
 void TableWatcher::note_newer(StoreVersion version) {
   newest_hint_ = std::max(newest_hint_, version);
   if (newest_hint_ > newest_row_ && !hint_timer_->enabled()) {
-    hint_timer_->enable(knobs_.hint_patience);
+    hint_timer_->enable(patience());
   }
 }
 
+Duration TableWatcher::patience() const {
+  return pace_.from_peers ? knobs_.peers_gather : knobs_.hint_patience;
+}
+
 void TableWatcher::check_hint() {
   const bool gathers = !following_ && failures_ == 0;
-  if (!behind() || gathers) {
+  if (!behind() || (gathers && !pace_.from_peers)) {
     return;
   }
-  hint_timer_->enable(knobs_.hint_patience);
+  hint_timer_->enable(patience());
+  if (pace_.from_peers && failures_ == 0) {
+    if (on_missed_) {
+      on_missed_(newest_hint_);
+    }
+    return;  // the store is asked in its turn
+  }
   // The first time only the answer may have been lost.
   if ((failures_ > 0 || ++misses_ > 1) && on_missed_) {
     on_missed_(newest_hint_);
@@ -207,6 +228,17 @@
   follow_later(!changes->rows.empty());
 }
 
+void TableWatcher::index(const StoredRowKey& key, StoreVersion before, StoreVersion now) {
+  const StoredRowKey& kept = known_.find(key)->first;
+  const auto [first, last] = by_version_.equal_range(before);
+  const auto old =
+      std::find_if(first, last, [&](const auto& entry) { return entry.second == &kept; });
+  if (old != last) {
+    by_version_.erase(old);
+  }
+  by_version_.emplace(now, &kept);
+}
+
 void TableWatcher::tell(const StoredRow& row) {
   newest_row_ = std::max(newest_row_, row.version);
   Known& known = known_[row.key];
@@ -214,53 +246,75 @@
     return;
   }
   const bool nothing_new = row.removed && (known.removed || known.version == 0);
+  if (knobs_.keep_values) {
+    index(row.key, known.version, row.version);
+  }
   known = {row.version, row.removed, knobs_.keep_values ? row.value : std::string()};
   if (!nothing_new) {
     observer_.on_row(row);
   }
 }
 
-std::vector<StoredRow> TableWatcher::rows_after(StoreVersion version) const {
-  std::vector<StoredRow> rows;
-  for (const auto& [key, known] : known_) {
-    if (known.version > version) {
-      rows.push_back({key, known.value, known.version, known.removed});
+std::optional<table_page> TableWatcher::page_after(StoreVersion since) const {
+  if (!listed_) {
+    return std::nullopt;
+  }
+  table_page page;
+  page.since = since;
+  page.through = followed_;
+  page.age = age();
+  page.whole = since < complete_since_;
+  const auto first = page.whole ? by_version_.begin() : by_version_.upper_bound(since);
+  for (auto entry = first; entry != by_version_.end(); ++entry) {
+    const Known& known = known_.at(*entry->second);
+    if (!known.removed || !page.whole) {
+      page.rows.push_back({*entry->second, known.value, known.version, known.removed});
     }
   }
-  return rows;
+  return page;
 }
 
-std::optional<table_copy> TableWatcher::whole_table() const {
-  if (!listed_) {
-    return std::nullopt;
+void TableWatcher::learn(const table_page& page) {
+  for (const StoredRow& row : page.rows) {
+    tell(row);
   }
-  table_copy copy;
-  copy.through = followed_;
-  copy.age = age();
-  for (const auto& [key, known] : known_) {
-    if (!known.removed) {
-      copy.rows.push_back({key, known.value, known.version, false});
+  if (page.whole) {
+    std::set<StoredRowKey> present;
+    for (const StoredRow& row : page.rows) {
+      present.insert(row.key);
     }
+    tell_gone([&](const StoredRowKey& key) { return present.contains(key); }, page.through);
+  }
+  const bool continues = page.whole || (listed_ && page.since <= followed_);
+  if (!continues || page.through <= followed_) {
+    return;
+  }
+  followed_ = page.through;
+  complete_since_ = page.whole ? page.through : complete_since_;
+  as_of_ = std::max(as_of_, time_source_.monotonic_now() - page.age);
+  if (!std::exchange(listed_, true)) {
+    on_large_ = nullptr;
+    logger_.write(LogLevel::kInfo, "table_copied",
+                  {{"table", table_},
+                   {"version", std::to_string(followed_)},
+                   {"rows", std::to_string(page.rows.size())}});
+    observer_.on_listed();
+    follow();
   }
-  return copy;
 }
 
-void TableWatcher::begin_with(const table_copy& copy) {
-  if (listed_) {
-    return;
+// What was known and is not present is gone, unless it is newer than that version.
+void TableWatcher::tell_gone(const std::function<bool(const StoredRowKey&)>& present,
+                             StoreVersion version) {
+  std::vector<StoredRow> gone;
+  for (const auto& [key, known] : known_) {
+    if (!known.removed && known.version <= version && !present(key)) {
+      gone.push_back({key, "", version, true});
+    }
   }
-  listed_ = true;
-  for (const StoredRow& row : copy.rows) {
+  for (const StoredRow& row : gone) {
     tell(row);
   }
-  followed_ = copy.through;
-  as_of_ = time_source_.monotonic_now() - copy.age;
-  logger_.write(LogLevel::kInfo, "table_copied",
-                {{"table", table_},
-                 {"version", std::to_string(followed_)},
-                 {"rows", std::to_string(copy.rows.size())}});
-  observer_.on_listed();
-  follow();
 }
 
 void TableWatcher::heard() {
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -48,11 +48,16 @@
   const std::vector<TableObserver*> observers_;
 };
 
-// All rows of a table as one node knows them.
-struct table_copy {
-  std::vector<StoredRow> rows;  // none that is removed
-  StoreVersion through = 0;  // all changes up to here are in the rows, and perhaps some later ones
-  Duration age{0};           // the table stood like this so long ago, or newer
+// Rows of a table that one node hands to another.
+struct table_page {
+  std::vector<StoredRow> rows;
+  // The rows tell all that has changed behind `since` and up to `through`, and perhaps some later
+  // changes. 0: they are some rows only.
+  StoreVersion since = 0;
+  StoreVersion through = 0;
+  // They are all rows of the table; those that it lacks are gone.
+  bool whole = false;
+  Duration age{0};  // the table stood like this so long ago, or newer
 };
 
 // How often a table is asked for.
@@ -63,6 +68,9 @@
   // After changes have come, the next are asked for this much later, so that they come together.
   // Every change of a table goes to every node: a change each would cost a call of each node.
   Duration gather{0};
+  // Peers tell of changes and hand them over. The store is only asked each `gather` whether there
+  // is anything else: mostly it sends no row.
+  bool from_peers = false;
 };
 
 struct TableWatcherKnobs {
@@ -71,6 +79,9 @@
   // The store answers all nodes within some 10 ms of each other; while it is slow, this costs one
   // call more.
   Duration hint_patience = std::chrono::milliseconds(150);
+  // The same where rows come from peers: changes that come closer together are handed over
+  // together.
+  Duration peers_gather = std::chrono::milliseconds(300);
   Duration first_retry = std::chrono::milliseconds(100);
   Duration longest_retry = std::chrono::milliseconds(800);
   // The values of rows are kept, so that they can be handed to other nodes.
@@ -94,7 +105,7 @@
   void start_unless_large(std::function<void()> on_large);
   // Asks for changes anew if an answer is awaited: it may be lost.
   void refresh();
-  void set_pace(const WatchPace& pace) { pace_ = pace; }
+  void set_pace(const WatchPace& pace);
   // There is something new that is needed now: does not gather further changes.
   void hurry();
   // Another node knows a row of the table in this version. If it does not arrive here too, the
@@ -106,12 +117,13 @@
   bool behind() const { return newest_hint_ > std::max(newest_row_, followed_); }
   // A row that another node has from the store.
   void learn(const StoredRow& row) { tell(row); }
-  // Rows that are newer than that version; needs keep_values.
-  std::vector<StoredRow> rows_after(StoreVersion version) const;
-  // @return the table, if it is known whole; needs keep_values.
-  std::optional<table_copy> whole_table() const;
-  // A peer's copy stands for the first list, if that has not been made yet.
-  void begin_with(const table_copy& copy);
+  // All changes up to here are known.
+  StoreVersion known_through() const { return followed_; }
+  // @return what has changed behind that version, or the whole table where this node doesn't know
+  // what was removed since then; nothing before the table has been listed. Needs keep_values.
+  std::optional<table_page> page_after(StoreVersion since) const;
+  // What a peer hands over. A whole page stands for the list, if that has not been made yet.
+  void learn(const table_page& page);
   // Called when a row that other nodes know has not arrived in time.
   void set_on_missed(std::function<void(StoreVersion)> callback) {
     on_missed_ = std::move(callback);
@@ -135,6 +147,7 @@
     std::string value;  // with keep_values
   };
 
+  void tell_gone(const std::function<bool(const StoredRowKey&)>& present, StoreVersion version);
   void list();
   void list_partition(size_t index, std::string from);
   void handle_page(size_t index, const RangePage& page);
@@ -143,9 +156,13 @@
   void follow_later(bool changed);
   void handle_changes(const Expected<TableChanges>& changes);
   void tell(const StoredRow& row);
+  // Keeps the order of the versions. @param before that of the row until now.
+  void index(const StoredRowKey& key, StoreVersion before, StoreVersion now);
   void retry(const Error& error, std::function<void()> action);
   void heard();
   void check_hint();
+  // From a hint until this node does something about it.
+  Duration patience() const;
 
   TimeSource& time_source_;
   WatchedStore& store_;
@@ -158,11 +175,14 @@
   StoreVersion newest_row_ = 0;
   StoreVersion newest_hint_ = 0;
   std::map<StoredRowKey, Known> known_;
+  std::multimap<StoreVersion, const StoredRowKey*> by_version_;  // with keep_values
   // Of the list under way: the keys seen and the oldest version of its pages.
   std::map<StoredRowKey, StoreVersion> listing_;
   std::map<std::string, StoreVersion> partition_versions_;
   StoreVersion list_version_ = 0;
   StoreVersion followed_ = 0;  // all changes up to here are known
+  // Of what has changed up to here, rows that came and went again are not known.
+  StoreVersion complete_since_ = 0;
   bool listed_ = false;
   uint32_t failures_ = 0;
   uint32_t misses_ = 0;             // hints in a row without the row, since the store answered last
--- a/tests/serving/worker_set_test.cc
+++ b/tests/serving/worker_set_test.cc
@@ -367,5 +367,54 @@
   EXPECT_EQ(workers.take_place(repeatable)->worker().record.incarnation, "i-sound");
 }
 
+TEST_F(WorkerSetTest, OnlyWorkersInUseOrWithNewsAreActive) {
+  constexpr int kWorkers = 1000;
+  for (int number = 0; number < kWorkers; ++number) {
+    workers.update(record("i-" + std::to_string(number)));
+  }
+  EXPECT_TRUE(workers.active_workers().empty());
+  WorkerPlacePtr place = take();
+  ServingWorker& used = place->worker();
+  ASSERT_EQ(workers.active_workers().size(), 1U);
+  EXPECT_EQ(workers.active_workers().begin()->second.get(), &used);
+  workers.note_failure(used, clock.monotonic_now());
+  place.reset();
+  EXPECT_EQ(workers.active_workers().size(), 1U) << "peers should hear of the failure";
+  clock.run_for(std::chrono::minutes(1));
+  EXPECT_TRUE(workers.active_workers().empty());
+}
+
+// Another node hears of the failure only now that this one has had a success there since.
+TEST_F(WorkerSetTest, ASuccessThatClearsAFailureOfAPeerIsNews) {
+  workers.update(record("i-1"));
+  const MonotonicTime failed = clock.monotonic_now();
+  clock.run_for(std::chrono::milliseconds(10));
+  WorkerPlacePtr place = take();
+  workers.note_success(place->worker());
+  const uint64_t hash = place->worker().hash;
+  place.reset();
+  EXPECT_TRUE(workers.active_workers().empty());
+  outcome_times told;
+  told.failed = failed;
+  told.failures = 1;
+  workers.add_peer_outcomes(hash, told);
+  EXPECT_EQ(workers.active_workers().size(), 1U);
+}
+
+TEST_F(WorkerSetTest, AWorkerThatIsListedAgainIsNotForgottenByItsFirstRemoval) {
+  workers.update(record("i-1"));
+  workers.remove("i-1");
+  clock.run_for(std::chrono::seconds(6));
+  workers.update(record("i-1"));
+  clock.run_for(std::chrono::seconds(6));
+  workers.update(record("i-2"));
+  ASSERT_NE(workers.find("i-1"), nullptr);
+  EXPECT_TRUE(workers.find("i-1")->listed);
+  workers.remove("i-1");
+  clock.run_for(std::chrono::seconds(11));
+  workers.update(record("i-2"));
+  EXPECT_EQ(workers.find("i-1"), nullptr);
+}
+
 }  // namespace
 }  // namespace chalkshed
--- a/tests/watch/row_handover_test.cc
+++ b/tests/watch/row_handover_test.cc
@@ -87,6 +87,89 @@
   EXPECT_EQ(cluster.handed_pages, 0);
 }
 
+// The peer that is asked has never had the worker's record: it listed the table after the removal.
+TEST(RowHandoverTest, ARemovalIsHandedOnAlsoByANodeThatListedTheTableLater) {
+  ServingCluster cluster(1);
+  ServingCluster* const one = &cluster;
+  const auto watch = [one](MemoryWatchedStore& store, TableObserver& observer) {
+    static NullLogger logger;
+    return std::make_unique<TableWatcher>(one->clock, one->loop, store, logger, "servers",
+                                          std::vector<std::string>{""}, observer,
+                                          TableWatcherKnobs{.pace = {}, .keep_values = true});
+  };
+  class Keys : public TableObserver {
+   public:
+    void on_row(const StoredRow& row) override {
+      row.removed ? keys.erase(row.key.key) : keys.insert(row.key.key).second;
+    }
+    std::set<std::string> keys;
+  };
+  MemoryWatchedStore early_store(cluster.shared, cluster.clock, cluster.loop);
+  MemoryWatchedStore late_store(cluster.shared, cluster.clock, cluster.loop);
+  Keys early_keys;
+  Keys late_keys;
+  const auto early = watch(early_store, early_keys);
+  early->start();
+  cluster.clock.run_for(milliseconds(50));
+  early_store.set_cut(true);
+  cluster.put("servers", "i-1", std::nullopt);
+  const auto late = watch(late_store, late_keys);
+  late->start();
+  cluster.clock.run_for(milliseconds(50));
+  cluster.write_worker("i-9", 9, "ready");
+  cluster.clock.run_for(milliseconds(50));
+  early->learn(*late->page_after(early->known_through()));
+  EXPECT_EQ(early_keys.keys, (std::set<std::string>{"i-0", "i-9"}));
+}
+
+// With relays, a member has changes of workers from peers: the store sends it no row.
+TEST(RowHandoverTest, AMemberOfAZoneWithRelaysHasWorkersFromPeersWithinASecond) {
+  ServingCluster cluster(1);
+  for (int number = 0; number < 59; ++number) {
+    cluster.start_node("a" + std::to_string(number), "zone-a");
+  }
+  cluster.clock.run_for(seconds(8));
+  const int before = cluster.handed_pages;
+  cluster.write_worker("i-9", 9, "ready");
+  cluster.write_worker("i-0", 0, "draining");
+  cluster.put("servers", "i-1", std::nullopt);
+  cluster.clock.run_for(seconds(1));
+  size_t members = 0;
+  for (const auto& [name, node] : cluster.nodes) {
+    WorkerSet& workers = node->node.workers();
+    ASSERT_NE(workers.find("i-9"), nullptr) << name;
+    EXPECT_TRUE(workers.find("i-0")->record.leaving) << name;
+    EXPECT_FALSE(workers.find("i-1")->listed) << name;
+    ++members;
+  }
+  EXPECT_GE(cluster.handed_pages - before, static_cast<int>(members) / 2);
+}
+
+// Nobody tells of changes while all relays are cut off; the store does, within its bound.
+TEST(RowHandoverTest, MembersHaveALeavingWorkerFromTheStoreWhileTheRelaysAreCutOff) {
+  ServingCluster cluster(1);
+  for (int number = 0; number < 59; ++number) {
+    cluster.start_node("a" + std::to_string(number), "zone-a");
+  }
+  cluster.clock.run_for(seconds(8));
+  std::vector<std::string> relays;
+  for (const auto& [name, node] : cluster.nodes) {
+    if (!node->node.is_relay_member()) {
+      node->store.set_cut(true);
+      relays.push_back(name);
+    }
+  }
+  EXPECT_EQ(relays.size(), 2U);
+  cluster.clock.run_for(seconds(5));
+  cluster.write_worker("i-0", 0, "draining");
+  cluster.clock.run_for(seconds(2));
+  for (const auto& [name, node] : cluster.nodes) {
+    if (node->node.is_relay_member()) {
+      EXPECT_TRUE(node->node.workers().find("i-0")->record.leaving) << name;
+    }
+  }
+}
+
 TEST(RowHandoverTest, PagesAreWholeOrNothing) {
   const std::vector<StoredRow> rows = {{{"t", "p", "k"}, std::string("v\0w", 3), 7, false},
                                        {{"t", "", "gone"}, "", 9, true}};
