--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -294,6 +294,7 @@
   as_of_ = std::max(as_of_, time_source_.monotonic_now() - page.age);
   if (!std::exchange(listed_, true)) {
     on_large_ = nullptr;
+    retry_timer_->disable();  // of a list that the store refused
     logger_.write(LogLevel::kInfo, "table_copied",
                   {{"table", table_},
                    {"version", std::to_string(followed_)},
--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -138,16 +138,15 @@
   ObjectClient objects{store_client, store.local()};
   RequestWire wire;
   JobWire job_wire;
-  ServingNode node{
-      {"n", "n#1", "z", datagrams.local()},
-      {time_source, dispatcher, random, rows, objects, worker_client, datagrams, wire, job_wire,
-       logger, metrics},
-      {kOperatorTable,
-       kConfigurationKey,
-       &decode_routes,
-       {kEvacuationPrefix, &check_evacuation},
-       kWorkerTable,
-       &decode_worker}};
+  ServingNode node{{"n", "n#1", "z", datagrams.local()},
+                   {time_source, dispatcher, random, rows, objects, worker_client, datagrams, wire,
+                    job_wire, logger, metrics},
+                   {kOperatorTable,
+                    kConfigurationKey,
+                    &decode_routes,
+                    {kEvacuationPrefix, &check_evacuation},
+                    kWorkerTable,
+                    &decode_worker}};
   Ingress ingress{node, wire};
   Readiness readiness{node, metrics};
   HttpServer front{dispatcher, {"127.0.0.1", 0}, ingress};
