--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -41,7 +41,7 @@
   list_partition(0, "");
 }
 
-void TableWatcher::list_partition(size_t index, std::string from) {
+void TableWatcher::list_partition(size_t index, const std::string& from) {
   if (index == partitions_.size()) {
     finish_list();
     return;
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -149,7 +149,7 @@
 
   void tell_gone(const std::function<bool(const StoredRowKey&)>& present, StoreVersion version);
   void list();
-  void list_partition(size_t index, std::string from);
+  void list_partition(size_t index, const std::string& from);
   void handle_page(size_t index, const RangePage& page);
   void finish_list();
   void follow();
