--- /dev/null
+++ b/src/peers/peer_queries.cc
@@ -0,0 +1,136 @@
+// What others ask of a PeerExchange: which nodes there are, which live, and whom to turn to. Changes
+// nothing but since when a session that is not announced has been asked for.
+#include <algorithm>
+
+#include "src/core/digest.h"
+#include "src/peers/node_name.h"
+#include "src/peers/peer_exchange.h"
+
+namespace chalkshed {
+
+// Any of them: a node that lacks a row is seldom the only one. Of this zone, if there are any: what
+// goes between zones has its price.
+std::optional<Address> PeerExchange::peer_knowing(StoreVersion KnownVersions::*table,
+                                                  StoreVersion version, uint64_t draw) const {
+  std::vector<const Peer*> near_ones;
+  std::vector<const Peer*> far_ones;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.known.*table >= version && !peer.lapsed && !peer.address.ip.empty()) {
+      (near(peer) ? near_ones : far_ones).push_back(&peer);
+    }
+  }
+  const std::vector<const Peer*>& knowing = near_ones.empty() ? far_ones : near_ones;
+  return knowing.empty() ? std::nullopt : std::optional(knowing[draw % knowing.size()]->address);
+}
+
+std::optional<Address> PeerExchange::address_of(const std::string& session) const {
+  const auto peer = peers_.find(node_of(session));
+  const bool known = peer != peers_.end() && peer->second.session == session;
+  return known && !peer->second.address.ip.empty() ? std::optional(peer->second.address)
+                                                   : std::nullopt;
+}
+
+std::vector<Address> PeerExchange::zone_peers() const {
+  std::vector<Address> addresses;
+  for (const auto& [node, peer] : peers_) {
+    if (near(peer) && !peer.lapsed && !peer.address.ip.empty()) {
+      addresses.push_back(peer.address);
+    }
+  }
+  return addresses;
+}
+
+// The store is taken for away only while most of all nodes, this one among them, say so themselves
+// and have said it lately. A node that is cut off hears too few; one that is dead is not missed.
+bool PeerExchange::others_may_reach_store() const {
+  if (!listed_) {
+    return true;
+  }
+  const MonotonicTime now = time_source_.monotonic_now();
+  size_t nodes = 1;
+  size_t without_store = 1;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.session.empty()) {
+      continue;
+    }
+    ++nodes;
+    const bool fresh = now - peer.heard <= knobs_.store_word_lifetime;
+    const bool away = peer.store_silence >= knobs_.store_contact;
+    if (fresh && !away) {
+      return true;
+    }
+    without_store += fresh && away ? 1 : 0;
+  }
+  return 2 * without_store <= nodes;
+}
+
+std::optional<size_t> PeerExchange::announced_rank(const std::string& key) const {
+  if (!listed_) {
+    return std::nullopt;
+  }
+  const uint64_t seed = content_hash(key);
+  const uint64_t own = content_hash(identity_.node, seed);
+  return std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return !entry.second.session.empty() && content_hash(entry.first, seed) > own;
+  });
+}
+
+// Of two that are drawn, the one whose store answered it last: a peer that has lost the store only
+// now still looks well, and the nodes that ask should not all come to the same peer.
+std::optional<Address> PeerExchange::peer_with_store(uint64_t seed) const {
+  struct Candidate {
+    const Peer* peer = nullptr;
+    uint64_t draw = 0;
+    Duration store_silence{0};
+  };
+  const MonotonicTime now = time_source_.monotonic_now();
+  std::vector<Candidate> candidates;
+  for (const auto& [node, peer] : peers_) {
+    const Duration silence = peer.store_silence + (now - peer.heard);
+    const bool serves = peer.caller_port != 0 && !peer.draining && !lapsed(peer);
+    if (serves && silence < knobs_.store_contact) {
+      candidates.push_back({&peer, content_hash(node, seed), silence});
+    }
+  }
+  constexpr size_t kDrawn = 2;
+  const auto drawn =
+      candidates.begin() + static_cast<ptrdiff_t>(std::min(kDrawn, candidates.size()));
+  std::partial_sort(candidates.begin(), drawn, candidates.end(),
+                    [](const Candidate& a, const Candidate& b) { return a.draw < b.draw; });
+  const auto best = std::min_element(
+      candidates.begin(), drawn,
+      [](const Candidate& a, const Candidate& b) { return a.store_silence < b.store_silence; });
+  if (best == drawn) {
+    return std::nullopt;
+  }
+  return Address{best->peer->address.ip, best->peer->caller_port};
+}
+
+size_t PeerExchange::rank(const std::string& key) const {
+  const uint64_t seed = content_hash(key);
+  const uint64_t own = content_hash(identity_.node, seed);
+  return static_cast<size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const Peer& peer = entry.second;
+    return !peer.draining && !peer.session.empty() && !lapsed(peer) &&
+           content_hash(entry.first, seed) > own;
+  }));
+}
+
+bool PeerExchange::alive(const std::string& session, StoreVersion seen) {
+  if (session == identity_.session) {
+    return true;
+  }
+  const auto peer = peers_.find(node_of(session));
+  if (peer != peers_.end() && peer->second.session == session) {
+    return !lapsed(peer->second);
+  }
+  if (peer != peers_.end() && seen < peer->second.announcement) {
+    return false;
+  }
+  // Its announcement may be on its way.
+  const MonotonicTime now = time_source_.monotonic_now();
+  const auto [entry, is_new] = unannounced_.try_emplace(session, now);
+  return now - entry->second <= knobs_.lapse_after;
+}
+
+}  // namespace chalkshed
--- a/tests/serving/partly_deaf_node.h
+++ b/tests/serving/partly_deaf_node.h
@@ -49,13 +49,7 @@
         node({name, name + "#99", "zone-a", address, kCallerPort},
              {cluster.clock, dispatcher, random, store, inner, calls, datagrams, request_wire(),
               job_wire(), logger, metrics},
-             {platform::kOperatorTable,
-              platform::kConfigurationKey,
-              &platform::decode_routes,
-              {platform::kEvacuationPrefix, &platform::check_evacuation},
-              platform::kWorkerTable,
-              &platform::decode_worker},
-             knobs) {
+             platform_tables(), knobs) {
     node.start();
   }
   Address address;
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -168,6 +168,13 @@
 
 inline constexpr uint16_t kCallerPort = 8144;
 
+// The tables as a node on the platform follows them.
+inline WatchedTables platform_tables() {
+  return {platform::kOperatorTable, platform::kConfigurationKey,
+          &platform::decode_routes, {platform::kEvacuationPrefix, &platform::check_evacuation},
+          platform::kWorkerTable,   &platform::decode_worker};
+}
+
 // One node with its own loop, which can be frozen or destroyed.
 struct ClusterNode {
   ClusterNode(VirtualClock& clock, SharedStore& shared, ScriptedWorkers& workers, DatagramHub& hub,
@@ -182,13 +189,7 @@
         node({name, name + "#" + std::to_string(start), zone, address, kCallerPort},
              {clock, dispatcher, random, store, store, calls, datagrams, request_wire(), job_wire(),
               logger, metrics},
-             {platform::kOperatorTable,
-              platform::kConfigurationKey,
-              &platform::decode_routes,
-              {platform::kEvacuationPrefix, &platform::check_evacuation},
-              platform::kWorkerTable,
-              &platform::decode_worker},
-             knobs) {
+             platform_tables(), knobs) {
     node.start();
   }
   Address address;
