--- a/src/peers/peer_queries.cc
+++ b/src/peers/peer_queries.cc
@@ -1,5 +1,5 @@
-// What others ask of a PeerExchange: which nodes there are, which live, and whom to turn to. Changes
-// nothing but since when a session that is not announced has been asked for.
+// What others ask of a PeerExchange: which nodes there are, which live, and whom to turn to.
+// Changes nothing but since when a session that is not announced has been asked for.
 #include <algorithm>
 
 #include "src/core/digest.h"
