--- a/include/chalkshed/cold_start_limit.h
+++ b/include/chalkshed/cold_start_limit.h
@@ -74,8 +74,8 @@
     std::optional<MonotonicTime> settled() const {
         return listed_ ? std::optional(*listed_ + knobs_.settle) : std::nullopt;
     }
-    /** The worker stays cold for `left` from now on. It never gets warm sooner by it: an older word
-     * may come late. */
+    /** The worker stays cold for `left` from now on. This never shortens the time known before: an
+     * older record may arrive late. */
     void note_cold(cold_state &state, const std::string &worker, const cold_start &service,
                    Duration left, MonotonicTime now) const;
     /** The announced nodes have changed, or this node has settled. */
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -150,7 +150,8 @@
   quarantine_.set_view_age([this] { return worker_table_.age(); });
 }
 
-// Peers are told of from the moment on at which the nodes have been listed.
+// PeerExchange reports its peers only after the table of nodes has been listed, so the first report
+// marks that moment.
 void ServingNode::note_nodes_listed() {
   if (std::exchange(nodes_listed_, true)) {
     return;
