The test of nodes and workers that start together fails without the wait of a starting member

Cause: it allowed 4,800 rows and let the nodes hear their relay for 0.3 s first, so that it passed with the mechanism off. Change: workers start with the nodes, and 1,200 rows are allowed (stricter in both).

--- a/tests/watch/row_handover_test.cc
+++ b/tests/watch/row_handover_test.cc
@@ -146,7 +146,7 @@
 }
 
 // Nodes and workers that start together: the store sends each worker's row to few nodes. Sent to
-// all, they would be 60 x 400.
+// all, they would be 60 x 400; 1,842 went while members did not wait for their relay, 856 now.
 TEST(RowHandoverTest, WorkersThatStartWithAllNodesAreReadFromTheStoreByFew) {
   constexpr size_t kNodes = 60;
   constexpr size_t kWorkers = 400;
@@ -154,7 +154,6 @@
   for (size_t number = 0; number < kNodes; ++number) {
     cluster.start_node("a" + std::to_string(number), "zone-a");
   }
-  cluster.clock.run_for(milliseconds(300));
   for (size_t number = 0; number < kWorkers; ++number) {
     cluster.write_worker("i-" + std::to_string(number), number, "ready");
     cluster.clock.run_for(milliseconds(5));
@@ -163,7 +162,7 @@
   for (const auto& [name, node] : cluster.nodes) {
     EXPECT_EQ(node->node.workers().workers().size(), kWorkers) << name;
   }
-  EXPECT_LE(cluster.shared.rows_followed["servers"], kNodes * kWorkers / 5);
+  EXPECT_LE(cluster.shared.rows_followed["servers"], kNodes * kWorkers / 20);
 }
 
 // Nobody tells of changes while all relays are cut off; the store does, within its bound.
