Settings tell whether to detect outliers and to share admission

Ruled out: switches by the number of nodes or tenants, which say nothing about what a deployment promises its callers.

--- a/tests/platform/platform_settings_test.cc
+++ b/tests/platform/platform_settings_test.cc
@@ -41,6 +41,20 @@
   EXPECT_FALSE(parse_settings(all + "bounds.quota_overrun=-1\n"));
 }
 
+// Guards against a capability that is switched on by part of another item's name, or by default.
+TEST(PlatformSettingsTest, ListedContractsSwitchCapabilitiesOn) {
+  const std::string all = kSettings;
+  EXPECT_FALSE(parse_settings(all)->detect_outliers);
+  EXPECT_FALSE(parse_settings(all + "contracts=\n")->shared_admission);
+  EXPECT_FALSE(parse_settings(all + "contracts=base,healthy,high-pressure\n")->detect_outliers);
+  const Expected<PlatformSettings> health = parse_settings(all + "contracts=base,health,pool\n");
+  EXPECT_TRUE(health->detect_outliers);
+  EXPECT_FALSE(health->shared_admission);
+  const Expected<PlatformSettings> both = parse_settings(all + "contracts=pressure,health\n");
+  EXPECT_TRUE(both->detect_outliers);
+  EXPECT_TRUE(both->shared_admission);
+}
+
 TEST(PlatformSettingsTest, NamesTheFieldThatIsMissingOrWrong) {
   const std::string all = kSettings;
   for (const std::string field : {"node", "zone", "ip", "listen.front", "listen.readiness",
