Test: items that crash their workers keep their bytes

The test compares each item as submitted, at each run (first, retried, resumed, probed, by the next owner after a kill, a planned stop and a restart of all nodes, and during random faults), as returned by GET and as listed. The worker's answer is a digest of all that it received, so that the listing shows which bytes ran.

--- a/tests/quarantine/crashing_fleet.h
+++ b/tests/quarantine/crashing_fleet.h
@@ -19,6 +19,8 @@
 
 class crashing_fleet {
 public:
+    /** Events in a complete answer. */
+    static constexpr uint64_t kEvents = 8;
     struct knobs {
         size_t nodes = 3;
         size_t workers = 18;
@@ -26,6 +28,8 @@
          * `crash_by` if that is longer. */
         Duration crash_after = milliseconds(60);
         Duration crash_by{0};
+        /** Events that each fatal run sends before its worker crashes. */
+        uint64_t events_before_crash = 0;
         /** Seed of the random choice of crash times, workers and nodes. */
         uint64_t seed = 1;
         Duration entry_removed_after = milliseconds(2800);
@@ -164,6 +168,8 @@
     /** Digests of contents that some node has quarantined. */
     std::set<uint64_t> quarantined_digests;
     std::set<std::string> fatal;
+    /** The data of an event of an answer; unset: "d" and the event's number. */
+    std::function<std::string(const HttpRequest &request, uint64_t event)> event_data;
     std::vector<fatal_run> runs;
     /** Times at which each content crashed a worker. */
     std::map<std::string, std::vector<MonotonicTime>> crashes;
@@ -272,6 +278,12 @@
         const std::string node = call.sender.substr(0, call.sender.find('#'));
         runs.push_back({content, cluster.clock.monotonic_now(), id, node});
         call.begin();
+        const uint64_t last = events_received(call);
+        for (uint64_t sent = 0; sent < knobs_.events_before_crash; ++sent) {
+            if (last + sent + 1 < kEvents) {
+                send_event(call, last + sent + 1);
+            }
+        }
         call_after(cluster.loop, draw_crash_delay(), [this, &call, number, id, content] {
             if (call.open() && workers_[number].up && workers_[number].id == id) {
                 crashes[content].push_back(cluster.clock.monotonic_now());
@@ -280,22 +292,34 @@
         });
     }
 
-    /** Sends eight events, one every 50 ms. */
+    /** The last event that the sender has from earlier runs. */
+    static uint64_t events_received(const ScriptedCall &call) {
+        const std::string last = call.header(platform::kLastEventId);
+        return last.empty() ? 0 : std::stoull(last);
+    }
+    void send_event(ScriptedCall &call, uint64_t event) const {
+        if (!event_data) {
+            call.event(event);
+            return;
+        }
+        call.callbacks->on_body("id: " + std::to_string(event) +
+                                "\ndata: " + event_data(call.request, event) + "\n\n");
+    }
+
+    /** Sends the events one every 50 ms. */
     void play(ScriptedCall &call, uint64_t event) {
-        constexpr uint64_t kEvents = 8;
         if (!call.open()) {
             return;
         }
         if (event == 0) {
-            const std::string last = call.header(platform::kLastEventId);
-            event = last.empty() ? 0 : std::stoull(last);
+            event = events_received(call);
             call.begin();
         }
         if (event == kEvents) {
             call.end();
             return;
         }
-        call.event(event + 1);
+        send_event(call, event + 1);
         call_after(cluster.loop, milliseconds(50), [this, &call, event] { play(call, event + 1); });
     }
 
