A job runs the stored items, whatever comes again under its id

Cause: JobSubmit took a stored record with this node's session and epoch for its own write, though another submission with the same id could have written it while its answer was lost; the job then ran the items of the second submission. The record now holds the digest of the job's content (a field that older builds ignore). Where it is not that of the submission, the items are loaded from the store. The new log line job_content_differs tells a caller that changes the content of an id from a fault of this system. Ruled out: loading in every such case, four more reads for each job whose answer a slow store loses.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -49,6 +49,7 @@
   bool finished = false;  // every item has its result
   bool content_in_object = false;
   Duration accepted{0};  // by the store's clock
+  std::string content;   // digest of the items as sent; empty: written by an older build
 };
 
 // Sets the tenant of the job on each of its items.
--- a/src/jobs/job_rows.cc
+++ b/src/jobs/job_rows.cc
@@ -129,6 +129,9 @@
   if (!record.tenant.empty()) {
     fields["tenant"] = record.tenant;
   }
+  if (!record.content.empty()) {
+    fields["content"] = record.content;
+  }
   return fields.dump();
 }
 
@@ -141,6 +144,7 @@
     StoredJob record;
     record.id = job;
     record.tenant = fields.value("tenant", "");
+    record.content = fields.value("content", "");
     record.host = fields.at("host").get<std::string>();
     record.path = fields.at("path").get<std::string>();
     record.items = fields.at("items").get<uint32_t>();
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -136,6 +136,7 @@
 void JobService::submit(RequestJob submission, Callback<std::monostate> callback) {
   const auto known = index_.find(submission.id);
   if (known != index_.end()) {
+    log_other_content(known->second.record, submission);
     environment_.serving.dispatcher.post([callback = std::move(callback)] { callback({}); });
     return;
   }
@@ -173,13 +174,30 @@
     // finished.
     const bool open = !outcome->record.ended && !outcome->record.finished &&
                       index_.at(outcome->record.id).version == outcome->version;
-    if (outcome->accepted_here && open && !owned_.contains(outcome->record.id)) {
+    if (!outcome->stored_as_sent) {
+      log_other_content(outcome->record, ended->submission());
+    }
+    if (!outcome->accepted_here || !open || owned_.contains(outcome->record.id)) {
+      return;
+    }
+    if (outcome->stored_as_sent) {
       adopt(outcome->record, outcome->version, outcome->known_since,
             {std::move(ended->submission().items), {}, {}, {}});
+    } else {
+      load(outcome->record, outcome->version, outcome->known_since);
     }
   });
 }
 
+// Tells a caller that sends other items under the id of a stored job from a fault of this system.
+void JobService::log_other_content(const StoredJob& record, const RequestJob& submission) const {
+  const std::string sent = content_digest(submission.content);
+  if (!record.content.empty() && record.content != sent) {
+    log(LogLevel::kWarning, "job_content_differs", record,
+        "stored: " + record.content + ", sent: " + sent);
+  }
+}
+
 void JobService::find(const std::string& job, Found callback) {
   const auto known = index_.find(job);
   if (known != index_.end()) {
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -105,6 +105,7 @@
   void release(const std::string& id);
   void check_drained();
   ResultPage page_of(const OwnedJob& job, uint32_t from) const;
+  void log_other_content(const StoredJob& record, const RequestJob& submission) const;
   void log(LogLevel level, std::string_view event, const StoredJob& record,
            const std::string& reason) const;
 
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/core/digest.h"
 #include "src/jobs/job_rows.h"
 
 namespace chalkshed {
@@ -42,6 +43,7 @@
   record_.epoch = 1;
   record_.content_in_object = submission_.content.size() > environment_.knobs.max_content_in_rows;
   record_.accepted = environment_.clock.now();
+  record_.content = content_digest(submission_.content);
 }
 
 void JobSubmit::start(Callback<SubmitOutcome> callback) {
@@ -228,6 +230,7 @@
     outcome.record = record_;
     outcome.version = commit->stamp.version;
     outcome.accepted_here = true;
+    outcome.stored_as_sent = true;
     outcome.known_since = write_sent_;
     finish(std::move(outcome));
     return;
@@ -263,6 +266,7 @@
   outcome.record = *record;
   outcome.version = row.version;
   outcome.accepted_here = record->owner == record_.owner && record->epoch == record_.epoch;
+  outcome.stored_as_sent = record->content == record_.content;
   outcome.known_since = write_sent_;
   finish(std::move(outcome));
 }
--- a/src/jobs/job_submit.h
+++ b/src/jobs/job_submit.h
@@ -20,6 +20,9 @@
   StoreVersion version = 0;
   bool accepted_here = false;     // by this submission; false: it was stored before
   bool accepted_by_peer = false;  // this node does not have the record yet
+  // Whether the stored content is known to be that of this submission; another one under the same
+  // id may have been stored first.
+  bool stored_as_sent = false;
   // When the write whose answer contained the record was sent: the record was current then or
   // later.
   MonotonicTime known_since{};
