Items that crash their workers cost three workers each, also several at once

Cause, one job: the runs of its crashing items are lost at one node within milliseconds, each of which excuses the others as if they had a common cause, so that none counted until its worker's entry was gone (2.8 s), and each item ran every 200 ms meanwhile. An item now waits once as many workers may have crashed under it as quarantine a content, until their fate is known (at most 10 s). Cause, one content in several jobs: each owner ran and probed its item without a turn. Items now take turns as online requests do; a probe that a peer has lost moves the next one at once and not only when it counts; a node that asks rarely for its turn no longer takes the time between its questions for silence. Ruled out: counting such breaks against each other, which would quarantine innocent items that lose their connections twice.

--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -126,6 +126,9 @@
     /** Until then no node starts a run of the content, except a retry after the first lost worker.
      */
     MonotonicTime settled_at(uint64_t digest) const;
+    /** Whether as many workers as quarantine a content may have crashed under it, some of which are
+     * counted only once their fate is known. */
+    bool awaits_fate(uint64_t digest, MonotonicTime now) const;
     bool under_way(uint64_t digest) const {
         return under_way_.contains(digest);
     }
--- a/include/chalkshed/request_quarantine.h
+++ b/include/chalkshed/request_quarantine.h
@@ -71,8 +71,15 @@
      * for a turn where one is needed, and on_permits_changed is called once the request may be
      * repeated. \param lost_worker See run_claim. */
     run_permit claim_run(uint64_t digest, bool lost_worker);
-    /** The permit for work that only this node runs, which needs no turn from another node. */
-    run_permit permit_owned(uint64_t digest) const;
+    /** Requests permission to run an item of a job that this node owns, whose runs are repeated
+     * until one succeeds. Other nodes may own jobs with the same content, so that it needs turns
+     * too. Each owner probes its own items. If the result is kWait, the caller asks again;
+     * on_permits_changed is called while a turn is all that is missing.
+     *
+     * The runs of several such items of one node are often lost within milliseconds, as if they had
+     * a common cause. They count only once their workers are known to have crashed; until then,
+     * items would crash further workers. */
+    run_permit claim_owned_run(uint64_t digest);
     /** \return The error with which a quarantined request is refused. The request has not run. */
     Error refusal(uint64_t digest, const std::string &request_id) const;
 
@@ -153,6 +160,10 @@
     /** Registers runs that are in progress when their content becomes suspect as holding the turn.
      */
     void report_running(uint64_t digest);
+    /** \return The permit, or kWait while another node has the turn. */
+    run_permit take_turn(uint64_t digest, run_permit permit, MonotonicTime now);
+    /** Has on_permits_changed called soon. */
+    void retry_claims();
     bool may_probe(uint64_t digest) const {
         return evidence_.quarantined(digest) && may_probe_(digest);
     }
--- a/include/chalkshed/run_turns.h
+++ b/include/chalkshed/run_turns.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,7 +71,9 @@
     struct turn_request {
         MonotonicTime first{};
         MonotonicTime asked{};
-        MonotonicTime answered{};
+        /** When the first question since the last answer was sent; nothing: none is open. A caller
+         * that asks rarely must not mistake the time between its questions for silence. */
+        std::optional<MonotonicTime> open_since;
         MonotonicTime granted{};
     };
     /** \return The node that grants turns for the content; null: this node. */
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -78,7 +78,7 @@
 // A quarantined item waits until its next probe or until its retention has passed: no other result
 // may be listed for it. Only the owner of its job runs it, so the owner also runs the probe.
 bool OwnedJob::is_held(const Item& item) const {
-  const run_permit permit = environment_.serving.quarantine.permit_owned(item.request.digest);
+  const run_permit permit = environment_.serving.quarantine.claim_owned_run(item.request.digest);
   return permit == run_permit::kQuarantined || permit == run_permit::kWait;
 }
 
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -115,7 +115,14 @@
     if (known == nullptr) {
         return {};
     }
-    return std::max(newest_crash(*known), known->last_probe) + probe_delay(failed_probes(*known));
+    // A peer's probe may be known to have failed before it counts.
+    MonotonicTime newest = known->last_probe;
+    for (const broken_worker &broken : known->workers) {
+        const bool survived =
+            broken.fate == worker_fate::kAlive || broken.fate == worker_fate::kPlanned;
+        newest = std::max(newest, survived ? MonotonicTime{} : broken.run.at);
+    }
+    return newest + probe_delay(failed_probes(*known));
 }
 
 bool crash_evidence::suspect(const broken_worker &broken, MonotonicTime now) const {
@@ -173,6 +180,20 @@
     return known != nullptr && suspect_times(*known, now).size() > 1;
 }
 
+bool crash_evidence::awaits_fate(uint64_t digest, MonotonicTime now) const {
+    const content *known = find(digest);
+    if (known == nullptr || is_quarantined(*known)) {
+        return false;
+    }
+    const auto open = std::count_if(
+        known->workers.begin(), known->workers.end(), [&](const broken_worker &broken) {
+            return broken.run.weak && broken.fate == worker_fate::kUnknown &&
+                   now - broken.run.at <= knobs_.fate_known_after;
+        });
+    return open > 0 &&
+           static_cast<size_t>(open) + crashes_of(*known) >= knobs_.quarantine_threshold;
+}
+
 run_permit crash_evidence::permit(uint64_t digest, const run_claim &claim,
                                   MonotonicTime now) const {
     const content *known = find(digest);
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -33,21 +33,38 @@
 run_permit request_quarantine::claim_run(uint64_t digest, bool lost_worker) {
     const MonotonicTime now = time_source_.monotonic_now();
     const run_claim claim{.may_probe = may_probe(digest), .lost_worker = lost_worker};
-    run_permit permit = evidence_.permit(digest, claim, now);
+    const run_permit permit = take_turn(digest, evidence_.permit(digest, claim, now), now);
+    if (permit == run_permit::kWait) {
+        retry_claims();
+    }
+    return permit;
+}
+
+run_permit request_quarantine::claim_owned_run(uint64_t digest) {
+    const MonotonicTime now = time_source_.monotonic_now();
+    if (evidence_.awaits_fate(digest, now)) {
+        return run_permit::kWait;
+    }
+    return take_turn(digest, evidence_.permit(digest, {.may_probe = true}, now), now);
+}
+
+run_permit request_quarantine::take_turn(uint64_t digest, run_permit permit, MonotonicTime now) {
     const bool may_run = permit == run_permit::kExclusive || permit == run_permit::kWait;
-    if (may_run && evidence_.needs_turn(digest, now) && !evidence_.under_way(digest)) {
-        // Asking before the evidence has settled hides the latency of the turn request.
-        const bool in_turn = turns_.take(digest, evidence_.settled_at(digest));
-        permit = in_turn ? permit : run_permit::kWait;
+    if (!may_run || !evidence_.needs_turn(digest, now) || evidence_.under_way(digest)) {
+        return permit;
     }
-    if (permit == run_permit::kWait && on_permits_changed_ && !claim_timer_->enabled()) {
-        claim_timer_->enable(knobs_.claim_retry_interval);
+    // Asking before the evidence has settled hides the latency of the turn request.
+    if (turns_.take(digest, evidence_.settled_at(digest))) {
+        return permit;
     }
-    return permit;
+    retry_claims();
+    return run_permit::kWait;
 }
 
-run_permit request_quarantine::permit_owned(uint64_t digest) const {
-    return evidence_.permit(digest, {.may_probe = true}, time_source_.monotonic_now());
+void request_quarantine::retry_claims() {
+    if (on_permits_changed_ && !claim_timer_->enabled()) {
+        claim_timer_->enable(knobs_.claim_retry_interval);
+    }
 }
 
 Error request_quarantine::refusal(uint64_t digest, const std::string &request_id) const {
--- a/src/quarantine/run_turns.cc
+++ b/src/quarantine/run_turns.cc
@@ -70,6 +70,7 @@
     }
     if (asked.asked == MonotonicTime{} || now - asked.asked >= knobs_.request_interval) {
         asked.asked = now;
+        asked.open_since = asked.open_since.value_or(now);
         send_entry(*keeper,
                    {turn_entry_type::kAsk, digest, std::max(not_before - now, Duration(0))});
     }
@@ -77,11 +78,11 @@
 }
 
 bool run_turns::timed_out(uint64_t digest, turn_request &asked, MonotonicTime now) {
-    if (now - std::max(asked.first, asked.answered) < knobs_.answer_timeout) {
+    if (!asked.open_since || now - *asked.open_since < knobs_.answer_timeout) {
         return false;
     }
     // This node grants itself the turn.
-    asked.answered = now;
+    asked.open_since.reset();
     asked.granted = now;
     logger_.write(
         LogLevel::kInfo, "turn_unanswered",
@@ -156,7 +157,7 @@
     if (found == requests_.end()) {
         return; // the request has finished meanwhile; the turn expires
     }
-    found->second.answered = now;
+    found->second.open_since.reset();
     if (entry.type == turn_entry_type::kGranted) {
         found->second.granted = now;
         on_granted_();
