Items that may crash their worker run where few other requests do

Cause: OwnedJob placed a suspect item like any other, though the quarantine promises the worker with the fewest other requests. Now an item whose content may have crashed two workers is placed like a suspect request. Ruled out: the same from the first lost worker on.

--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -126,6 +126,9 @@
     /** Until then no node starts a run of the content, except a retry after the first lost worker.
      */
     MonotonicTime settled_at(uint64_t digest) const;
+    /** Number of workers that may have crashed under the content: those not known to have survived.
+     */
+    size_t possible_crashes(uint64_t digest) const;
     /** Whether as many workers as quarantine a content may have crashed under it, some of which are
      * counted only once their fate is known. */
     bool awaits_fate(uint64_t digest, MonotonicTime now) const;
@@ -166,6 +169,9 @@
         return broken.fate == worker_fate::kEnded ||
                (broken.fate == worker_fate::kUnknown && !broken.run.weak && !broken.run.suspected);
     }
+    static bool survived(const broken_worker &broken) {
+        return broken.fate == worker_fate::kAlive || broken.fate == worker_fate::kPlanned;
+    }
     /** Counts as evidence, or may do so once a peer's suspicion is confirmed. */
     bool suspect(const broken_worker &broken, MonotonicTime now) const;
     /** Whether crashes at these times suffice to quarantine a content. */
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -82,6 +82,14 @@
   return permit == run_permit::kQuarantined || permit == run_permit::kWait;
 }
 
+// Such an item runs where few other requests do. After the first lost worker nearly all items are
+// innocent; placed like the suspect ones, they would lose their next worker to one of these.
+bool OwnedJob::may_crash_worker(const Item& item) const {
+  constexpr size_t kSuspect = 2;
+  return environment_.serving.quarantine.evidence().possible_crashes(item.request.digest) >=
+         kSuspect;
+}
+
 std::optional<size_t> OwnedJob::next_waiting() const {
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
   std::optional<size_t> next;
@@ -151,6 +159,7 @@
   wanted.repeatable = true;
   wanted.request = &item->request;
   wanted.urgency = urgency_of(*item);
+  wanted.alone = may_crash_worker(*item);
   WorkerSlotPtr slot = environment_.serving.workers.acquire_slot(wanted);
   if (!slot) {
     return false;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -118,9 +118,7 @@
     // A peer's probe may be known to have failed before it counts.
     MonotonicTime newest = known->last_probe;
     for (const broken_worker &broken : known->workers) {
-        const bool survived =
-            broken.fate == worker_fate::kAlive || broken.fate == worker_fate::kPlanned;
-        newest = std::max(newest, survived ? MonotonicTime{} : broken.run.at);
+        newest = std::max(newest, survived(broken) ? MonotonicTime{} : broken.run.at);
     }
     return newest + probe_delay(failed_probes(*known));
 }
@@ -180,6 +178,14 @@
     return known != nullptr && suspect_times(*known, now).size() > 1;
 }
 
+size_t crash_evidence::possible_crashes(uint64_t digest) const {
+    const content *known = find(digest);
+    return known == nullptr ? 0
+                            : static_cast<size_t>(std::count_if(
+                                  known->workers.begin(), known->workers.end(),
+                                  [](const broken_worker &broken) { return !survived(broken); }));
+}
+
 bool crash_evidence::awaits_fate(uint64_t digest, MonotonicTime now) const {
     const content *known = find(digest);
     if (known == nullptr || is_quarantined(*known)) {
@@ -223,8 +229,7 @@
 
 Duration crash_evidence::lifetime(const broken_worker &broken) const {
     // A worker that survived may crash at any later time for other reasons.
-    const bool settled = broken.fate == worker_fate::kAlive || broken.fate == worker_fate::kPlanned;
-    return settled ? knobs_.fate_known_after : knobs_.evidence_lifetime;
+    return survived(broken) ? knobs_.fate_known_after : knobs_.evidence_lifetime;
 }
 
 std::vector<broken_run> crash_evidence::review(const fate_lookup &fate_of, MonotonicTime now) {
--- a/tests/quarantine/crashing_items_test.cc
+++ b/tests/quarantine/crashing_items_test.cc
@@ -158,5 +158,23 @@
     }
 }
 
+// An item that may crash its worker must take few other requests with it: 31 lost their workers to
+// the second and later runs of four such items where these were placed like other items.
+TEST(CrashingItems, ASuspectItemRunsWhereFewOtherRequestsRun) {
+    crashing_fleet fleet;
+    fleet.cluster.node("n0").jobs().submit(job_of(fleet, {1, 4}, 0),
+                                           [](const Expected<std::monostate> &) {});
+    const auto send_others = [&](int first, int last) {
+        for (int number = first; number < last; ++number) {
+            fleet.send(fleet.next_node(), "/stream/1", "other " + std::to_string(number));
+            fleet.run_for(milliseconds(10));
+        }
+    };
+    send_others(0, 20);
+    const size_t by_first_runs = fleet.innocent_delays.size();
+    send_others(20, 2000);
+    EXPECT_LE(fleet.innocent_delays.size() - by_first_runs, 10U);
+}
+
 } // namespace
 } // namespace chalkshed
