--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -115,7 +115,12 @@
     if (known == nullptr) {
         return {};
     }
-    return std::max(newest_crash(*known), known->last_probe) + probe_delay(failed_probes(*known));
+    // A peer's probe may be known to have failed before it counts.
+    MonotonicTime newest = known->last_probe;
+    for (const broken_worker &broken : known->workers) {
+        newest = std::max(newest, survived(broken) ? MonotonicTime{} : broken.run.at);
+    }
+    return newest + probe_delay(failed_probes(*known));
 }
 
 bool crash_evidence::suspect(const broken_worker &broken, MonotonicTime now) const {
@@ -173,6 +178,28 @@
     return known != nullptr && suspect_times(*known, now).size() > 1;
 }
 
+size_t crash_evidence::possible_crashes(uint64_t digest) const {
+    const content *known = find(digest);
+    return known == nullptr ? 0
+                            : static_cast<size_t>(std::count_if(
+                                  known->workers.begin(), known->workers.end(),
+                                  [](const broken_worker &broken) { return !survived(broken); }));
+}
+
+bool crash_evidence::awaits_fate(uint64_t digest, MonotonicTime now) const {
+    const content *known = find(digest);
+    if (known == nullptr || is_quarantined(*known)) {
+        return false;
+    }
+    const auto open = std::count_if(
+        known->workers.begin(), known->workers.end(), [&](const broken_worker &broken) {
+            return broken.run.weak && broken.fate == worker_fate::kUnknown &&
+                   now - broken.run.at <= knobs_.fate_known_after;
+        });
+    return open > 0 &&
+           static_cast<size_t>(open) + crashes_of(*known) >= knobs_.quarantine_threshold;
+}
+
 run_permit crash_evidence::permit(uint64_t digest, const run_claim &claim,
                                   MonotonicTime now) const {
     const content *known = find(digest);
@@ -202,8 +229,7 @@
 
 Duration crash_evidence::lifetime(const broken_worker &broken) const {
     // A worker that survived may crash at any later time for other reasons.
-    const bool settled = broken.fate == worker_fate::kAlive || broken.fate == worker_fate::kPlanned;
-    return settled ? knobs_.fate_known_after : knobs_.evidence_lifetime;
+    return survived(broken) ? knobs_.fate_known_after : knobs_.evidence_lifetime;
 }
 
 std::vector<broken_run> crash_evidence::review(const fate_lookup &fate_of, MonotonicTime now) {
