Workers that fail requests are detected across all nodes

Cause: WorkerAttempt recorded nothing for a 5xx, and a worker that fails at once looks idle. Ruled out: detection at each node alone, since a node sees a few requests per second of each worker. worker_failures judges workers by the merged evidence of all nodes, counted by request content; failure_exchange sends failures within 10 ms and repeats counts while a worker is suspect. WorkerSet sends an ejected worker only probes that can be repeated. Off unless the settings list 'health'.

--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -2,6 +2,7 @@
 
 #include "chalkshed/request_digest.h"
 #include "src/core/call_after.h"
+#include "src/core/digest.h"
 #include "src/core/number_text.h"
 #include "src/jobs/job_rows.h"
 
@@ -46,6 +47,11 @@
       quarantine_api_(dependencies.time_source, quarantine_, identity.address.ip),
       crash_exchange_(dependencies.time_source, dependencies.dispatcher, dependencies.datagrams,
                       quarantine_),
+      failures_(knobs.workers.failures, content_hash(identity.session),
+                [this](uint32_t worker) { return workers_.place_of(worker); }),
+      failure_exchange_(dependencies.time_source, dependencies.dispatcher, dependencies.random,
+                        dependencies.datagrams, workers_, failures_, dependencies.logger,
+                        dependencies.metrics, content_hash(identity.session)),
       run_turns_(dependencies.time_source, dependencies.datagrams, dependencies.logger,
                  {identity.node, identity.session, identity.zone, identity.address}, knobs.turns),
       quarantine_rows_(dependencies.time_source, watched_store_, clock_, dependencies.random,
@@ -122,6 +128,7 @@
   peers_.set_on_peers_changed([this](const std::vector<relay_candidate>& peers) {
     quota_exchange_.set_peers(peers);
     crash_exchange_.set_peers(peers);
+    failure_exchange_.set_peers(peers);
     run_turns_.set_peers(peers);
     quarantine_rows_.set_node_count(peers.size() + 1);
     note_nodes_listed();
@@ -129,9 +136,11 @@
   });
   peers_.set_other_reader([this](std::string_view datagram) {
     return quota_exchange_.receive(datagram) || crash_exchange_.receive(datagram) ||
-           run_turns_.receive(datagram);
+           run_turns_.receive(datagram) ||
+           (knobs_.workers.failures.enabled && failure_exchange_.receive(datagram));
   });
   connect_quarantine();
+  connect_failures();
   workers_.set_own_rank(
       [this](const std::string& worker) { return peers_.announced_rank(worker); });
   route_table_.set_on_missed(
@@ -168,6 +177,16 @@
   run_turns_.set_on_granted([this] { schedule_placement(); });
 }
 
+// Ejected workers are probed by all nodes in turn, so that each worker has an order of its own.
+void ServingNode::connect_failures() {
+  if (!knobs_.workers.failures.enabled) {
+    return;
+  }
+  failures_.set_probe_rank(
+      [this](uint32_t worker) { return peers_.rank("probe " + std::to_string(worker)); });
+  workers_.set_failures(&failures_);
+}
+
 // PeerExchange reports its peers only after the node table has been listed, so the first report
 // means that the listing is complete.
 void ServingNode::note_nodes_listed() {
@@ -258,6 +277,7 @@
 ServingNode::~ServingNode() {
   workers_.set_on_slot_freed(nullptr);
   workers_.set_on_load_changed(nullptr);
+  workers_.set_failures(nullptr);  // destroyed before the requests that would report to it
 }
 
 void ServingNode::start() {
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -8,6 +8,7 @@
 #include "chalkshed/caller_identity.h"
 #include "chalkshed/crash_exchange.h"
 #include "chalkshed/evacuated_zones.h"
+#include "chalkshed/failure_exchange.h"
 #include "chalkshed/first_copy.h"
 #include "chalkshed/quarantine_api.h"
 #include "chalkshed/quarantine_rows.h"
@@ -132,6 +133,7 @@
   JobService& jobs() { return jobs_; }
   WorkerSet& workers() { return workers_; }
   const request_quarantine& quarantine() const { return quarantine_; }
+  const worker_failures& failures() const { return failures_; }
   // Serves requests of other nodes; must not be reachable for callers.
   HttpHandler& peer_handler() { return row_server_; }
   // Serves requests of operators; must not be reachable for callers.
@@ -158,6 +160,7 @@
                         const std::function<void()>& done);
   void check_drained();
   void connect_quarantine();
+  void connect_failures();
   copy_source worker_copy_source() const;
   void note_nodes_listed();
   // Applies the limits on cold workers from the configuration.
@@ -182,6 +185,8 @@
   quota_exchange quota_exchange_;
   quarantine_api quarantine_api_;
   crash_exchange crash_exchange_;
+  worker_failures failures_;
+  failure_exchange failure_exchange_;
   run_turns run_turns_;
   quarantine_rows quarantine_rows_;
   JobEnvironment job_environment_;
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -216,8 +216,8 @@
 
 void RequestRelay::watch_silence() {
   last_activity_ = environment_.time_source.monotonic_now();
-  // A retry must remain available after the current run.
-  if (is_repeatable(route_) && runs_ + 1 < route_.attempts) {
+  may_leave_silent_ = is_repeatable(route_) && runs_ + 1 < route_.attempts;
+  if (may_leave_silent_ || environment_.workers.detects_failures()) {
     silence_timer_->enable(max_silence());
   }
 }
@@ -231,6 +231,10 @@
     silence_timer_->enable(max_silence() - silence);
     return;
   }
+  attempt_->note_silent();
+  if (!may_leave_silent_) {
+    return;  // no retry is left, and the answer may still arrive
+  }
   environment_.workers.note_failure(attempt_->worker(), attempt_->sent());
   environment_.quarantine.note_broken(request_.digest, attempt_->worker(), attempt_->sent(), true);
   attempt_.reset();
@@ -265,6 +269,7 @@
 
 void RequestRelay::handle_whole(const AttemptEnd& end) {
   ++runs_;
+  status_ = end.status;
   if (started_) {
     if (end.status == 200) {
       writer_->finish();
@@ -402,6 +407,7 @@
        {"service", service_},
        {"configuration", std::to_string(table_->version())},
        {"worker", worker_},
+       {"status", status_ == 0 ? "" : std::to_string(status_)},
        {"runs", std::to_string(runs_)},
        {"refusals", std::to_string(refusals_)},
        {"connection_use", attempt_ ? std::to_string(attempt_->call().connection_use()) : ""},
--- a/src/serving/request_relay.h
+++ b/src/serving/request_relay.h
@@ -72,7 +72,8 @@
   Duration max_wait() const;
   void handle_wait_timeout();
   void handle_timeout();
-  // Starts the timer after which a repeatable request leaves a silent worker for another one.
+  // Starts the timer after which a worker counts as silent. A repeatable request then leaves it for
+  // another one.
   void watch_silence();
   void check_silence();
   Duration max_silence() const;
@@ -111,6 +112,8 @@
   TimerPtr wait_timer_;
   TimerPtr silence_timer_;
   MonotonicTime last_activity_{};  // of the most recent worker
+  bool may_leave_silent_ = false;  // a retry is available after the current run
+  int status_ = 0;                 // of the most recent complete answer of a worker
   Duration expected_prefill_{0};   // that worker's prefill backlog at the send
   Lifetime lifetime_;
 };
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -7,6 +7,7 @@
 
 constexpr int kOk = 200;
 constexpr int kFirstFailure = 300;
+constexpr int kFirstServerError = 500;
 
 bool is_success(int status) { return status >= kOk && status < kFirstFailure; }
 
@@ -29,6 +30,8 @@
       sent_(time_source.monotonic_now()),
       last_activity_(sent_),
       on_run_over_(quarantine.note_started(request_.digest)) {
+  const ServingWorker& worker = slot_->worker();
+  silence_counts_ = workers.load_of(worker) <= worker.record.slots;
   HttpCallOptions call_options;
   call_options.pool = options.pool;
   call_options.connect_timeout = options.connect_timeout;
@@ -56,6 +59,7 @@
   }
   if (verdict_.other_request) {
     workers_.note_failure(worker, sent_);
+    note_answer(answer_fault::kWrong);
     abandon("the worker's answer belongs to another request");
     return;
   }
@@ -64,11 +68,13 @@
   }
   if (!verdict_.authentic) {
     workers_.note_failure(worker, sent_);
+    note_answer(answer_fault::kWrong);
     abandon("the answer with status " + std::to_string(status) + " is not authentic");
     return;
   }
   if (verdict_.encoded) {
     workers_.note_failure(worker, sent_);
+    note_answer(answer_fault::kWrong);
     abandon("the worker used a content encoding that was not requested");
     return;
   }
@@ -92,11 +98,28 @@
 }
 
 void WorkerAttempt::note_first_event() {
-  if (!std::exchange(has_event_, true) && slot_->worker_was_idle) {
+  if (std::exchange(has_event_, true)) {
+    return;
+  }
+  workers_.note_answer_begun(slot_->worker(), request_.digest, sent_);
+  if (slot_->worker_was_idle) {
     workers_.note_first_token(request_.prompt_tokens, time_source_.monotonic_now() - sent_);
   }
 }
 
+void WorkerAttempt::note_answer(answer_fault fault) {
+  if (!std::exchange(answer_noted_, true)) {
+    workers_.note_answer(slot_->worker(), request_.digest, fault, sent_);
+  }
+}
+
+// Requests of several nodes may wait in the queue of a full worker for a long time.
+void WorkerAttempt::note_silent() {
+  if (silence_counts_ || has_event_) {
+    note_answer(answer_fault::kSilent);
+  }
+}
+
 void WorkerAttempt::on_end() {
   ServingWorker& worker = slot_->worker();
   if (verdict_.not_run) {
@@ -110,12 +133,16 @@
   }
   if (relays_events_ && splitter_.inside_event()) {
     workers_.note_failure(worker, sent_);
+    note_answer(answer_fault::kTruncated);
     note_broken();
     end(AttemptResult::kBroken, "the stream ended inside an event");
     return;
   }
   if (is_success(end_.status)) {
     workers_.note_success(worker);
+    note_answer(answer_fault::kNone);
+  } else if (end_.status >= kFirstServerError) {
+    note_answer(answer_fault::kStatus);
   }
   quarantine_.note_answered(request_.digest, sent_);
   end(AttemptResult::kWhole, "");
@@ -131,6 +158,13 @@
     end(AttemptResult::kNotRun, error.message);
     return;
   }
+  if (end_.status != 0) {
+    note_answer(answer_fault::kTruncated);
+  } else if (time_source_.monotonic_now() - last_activity_ >= silence_timeout_) {
+    note_answer(answer_fault::kSilent);
+  } else {
+    note_answer(answer_fault::kReset);
+  }
   note_broken();
   end(AttemptResult::kBroken, error.message);
 }
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -60,6 +60,8 @@
   ServingWorker& worker() const { return slot_->worker(); }
   HttpCall& call() { return *call_; }
   MonotonicTime sent() const { return sent_; }
+  // The worker has sent nothing within the time that is expected of a healthy one.
+  void note_silent();
 
  private:
   void on_headers(int status, const HttpHeaders& headers) override;
@@ -71,6 +73,8 @@
   void abandon(std::string reason);
 
   void note_first_event();
+  // Records the end of the answer for the detection of failing workers. Only the first call counts.
+  void note_answer(answer_fault fault);
   // Tells the quarantine that this run is over, so that another run of the same content may start.
   void end_run();
   // Tells the quarantine that the connection was lost during the run; the worker may have crashed.
@@ -90,6 +94,8 @@
   MonotonicTime last_activity_;        // of the worker
   std::function<void()> on_run_over_;  // null after the call
   bool has_event_ = false;
+  bool answer_noted_ = false;
+  bool silence_counts_ = true;
   bool relays_events_ = false;
   bool ended_ = false;
   EventSplitter splitter_;
--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -6,6 +6,7 @@
 
 #include "chalkshed/batch_room.h"
 #include "chalkshed/cold_start_limit.h"
+#include "chalkshed/worker_failures.h"
 #include "chalkshed/worker_outcomes.h"
 #include "src/core/time.h"
 
@@ -35,6 +36,13 @@
   double waiting_milliseconds = 50.0;
   // Cost per request in flight for a request that may crash its worker, and the others with it.
   double milliseconds_per_request_at_risk = 1000.0;
+  // Detection of workers that fail more requests than others.
+  failure_knobs failures;
+  // Cost of a worker that was ejected for it: a last resort, or preferred by the next probe.
+  double probe_milliseconds = 1000.0;
+  // A request that may run once cannot be retried after a failure, so it avoids workers with recent
+  // failures more strongly.
+  double once_failure_factor = 2.0;
   // Cost penalty of a worker in another zone.
   double other_zone_milliseconds = 2.0;
   // Each node adds a fixed pseudo-random offset of up to this many milliseconds to the cost of each
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -355,7 +355,7 @@
     one.batch = worker->batch_in_flight + static_cast<uint32_t>(std::max(worker->others_batch, 0));
     one.own_batch = worker->batch_in_flight;
     all += one;
-    if (!worker->outcomes.suspect(now) &&
+    if (!worker->outcomes.suspect(now) && !ejected(*worker, now) &&
         !cold_start_limit::limited(worker->cold, service.cold, now)) {
       healthy += one;
     }
@@ -416,6 +416,9 @@
   if (worker.record.zone != own_zone_) {
     milliseconds += knobs_.other_zone_milliseconds;
   }
+  if (failures_ != nullptr && failures_->any()) {
+    milliseconds += failure_cost(worker, choice);
+  }
   return milliseconds;
 }
 
@@ -455,8 +458,30 @@
   return share * shared_tokens(*choice.request.request);
 }
 
-bool WorkerSet::healthy(const ServingWorker& worker, const Choice& choice) {
-  if (worker.avoided_until > choice.now || worker.outcomes.paused(choice.now)) {
+bool WorkerSet::probes(const ServingWorker& worker, const Choice& choice) const {
+  const bool batch = choice.request.work == WorkClass::kBatch;
+  return choice.request.repeatable && !choice.request.alone &&
+         failures_->may_probe(static_cast<uint32_t>(worker.hash), batch, choice.now);
+}
+
+double WorkerSet::failure_cost(const ServingWorker& worker, const Choice& choice) const {
+  if (ejected(worker, choice.now)) {
+    return probes(worker, choice) ? -knobs_.probe_milliseconds : knobs_.probe_milliseconds;
+  }
+  const double cost = failures_->cost(static_cast<uint32_t>(worker.hash), choice.now);
+  return choice.request.repeatable ? cost : knobs_.once_failure_factor * cost;
+}
+
+bool WorkerSet::healthy(const ServingWorker& worker, const Choice& choice) const {
+  if (worker.avoided_until > choice.now) {
+    return false;
+  }
+  if (ejected(worker, choice.now)) {
+    // Probes don't wait for the pause after failed connections, which can last longer than the
+    // failure.
+    return probes(worker, choice);
+  }
+  if (worker.outcomes.paused(choice.now)) {
     return false;
   }
   return choice.request.repeatable || !worker.outcomes.suspect(choice.now);
@@ -466,7 +491,7 @@
   return request.tried != nullptr && request.tried->contains(worker.record.incarnation);
 }
 
-bool WorkerSet::any_healthy(const Choice& choice) {
+bool WorkerSet::any_healthy(const Choice& choice) const {
   return std::any_of(
       choice.service.workers.begin(), choice.service.workers.end(), [&](const WorkerPtr& worker) {
         return in_service(*worker) && !tried(*worker, choice.request) && healthy(*worker, choice);
@@ -530,6 +555,9 @@
   notable_changes_ += many || tokens >= knobs_.long_prompt_tokens ? 1 : 0;
   add_prefill(*worker, tokens);
   active_[worker->hash] = worker;
+  if (ejected(*worker, choice.now)) {
+    failures_->note_probe(static_cast<uint32_t>(worker->hash), choice.now);
+  }
   if (cold_start_limit::limited(worker->cold, choice.service.cold, choice.now)) {
     cold_limit_.note_sent(worker->cold, choice.service.cold, choice.now);
   }
@@ -587,6 +615,49 @@
   }
 }
 
+void WorkerSet::note_answer(const ServingWorker& worker, uint64_t content, answer_fault fault,
+                            MonotonicTime sent) {
+  if (failures_ == nullptr) {
+    return;
+  }
+  if (fault != answer_fault::kNone && on_failed_answer_) {
+    on_failed_answer_(worker.record.service, fault);
+  }
+  failures_->note({static_cast<uint32_t>(worker.hash), content_hash(worker.record.service), content,
+                   fault, sent},
+                  time_source_.monotonic_now());
+}
+
+void WorkerSet::note_answer_begun(const ServingWorker& worker, uint64_t content,
+                                  MonotonicTime sent) {
+  if (failures_ != nullptr && failures_->any()) {
+    failures_->note_begun({static_cast<uint32_t>(worker.hash), content_hash(worker.record.service),
+                           content, answer_fault::kNone, sent},
+                          time_source_.monotonic_now());
+  }
+}
+
+std::optional<worker_place> WorkerSet::place_of(uint64_t hash) const {
+  const auto found = by_hash_.find(hash);
+  if (found == by_hash_.end()) {
+    return std::nullopt;
+  }
+  const std::string& name = found->second->record.service;
+  const Service* service = find_service(name);
+  return worker_place{content_hash(name), service == nullptr ? 0 : service->workers.size()};
+}
+
+void WorkerSet::note_readmitted(uint64_t hash) {
+  if (const WorkerPtr worker = find_hash(hash)) {
+    outcome_times cleared;
+    cleared.succeeded = time_source_.monotonic_now();
+    worker->outcomes.merge(cleared);
+    if (on_slot_freed_) {
+      on_slot_freed_();
+    }
+  }
+}
+
 void WorkerSet::note_replaced(ServingWorker& worker) {
   worker.replaced = true;
   worker.avoided_until = time_source_.monotonic_now() + knobs_.outcomes.max_backoff;
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -15,6 +15,7 @@
 
 #include "chalkshed/batch_room.h"
 #include "chalkshed/cold_start_limit.h"
+#include "chalkshed/worker_failures.h"
 #include "chalkshed/worker_outcomes.h"
 #include "src/core/address.h"
 #include "src/core/lifetime.h"
@@ -185,6 +186,23 @@
   void note_failure(ServingWorker& worker, MonotonicTime sent);
   void note_replaced(ServingWorker& worker);  // another worker has its address
 
+  // Detects workers that fail more requests than others. Null: no worker is avoided for that.
+  void set_failures(worker_failures* failures) { failures_ = failures; }
+  bool detects_failures() const { return failures_ != nullptr; }
+  // Records for the detection how an answer ended, or that it has begun well.
+  // @param content the digest of the request. @param sent when the request was sent.
+  void note_answer(const ServingWorker& worker, uint64_t content, answer_fault fault,
+                   MonotonicTime sent);
+  void note_answer_begun(const ServingWorker& worker, uint64_t content, MonotonicTime sent);
+  // Called for each failed answer that note_answer() records.
+  void set_on_failed_answer(std::function<void(const std::string&, answer_fault)> callback) {
+    on_failed_answer_ = std::move(callback);
+  }
+  // @return the place of the worker with that hash, or nothing if it is unknown.
+  std::optional<worker_place> place_of(uint64_t hash) const;
+  // The worker with that hash has answered probes: earlier failures no longer hold requests back.
+  void note_readmitted(uint64_t hash);
+
   // Called whenever a slot of any worker becomes free or a worker is added.
   void set_on_slot_freed(std::function<void()> callback) { on_slot_freed_ = std::move(callback); }
   // Called whenever the number of this node's requests in flight changes.
@@ -256,11 +274,19 @@
   // Expected number of prompt tokens in the worker's prefix cache.
   double cached_tokens(const Choice& choice, const ServingWorker& worker) const;
   void add_prefill(ServingWorker& worker, double tokens);
-  static bool healthy(const ServingWorker& worker, const Choice& choice);
+  bool ejected(const ServingWorker& worker, MonotonicTime now) const {
+    return failures_ != nullptr && failures_->ejected(static_cast<uint32_t>(worker.hash), now);
+  }
+  // Whether the request may be a probe of that ejected worker. It must be repeatable, and must not
+  // be under suspicion of crashing workers.
+  bool probes(const ServingWorker& worker, const Choice& choice) const;
+  // Milliseconds added to the cost of the worker because of its failed answers.
+  double failure_cost(const ServingWorker& worker, const Choice& choice) const;
+  bool healthy(const ServingWorker& worker, const Choice& choice) const;
   static bool tried(const ServingWorker& worker, const SlotRequest& request);
   // Whether a healthy worker exists that the request was not sent to yet, with or without a free
   // slot.
-  static bool any_healthy(const Choice& choice);
+  bool any_healthy(const Choice& choice) const;
   WorkerPtr choose(const Choice& choice, bool ignore_failures);
   // The sort key of a worker; the lowest is selected. @param cost in milliseconds.
   double rank_of(const ServingWorker& worker, double cost);
@@ -297,6 +323,8 @@
   uint64_t slots_acquired_ = 0;
   std::function<void()> on_slot_freed_;
   std::function<void()> on_load_changed_;
+  worker_failures* failures_ = nullptr;
+  std::function<void(const std::string&, answer_fault)> on_failed_answer_;
   Lifetime lifetime_;
 };
 
