A probe that no worker ran does not count as one

Found with tests in virtual time: such an item is listed within 1.2 s of the end of its retention, of a release by an operator, and of an answered probe; until then docs/design/quarantine.md says that it waits and that its job stays open. The one moment at which it could be listed and was not: a worker that refused the probe (503 or 421, not run) made the next one wait another 15 s (15.7 s until the listing, 2 minutes after a failed probe). The refusal now does not count, and the item is listed within 1.2 s.

--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -111,6 +111,8 @@
     /** A run starts or finishes on this node, whatever its result. */
     void note_started(uint64_t digest, MonotonicTime now);
     void note_finished(uint64_t digest);
+    /** The run that started last was refused by its worker: it was no probe. */
+    void note_refused(uint64_t digest);
     /** Records a run that was lost here or that a peer reported. \return Whether it was new. */
     bool note_broken(const broken_run &run);
     /** Updates run.weak after it has become known whether other runs were lost at the same time. */
--- a/include/chalkshed/request_quarantine.h
+++ b/include/chalkshed/request_quarantine.h
@@ -87,6 +87,10 @@
      * its result. It may be invoked after this object is destroyed, since runs are destroyed in a
      * later iteration of the event loop. */
     std::function<void()> note_started(uint64_t digest);
+    /** A worker refused a run that was noted as started. */
+    void note_refused(uint64_t digest) {
+        evidence_.note_refused(digest);
+    }
     /** \param sent When the run was sent to the worker.
      * \param silent The worker stopped responding while its connection stayed open: most such
      * workers are busy. */
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -40,6 +40,13 @@
     }
 }
 
+void crash_evidence::note_refused(uint64_t digest) {
+    const auto found = contents_.find(digest);
+    if (found != contents_.end()) {
+        found->second.last_probe = {};
+    }
+}
+
 bool crash_evidence::note_broken(const broken_run &run) {
     if (!contents_.contains(run.digest)) {
         evict_if_full();
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -149,6 +149,9 @@
   if (std::exchange(ended_, true)) {
     return;
   }
+  if (result == AttemptResult::kNotRun) {
+    quarantine_.note_refused(request_.digest);
+  }
   end_run();
   end_.result = result;
   end_.reason = std::move(reason);
