--- a/tests/soak/fleet/deployment.cc
+++ b/tests/soak/fleet/deployment.cc
@@ -516,6 +516,7 @@
     constexpr double kMaxFatalPerMinute = 6000;
     fields.whole("fatal_contents", callers.fatal_contents, 0, kMaxFatal);
     fields.number("fatal_per_minute", callers.fatal_per_minute, 0, kMaxFatalPerMinute);
+    fields.percent("fatal_items_percent", callers.fatal_items_percent);
     fields.finish();
     if (callers.end_soon_percent + callers.end_unseen_percent > 100) {
         fields.problem("end_unseen_percent", "more than all jobs are ended",
--- a/tests/soak/fleet/deployment.h
+++ b/tests/soak/fleet/deployment.h
@@ -92,6 +92,9 @@
      * often each of them is sent. */
     uint64_t fatal_contents = 0;
     double fatal_per_minute = 60;
+    /** Items whose content terminates every worker that starts it; each has a content of its own.
+     */
+    uint64_t fatal_items_percent = 0;
 };
 
 /** A kind of fault and how often it is injected. */
--- a/tests/soak/fleet/expected_answers.cc
+++ b/tests/soak/fleet/expected_answers.cc
@@ -91,6 +91,10 @@
     return std::string(kFatalPrefix) + std::to_string(caller) + "-" + std::to_string(number);
 }
 
+std::string fatal_item_body(const std::string &item, uint64_t length) {
+    return std::string(kFatalPrefix) + item + request_body(item, length);
+}
+
 bool is_fatal(const std::string &body) {
     return body.starts_with(kFatalPrefix);
 }
--- a/tests/soak/fleet/expected_answers.h
+++ b/tests/soak/fleet/expected_answers.h
@@ -40,6 +40,7 @@
 std::string plain_body(const std::string &id);
 /** A request body that terminates every worker that starts it. */
 std::string fatal_body(uint64_t caller, uint64_t number);
+std::string fatal_item_body(const std::string &item, uint64_t length);
 bool is_fatal(const std::string &body);
 
 /** A request body of pseudo-random bytes of all values, different for each id. */
--- a/tests/soak/fleet/history.cc
+++ b/tests/soak/fleet/history.cc
@@ -198,6 +198,10 @@
     jobs[entry.job].listed.push_back(&entry);
 }
 
+void run_history::add(const item_body &entry) {
+    jobs[entry.job].bodies.push_back(&entry);
+}
+
 void run_history::add(const run_begin &entry) {
     runs.push_back(&entry);
 }
--- a/tests/soak/fleet/history.h
+++ b/tests/soak/fleet/history.h
@@ -58,6 +58,7 @@
     std::vector<const end_answer *> end_answers;
     std::vector<const listed_item *> listed;
     std::vector<const run_begin *> runs; // of all its items
+    std::vector<const item_body *> bodies;
 
     /** The number of distinct items over all sends. */
     uint64_t items = 0;
@@ -118,6 +119,7 @@
     void add(const end_send &entry);
     void add(const end_answer &entry);
     void add(const listed_item &entry);
+    void add(const item_body &entry);
     void add(const run_begin &entry);
     void add(const run_end &entry);
     void add(const node_start &entry);
--- a/tests/soak/fleet/job_load.h
+++ b/tests/soak/fleet/job_load.h
@@ -41,6 +41,8 @@
         bool end_acknowledged = false;
         bool read = false; // its results are being read
         uint64_t listed = 0;
+        /** Items that crash their workers and are not listed in the time of a run. */
+        uint64_t fatal_items = 0;
     };
     using job_ptr = std::shared_ptr<job>;
     using answer_handler = std::function<void(const call_result &)>;
@@ -57,6 +59,8 @@
     void send_end(const job_ptr &target, uint64_t node, int tries);
     void handle_end(const job_ptr &target, uint64_t node, int tries, int status);
     void read(const job_ptr &target);
+    /** Reads the body of a random item. */
+    void read_body(const job_ptr &target);
     void record_page(const job_ptr &target, uint64_t from, const call_result &result);
     /** Calls a node on a new connection. */
     void call(uint64_t node, const HttpRequest &request, Duration limit,
--- a/tests/soak_fleet/checks_test.cc
+++ b/tests/soak_fleet/checks_test.cc
@@ -541,6 +541,34 @@
     expect_found(check_kind::kCompleteJob, 1);
 }
 
+// Items that crash their workers.
+
+TEST_F(fleet_checks, an_item_that_ends_workers_need_not_be_listed_and_the_others_must) {
+    std::erase_if(records_, [](const record &entry) {
+        const auto *listed = std::get_if<listed_item>(&entry);
+        return listed != nullptr && listed->item == "j-done-0";
+    });
+    const carried_message fatal = items_of("j-done").front().message;
+    add(fatal_end{at(13'000), "w-1", "j-done-0", fatal.body_digest});
+    expect_found(check_kind::kCompleteJob, 0);
+    std::erase_if(records_, [](const record &entry) {
+        const auto *listed = std::get_if<listed_item>(&entry);
+        return listed != nullptr && listed->item == "j-done-1";
+    });
+    expect_found(check_kind::kCompleteJob, 1);
+}
+
+TEST_F(fleet_checks, a_body_that_is_returned_as_sent_is_no_violation) {
+    add(item_body{at(13'000), "j-done", "n-1", "j-done-0",
+                  items_of("j-done").front().message.body_digest});
+    expect_found(check_kind::kUnaltered, 0);
+}
+
+TEST_F(fleet_checks, a_body_that_is_returned_altered_is_found) {
+    add(item_body{at(13'000), "j-done", "n-1", "j-done-0", "another"});
+    expect_found(check_kind::kUnaltered, 1);
+}
+
 // Leaving workers.
 
 TEST_F(fleet_checks, a_run_at_a_worker_beyond_its_leave_is_found) {
