--- a/tests/quarantine/submitted_items.h
+++ b/tests/quarantine/submitted_items.h
@@ -160,7 +160,7 @@
         std::string text = message.method + " " + message.path + "?" + message.query +
                            (message.has_empty_query ? "?" : "") + "\n";
         for (const auto &[name, value] : headers) {
-            text += name + ": " + value + "\n";
+            text.append(name).append(": ").append(value).append("\n");
         }
         return text + "\n" + message.body;
     }
@@ -200,7 +200,7 @@
         request.path = path;
         request.query = query;
         request.headers = {{"Host", "a.example"}, {platform::kRequestId, "reader"}};
-        const SeenAnswerPtr seen = call(node, request);
+        SeenAnswerPtr seen = call(node, request);
         fleet_.cluster.clock.run_for(milliseconds(40));
         return seen;
     }
