Batch items avoid a worker after its second failure; worker faults in the fleet soak

Cause: in a soak of five nodes a worker that answers 500 at once failed 24 contents of jobs before it was ejected, because a job starts many items and such a worker has a free slot for each. Now batch items avoid a worker for 250 ms after its second failure and each further one. Ruled out: a shorter settling time, since peers need it to report their successes. The fleet soak gains worker_fail, worker_wrong and worker_flap, the setting contracts, and a check of the nodes' log lines that no undisturbed worker is ejected for more than 2 s.

--- a/include/chalkshed/worker_failures.h
+++ b/include/chalkshed/worker_failures.h
@@ -59,6 +59,9 @@
     double cost_milliseconds = 15;
     double max_cost_milliseconds = 240;
     Duration cost_lifetime = std::chrono::milliseconds(1500);
+    /** After its second failure and each further one, a worker gets no batch items for this long:
+     * a node starts many of them at once, and a worker that fails at once has slots for all. */
+    Duration batch_pause = std::chrono::milliseconds(250);
     /** Time from an ejection to the first probe, and between probes after a success, after a
      * failure, and while the previous one has no result. */
     Duration first_probe = std::chrono::milliseconds(200);
@@ -150,6 +153,9 @@
     /** Milliseconds to be added to the cost of a worker because of its recent failures. */
     double cost(uint32_t worker, MonotonicTime now) const;
 
+    /** Whether batch items should go to other workers for now. */
+    bool pauses_batch(uint32_t worker, MonotonicTime now) const;
+
     /** Whether any worker has recent failures or is ejected. */
     bool any() const {
         return !suspects_.empty();
--- a/src/outliers/worker_failures.cc
+++ b/src/outliers/worker_failures.cc
@@ -371,6 +371,11 @@
                     knobs_.max_cost_milliseconds);
 }
 
+bool worker_failures::pauses_batch(uint32_t worker, MonotonicTime now) const {
+    const worker_record *record = suspects_.contains(worker) ? find(worker) : nullptr;
+    return record != nullptr && record->counted >= 2 && now - record->newest <= knobs_.batch_pause;
+}
+
 bool worker_failures::under_review(uint32_t worker, MonotonicTime now) const {
     const worker_record *record = find(worker);
     return record != nullptr && record->raw >= 2 && now - record->newest <= knobs_.window;
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -481,7 +481,10 @@
     // failure.
     return probes(worker, choice);
   }
-  if (worker.outcomes.paused(choice.now)) {
+  const bool batch = choice.request.work == WorkClass::kBatch;
+  if (worker.outcomes.paused(choice.now) ||
+      (batch && failures_ != nullptr &&
+       failures_->pauses_batch(static_cast<uint32_t>(worker.hash), choice.now))) {
     return false;
   }
   return choice.request.repeatable || !worker.outcomes.suspect(choice.now);
--- a/tests/outliers/failure_exchange_test.cc
+++ b/tests/outliers/failure_exchange_test.cc
@@ -148,6 +148,19 @@
     EXPECT_EQ(datagrams.sent.size(), sent);
 }
 
+// Guards against a job whose items all fail at one worker within milliseconds.
+TEST_F(FailureExchange, KeepsBatchItemsFromAWorkerThatFailsTwice) {
+    answer(0, 1, answer_fault::kStatus);
+    answer(0, 2, answer_fault::kStatus);
+    const SlotRequest item{.service = "engines", .work = WorkClass::kBatch, .repeatable = true};
+    std::vector<WorkerSlotPtr> held;
+    while (WorkerSlotPtr slot = workers.acquire_slot(item)) {
+        EXPECT_NE(slot->worker().record.incarnation, "i-0");
+        held.push_back(std::move(slot));
+    }
+    EXPECT_GT(held.size(), 0U);
+}
+
 class EjectedWorker : public FailureExchange {
 protected:
     EjectedWorker() {
--- a/tests/outliers/worker_failures_test.cc
+++ b/tests/outliers/worker_failures_test.cc
@@ -232,6 +232,18 @@
     EXPECT_FALSE(failures.any());
 }
 
+// A job starts many items at once; they must not all fail before the peers' successes are known.
+TEST_F(WorkerFailures, PauseBatchAfterTheSecondFailure) {
+    serve_elsewhere();
+    fail(1, 1);
+    EXPECT_FALSE(failures.pauses_batch(1, now));
+    fail(1, 2);
+    EXPECT_TRUE(failures.pauses_batch(1, now));
+    EXPECT_FALSE(failures.pauses_batch(2, now));
+    pass(milliseconds(300));
+    EXPECT_FALSE(failures.pauses_batch(1, now));
+}
+
 TEST_F(WorkerFailures, ReadmitAWorkerThatAnswersTwoProbes) {
     eject_first();
     EXPECT_FALSE(failures.may_probe(1, false, now));
--- a/tests/soak/fleet/coordinator.cc
+++ b/tests/soak/fleet/coordinator.cc
@@ -205,6 +205,13 @@
     node.store = options_.role.layout.store();
     node.settings =
         "bounds.cancel_ms=" + std::to_string(to_milliseconds(plan.bounds.ended_job)) + "\n";
+    if (!plan.contracts.empty()) {
+        std::string listed;
+        for (const std::string &contract : plan.contracts) {
+            listed += (listed.empty() ? "" : ",") + contract;
+        }
+        node.settings += "contracts=" + listed + "\n";
+    }
     node.log_level = options_.log_level;
     node.preload = executable_folder() + "/" + kSourceLibrary;
     nodes_.push_back(std::make_unique<node_process>(std::move(node)));
--- a/tests/soak/fleet/deployment.cc
+++ b/tests/soak/fleet/deployment.cc
@@ -371,6 +371,7 @@
     top_.require("zones", "write zones = [\"zone-a\"] or more of them");
     top_.whole("nodes", result_.nodes, 1, kMaxNodes);
     top_.require("nodes", "write how many node processes run");
+    top_.texts("contracts", result_.contracts);
     top_.whole("worker_processes", result_.worker_processes, 1, kMaxProcesses);
     table_reader run = section("run");
     run.time("length_s", result_.length, seconds(1), 1, kMaxSeconds);
@@ -610,7 +611,7 @@
         "node_replace", "node_upgrade",       "node_upgrade_all", "store_refuse", "store_slow",
         "store_cut",    "store_lose_answers", "store_late",       "store_forget", "worker_kill",
         "worker_rack",  "worker_leave",       "worker_break",     "worker_mute",  "worker_refuse",
-        "route_move"};
+        "worker_fail",  "worker_wrong",       "worker_flap",      "route_move"};
     return kKinds;
 }
 
--- a/tests/soak/fleet/deployment.h
+++ b/tests/soak/fleet/deployment.h
@@ -122,6 +122,8 @@
     std::vector<std::string> zones;
     /** Node processes, assigned to the zones round-robin. */
     uint64_t nodes = 0;
+    /** Entries of `contracts=` in the settings of the nodes, such as "health". */
+    std::vector<std::string> contracts;
     /** Processes that emulate the workers. */
     uint64_t worker_processes = 1;
     /** The latency of the store's answers. */
--- a/tests/soak/fleet/fleet_main.cc
+++ b/tests/soak/fleet/fleet_main.cc
@@ -5,7 +5,9 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 
+#include "src/event/system_time_source.h"
 #include "tests/soak/fleet/caller_role.h"
+#include "tests/soak/fleet/ejections.h"
 #include "tests/soak/fleet/store_role.h"
 #include "tests/soak/fleet/worker_role.h"
 
@@ -39,6 +41,12 @@
     return 0;
 }
 
+/** Log lines have the wall-clock time, records the monotonic time. */
+Duration wall_offset() {
+    const SystemTimeSource source;
+    return source.wall_now().time_since_epoch() - source.monotonic_now().time_since_epoch();
+}
+
 int report(const coordinator &run, const fleet_arguments &arguments, const deployment &plan) {
     const Expected<std::vector<record>> records = read_records(arguments.folder);
     if (!records) {
@@ -46,6 +54,10 @@
         return kInvalid;
     }
     const check_report checked = check_records(*records, plan);
+    const ejection_check ejections = check_ejections(arguments.folder, *records, wall_offset());
+    for (const std::string &violation : ejections.violations) {
+        std::cout << "violation: " << violation << '\n';
+    }
     for (const std::string &failure : run.node_failures()) {
         std::cout << "violation: " << failure << '\n';
     }
@@ -53,6 +65,10 @@
                                 {"faults", run.faults()},
                                 {"starts", run.starts()},
                                 {"store_calls", nlohmann::json::parse(run.store_calls())},
+                                {"ejections", ejections.ejections},
+                                {"ejections_of_healthy", ejections.of_healthy_workers},
+                                {"longest_of_healthy_ms",
+                                 ejections.longest_of_healthy / std::chrono::milliseconds(1)},
                                 {"node_failures", run.node_failures().size()},
                                 {"first_memory_mb", run.first_memory_mb()},
                                 {"last_memory_mb", run.last_memory_mb()}}
@@ -62,7 +78,9 @@
     if (!checked.invalid.empty()) {
         return kInvalid;
     }
-    return checked.passed() && run.node_failures().empty() ? 0 : kViolated;
+    return checked.passed() && ejections.violations.empty() && run.node_failures().empty()
+               ? 0
+               : kViolated;
 }
 
 bool upgrades(const deployment &plan) {
--- a/tests/soak/fleet/fleet_worker.cc
+++ b/tests/soak/fleet/fleet_worker.cc
@@ -132,7 +132,9 @@
     });
     const Duration until_first =
         process_.random_duration(service_.first_event / 2, service_.first_event * 3 / 2);
-    if (!process_.chance(faults.mute)) {
+    if (faults.failing > 0 || faults.wrong > 0) {
+        added->timer->enable(milliseconds(2));
+    } else if (!process_.chance(faults.mute)) {
         added->timer->enable(until_first);
     } else if (process_.chance(50)) {
         added->timer->enable(kMuteDuration);
@@ -170,7 +172,22 @@
                                         std::to_string(service_.slots)}};
 }
 
+bool fleet_worker::answer_wrongly(const run_ptr &current) {
+    if (process_.chance(faults.failing)) {
+        current->answer->respond({kFailedStatus, response_headers(*current), "no"});
+    } else if (process_.chance(faults.wrong)) {
+        current->answer->respond({200, {{platform::kRequestId, current->id}}, "no"});
+    } else {
+        return false;
+    }
+    end(current, run_outcome::kFailed);
+    return true;
+}
+
 void fleet_worker::begin_answer(const run_ptr &current) {
+    if (answer_wrongly(current)) {
+        return;
+    }
     const run_fate fate = fate_of_run(current->id);
     if (fate != run_fate::kCompletes) {
         const int status = fate == run_fate::kFails ? kFailedStatus : kImpossibleStatus;
--- a/tests/soak/fleet/fleet_worker.h
+++ b/tests/soak/fleet/fleet_worker.h
@@ -23,6 +23,10 @@
     uint64_t refused = 0;
     /** Started, and answered seconds later or never. */
     uint64_t mute = 0;
+    /** Answered with status 500 at once. */
+    uint64_t failing = 0;
+    /** Answered without the proof of origin. */
+    uint64_t wrong = 0;
 };
 
 class fleet_worker : private wire_handler {
@@ -85,6 +89,8 @@
     void begin(const run_ptr &added);
     void schedule_crash_by(const run &fatal);
     void begin_queued();
+    /** Answers with a failure if one of the faults says so. \return Whether it did. */
+    bool answer_wrongly(const run_ptr &current);
     void begin_answer(const run_ptr &current);
     bool is_stream(const run &current) const;
     uint64_t events_of(const run &current) const;
--- a/tests/soak/fleet/worker_role.cc
+++ b/tests/soak/fleet/worker_role.cc
@@ -34,6 +34,9 @@
             {"worker_break", [&] { break_answers(length); }},
             {"worker_refuse", [&] { refuse(length); }},
             {"worker_mute", [&] { mute(length); }},
+            {"worker_fail", [&] { fail_answers(length); }},
+            {"worker_wrong", [&] { answer_wrongly(length); }},
+            {"worker_flap", [&] { fail_by_turns(length); }},
             {"worker_leave", [&] { drain_and_stop(); }},
             {"worker_kill", [&] { crash(); }},
             {"worker_rack", [&] { crash_rack(); }},
@@ -154,6 +157,35 @@
     }
 }
 
+/** Fails all requests, or 45 of 100. */
+void worker_role::fail_answers(Duration length) {
+    if (fleet_worker *worker = pick_serving_worker()) {
+        record_disturbance(*worker, "worker_fail", length);
+        worker->faults.failing = process_.chance(50) ? 100 : 45;
+        process_.run_after(length, [worker] { worker->faults.failing = 0; });
+    }
+}
+
+void worker_role::answer_wrongly(Duration length) {
+    if (fleet_worker *worker = pick_serving_worker()) {
+        record_disturbance(*worker, "worker_wrong", length);
+        worker->faults.wrong = 100;
+        process_.run_after(length, [worker] { worker->faults.wrong = 0; });
+    }
+}
+
+void worker_role::fail_by_turns(Duration length) {
+    constexpr Duration kTurn = milliseconds(1400);
+    if (fleet_worker *worker = pick_serving_worker()) {
+        record_disturbance(*worker, "worker_flap", length);
+        for (Duration at{0}; at < length; at += 2 * kTurn) {
+            process_.run_after(at, [worker] { worker->faults.failing = 100; });
+            process_.run_after(std::min(at + kTurn, length),
+                               [worker] { worker->faults.failing = 0; });
+        }
+    }
+}
+
 /** Registers a replacement, marks the worker as draining, and stops it after kDrainTime. */
 void worker_role::drain_and_stop() {
     fleet_worker *worker = pick_serving_worker();
--- a/tests/soak/fleet/worker_role.h
+++ b/tests/soak/fleet/worker_role.h
@@ -40,6 +40,9 @@
     void break_answers(Duration length);
     void refuse(Duration length);
     void mute(Duration length);
+    void fail_answers(Duration length);
+    void answer_wrongly(Duration length);
+    void fail_by_turns(Duration length);
     void drain_and_stop();
     void crash();
     void crash_rack();
