Learn the speed of each worker from its answers, at all nodes together

Cause: the choice of a worker took all workers for equally fast. Workers may now report, as a fourth load figure, how long work takes there at present; such workers run on shared machines of unequal speed.

A node compares the time between events (whole answers of plain workers, first events where an answer has too few) with what the service takes at the same number of running requests, corrected by the reported slowdown. Samples travel in heartbeats; relays add them up by zone and repeat the sums, so that a lost datagram leaves no error. Only fields are added to the datagrams, and none if there is nothing to tell. Workers that report three figures have speed 1 exactly, and the ranking is as before.

Ruled out: means of each node alone (a node sees one answer per worker in ten seconds); shares of the time to the first event where gaps are known (cached prefixes and queues distort it).

--- a/apps/chalkshed_choice_bench_main.cc
+++ b/apps/chalkshed_choice_bench_main.cc
@@ -39,7 +39,8 @@
   return took.count() / kRounds;
 }
 
-void measure(int worker_count) {
+// @param with_speeds whether the workers report slowdowns, so that their speeds are learned.
+void measure(int worker_count, bool with_speeds) {
   VirtualClock clock;
   SeededRandomGenerator random(7);
   WorkerSet workers(clock, random, "zone-0");
@@ -49,7 +50,13 @@
     workers.update(record);
     hashes.push_back(workers.find(record.incarnation)->hash);
   }
-  clock.run_for(std::chrono::seconds(2));
+  for (const auto& [name, worker] : workers.workers()) {
+    if (with_speeds) {
+      workers.note_report(*worker, {0, 0, kSlots, 1.5});
+    }
+  }
+  // The reports must still count in the choice.
+  clock.run_for(with_speeds ? std::chrono::milliseconds(20) : std::chrono::seconds(2));
   const double load = time_calls([&](int round) {
     const uint64_t worker = hashes[static_cast<size_t>(round) % hashes.size()];
     workers.add_peer_load(worker, 1, 0);
@@ -59,6 +66,7 @@
   request.service = "engines";
   const double choice = time_calls([&](int /*round*/) { workers.acquire_slot(request); });
   std::cout << nlohmann::json{{"workers", worker_count},
+                              {"speeds", with_speeds},
                               {"load_ns", load / 2},
                               {"choice_ns", choice}}
                    .dump()
@@ -69,8 +77,9 @@
 }  // namespace chalkshed
 
 int main() {
-  for (const int worker_count : {100, 1000, 3000, 10000}) {
-    chalkshed::measure(worker_count);
+  for (const int worker_count : {100, 300, 1000, 3000, 10000}) {
+    chalkshed::measure(worker_count, false);
+    chalkshed::measure(worker_count, true);
   }
   return 0;
 }
--- a/include/chalkshed/load_digest.h
+++ b/include/chalkshed/load_digest.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "chalkshed/worker_speed.h"
 #include "src/peers/heartbeat.h"
 #include "src/platform/watched_store.h"
 
@@ -50,6 +51,9 @@
     /** Newest store version that the relay has seen. */
     StoreVersion store_version = 0;
     KnownVersions known;
+    /** What the relay knows of the samples of all nodes, or of those of its zone if `zone_sum`;
+     * only some workers at a time. */
+    std::vector<worker_speed_entry> speeds;
 };
 
 std::string encode_load_digest(const load_digest &digest);
--- a/include/chalkshed/load_relay.h
+++ b/include/chalkshed/load_relay.h
@@ -26,6 +26,7 @@
 
 #include "chalkshed/load_digest.h"
 #include "chalkshed/relay_choice.h"
+#include "chalkshed/speed_sums.h"
 #include "src/core/address.h"
 #include "src/core/dispatcher.h"
 #include "src/core/lifetime.h"
@@ -60,6 +61,8 @@
     /** A digest of this many entries and sessions fits into a datagram. */
     size_t max_entries = 100;
     size_t max_lapsed = 24;
+    /** Speeds of workers in a digest. Together with the loads they have to fit into a datagram. */
+    size_t max_speeds = 8;
 };
 
 /** Converts the loads of a heartbeat to digest entries. */
@@ -149,6 +152,8 @@
     Duration digest_interval() const;
     /** Takes in the load reported by a node of this zone. */
     void collect(const std::string &node, const std::vector<PeerWorkerLoad> &loads);
+    /** Takes in samples of workers' speeds, of a node of this zone or of this node. */
+    void collect_speeds(const std::vector<worker_speed_entry> &speeds);
     /** \return Whether the datagram was a digest. */
     bool receive(std::string_view datagram);
     /** Whether a relay has recently reported that the session has lapsed. */
@@ -177,9 +182,12 @@
     void forget(zone_source &source);
     bool first_relay_is_silent() const;
     void send_digests();
-    void send_views();
+    void send_views(const std::vector<worker_speed_entry> &speeds);
     void send_zone_sum();
     load_digest make_digest(bool zone_sum);
+    /** The speeds for the next views. At a relay that has known the samples of other nodes for a
+     * short time only, what it knew before counts. */
+    std::vector<worker_speed_entry> next_speeds();
     /** The load of all nodes including this one, as far as known. */
     std::vector<digest_entry> all_entries() const;
     /** The load of this node's zone only. */
@@ -224,6 +232,8 @@
     std::unordered_map<uint32_t, uint16_t> other_zone_prompts_;
     /** Sum of `collected_`. */
     summed_loads zone_loads_;
+    /** At a relay: samples of workers' speeds from all nodes. */
+    speed_sums speeds_;
     /** Number of datagrams of the last view that was sent. */
     size_t view_pages_ = 1;
     std::function<KnownVersions()> own_versions_;
--- a/src/load_relay/load_digest.cc
+++ b/src/load_relay/load_digest.cc
@@ -3,8 +3,18 @@
 #include <algorithm>
 
 #include "src/load_relay/load_digest_generated.h"
+#include "src/transport/peer_transport.h"
+#include "src/worker_speed/speed_wire.h"
 
 namespace chalkshed {
+namespace {
+
+// Sizes in a datagram. The head is everything but the lists and the session's name.
+constexpr size_t kHeadBytes = 130;
+constexpr size_t kBytesOfEntry = 8;
+constexpr size_t kBytesOfLapsed = 8;
+
+} // namespace
 
 std::string encode_load_digest(const load_digest &digest) {
     flatbuffers::FlatBufferBuilder builder;
@@ -16,10 +26,14 @@
     const auto session = builder.CreateString(digest.session);
     const auto packed = builder.CreateVectorOfStructs(entries);
     const auto lapsed = builder.CreateVector(digest.lapsed.value_or(std::vector<uint64_t>{}));
+    const auto speeds =
+        digest.speeds.empty()
+            ? 0
+            : builder.CreateVectorOfStructs(to_wire<wire::DigestSpeedEntry>(digest.speeds));
     builder.Finish(wire::CreateLoadDigest(builder, session, digest.sequence, digest.zone_sum,
                                           digest.first, digest.last, packed,
                                           digest.lapsed.has_value(), lapsed, digest.store_version,
-                                          digest.known.configuration, digest.known.workers),
+                                          digest.known.configuration, digest.known.workers, speeds),
                    wire::LoadDigestIdentifier());
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
@@ -45,6 +59,7 @@
                 {entry->worker(), entry->online(), entry->batch(), entry->prompt_units()});
         }
     }
+    digest.speeds = from_wire(message->speeds());
     if (message->has_lapsed()) {
         digest.lapsed.emplace();
         if (message->lapsed() != nullptr) {
@@ -56,6 +71,7 @@
 
 std::vector<load_digest> split_digest(load_digest whole, size_t max_entries) {
     const std::vector<digest_entry> entries = std::move(whole.entries);
+    const std::vector<worker_speed_entry> speeds = std::exchange(whole.speeds, {});
     std::vector<load_digest> pages;
     size_t at = 0;
     uint32_t first = whole.first;
@@ -71,6 +87,14 @@
         pages.push_back(std::move(page));
         whole.lapsed.reset();
     } while (at < entries.size());
+    // The last page has the most room. Speeds that do not fit are sent with later samples.
+    load_digest &last = pages.back();
+    const size_t used = kHeadBytes + last.session.size() + kBytesOfEntry * last.entries.size() +
+                        kBytesOfLapsed * (last.lapsed ? last.lapsed->size() : 0);
+    const size_t room = DatagramTransport::kMaxDatagramBytes -
+                        std::min<size_t>(used, DatagramTransport::kMaxDatagramBytes);
+    last.speeds.assign(speeds.begin(), speeds.begin() + static_cast<ptrdiff_t>(std::min(
+                                                            speeds.size(), room / kBytesOfSpeed)));
     return pages;
 }
 
--- a/src/load_relay/load_relay.cc
+++ b/src/load_relay/load_relay.cc
@@ -147,6 +147,7 @@
     forget(view_);
     zone_prompts_.clear();
     other_zone_prompts_.clear();
+    speeds_.clear();
 }
 
 void load_relay::expire_silent() {
@@ -171,6 +172,10 @@
     known.add_prompts(workers_, entries, &zone_prompts_);
 }
 
+void load_relay::collect_speeds(const std::vector<worker_speed_entry> &speeds) {
+    speeds_.add(speeds, time_source_.monotonic_now());
+}
+
 // Two relays may send at the same time. Loads are taken from the newest digest of either; prompts
 // are counted from one relay only, so that none counts twice.
 void load_relay::apply(zone_source &source, const load_digest &digest) {
@@ -217,10 +222,14 @@
                 view_interval_.observe(std::chrono::duration<double>(now - view_.heard).count());
             }
             apply(view_, *digest);
+            for (const worker_speed_entry &speed : digest->speeds) {
+                workers_.set_shared_speed(speed);
+            }
             view_informed_ = digest->known.workers > 0;
         }
     } else if (!own_zone && digest->zone_sum && relaying()) {
         apply(zones_[sender->zone], *digest);
+        speeds_.replace(sender->zone, digest->speeds, now);
     }
     return true;
 }
@@ -267,12 +276,26 @@
         return;
     }
     timer_->enable(digest_interval());
+    const std::vector<worker_speed_entry> speeds = next_speeds();
     if (rank_ == 0 || first_relay_is_silent()) {
-        send_views();
+        send_views(speeds);
         send_zone_sum();
     }
 }
 
+std::vector<worker_speed_entry> load_relay::next_speeds() {
+    std::vector<worker_speed_entry> speeds =
+        speeds_.next_of_all(knobs_.max_speeds, time_source_.monotonic_now());
+    for (worker_speed_entry &speed : speeds) {
+        workers_.set_shared_speed(speed);
+        const speed_samples known = workers_.known_speed(speed.worker);
+        if (known.weight > speed.samples.weight) {
+            speed.samples = known;
+        }
+    }
+    return speeds;
+}
+
 load_digest load_relay::make_digest(bool zone_sum) {
     load_digest digest;
     digest.session = own_.session;
@@ -361,7 +384,7 @@
     }
 }
 
-void load_relay::send_views() {
+void load_relay::send_views(const std::vector<worker_speed_entry> &speeds) {
     static const reported_loads kNoLoads;
     const std::vector<digest_entry> all = all_entries();
     view_pages_ = all.size() / knobs_.max_entries + 1;
@@ -371,6 +394,7 @@
         }
         const auto reported = collected_.find(peer.node);
         load_digest view = make_digest(false);
+        view.speeds = speeds;
         view.entries = without(all, reported == collected_.end() ? kNoLoads : reported->second);
         send({peer.address}, std::move(view));
     }
@@ -394,6 +418,7 @@
     }
     load_digest sum = make_digest(true);
     sum.entries = zone_entries();
+    sum.speeds = speeds_.next_of_zone(knobs_.max_speeds, time_source_.monotonic_now());
     send(receivers, std::move(sum));
 }
 
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -132,6 +132,7 @@
            run_turns_.receive(datagram);
   });
   connect_quarantine();
+  connect_speeds();
   workers_.set_own_rank(
       [this](const std::string& worker) { return peers_.announced_rank(worker); });
   route_table_.set_on_missed(
@@ -168,6 +169,41 @@
   run_turns_.set_on_granted([this] { schedule_placement(); });
 }
 
+void ServingNode::connect_speeds() {
+  workers_.set_on_speed_changed([this](const ServingWorker& worker, double before) {
+    const auto text = [](double speed) { return std::to_string(speed).substr(0, 4); };
+    dependencies_.logger.write(LogLevel::kInfo, "worker_speed_changed",
+                               {{"worker", worker.record.incarnation},
+                                {"service", worker.record.service},
+                                {"speed", text(worker.speed.speed())},
+                                {"before", before > 0 ? text(before) : "unknown"}});
+    constexpr Duration kGaugeInterval = std::chrono::seconds(1);
+    if (services_with_new_speeds_.empty()) {
+      call_after(dependencies_.dispatcher, kGaugeInterval,
+                 lifetime_.guard([this] { update_speed_gauges(); }));
+    }
+    services_with_new_speeds_.insert(worker.record.service);
+  });
+}
+
+void ServingNode::update_speed_gauges() {
+  for (const std::string& service : std::exchange(services_with_new_speeds_, {})) {
+    const std::optional<WorkerSet::SpeedSpread> spread = workers_.speed_spread(service);
+    const auto set = [&](const char* which, double speed) {
+      dependencies_.metrics
+          .gauge("chalkshed_worker_speed",
+                 "Learned speeds of a service's workers, relative to the service.",
+                 {{"service", service}, {"which", which}})
+          .set(speed);
+    };
+    if (spread) {
+      set("lowest", spread->lowest);
+      set("median", spread->median);
+      set("highest", spread->highest);
+    }
+  }
+}
+
 // PeerExchange reports its peers only after the node table has been listed, so the first report
 // means that the listing is complete.
 void ServingNode::note_nodes_listed() {
@@ -258,6 +294,7 @@
 ServingNode::~ServingNode() {
   workers_.set_on_slot_freed(nullptr);
   workers_.set_on_load_changed(nullptr);
+  workers_.set_on_speed_changed(nullptr);
 }
 
 void ServingNode::start() {
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
 
 #include "chalkshed/caller_identity.h"
@@ -160,6 +161,9 @@
   void connect_quarantine();
   copy_source worker_copy_source() const;
   void note_nodes_listed();
+  // Tells operators of learned speeds: a log line at once, gauges at most once per second.
+  void connect_speeds();
+  void update_speed_gauges();
   // Applies the limits on cold workers from the configuration.
   void set_cold_starts();
 
@@ -199,6 +203,7 @@
   MonotonicTime started_{};
   bool nodes_listed_ = false;
   bool placement_scheduled_ = false;
+  std::set<std::string> services_with_new_speeds_;
   bool draining_ = false;
   bool jobs_drained_ = false;
   bool withdrawn_ = false;  // peers no longer need to wait for this node
--- a/src/peers/heartbeat.cc
+++ b/src/peers/heartbeat.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "src/peers/heartbeat_generated.h"
+#include "src/worker_speed/speed_wire.h"
 
 namespace chalkshed {
 namespace {
@@ -44,13 +45,18 @@
   for (const job_remainder& remainder : heartbeat.remainders) {
     remainders.emplace_back(remainder.job, remainder.queue, remainder.tokens);
   }
+  // Left out if empty, as builds without the field do.
+  const auto speeds =
+      heartbeat.speeds.empty()
+          ? 0
+          : builder.CreateVectorOfStructs(to_wire<wire::WorkerSpeedEntry>(heartbeat.speeds));
   builder.Finish(
       wire::CreateHeartbeat(
           builder, builder.CreateString(heartbeat.session), heartbeat.sequence, heartbeat.draining,
           milliseconds_of(heartbeat.store_silence), heartbeat.store_version,
           builder.CreateVectorOfStructs(loads), builder.CreateVectorOfStructs(outcomes),
           builder.CreateVectorOfStructs(remainders), heartbeat.known.configuration,
-          heartbeat.known.workers, milliseconds_of(heartbeat.next_within)),
+          heartbeat.known.workers, milliseconds_of(heartbeat.next_within), speeds),
       wire::HeartbeatIdentifier());
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
@@ -87,6 +93,7 @@
       heartbeat.remainders.push_back({remainder->job(), remainder->queue(), remainder->tokens()});
     }
   }
+  heartbeat.speeds = from_wire(message->speeds());
   return heartbeat;
 }
 
--- a/src/peers/heartbeat.h
+++ b/src/peers/heartbeat.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "chalkshed/queued_tokens.h"
+#include "chalkshed/worker_speed.h"
 #include "src/core/time.h"
 #include "src/platform/watched_store.h"
 
@@ -45,6 +46,8 @@
   std::vector<PeerWorkerLoad> loads;
   std::vector<PeerWorkerOutcomes> outcomes;
   std::vector<job_remainder> remainders;
+  // Samples of workers' speeds since the sender's previous heartbeat.
+  std::vector<worker_speed_entry> speeds;
   // The sender sends the next heartbeat to this receiver within this time; 0: unknown. An interval
   // that is estimated from arrivals makes a sender look dead that has reported many failures and
   // then sends less (259 false lapses in 1.5 s of the logs of 295 nodes).
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -7,6 +7,7 @@
 #include "src/core/digest.h"
 #include "src/core/number_text.h"
 #include "src/peers/node_name.h"
+#include "src/worker_speed/speed_wire.h"
 
 namespace chalkshed {
 namespace {
@@ -16,14 +17,15 @@
 constexpr Duration kMinOwnPause = std::chrono::milliseconds(1000);
 
 // Space for entries in the largest datagram, besides its head (the session's name and some
-// numbers): a load or outcome entry takes 16 bytes, a job entry 24. Loads are most important and
-// come first.
+// numbers): a load or outcome entry takes 16 bytes, a speed entry 12, a job entry 24. Loads are
+// most important and come first.
 constexpr size_t kHeadBytes = 200;
 constexpr size_t kEntryBytes = DatagramTransport::kMaxDatagramBytes - kHeadBytes;
 constexpr size_t kBytesOfLoad = 16;
 constexpr size_t kBytesOfRemainder = 24;
 constexpr size_t kMaxLoads = 40;
 constexpr size_t kMaxOutcomes = 16;
+constexpr size_t kMaxSpeeds = 8;
 
 }  // namespace
 
@@ -328,6 +330,10 @@
       heartbeat.outcomes.push_back(reported);
     }
   }
+  heartbeat.speeds = workers_.take_speed_news(kMaxSpeeds);
+  if (relay_.relaying()) {
+    relay_.collect_speeds(heartbeat.speeds);
+  }
   add_remainders(heartbeat);
   return heartbeat;
 }
@@ -337,7 +343,8 @@
     return;
   }
   const std::vector<job_remainder> own = own_remainders_();
-  const size_t used = kBytesOfLoad * (heartbeat.loads.size() + heartbeat.outcomes.size());
+  const size_t used = kBytesOfLoad * (heartbeat.loads.size() + heartbeat.outcomes.size()) +
+                      kBytesOfSpeed * heartbeat.speeds.size();
   const size_t most = (kEntryBytes - used) / kBytesOfRemainder;
   const size_t count = std::min(own.size(), most);
   for (size_t index = 0; index < count; ++index) {
@@ -445,8 +452,12 @@
   apply_versions(peer, heartbeat->known);
   if (!relayed()) {
     apply_loads(peer, heartbeat->loads);
+    for (const worker_speed_entry& speed : heartbeat->speeds) {
+      workers_.add_peer_speed(speed);
+    }
   } else if (relay_.relaying() && near(peer)) {
     relay_.collect(found->first, heartbeat->loads);
+    relay_.collect_speeds(heartbeat->speeds);
   }
   apply_outcomes(peer, heartbeat->outcomes);
   for (const job_remainder& remainder : heartbeat->remainders) {
--- a/src/serving/serving_protocol.h
+++ b/src/serving/serving_protocol.h
@@ -25,6 +25,8 @@
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint32_t slots = 0;
+  // How long work currently takes there, 1.0 meaning as usual; nothing if the worker does not tell.
+  std::optional<double> slowdown = std::nullopt;
 };
 
 // The interpretation of the head of a worker's answer.
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -87,13 +87,36 @@
   const std::string_view events = splitter_.add(data);
   if (!events.empty()) {
     note_first_event();
+    if (verdict_.load && verdict_.load->slowdown) {
+      gaps_.add(count_events(events), last_activity_);
+    }
     observer_.on_events(events);
   }
 }
 
 void WorkerAttempt::note_first_event() {
   if (!std::exchange(has_event_, true) && slot_->worker_was_idle) {
-    workers_.note_first_token(request_.prompt_tokens, time_source_.monotonic_now() - sent_);
+    first_event_after_ = time_source_.monotonic_now() - sent_;
+    workers_.note_first_token(slot_->worker(), request_.prompt_tokens, *first_event_after_);
+  }
+}
+
+void WorkerAttempt::note_pace() {
+  if (!verdict_.load || !verdict_.load->slowdown) {
+    return;
+  }
+  // Shorter prompts say little about the speed: the answer takes some time without any.
+  constexpr uint32_t kMinPromptTokens = 1500;
+  const Duration whole = last_activity_ - sent_;
+  if (const std::optional<Duration> gap = gaps_.mean()) {
+    workers_.note_pace(slot_->worker(), {PaceKind::kEvents, *gap, whole, *verdict_.load});
+  } else if (relays_events_ && first_event_after_ && verdict_.load->waiting == 0 &&
+             request_.prompt_tokens >= kMinPromptTokens) {
+    workers_.note_pace(slot_->worker(),
+                       {PaceKind::kFirstEvent, *first_event_after_ / request_.prompt_tokens,
+                        *first_event_after_, *verdict_.load});
+  } else if (!relays_events_ && request_.prompt_tokens == 0 && request_.max_output_tokens == 0) {
+    workers_.note_pace(slot_->worker(), {PaceKind::kWholeAnswer, whole, whole, *verdict_.load});
   }
 }
 
@@ -116,6 +139,7 @@
   }
   if (is_success(end_.status)) {
     workers_.note_success(worker);
+    note_pace();
   }
   quarantine_.note_answered(request_.digest, sent_);
   end(AttemptResult::kWhole, "");
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -71,6 +72,8 @@
   void abandon(std::string reason);
 
   void note_first_event();
+  // Tells the WorkerSet how fast the worker was, after a complete, successful answer.
+  void note_pace();
   // Tells the quarantine that this run is over, so that another run of the same content may start.
   void end_run();
   // Tells the quarantine that the connection was lost during the run; the worker may have crashed.
@@ -89,6 +92,8 @@
   const MonotonicTime sent_;
   MonotonicTime last_activity_;        // of the worker
   std::function<void()> on_run_over_;  // null after the call
+  std::optional<Duration> first_event_after_;
+  event_gaps gaps_;
   bool has_event_ = false;
   bool relays_events_ = false;
   bool ended_ = false;
--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -7,6 +7,7 @@
 #include "chalkshed/batch_room.h"
 #include "chalkshed/cold_start_limit.h"
 #include "chalkshed/worker_outcomes.h"
+#include "chalkshed/worker_speed.h"
 #include "src/core/time.h"
 
 namespace chalkshed {
@@ -33,6 +34,13 @@
   // Cost penalty of a worker without a free slot, and of each request queued there.
   double full_worker_milliseconds = 100.0;
   double waiting_milliseconds = 50.0;
+  // Learning of the speeds of workers that report their slowdown.
+  worker_speed_knobs speed;
+  // Whether the reported slowdown counts in the choice of a worker, and not only in learning.
+  bool choose_by_slowdown = true;
+  // Cost of holding a slot for the duration of an answer at a worker of speed 1; only the
+  // difference to that worker counts.
+  double answer_milliseconds = 10.0;
   // Cost per request in flight for a request that may crash its worker, and the others with it.
   double milliseconds_per_request_at_risk = 1000.0;
   // Cost penalty of a worker in another zone.
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -275,8 +275,8 @@
 }
 
 void WorkerSet::add_prefill(ServingWorker& worker, double tokens) {
-  const auto time = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(tokens / prompt_rate_.tokens_per_millisecond()));
+  const auto time = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
+      tokens / prompt_rate_.tokens_per_millisecond() / worker.speed.speed()));
   worker.prefill_until = std::max(worker.prefill_until, time_source_.monotonic_now()) + time;
 }
 
@@ -400,12 +400,15 @@
   const ServingRequest* request = choice.request.request;
   const double tokens = request == nullptr ? 0.0 : request->prompt_tokens;
   const Duration prefill = std::max(worker.prefill_until - choice.now, Duration(0));
-  double milliseconds = std::chrono::duration<double, std::milli>(prefill).count() +
-                        std::max(tokens - cached, 0.0) / prompt_rate_.tokens_per_millisecond() +
-                        knobs_.milliseconds_per_request * load;
+  const double slow = slowness(worker, choice.now);
+  double milliseconds =
+      std::chrono::duration<double, std::milli>(prefill).count() +
+      std::max(tokens - cached, 0.0) / prompt_rate_.tokens_per_millisecond() * slow +
+      knobs_.milliseconds_per_request * load * slow + knobs_.answer_milliseconds * (slow - 1.0);
   if (load >= worker.record.slots) {
+    // A fast worker frees its slots sooner.
     milliseconds += knobs_.full_worker_milliseconds +
-                    knobs_.waiting_milliseconds * (load - worker.record.slots);
+                    knobs_.waiting_milliseconds * (load - worker.record.slots) * slow;
   }
   if (cold_start_limit::limited(worker.cold, choice.service.cold, choice.now)) {
     milliseconds += knobs_.cold_milliseconds;
@@ -560,6 +563,13 @@
   worker.report = report;
   worker.reported = time_source_.monotonic_now();
   worker.in_flight_when_reported = worker.in_flight();
+  if (report.slowdown) {
+    worker.speed.note_slowdown(*report.slowdown, worker.reported);
+    constexpr double kNotableSlowdown = 1.2;
+    if (*report.slowdown >= kNotableSlowdown) {
+      note_speed_news(find_hash(worker.hash));
+    }
+  }
 }
 
 void WorkerSet::note_success(ServingWorker& worker) {
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -16,6 +17,7 @@
 #include "chalkshed/batch_room.h"
 #include "chalkshed/cold_start_limit.h"
 #include "chalkshed/worker_outcomes.h"
+#include "chalkshed/worker_speed.h"
 #include "src/core/address.h"
 #include "src/core/lifetime.h"
 #include "src/core/random.h"
@@ -43,6 +45,24 @@
 
 enum class WorkClass { kOnline, kBatch };
 
+// What the duration of an answer, or of a part of it, was measured by. Each has its own pace.
+enum class PaceKind : uint8_t {
+  kEvents,       // time between two events
+  kWholeAnswer,  // of a request whose work is not counted in tokens
+  kFirstEvent,   // time until the first event, by prompt token
+};
+constexpr size_t kPaceKinds = 3;
+
+// A measured duration that shows how fast a worker is.
+struct PaceSample {
+  PaceKind kind = PaceKind::kEvents;
+  Duration per_unit{0};
+  // Total time of the measurement: a slowdown that was reported once does not apply to all of it.
+  Duration measured{0};
+  // As reported with the answer.
+  WorkerLoadReport load;
+};
+
 // Requests in flight at all workers of a service together. Maintained incrementally: summing over
 // all workers for each load update of a peer took 45 in 100 of a core at 3,000 workers.
 struct ServiceCounts {
@@ -78,6 +98,10 @@
   // Set after a refusal: not selected before this time unless there is no alternative.
   MonotonicTime avoided_until{};
   worker_outcomes outcomes;
+  worker_speed speed;
+  // Samples of its speed that the other nodes have not been told yet.
+  speed_samples untold_speed;
+  bool speed_untold = false;  // listed among the workers of which the other nodes must be told
 
   uint32_t in_flight() const { return online_in_flight + batch_in_flight; }
   // Negative if a peer reported a request's start before the worker was listed and its end after.
@@ -174,9 +198,31 @@
   uint64_t outcome_changes() const { return outcome_changes_; }
 
   // The first token of a prompt arrived after `took`; the worker had no other prompt to prefill.
-  void note_first_token(uint32_t prompt_tokens, Duration took) {
-    prompt_rate_.add_sample(prompt_tokens, took);
+  void note_first_token(const ServingWorker& worker, uint32_t prompt_tokens, Duration took);
+  // Learns the speed of a worker that reports its slowdown; ignored for others.
+  void note_pace(ServingWorker& worker, const PaceSample& sample);
+
+  // Speeds that other nodes must be told: samples of this node since they were last taken, and
+  // recent reports of slowdowns. Only workers with news are visited.
+  std::vector<worker_speed_entry> take_speed_news(size_t most);
+  // Adds samples of another node.
+  void add_peer_speed(const worker_speed_entry& told);
+  // Replaces what a relay has told of the samples of all nodes.
+  void set_shared_speed(const worker_speed_entry& told);
+  // @return what this node knows of all samples of the worker; weight 0 if the worker is unknown.
+  speed_samples known_speed(uint64_t worker) const;
+  // Called when the speed of a worker has become known or has changed notably. `before`: the speed
+  // at the last call, or 0.
+  void set_on_speed_changed(std::function<void(const ServingWorker&, double before)> callback) {
+    on_speed_changed_ = std::move(callback);
   }
+  struct SpeedSpread {
+    double lowest = 1.0;
+    double median = 1.0;
+    double highest = 1.0;
+  };
+  // @return the spread over the workers whose speed is known; visits all workers of the service.
+  std::optional<SpeedSpread> speed_spread(std::string_view service) const;
   // Record what an answer of the worker, or its absence, shows.
   void note_report(ServingWorker& worker, const WorkerLoadReport& report);
   void note_success(ServingWorker& worker);
@@ -220,6 +266,7 @@
     std::shared_ptr<ServiceCounts> counts = std::make_shared<ServiceCounts>();
     batch_room room;
     cold_start cold;
+    std::array<service_pace, kPaceKinds> paces;
   };
   // Preferred workers for requests with this prompt prefix, in order of preference.
   using PrefixOwners = std::vector<const ServingWorker*>;
@@ -249,7 +296,13 @@
   service_load load_of_service(const Service& service) const;
   void observe_online(Service& service);
   void note_slot_freed();
-  // Estimated milliseconds until the first token of the request.
+  // How long work begun now takes at the worker, compared with one of speed 1; exactly 1 for
+  // workers that do not report their slowdown.
+  double slowness(const ServingWorker& worker, MonotonicTime now) const;
+  void note_speed_news(const WorkerPtr& worker);
+  void report_speed_change(ServingWorker& worker);
+  // Estimated milliseconds until the first token of the request, and by how much the whole answer
+  // takes longer than at a worker of speed 1.
   // @param cached tokens of its prompt that the worker has in its prefix cache.
   double cost(const ServingWorker& worker, const Choice& choice, double cached) const;
   PrefixOwners prefix_owners(const SlotRequest& request, const Service& service) const;
@@ -292,6 +345,8 @@
     MonotonicTime since{};
   };
   std::deque<Unlisted> unlisted_;
+  std::deque<WorkerPtr> speed_news_;
+  std::function<void(const ServingWorker&, double)> on_speed_changed_;
   uint64_t notable_changes_ = 0;
   uint64_t outcome_changes_ = 0;
   uint64_t slots_acquired_ = 0;
--- a/tests/compatibility/datagrams_test.cc
+++ b/tests/compatibility/datagrams_test.cc
@@ -142,6 +142,37 @@
   EXPECT_EQ(production_wire::GetQuotaMessage(quota.data())->levels()->Get(0)->level(), -1.5F);
 }
 
+TEST(ProductionReaders, LeaveOutTheSpeedsOfWorkers) {
+  worker_speed_entry speed;
+  speed.worker = 41;
+  speed.samples = {-0.5, 3.0};
+  speed.slowdown = 2.5;
+  speed.slowdown_age = std::chrono::milliseconds(20);
+  Heartbeat heartbeat = sample_heartbeat();
+  heartbeat.speeds = {speed};
+  const std::string beat = encode_heartbeat(heartbeat);
+  flatbuffers::Verifier of_heartbeat = verifier_of(beat);
+  ASSERT_TRUE(production_wire::VerifyHeartbeatBuffer(of_heartbeat));
+  EXPECT_EQ(production_wire::GetHeartbeat(beat.data())->sequence(), 17U);
+  EXPECT_EQ(production_wire::GetHeartbeat(beat.data())->loads()->Get(0)->prompt_tokens(), 4000U);
+  EXPECT_EQ(production_wire::GetHeartbeat(beat.data())->next_within_ms(), 500U);
+  EXPECT_EQ(decode_heartbeat(beat)->speeds.front().worker, 41U);
+
+  load_digest digest = sample_load_digest();
+  digest.speeds = {speed};
+  const std::string bytes = encode_load_digest(digest);
+  flatbuffers::Verifier of_digest = verifier_of(bytes);
+  ASSERT_TRUE(production_wire::VerifyLoadDigestBuffer(of_digest));
+  EXPECT_EQ(production_wire::GetLoadDigest(bytes.data())->entries()->size(), 2U);
+  EXPECT_EQ(production_wire::GetLoadDigest(bytes.data())->workers_version(), 1299U);
+}
+
+// A node that has nothing to tell of speeds sends the bytes that production nodes send.
+TEST(ProductionReaders, GetTheSameBytesAsBeforeWithoutSpeeds) {
+  EXPECT_EQ(encode_heartbeat(sample_heartbeat()), bytes_of(production::kHeartbeat));
+  EXPECT_EQ(encode_load_digest(sample_load_digest()), bytes_of(production::kLoadDigest));
+}
+
 TEST(ProductionReaders, TakeAMessageAboutTurnsForNothingTheyKnow) {
   const std::string bytes = encode_turn_message({"n1#3", {{turn_entry_type::kAsk, 77, {}}}});
   flatbuffers::Verifier of_crash = verifier_of(bytes);
--- a/tests/load_relay/load_digest_test.cc
+++ b/tests/load_relay/load_digest_test.cc
@@ -85,6 +85,57 @@
   EXPECT_FALSE(pages[1].lapsed);
 }
 
+TEST(LoadDigestTest, SpeedsRoundTrip) {
+  load_digest digest = digest_of({});
+  worker_speed_entry known;
+  known.worker = 5;
+  known.samples = {-0.511, 12.5};
+  worker_speed_entry slow;
+  slow.worker = UINT32_MAX;
+  slow.slowdown = 2.5;
+  slow.slowdown_age = std::chrono::milliseconds(40);
+  digest.speeds = {known, slow};
+  const std::optional<load_digest> read = decode_load_digest(encode_load_digest(digest));
+  ASSERT_TRUE(read);
+  ASSERT_EQ(read->speeds.size(), 2U);
+  EXPECT_EQ(read->speeds[0].worker, 5U);
+  EXPECT_NEAR(read->speeds[0].samples.log_speed, -0.511, 1e-9);
+  EXPECT_EQ(read->speeds[0].samples.weight, 12.5);
+  EXPECT_FALSE(read->speeds[0].slowdown);
+  EXPECT_EQ(read->speeds[1].worker, UINT32_MAX);
+  EXPECT_EQ(read->speeds[1].samples.weight, 0);
+  EXPECT_EQ(read->speeds[1].slowdown, 2.5);
+  EXPECT_EQ(read->speeds[1].slowdown_age, std::chrono::milliseconds(40));
+}
+
+// Speeds of nodes that never hear of them cost nothing.
+TEST(LoadDigestTest, WithoutSpeedsTheBytesAreThoseOfBuildsWithoutTheField) {
+  load_digest digest = digest_of({{5, 1, 2, 3}});
+  const size_t without = encode_load_digest(digest).size();
+  digest.speeds.resize(1);
+  EXPECT_GT(encode_load_digest(digest).size(), without);
+}
+
+TEST(SplitDigestTest, SpeedsAreOnTheLastPageAndTheLargestPagesFitIntoADatagram) {
+  const load_relay_knobs knobs;
+  for (const size_t count : {size_t{0}, knobs.max_entries, 2 * knobs.max_entries}) {
+    load_digest whole = digest_of({});
+    for (uint32_t worker = 0; worker < count; ++worker) {
+      whole.entries.push_back({worker + 1, 1, 1, 1});
+    }
+    whole.lapsed.emplace(knobs.max_lapsed, UINT64_MAX);
+    whole.speeds.resize(knobs.max_speeds);
+    const std::vector<load_digest> pages = split_digest(whole, knobs.max_entries);
+    for (size_t page = 0; page < pages.size(); ++page) {
+      const bool last = page + 1 == pages.size();
+      const bool has_room = last && (pages.size() > 1 || count == 0);
+      EXPECT_EQ(pages[page].speeds.empty(), !last);
+      EXPECT_TRUE(!has_room || pages[page].speeds.size() == knobs.max_speeds);
+      EXPECT_LE(encode_load_digest(pages[page]).size(), DatagramTransport::kMaxDatagramBytes);
+    }
+  }
+}
+
 TEST(SplitDigestTest, WithoutLoadOnePageCoversAllWorkers) {
   const std::vector<load_digest> pages = split_digest(digest_of({}), 100);
   ASSERT_EQ(pages.size(), 1U);
--- a/tests/load_relay/load_relay_test.cc
+++ b/tests/load_relay/load_relay_test.cc
@@ -277,6 +277,43 @@
   EXPECT_EQ(nodes_that_know(worker), 2 * kNodesPerZone);
 }
 
+// The node with the samples is in zone-a; half of the others learn them from the relay of zone-b.
+TEST_F(LoadRelayTest, SamplesOfAWorkersSpeedReachAllNodesAndSurviveTheLossOfBothRelays) {
+  WorkerSet& own = cluster.node("n0").workers();
+  const auto learn = [&](const std::string& name, double speed) {
+    ServingWorker& worker = *own.find(name);
+    const WorkerLoadReport load{1, 0, 4, 1.0};
+    own.note_report(worker, load);
+    own.note_pace(
+        worker, {PaceKind::kEvents, std::chrono::duration_cast<Duration>(milliseconds(10) / speed),
+                 milliseconds(300), load});
+  };
+  for (int round = 0; round < 30; ++round) {
+    learn("i-0", 0.6);
+    learn("i-1", 1.6);
+  }
+  take_slot();
+  const auto expect_known = [&](const char* when) {
+    for (const auto& [name, node] : cluster.nodes) {
+      if (node) {
+        WorkerSet& workers = node->node.workers();
+        EXPECT_NEAR(workers.find("i-1")->speed.speed() / workers.find("i-0")->speed.speed(),
+                    1.6 / 0.6, 0.3)
+            << name << " " << when;
+      }
+    }
+  };
+  cluster.clock.run_for(milliseconds(500));
+  expect_known("after half a second");
+  for (const std::string& relay : busiest_nodes("a")) {
+    cluster.kill_node(relay);
+  }
+  learn("i-0", 0.6);
+  learn("i-1", 1.6);
+  cluster.clock.run_for(seconds(5));
+  expect_known("after the loss of both relays");
+}
+
 // Digests from ended or unknown sessions, and outdated digests, are ignored.
 TEST_F(LoadRelayTest, DigestsOfUnknownOrEndedSessionsAreIgnored) {
   const std::string worker = take_slot();
