Choose by speed without sending all nodes to the same fast workers

All nodes know the same speeds and the loads of 70 ms ago, so they choose the same few fast workers; nearly all late streams had found the slots of their worker taken.

A worker that reports its slowdown now costs a little more for each request that leaves fewer than two free slots, times its slowness; prefill counts a share of the speed; each node's own order of the workers is wider. One online request may wait at a worker that is not slow.

Ruled out, in virtual time: steeper costs of nearly full workers, costs by expected time, random choices weighted by free slots and speed (all worse than the present choice).

--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -12,6 +12,25 @@
 
 namespace chalkshed {
 
+// The choice among workers that report their slowdown. All nodes see the loads of some 70 ms ago
+// and the same speeds: a cost that differs much between workers sends the requests of all nodes to
+// the same few. The terms are therefore small compared with each node's own order of the workers.
+struct speed_choice_knobs {
+  // Whether the reported slowdown counts in the choice, and not only in learning.
+  bool by_slowdown = true;
+  // Spread of each node's own order; replaces `order_offset_milliseconds`, with the same mean.
+  double order_offset_milliseconds = 40.0;
+  // By how much of a worker's speed its prefill time differs.
+  double share_in_prefill = 0.3;
+  // Cost at a worker of speed 1 of each request that leaves fewer free slots than this, which other
+  // nodes may take meanwhile. A slow worker takes longer until it has a free slot again.
+  double crowding_milliseconds = 4.0;
+  double wanted_free_slots = 2.0;
+  // A worker that is at least as fast may get one online request more than it has slots: a slot is
+  // free there sooner than this node would learn of one elsewhere.
+  double min_speed_to_queue = 0.8;
+};
+
 struct WorkerKnobs {
   // The weight of a worker's load report falls linearly from one to zero over this time.
   Duration report_lifetime = std::chrono::milliseconds(400);
@@ -36,11 +55,7 @@
   double waiting_milliseconds = 50.0;
   // Learning of the speeds of workers that report their slowdown.
   worker_speed_knobs speed;
-  // Whether the reported slowdown counts in the choice of a worker, and not only in learning.
-  bool choose_by_slowdown = true;
-  // Cost of holding a slot for the duration of an answer at a worker of speed 1; only the
-  // difference to that worker counts.
-  double answer_milliseconds = 10.0;
+  speed_choice_knobs speed_choice;
   // Cost per request in flight for a request that may crash its worker, and the others with it.
   double milliseconds_per_request_at_risk = 1000.0;
   // Cost penalty of a worker in another zone.
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -65,7 +65,13 @@
       started_(time_source.monotonic_now()),
       order_seed_(random.next()),
       prompt_rate_(knobs.prompt_tokens_per_millisecond),
-      cold_limit_(knobs.cold_start) {}
+      cold_limit_(knobs.cold_start) {
+  for (size_t free = 0; free < crowding_.size(); ++free) {
+    const double missing = knobs.speed_choice.wanted_free_slots - static_cast<double>(free);
+    // Smooth, so that a request more or less never decides for all nodes alike.
+    crowding_[free] = knobs.speed_choice.crowding_milliseconds * std::log1p(std::exp(missing));
+  }
+}
 
 WorkerSet::Service& WorkerSet::service_of(const std::string& name) {
   const auto found = services_.find(name);
@@ -388,7 +394,8 @@
   if (withdrawn(worker) || (limited && !cold_start_limit::may_send(worker.cold, choice.now))) {
     return false;
   }
-  return choice.request.even_if_full || load_at(worker, choice.now) < worker.record.slots;
+  const uint32_t queued = may_queue(worker, choice.request) ? 1 : 0;
+  return choice.request.even_if_full || load_at(worker, choice.now) < worker.record.slots + queued;
 }
 
 Duration WorkerSet::prefill_backlog(const ServingWorker& worker) const {
@@ -400,15 +407,14 @@
   const ServingRequest* request = choice.request.request;
   const double tokens = request == nullptr ? 0.0 : request->prompt_tokens;
   const Duration prefill = std::max(worker.prefill_until - choice.now, Duration(0));
-  const double slow = slowness(worker, choice.now);
-  double milliseconds =
-      std::chrono::duration<double, std::milli>(prefill).count() +
-      std::max(tokens - cached, 0.0) / prompt_rate_.tokens_per_millisecond() * slow +
-      knobs_.milliseconds_per_request * load * slow + knobs_.answer_milliseconds * (slow - 1.0);
-  if (load >= worker.record.slots) {
-    // A fast worker frees its slots sooner.
+  double milliseconds = std::chrono::duration<double, std::milli>(prefill).count() +
+                        std::max(tokens - cached, 0.0) / prompt_rate_.tokens_per_millisecond() +
+                        knobs_.milliseconds_per_request * load;
+  if (worker.speed.reports()) {
+    milliseconds += cost_by_speed(worker, choice, std::max(tokens - cached, 0.0), load);
+  } else if (load >= worker.record.slots) {
     milliseconds += knobs_.full_worker_milliseconds +
-                    knobs_.waiting_milliseconds * (load - worker.record.slots) * slow;
+                    knobs_.waiting_milliseconds * (load - worker.record.slots);
   }
   if (cold_start_limit::limited(worker.cold, choice.service.cold, choice.now)) {
     milliseconds += knobs_.cold_milliseconds;
@@ -479,6 +485,9 @@
 // The random part spreads the requests of this node over workers of equal cost; the order offset
 // spreads those of different nodes.
 double WorkerSet::rank_of(const ServingWorker& worker, double cost) {
+  if (worker.speed.reports()) {
+    return cost + random_.unit();
+  }
   return cost + knobs_.order_offset_milliseconds * worker.order_offset + random_.unit();
 }
 
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -301,10 +301,17 @@
   double slowness(const ServingWorker& worker, MonotonicTime now) const;
   void note_speed_news(const WorkerPtr& worker);
   void report_speed_change(ServingWorker& worker);
-  // Estimated milliseconds until the first token of the request, and by how much the whole answer
-  // takes longer than at a worker of speed 1.
+  // Estimated milliseconds until the first token of the request.
   // @param cached tokens of its prompt that the worker has in its prefix cache.
   double cost(const ServingWorker& worker, const Choice& choice, double cached) const;
+  // What the speed of a worker that reports its slowdown changes in the cost.
+  // @param tokens of the prompt that the worker has to prefill.
+  double cost_by_speed(const ServingWorker& worker, const Choice& choice, double tokens,
+                       uint32_t load) const;
+  // Whether the request may wait at the worker although all slots are taken.
+  bool may_queue(const ServingWorker& worker, const SlotRequest& request) const;
+  // @return the cost of `load` requests at a worker of speed 1 with that many slots.
+  double crowding(uint32_t load, uint32_t slots) const;
   PrefixOwners prefix_owners(const SlotRequest& request, const Service& service) const;
   // Expected number of prompt tokens in the worker's prefix cache.
   double cached_tokens(const Choice& choice, const ServingWorker& worker) const;
@@ -332,6 +339,7 @@
   const MonotonicTime started_;
   const uint64_t order_seed_;  // seed of this node's order offsets
   PromptRate prompt_rate_;
+  std::array<double, 32> crowding_{};  // by free slots; calculated once to make choices cheap
   std::map<std::string, WorkerPtr> workers_;  // by incarnation
   std::map<uint64_t, WorkerPtr> by_hash_;
   std::map<uint64_t, WorkerPtr> active_;  // may include workers that are no longer active
