--- a/include/chalkshed/worker_speed.h
+++ b/include/chalkshed/worker_speed.h
@@ -125,13 +125,14 @@
 private:
     void update(MonotonicTime now, const worker_speed_knobs &knobs);
 
-    fading_samples heard_;  // of this node, and of nodes that tell it each sample
-    fading_samples shared_; // of all nodes, from a relay
+    // First what each choice of a worker reads.
+    bool reports_ = false;
     double speed_ = 1.0;
-    double told_ = 0;
-    double slowdown_ = 1.0;
     MonotonicTime slowdown_reported_{};
-    bool reports_ = false;
+    double slowdown_ = 1.0;
+    double told_ = 0;
+    fading_samples heard_;  // of this node, and of nodes that tell it each sample
+    fading_samples shared_; // of all nodes, from a relay
 };
 
 /** Measures the time between the events of one answer. */
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -407,11 +407,11 @@
   const ServingRequest* request = choice.request.request;
   const double tokens = request == nullptr ? 0.0 : request->prompt_tokens;
   const Duration prefill = std::max(worker.prefill_until - choice.now, Duration(0));
-  double milliseconds = std::chrono::duration<double, std::milli>(prefill).count() +
-                        std::max(tokens - cached, 0.0) / prompt_rate_.tokens_per_millisecond() +
+  const double own_prefill = std::max(tokens - cached, 0.0) / prompt_rate_.tokens_per_millisecond();
+  double milliseconds = std::chrono::duration<double, std::milli>(prefill).count() + own_prefill +
                         knobs_.milliseconds_per_request * load;
   if (worker.speed.reports()) {
-    milliseconds += cost_by_speed(worker, choice, std::max(tokens - cached, 0.0), load);
+    milliseconds += cost_by_speed(worker, choice, own_prefill, load);
   } else if (load >= worker.record.slots) {
     milliseconds += knobs_.full_worker_milliseconds +
                     knobs_.waiting_milliseconds * (load - worker.record.slots);
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -305,8 +305,8 @@
   // @param cached tokens of its prompt that the worker has in its prefix cache.
   double cost(const ServingWorker& worker, const Choice& choice, double cached) const;
   // What the speed of a worker that reports its slowdown changes in the cost.
-  // @param tokens of the prompt that the worker has to prefill.
-  double cost_by_speed(const ServingWorker& worker, const Choice& choice, double tokens,
+  // @param prefill milliseconds that the prompt takes at a worker of speed 1.
+  double cost_by_speed(const ServingWorker& worker, const Choice& choice, double prefill,
                        uint32_t load) const;
   // Whether the request may wait at the worker although all slots are taken.
   bool may_queue(const ServingWorker& worker, const SlotRequest& request) const;
--- a/src/serving/worker_set_speeds.cc
+++ b/src/serving/worker_set_speeds.cc
@@ -35,15 +35,14 @@
   return crowding_[std::min<size_t>(slots - load, crowding_.size() - 1)];
 }
 
-double WorkerSet::cost_by_speed(const ServingWorker& worker, const Choice& choice, double tokens,
+double WorkerSet::cost_by_speed(const ServingWorker& worker, const Choice& choice, double prefill,
                                 uint32_t load) const {
   const speed_choice_knobs& knobs = knobs_.speed_choice;
   const double slow = slowness(worker, choice.now);
-  double milliseconds =
-      knobs.order_offset_milliseconds * worker.order_offset -
-      (knobs.order_offset_milliseconds - knobs_.order_offset_milliseconds) / 2 +
-      tokens / prompt_rate_.tokens_per_millisecond() * knobs.share_in_prefill * (slow - 1.0) +
-      crowding(load, worker.record.slots) * slow;
+  double milliseconds = knobs.order_offset_milliseconds * worker.order_offset -
+                        (knobs.order_offset_milliseconds - knobs_.order_offset_milliseconds) / 2 +
+                        prefill * knobs.share_in_prefill * (slow - 1.0) +
+                        crowding(load, worker.record.slots) * slow;
   const uint32_t queued = may_queue(worker, choice.request) ? 1 : 0;
   if (load >= worker.record.slots + queued) {
     // A fast worker frees its slots sooner.
--- a/tests/compatibility/datagrams_test.cc
+++ b/tests/compatibility/datagrams_test.cc
@@ -15,6 +15,15 @@
 namespace chalkshed {
 namespace {
 
+constexpr std::string_view kHeartbeatWithSpeed =
+    "2800000043484254000000001c0020000400180000000000000008000c0010000000000000001400"
+    "1c0000001c000000240000002400000024000000240000001100000000000000040000006e312333"
+    "0000000000000000000000000000000001000000290000000cfe3000fa001400";
+constexpr std::string_view kDigestWithSpeed =
+    "28000000434c4447000000001c002400040018000000000008000c00000010000000000000001400"
+    "1c00000038000000ffffffff2c000000240000001000000009000000000000000000000001000000"
+    "290000000cfe3000fa0014000000000000000000040000006e32233400000000";
+
 std::string bytes_of(std::string_view hexadecimal) {
   constexpr int kBase = 16;
   std::string bytes;
@@ -167,6 +176,26 @@
   EXPECT_EQ(production_wire::GetLoadDigest(bytes.data())->workers_version(), 1299U);
 }
 
+/* Written once by this build: later builds must read the field as it was meant. */
+TEST(CommittedBytes, OfSpeedsAreReadAsTheyWereMeant) {
+  const auto expect_meant = [](const std::vector<worker_speed_entry>& speeds) {
+    ASSERT_EQ(speeds.size(), 1U);
+    EXPECT_EQ(speeds.front().worker, 41U);
+    EXPECT_DOUBLE_EQ(speeds.front().samples.log_speed, -0.5);
+    EXPECT_DOUBLE_EQ(speeds.front().samples.weight, 3.0);
+    EXPECT_EQ(speeds.front().slowdown, 2.5);
+    EXPECT_EQ(speeds.front().slowdown_age, std::chrono::milliseconds(20));
+  };
+  const auto heartbeat = decode_heartbeat(bytes_of(kHeartbeatWithSpeed));
+  ASSERT_TRUE(heartbeat);
+  EXPECT_EQ(heartbeat->session, "n1#3");
+  expect_meant(heartbeat->speeds);
+  const auto digest = decode_load_digest(bytes_of(kDigestWithSpeed));
+  ASSERT_TRUE(digest);
+  EXPECT_EQ(digest->session, "n2#4");
+  expect_meant(digest->speeds);
+}
+
 // A node that has nothing to tell of speeds sends the bytes that production nodes send.
 TEST(ProductionReaders, GetTheSameBytesAsBeforeWithoutSpeeds) {
   EXPECT_EQ(encode_heartbeat(sample_heartbeat()), bytes_of(production::kHeartbeat));
