Fault soak with workers of unequal speed that report their slowdown

A service of a deployment file may give the range of its workers' speeds and their slowdown; both leave the other deployments, and the sequence of their random draws, as they are. unequal.toml is small.toml with such workers.

--- a/tests/soak/fleet/deployment.cc
+++ b/tests/soak/fleet/deployment.cc
@@ -404,6 +404,13 @@
     fields.time("first_event_ms", service.first_event, milliseconds(1), 0, kMaxMs);
     fields.time("between_events_ms", service.between_events, milliseconds(1), 0, kMaxMs);
     fields.percent("early_answer_percent", service.early_answer_percent);
+    constexpr uint64_t kLeastPercent = 10;
+    constexpr uint64_t kMostPercent = 1'000;
+    fields.interval("speed_percent", service.speed_percent, kLeastPercent, kMostPercent);
+    if (fields.has("slowdown_percent")) {
+        service.slowdown_percent.emplace();
+        fields.whole("slowdown_percent", *service.slowdown_percent, 100, kMostPercent);
+    }
     fields.finish();
     const bool twice = std::any_of(result_.services.begin(), result_.services.end(),
                                    [&](const auto &other) { return other.name == service.name; });
--- a/tests/soak/fleet/deployment.h
+++ b/tests/soak/fleet/deployment.h
@@ -36,6 +36,11 @@
     Duration between_events = std::chrono::milliseconds(40);
     /** Percentage of answers that are sent before the request body has been read. */
     uint64_t early_answer_percent = 0;
+    /** Speeds of the workers in percent of the usual; drawn for each worker. */
+    range speed_percent{100, 100};
+    /** How long work takes at most during slow phases, in percent of the usual time. If set, the
+     * workers report it with their load, 100 outside of slow phases. */
+    std::optional<uint64_t> slowdown_percent;
 };
 
 enum class route_kind { kStreaming, kIdempotent, kNonIdempotent, kBatch };
--- a/tests/soak/fleet/fleet_worker.cc
+++ b/tests/soak/fleet/fleet_worker.cc
@@ -33,7 +33,13 @@
 fleet_worker::fleet_worker(role_process &process, const service_options &service,
                            std::string incarnation, std::string zone, const Address &local)
     : process_(process), service_(service), incarnation_(std::move(incarnation)),
-      zone_(std::move(zone)), server_(process.dispatcher, local, *this) {}
+      zone_(std::move(zone)), server_(process.dispatcher, local, *this) {
+    const range &speeds = service_.speed_percent;
+    // No draw if all are equal, so that deployments without the field keep their sequences.
+    speed_ = speeds.fewest == speeds.most
+                 ? speeds.fewest
+                 : speeds.fewest + process_.random.below(speeds.most - speeds.fewest + 1);
+}
 
 fleet_worker::~fleet_worker() = default;
 
@@ -133,7 +139,7 @@
     const Duration until_first =
         process_.random_duration(service_.first_event / 2, service_.first_event * 3 / 2);
     if (!process_.chance(faults.mute)) {
-        added->timer->enable(until_first);
+        added->timer->enable(at_own_pace(until_first));
     } else if (process_.chance(50)) {
         added->timer->enable(kMuteDuration);
     }
@@ -162,12 +168,34 @@
     return route == nullptr ? 1 : soak::events_of(process_.options.plan, *route);
 }
 
+/** Each window has one slow phase, at a place and of a degree that depend on worker and window. */
+uint64_t fleet_worker::slowdown() const {
+    constexpr Duration kWindow = milliseconds(600);
+    constexpr Duration kSlow = milliseconds(90);
+    constexpr uint64_t kUsual = 100;
+    const uint64_t most = service_.slowdown_percent.value_or(kUsual);
+    const auto since = process_.now().time_since_epoch();
+    const uint64_t drawn = content_hash(incarnation_, static_cast<uint64_t>(since / kWindow));
+    const Duration begin(
+        static_cast<int64_t>(drawn % static_cast<uint64_t>((kWindow - kSlow).count())));
+    const Duration into = std::chrono::duration_cast<Duration>(since % kWindow);
+    const bool slow = into >= begin && into < begin + kSlow;
+    return slow ? kUsual + (drawn >> 32U) % (most - kUsual + 1) : kUsual;
+}
+
+Duration fleet_worker::at_own_pace(Duration usual) const {
+    return usual * static_cast<int64_t>(slowdown()) / static_cast<int64_t>(speed_);
+}
+
 HttpHeaders fleet_worker::response_headers(const run &current) const {
+    std::string load = std::to_string(running_.size()) + "," + std::to_string(queue_.size()) + "," +
+                       std::to_string(service_.slots);
+    if (service_.slowdown_percent) {
+        load += "," + std::to_string(slowdown());
+    }
     return {{platform::kRequestId, current.id},
             {platform::kSignature, incarnation_ + "." + current.id},
-            {platform::kServerLoad, std::to_string(running_.size()) + "," +
-                                        std::to_string(queue_.size()) + "," +
-                                        std::to_string(service_.slots)}};
+            {platform::kServerLoad, load}};
 }
 
 void fleet_worker::begin_answer(const run_ptr &current) {
@@ -212,7 +240,7 @@
         return;
     }
     current->answer->write(event_bytes(current->id, current->next_event++));
-    current->timer->enable(service_.between_events);
+    current->timer->enable(at_own_pace(service_.between_events));
 }
 
 void fleet_worker::end(const run_ptr &current, run_outcome outcome) {
--- a/tests/soak/fleet/fleet_worker.h
+++ b/tests/soak/fleet/fleet_worker.h
@@ -88,12 +88,18 @@
     void begin_answer(const run_ptr &current);
     bool is_stream(const run &current) const;
     uint64_t events_of(const run &current) const;
+    /** How long work takes now, in percent of the usual time; changes several times per second. */
+    uint64_t slowdown() const;
+    /** The time that work of this usual duration takes at this worker now. */
+    Duration at_own_pace(Duration usual) const;
     HttpHeaders response_headers(const run &current) const;
     void send_event(const run_ptr &current);
     void end(const run_ptr &current, run_outcome outcome);
 
     role_process &process_;
     service_options service_;
+    /** In percent of the usual. */
+    uint64_t speed_ = 100;
     std::string incarnation_;
     std::string zone_;
     std::map<uint64_t, run_ptr> running_; // by number
--- a/tests/soak_fleet/deployment_test.cc
+++ b/tests/soak_fleet/deployment_test.cc
@@ -102,6 +102,25 @@
     EXPECT_EQ(result->floors.at("sent"), 100U);
 }
 
+TEST(deployment_file, workers_are_equal_and_report_no_slowdown_unless_it_says_so) {
+    const deployment_result equal = parse_deployment(kValidFile, "some.toml");
+    ASSERT_TRUE(equal);
+    EXPECT_EQ(equal->services.at(0).speed_percent.fewest, 100U);
+    EXPECT_EQ(equal->services.at(0).speed_percent.most, 100U);
+    EXPECT_FALSE(equal->services.at(0).slowdown_percent);
+    const deployment_result unequal = parse_deployment(
+        changed("workers = 4", "workers = 4\nspeed_percent = [60, 160]\nslowdown_percent = 250"),
+        "some.toml");
+    ASSERT_TRUE(unequal);
+    EXPECT_EQ(unequal->services.at(0).speed_percent.fewest, 60U);
+    EXPECT_EQ(unequal->services.at(0).speed_percent.most, 160U);
+    EXPECT_EQ(unequal->services.at(0).slowdown_percent, 250U);
+    expect_refused(changed("workers = 4", "workers = 4\nspeed_percent = 0"), 11,
+                   "services[0].speed_percent");
+    expect_refused(changed("workers = 4", "workers = 4\nslowdown_percent = 50"), 11,
+                   "services[0].slowdown_percent");
+}
+
 TEST(deployment_file, refuses_unknown_fields_everywhere) {
     expect_refused(changed("nodes = 3", "nodes = 3\nmachines = 3"), 3, "machines");
     expect_refused(changed("length_s", "length_ms"), 6, "run.length_ms");
