Merge the speed of each worker

Cause: the choice of a worker assumed that all are equally fast. Ruled out: choosing by expected time alone; nodes that know the same speeds fill the same fast workers. Change: worker_speed, sharing in heartbeats and load digests, the choice among workers that report a slowdown. Conclusion: workers that report three load figures are chosen as before.

--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -8,10 +8,30 @@
 #include "chalkshed/cold_start_limit.h"
 #include "chalkshed/worker_failures.h"
 #include "chalkshed/worker_outcomes.h"
+#include "chalkshed/worker_speed.h"
 #include "src/core/time.h"
 
 namespace chalkshed {
 
+// The choice among workers that report their slowdown. All nodes see the loads of some 70 ms ago
+// and the same speeds: a cost that differs much between workers sends the requests of all nodes to
+// the same few. The terms are therefore small compared with each node's own order of the workers.
+struct speed_choice_knobs {
+  // Whether the reported slowdown counts in the choice, and not only in learning.
+  bool by_slowdown = true;
+  // Spread of each node's own order; replaces `order_offset_milliseconds`, with the same mean.
+  double order_offset_milliseconds = 40.0;
+  // By how much of a worker's speed its prefill time differs.
+  double share_in_prefill = 0.3;
+  // Cost at a worker of speed 1 of each request that leaves fewer free slots than this, which other
+  // nodes may take meanwhile. A slow worker takes longer until it has a free slot again.
+  double crowding_milliseconds = 4.0;
+  double wanted_free_slots = 2.0;
+  // A worker that is at least as fast may get one online request more than it has slots: a slot is
+  // free there sooner than this node would learn of one elsewhere.
+  double min_speed_to_queue = 0.8;
+};
+
 struct WorkerKnobs {
   // The weight of a worker's load report falls linearly from one to zero over this time.
   Duration report_lifetime = std::chrono::milliseconds(400);
@@ -34,6 +54,9 @@
   // Cost penalty of a worker without a free slot, and of each request queued there.
   double full_worker_milliseconds = 100.0;
   double waiting_milliseconds = 50.0;
+  // Learning of the speeds of workers that report their slowdown.
+  worker_speed_knobs speed;
+  speed_choice_knobs speed_choice;
   // Cost per request in flight for a request that may crash its worker, and the others with it.
   double milliseconds_per_request_at_risk = 1000.0;
   // Detection of workers that fail more requests than others.
