--- a/emulator/memory_watched_store.cc
+++ b/emulator/memory_watched_store.cc
@@ -16,6 +16,24 @@
   return not_run(ErrorKind::kStoreUnavailable, "the store is down", "send the call again");
 }
 
+// Approximate size of the rows on the wire, where values are encoded in base64.
+uint64_t bytes_of(const std::vector<StoredRow>& rows) {
+  constexpr uint64_t kBytesOfRow = 80;
+  uint64_t bytes = 0;
+  for (const StoredRow& row : rows) {
+    bytes += kBytesOfRow + row.key.key.size() + row.value.size() * 4 / 3;
+  }
+  return bytes;
+}
+
+// All keys of a transaction are in one partition.
+const StoredRowKey& first_key_of(const StoreTransaction& transaction) {
+  static const StoredRowKey kNone;
+  return !transaction.writes.empty()       ? transaction.writes.front().key
+         : !transaction.conditions.empty() ? transaction.conditions.front().key
+                                           : kNone;
+}
+
 bool exceeds_limits(const StoreTransaction& transaction) {
   size_t bytes = 0;
   for (const StoreWrite& write : transaction.writes) {
@@ -28,17 +46,16 @@
 }  // namespace
 
 RangePage VersionedRows::read(const RangeRead& range, StoreVersion version) const {
-  std::map<StoredRowKey, StoredRow> rows;
-  if (version == version_) {
-    rows = rows_;
-  } else {
+  std::map<StoredRowKey, StoredRow> earlier_rows;
+  if (version != version_) {
     for (const Change& change : history_) {
       if (change.version <= version) {
-        rows[change.row.key] = change.row;
+        earlier_rows[change.row.key] = change.row;
       }
     }
-    std::erase_if(rows, [](const auto& entry) { return entry.second.removed; });
+    std::erase_if(earlier_rows, [](const auto& entry) { return entry.second.removed; });
   }
+  const std::map<StoredRowKey, StoredRow>& rows = version == version_ ? rows_ : earlier_rows;
   RangePage page;
   page.stamp.version = version;
   for (auto row = rows.lower_bound({range.table, range.partition, range.first_key});
@@ -64,14 +81,22 @@
                                   "list the table again"));
   }
   std::vector<StoredRow> rows;
-  for (const Change& change : history_) {
-    if (change.version > since && change.row.key.table == table) {
-      rows.push_back(change.row);
+  auto change =
+      std::upper_bound(history_.begin(), history_.end(), since,
+                       [](StoreVersion version, const Change& at) { return version < at.version; });
+  for (; change != history_.end(); ++change) {
+    if (change->row.key.table == table) {
+      rows.push_back(change->row);
     }
   }
   return rows;
 }
 
+bool VersionedRows::has_changes(const std::string& table, StoreVersion since) const {
+  const auto changed = changed_.find(table);
+  return since < history_begins_ || (changed != changed_.end() && changed->second > since);
+}
+
 StoreCommit VersionedRows::commit(const StoreTransaction& transaction) {
   StoreCommit result;
   bool holds = true;
@@ -92,6 +117,7 @@
     for (const StoreWrite& write : transaction.writes) {
       const StoredRow row{write.key, write.value.value_or(""), version_, !write.value};
       history_.push_back({version_, row});
+      changed_[write.key.table] = version_;
       if (write.value) {
         rows_[write.key] = row;
       } else {
@@ -124,6 +150,27 @@
                                  : Duration(0);
 }
 
+template <typename Value>
+void MemoryWatchedStore::refuse(Callback<Value> callback) {
+  ++shared_.calls;
+  call_after(dispatcher_, delay_, lifetime_.guard([callback = std::move(callback)] {
+    // Same delay as the daemon's store client.
+    Error error = not_run(ErrorKind::kStoreUnavailable, "the store answered with status 429",
+                          "retry the call after a moment");
+    error.retry_after = std::chrono::milliseconds(300);
+    callback(tl::unexpected(error));
+  }));
+}
+
+void MemoryWatchedStore::send(uint64_t bytes, std::function<void()> callback) {
+  const Duration sending = shared_.limited.send(bytes, time_source_.monotonic_now());
+  if (sending <= Duration(0)) {
+    callback();
+    return;
+  }
+  call_after(dispatcher_, sending, lifetime_.guard(std::move(callback)));
+}
+
 template <typename Value>
 void MemoryWatchedStore::time_out(Callback<Value> callback, std::function<Expected<Value>()> answer,
                                   ErrorKind no_response_kind, Duration queued) {
@@ -161,6 +208,14 @@
 }
 
 void MemoryWatchedStore::read_range(RangeRead range, Callback<RangePage> callback) {
+  if (!partitioned_ &&
+      !shared_.limited.admit_read("read_range " + range.table, time_source_.monotonic_now())) {
+    refuse(std::move(callback));
+    return;
+  }
+  callback = [this, callback = std::move(callback)](const Expected<RangePage>& page) {
+    send(page ? bytes_of(page->rows) : 0, [callback, page] { callback(page); });
+  };
   answer_later<RangePage>(
       std::move(callback),
       [this, range = std::move(range)]() -> Expected<RangePage> {
@@ -174,6 +229,11 @@
 
 void MemoryWatchedStore::read_changes(std::string table, StoreVersion since, Duration wait,
                                       Callback<TableChanges> callback) {
+  if (!partitioned_ &&
+      !shared_.limited.admit_read("read_changes " + table, time_source_.monotonic_now())) {
+    refuse(std::move(callback));
+    return;
+  }
   ++shared_.calls;
   auto follower =
       std::make_shared<Follower>(Follower{std::move(table), since, std::move(callback)});
@@ -216,8 +276,7 @@
   }
   const std::vector<FollowerPtr> followers = followers_;
   for (const FollowerPtr& follower : followers) {
-    const auto changes = shared_.rows.changes(follower->table, follower->since);
-    if (!follower->answered && (!changes || !changes->empty())) {
+    if (!follower->answered && shared_.rows.has_changes(follower->table, follower->since)) {
       answer(follower);
     }
   }
@@ -244,11 +303,19 @@
       return;
     }
     shared_.rows_followed[follower->table] += rows->size();
-    follower->callback(TableChanges{*rows, stamp()});
+    send(bytes_of(*rows),
+         [follower, changes = TableChanges{*rows, stamp()}] { follower->callback(changes); });
   }));
 }
 
 void MemoryWatchedStore::commit(StoreTransaction transaction, Callback<StoreCommit> callback) {
+  const StoredRowKey& first = first_key_of(transaction);
+  if (!partitioned_ &&
+      !shared_.limited.admit_write("commit " + first.table, first.table + "/" + first.partition,
+                                   time_source_.monotonic_now())) {
+    refuse(std::move(callback));
+    return;
+  }
   const bool lost = shared_.trouble.lose_commits && !partitioned_;
   if (lost) {
     ++shared_.calls;
@@ -284,6 +351,11 @@
 
 void MemoryWatchedStore::put(std::string name, std::shared_ptr<const std::string> content,
                              Callback<std::monostate> callback) {
+  if (!partitioned_ &&
+      !shared_.limited.admit_write("object_put", "object/" + name, time_source_.monotonic_now())) {
+    refuse(std::move(callback));
+    return;
+  }
   answer_later<std::monostate>(
       std::move(callback),
       [this, name = std::move(name), content = std::move(content)]() -> Expected<std::monostate> {
@@ -295,6 +367,10 @@
 
 void MemoryWatchedStore::get(std::string name,
                              Callback<std::shared_ptr<const std::string>> callback) {
+  if (!partitioned_ && !shared_.limited.admit_read("object_get", time_source_.monotonic_now())) {
+    refuse(std::move(callback));
+    return;
+  }
   answer_later<std::shared_ptr<const std::string>>(
       std::move(callback),
       [this, name = std::move(name)]() -> Expected<std::shared_ptr<const std::string>> {
--- a/emulator/memory_watched_store.h
+++ b/emulator/memory_watched_store.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "emulator/store_limits.h"
 #include "src/core/dispatcher.h"
 #include "src/core/lifetime.h"
 #include "src/core/time.h"
@@ -27,6 +28,8 @@
   RangePage read(const RangeRead& range) const { return read(range, version_); }
   // Errors: kNotFound if the history after `since` has been dropped.
   Expected<std::vector<StoredRow>> changes(const std::string& table, StoreVersion since) const;
+  // Whether changes() would return rows or an error, without copying them.
+  bool has_changes(const std::string& table, StoreVersion since) const;
   StoreCommit commit(const StoreTransaction& transaction);
   void drop_history() { history_begins_ = version_; }
 
@@ -36,7 +39,8 @@
     StoredRow row;
   };
   std::map<StoredRowKey, StoredRow> rows_;
-  std::vector<Change> history_;
+  std::vector<Change> history_;                  // ordered by version
+  std::map<std::string, StoreVersion> changed_;  // the newest change of each table
   StoreVersion version_ = 0;
   StoreVersion history_begins_ = 0;
 };
@@ -74,6 +78,7 @@
  public:
   VersionedRows rows;
   StoreQueue queue;
+  LimitedCalls limited;
   std::map<std::string, std::shared_ptr<const std::string>> objects;
   StoreTrouble trouble;
   uint64_t calls = 0;
@@ -125,6 +130,11 @@
                     ErrorKind no_response_kind);
   // @return time until a call that is made now completes.
   Duration queueing_delay();
+  // Answers a call that exceeds the store's rate.
+  template <typename Value>
+  void refuse(Callback<Value> callback);
+  // Calls `callback` once an answer of that size has been sent.
+  void send(uint64_t bytes, std::function<void()> callback);
   // A call still takes effect if its response is later than the caller's time-out.
   template <typename Value>
   void time_out(Callback<Value> callback, std::function<Expected<Value>()> answer,
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -11,6 +11,7 @@
                          const WatchedTables& tables, const ServingNodeKnobs& knobs)
     : dependencies_(dependencies),
       knobs_(knobs),
+      start_steps_(dependencies.time_source, dependencies.logger),
       clock_(dependencies.time_source),
       watched_store_(dependencies.store, clock_, dependencies.metrics, StaleReads::kAccept),
       fresh_store_(dependencies.store, clock_, dependencies.metrics, StaleReads::kRefuse),
@@ -53,19 +54,25 @@
       job_environment_{serving_, route_watch_,           fresh_store_, dependencies.objects,
                        clock_,   dependencies.job_codec, batch_draw_,  knobs.jobs},
       jobs_(job_environment_, peers_, [this] { return !gateway_.any_waiting(); }),
+      workers_listed_([this] { note_start_step(start_step::kWorkers); }),
+      node_rows_listed_([this] { note_start_step(start_step::kNodes); }),
+      jobs_listed_([this] { note_start_step(start_step::kJobs); }),
+      worker_rows_({&worker_watch_, &workers_listed_}),
+      node_rows_({&peers_, &node_rows_listed_}),
+      job_rows_({&jobs_, &jobs_listed_}),
       route_table_(
           dependencies.time_source, dependencies.dispatcher, watched_store_, dependencies.logger,
           tables.configuration_table, {""}, operator_rows_,
           {.pace = knobs.watch.configuration, .keep_values = true, .random = &dependencies.random}),
       worker_table_(
           dependencies.time_source, dependencies.dispatcher, watched_store_, dependencies.logger,
-          tables.worker_table, {""}, worker_watch_,
+          tables.worker_table, {""}, worker_rows_,
           {.pace = knobs.watch.workers, .keep_values = true, .random = &dependencies.random}),
       job_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                 dependencies.logger, kStoredJobTable, job_partitions(), jobs_,
+                 dependencies.logger, kStoredJobTable, job_partitions(), job_rows_,
                  {.pace = knobs.watch.jobs, .random = &dependencies.random}),
       node_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                  dependencies.logger, kNodeTable, {""}, peers_,
+                  dependencies.logger, kNodeTable, {""}, node_rows_,
                   {.pace = knobs.watch.jobs, .random = &dependencies.random}),
       quarantine_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                         dependencies.logger, kQuarantineTable, {""}, quarantine_rows_,
@@ -117,6 +124,7 @@
   route_watch_.set_on_changed([this] {
     quota_exchange_.set_tenants(route_watch_.current()->tenants());
     set_cold_starts();
+    note_start_step(start_step::kConfiguration);
     peers_.load_changed();  // announces the new configuration version to the peers soon
   });
   peers_.set_on_peers_changed([this](const std::vector<relay_candidate>& peers) {
@@ -262,6 +270,7 @@
 
 void ServingNode::start() {
   started_ = dependencies_.time_source.monotonic_now();
+  start_steps_.start();
   call_after(dependencies_.dispatcher, knobs_.watch.relayed_workers.batch_delay,
              lifetime_.guard([this] { update_watch_paces(); }));
   route_table_.start();
@@ -286,6 +295,13 @@
   }));
 }
 
+void ServingNode::note_start_step(start_step step) {
+  start_steps_.note(step);
+  if (not_ready_reason() == nullptr) {
+    start_steps_.note(start_step::kReady);
+  }
+}
+
 const char* ServingNode::not_ready_reason() const {
   if (draining_) {
     return "draining";
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -15,6 +15,7 @@
 #include "chalkshed/row_delivery.h"
 #include "chalkshed/row_handover.h"
 #include "chalkshed/run_turns.h"
+#include "chalkshed/start_timeline.h"
 #include "chalkshed/tenant_quota.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job_service.h"
@@ -109,6 +110,8 @@
   void start();
   // @return why callers should not be sent to this node, or null.
   const char* not_ready_reason() const;
+  // When each step of the start was reached.
+  const start_timeline& start_steps() const { return start_steps_; }
   // Planned shutdown: the node reports itself not ready but keeps serving while callers still come,
   // finishes running work, hands its jobs over, then calls `done` once.
   void begin_drain(std::function<void()> done);
@@ -142,6 +145,7 @@
 
  private:
   void schedule_placement();
+  void note_start_step(start_step step);
   // Whether the known keys have been unconfirmed, and so possibly revoked, for longer than allowed.
   bool keys_unconfirmed() const;
   // Rejects a request whose key or route is not in the known configuration. The error is permanent
@@ -165,6 +169,7 @@
 
   ServingNodeDependencies dependencies_;
   ServingNodeKnobs knobs_;
+  start_timeline start_steps_;
   StoreClock clock_;
   ObservedStore watched_store_;  // for watchers: a stale response is better than none
   ObservedStore fresh_store_;    // for responses to callers
@@ -186,6 +191,12 @@
   quarantine_rows quarantine_rows_;
   JobEnvironment job_environment_;
   JobService jobs_;
+  listing_observer workers_listed_;
+  listing_observer node_rows_listed_;
+  listing_observer jobs_listed_;
+  observer_list worker_rows_;  // observers of the worker table
+  observer_list node_rows_;    // of the node table
+  observer_list job_rows_;     // of the job table
   TableWatcher route_table_;
   TableWatcher worker_table_;
   TableWatcher job_table_;
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -181,18 +181,20 @@
               const std::string& name, uint64_t start, const ServingNodeKnobs& knobs = {},
               const std::string& zone = "zone-a")
       : address{name, 7660},
+        session(name + "#" + std::to_string(start)),
         dispatcher(clock),
         random(content_hash(name, start)),
         store(shared, clock, dispatcher),
         datagrams(hub, address),
-        calls(workers, name + "#" + std::to_string(start)),
-        node({name, name + "#" + std::to_string(start), zone, address, kCallerPort},
+        calls(workers, session),
+        node({name, session, zone, address, kCallerPort},
              {clock, dispatcher, random, store, store, calls, datagrams, request_wire(), job_wire(),
               logger, metrics},
              platform_tables(), knobs) {
     node.start();
   }
   Address address;
+  std::string session;
   VirtualDispatcher dispatcher;
   SeededRandomGenerator random;
   NullLogger logger;
