Nodes that the store refuses to announce no longer retry together

Cause: the announcements are rows of one partition, which takes 200 writes per second. All refused nodes retried after the same 500 ms, so that a burst of about 20 was admitted per round however many nodes there were. Meanwhile their peers ignored their loads and polled the table of nodes ten times a second. Changed: the retry is spread over 6 ms for each announced node (at least 500 ms); the interval of these polls grows with the number of nodes; the log line node_announced gives the number of attempts. Ruled out: gossiping announcements; their order comes from the store.

--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -67,12 +67,28 @@
       {"caller_port", identity_.caller_port}, {"capacity", identity_.capacity}};
   StoreTransaction announcement;
   announcement.writes.push_back({{kNodeTable, "", identity_.node}, value.dump()});
-  store_.commit(std::move(announcement),
-                lifetime_.guard([this](const Expected<StoreCommit>& commit) {
-                  if (!commit) {
-                    announce_timer_->enable(knobs_.announce_retry);
-                  }
-                }));
+  ++announce_attempts_;
+  store_.commit(
+      std::move(announcement), lifetime_.guard([this](const Expected<StoreCommit>& commit) {
+        if (!commit) {
+          announce_timer_->enable(announce_delay());
+          return;
+        }
+        logger_.write(
+            LogLevel::kInfo, "node_announced",
+            {{"session", identity_.session}, {"attempts", std::to_string(announce_attempts_)}});
+      }));
+}
+
+Duration PeerExchange::announce_delay() const {
+  const Duration window =
+      std::max(knobs_.announce_retry,
+               knobs_.announce_retry_per_node * static_cast<int64_t>(announced_nodes()));
+  const uint64_t draw = content_hash(identity_.session, announce_attempts_);
+  const double share = static_cast<double>(draw >> 11U) * 0x1.0p-53;
+  // A shorter delay would meet the same burst of calls that the store has just refused.
+  constexpr Duration kLeast = std::chrono::milliseconds(50);
+  return std::max(kLeast, std::chrono::duration_cast<Duration>(window * share));
 }
 
 void PeerExchange::on_row(const StoredRow& row) {
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -85,6 +85,10 @@
   // items from an old view.
   Duration store_report_lifetime = std::chrono::milliseconds(2000);
   Duration announce_retry = std::chrono::milliseconds(500);
+  // Nodes whose announcement the store has refused retry within this time for each announced node,
+  // which is a little slower than the store writes the rows of one partition. With the same delay
+  // for all of them, the store admitted a few at a time however many there were.
+  Duration announce_retry_per_node = std::chrono::milliseconds(6);
   // A peer that has been silent for this long is no longer taken into account.
   Duration gone_after = std::chrono::seconds(30);
   load_relay_knobs relays;
@@ -144,6 +148,8 @@
   // Sets how long the store may delay answers to this node (long polling); only a longer silence
   // counts as store silence.
   void set_store_wait(Duration wait) { store_wait_ = wait; }
+  // The number of announced nodes, including this one.
+  size_t announced_nodes() const { return peers_.size() + 1; }
   // @return how many announced nodes precede this one for the key, whether alive or not, or nothing
   // before the nodes have been listed. All nodes with the same view of the table agree on it.
   std::optional<size_t> announced_rank(const std::string& key) const;
@@ -191,6 +197,8 @@
   };
 
   void announce();
+  // Delay until the announcement is sent again; differs between nodes.
+  Duration announce_delay() const;
   void tick();
   void send_heartbeats();
   void receive(std::string_view datagram);
@@ -255,6 +263,7 @@
   std::function<void()> on_unknown_session_;
   bool listed_ = false;
   StoreVersion own_announcement_ = 0;
+  uint64_t announce_attempts_ = 0;
   Duration store_wait_{0};
   RecentLongest own_longest_silence_;
   MonotonicTime store_contact_since_{};  // start of this node's uninterrupted store contact
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -147,9 +147,14 @@
 }
 
 void TableWatcher::poll_now() {
-  // Minimum interval between two requests; the store answers within about 10 ms.
+  // Minimum interval between two requests; the store answers within about 10 ms. It grows with the
+  // table: all nodes of a fleet poll the table of nodes while many of them are being announced, and
+  // together they would take most of the store's read rate.
   constexpr Duration kMinBatchDelay = std::chrono::milliseconds(100);
-  if (batching_ && time_source_.monotonic_now() - last_heard_ >= kMinBatchDelay) {
+  constexpr Duration kDelayPerRow = std::chrono::milliseconds(1);
+  const Duration least =
+      std::max(kMinBatchDelay, kDelayPerRow * static_cast<int64_t>(known_.size()));
+  if (batching_ && time_source_.monotonic_now() - last_heard_ >= least) {
     retry_timer_->disable();
     follow();
   }
