A starting node lists the tables that serving needs first

Cause: each node listed all tables at once. When 300 nodes start together that exceeds the store's read rate, and the configuration and the workers waited for retries behind tables that only batch work needs. Changed: start_order lists the configuration and the workers first, then the nodes, then jobs and quarantined contents, which fleets of more than 50 nodes spread over 3 ms per further node. Missing answers delay the next tables by at most 300 ms and 2 s.

--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -11,6 +11,7 @@
                          const WatchedTables& tables, const ServingNodeKnobs& knobs)
     : dependencies_(dependencies),
       knobs_(knobs),
+      start_order_(knobs.start),
       start_steps_(dependencies.time_source, dependencies.logger),
       clock_(dependencies.time_source),
       watched_store_(dependencies.store, clock_, dependencies.metrics, StaleReads::kAccept),
@@ -30,7 +31,8 @@
                quarantine_},
       route_watch_(dependencies.logger, tables.configuration_key, tables.decode_routes),
       evacuated_zones_(dependencies.logger, workers_, tables.evacuations),
-      operator_rows_({&route_watch_, &evacuated_zones_}),
+      configuration_listed_([this] { list_next_tables(); }),
+      operator_rows_({&route_watch_, &evacuated_zones_, &configuration_listed_}),
       worker_watch_(dependencies.logger, workers_, tables.decode_worker),
       gateway_(serving_),
       batch_draw_(dependencies.random),
@@ -275,9 +277,10 @@
              lifetime_.guard([this] { update_watch_paces(); }));
   route_table_.start();
   workers_copy_.start();
-  job_table_.start();
-  node_table_.start();
-  quarantine_table_.start();
+  for (const Duration latest :
+       {start_order_.knobs().nodes_at_latest, start_order_.knobs().others_at_latest}) {
+    call_after(dependencies_.dispatcher, latest, lifetime_.guard([this] { list_next_tables(); }));
+  }
   peers_.start();
   jobs_.start();
 }
@@ -300,6 +303,28 @@
   if (not_ready_reason() == nullptr) {
     start_steps_.note(start_step::kReady);
   }
+  list_next_tables();
+}
+
+void ServingNode::list_next_tables() {
+  start_progress progress;
+  progress.elapsed = start_steps_.elapsed();
+  progress.configuration_listed = route_table_.listed();
+  progress.ready = not_ready_reason() == nullptr;
+  progress.nodes_listed = node_table_.listed();
+  if (!lists_nodes_ && start_order_.list_nodes(progress)) {
+    lists_nodes_ = true;
+    node_table_.start();
+  }
+  if (!lists_others_ && start_order_.list_others(progress)) {
+    lists_others_ = true;
+    const Duration delay =
+        start_order_.others_delay(peers_.announced_nodes(), dependencies_.random.unit());
+    call_after(dependencies_.dispatcher, delay, lifetime_.guard([this] {
+      job_table_.start();
+      quarantine_table_.start();
+    }));
+  }
 }
 
 const char* ServingNode::not_ready_reason() const {
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -15,6 +15,7 @@
 #include "chalkshed/row_delivery.h"
 #include "chalkshed/row_handover.h"
 #include "chalkshed/run_turns.h"
+#include "chalkshed/start_order.h"
 #include "chalkshed/start_timeline.h"
 #include "chalkshed/tenant_quota.h"
 #include "src/core/lifetime.h"
@@ -89,6 +90,7 @@
   run_turns_knobs turns;
   quota_exchange_knobs quotas;
   first_copy_knobs workers_copy;
+  start_order_knobs start;
   // A node that has had no configuration response from the store for this long rejects all keys,
   // because one of them may have been revoked. Unset: it keeps using the keys it knows.
   std::optional<Duration> max_unconfirmed_time;
@@ -146,6 +148,8 @@
  private:
   void schedule_placement();
   void note_start_step(start_step step);
+  // Lists the tables that are due according to start_order.
+  void list_next_tables();
   // Whether the known keys have been unconfirmed, and so possibly revoked, for longer than allowed.
   bool keys_unconfirmed() const;
   // Rejects a request whose key or route is not in the known configuration. The error is permanent
@@ -169,6 +173,7 @@
 
   ServingNodeDependencies dependencies_;
   ServingNodeKnobs knobs_;
+  const start_order start_order_;
   start_timeline start_steps_;
   StoreClock clock_;
   ObservedStore watched_store_;  // for watchers: a stale response is better than none
@@ -178,6 +183,7 @@
   ServingEnvironment serving_;
   RouteWatch route_watch_;
   evacuated_zones evacuated_zones_;
+  listing_observer configuration_listed_;
   observer_list operator_rows_;  // observers of the configuration table
   WorkerWatch worker_watch_;
   ServingGateway gateway_;
@@ -208,6 +214,8 @@
   row_handover worker_handover_;
   first_copy workers_copy_;
   MonotonicTime started_{};
+  bool lists_nodes_ = false;
+  bool lists_others_ = false;
   bool nodes_listed_ = false;
   bool placement_scheduled_ = false;
   bool draining_ = false;
