Batch work returns gradually after the loss of all nodes

Cause: nodes that took over jobs started up to four items per 60 ms each from the same view of free slots, before they knew each other's loads. At 300 nodes many were not announced yet, so that the others ignored their batch runs. The first streams queued at full workers behind batch items. Changed: batch items wait until this node is announced and knows the loads of its peers, at most 1.5 s; batch_ramp divides the free room among the nodes that may own jobs during the first 6 s; the announcement's retry window grows with the attempts; start_step reports when the loads are known. A stream that still waits at the end of the test counts as late, not as refused.

--- a/include/chalkshed/batch_room.h
+++ b/include/chalkshed/batch_room.h
@@ -83,8 +83,13 @@
     /** \param in_flight The online requests in flight at the service, of all nodes. */
     void observe_online(uint32_t in_flight, MonotonicTime now);
 
+    /** The free slots that batch runs may take now; negative if online requests lack slots. */
+    double room(const service_load &load, batch_urgency urgency, MonotonicTime now);
+
     /** Whether a batch run may take a slot now. */
-    bool may_start(const service_load &load, batch_urgency urgency, MonotonicTime now);
+    bool may_start(const service_load &load, batch_urgency urgency, MonotonicTime now) {
+        return room(load, urgency, now) >= 1;
+    }
 
     /** The expected number of runs that this node should stop now. Each node stops its share of the
      * missing slots, so that all nodes together stop no more than necessary. */
--- a/include/chalkshed/load_relay.h
+++ b/include/chalkshed/load_relay.h
@@ -141,6 +141,10 @@
     bool hears_informed_relay() const {
         return !view_.session.empty() && view_informed_;
     }
+    /** Whether this node gets digests from a relay of its zone. */
+    bool hears_relay() const {
+        return !view_.session.empty();
+    }
     /** Addresses to which this node reports its load. */
     const std::vector<Address> &report_to() const {
         return report_to_;
--- a/include/chalkshed/start_order.h
+++ b/include/chalkshed/start_order.h
@@ -21,6 +21,9 @@
     Duration nodes_at_latest = std::chrono::milliseconds(300);
     /** The other tables are listed this long after the start at the latest. */
     Duration others_at_latest = std::chrono::milliseconds(2000);
+    /** Batch items may start this long after the start although the loads of the other nodes are
+     * not known: peers that never return must not hold them up. */
+    Duration loads_at_latest = std::chrono::milliseconds(1500);
     /** Fleets up to this size list the other tables without a further delay. */
     size_t small_fleet = 50;
     /** Each further node adds this to the time over which the fleet spreads the other tables. A
--- a/include/chalkshed/start_timeline.h
+++ b/include/chalkshed/start_timeline.h
@@ -22,12 +22,14 @@
     kWorkers,
     /** The other nodes have been listed. */
     kNodes,
+    /** The loads that most other nodes put on the workers are known. */
+    kLoads,
     /** The jobs have been listed. */
     kJobs,
     /** Callers may be sent to this node. */
     kReady,
 };
-inline constexpr size_t kStartSteps = 5;
+inline constexpr size_t kStartSteps = 6;
 
 const char *start_step_name(start_step step);
 
--- a/src/batch_room/batch_room.cc
+++ b/src/batch_room/batch_room.cc
@@ -39,8 +39,8 @@
     return knobs_.start;
 }
 
-bool batch_room::may_start(const service_load &load, batch_urgency urgency, MonotonicTime now) {
-    return load.free >= 1 + headroom_multiple(urgency) * headroom(load, now) + expected_growth(now);
+double batch_room::room(const service_load &load, batch_urgency urgency, MonotonicTime now) {
+    return load.free - (headroom_multiple(urgency) * headroom(load, now) + expected_growth(now));
 }
 
 double batch_room::runs_to_stop(const service_load &load, MonotonicTime now) {
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -310,6 +310,12 @@
                         now - owned.finished > environment_.knobs.finished_job_retention;
     entry = forget ? owned_.erase(entry) : std::next(entry);
   }
+  size_t open_jobs = 0;
+  for (const auto& [id, indexed] : index_) {
+    open_jobs += indexed.record.ended || indexed.record.finished ? 0 : 1;
+  }
+  environment_.serving.workers.set_batch_sharers(std::min(open_jobs, sessions_.announced_nodes()),
+                                                 sessions_.view_lag());
   for (auto& [id, indexed] : index_) {
     sweep_job(id, indexed);
   }
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -55,7 +55,7 @@
                        dependencies.logger, quarantine_),
       job_environment_{serving_, route_watch_,           fresh_store_, dependencies.objects,
                        clock_,   dependencies.job_codec, batch_draw_,  knobs.jobs},
-      jobs_(job_environment_, peers_, [this] { return !gateway_.any_waiting(); }),
+      jobs_(job_environment_, peers_, [this] { return may_start_batch(); }),
       workers_listed_([this] { note_start_step(start_step::kWorkers); }),
       node_rows_listed_([this] { note_start_step(start_step::kNodes); }),
       jobs_listed_([this] { note_start_step(start_step::kJobs); }),
@@ -184,6 +184,7 @@
   if (std::exchange(nodes_listed_, true)) {
     return;
   }
+  check_loads_known();
   const Duration left = workers_.note_nodes_listed() - dependencies_.time_source.monotonic_now();
   call_after(dependencies_.dispatcher, left, lifetime_.guard([this] { workers_.nodes_changed(); }));
 }
@@ -318,8 +319,10 @@
   }
   if (!lists_others_ && start_order_.list_others(progress)) {
     lists_others_ = true;
-    const Duration delay =
-        start_order_.others_delay(peers_.announced_nodes(), dependencies_.random.unit());
+    const size_t nodes = peers_.announced_nodes();
+    const double draw =
+        nodes > start_order_.knobs().small_fleet ? dependencies_.random.unit() : 0.0;
+    const Duration delay = start_order_.others_delay(nodes, draw);
     call_after(dependencies_.dispatcher, delay, lifetime_.guard([this] {
       job_table_.start();
       quarantine_table_.start();
@@ -327,6 +330,23 @@
   }
 }
 
+// Until the loads of the other nodes are known, all workers look idle, and batch items would take
+// the slots that the first requests of callers need.
+bool ServingNode::may_start_batch() {
+  return !gateway_.any_waiting() &&
+         (peers_.loads_known() || start_steps_.elapsed() >= knobs_.start.loads_at_latest);
+}
+
+void ServingNode::check_loads_known() {
+  if (peers_.loads_known()) {
+    note_start_step(start_step::kLoads);
+    return;
+  }
+  constexpr Duration kPollInterval = std::chrono::milliseconds(50);
+  call_after(dependencies_.dispatcher, kPollInterval,
+             lifetime_.guard([this] { check_loads_known(); }));
+}
+
 const char* ServingNode::not_ready_reason() const {
   if (draining_) {
     return "draining";
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -148,6 +148,9 @@
  private:
   void schedule_placement();
   void note_start_step(start_step step);
+  bool may_start_batch();
+  // Polls until the loads of the other nodes are known.
+  void check_loads_known();
   // Lists the tables that are due according to start_order.
   void list_next_tables();
   // Whether the known keys have been unconfirmed, and so possibly revoked, for longer than allowed.
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -74,16 +74,21 @@
           announce_timer_->enable(announce_delay());
           return;
         }
+        own_announced_ = time_source_.monotonic_now();
         logger_.write(
             LogLevel::kInfo, "node_announced",
             {{"session", identity_.session}, {"attempts", std::to_string(announce_attempts_)}});
       }));
 }
 
+// The window grows with the attempts: a node that is started alone, or among a few, waits no longer
+// than necessary.
 Duration PeerExchange::announce_delay() const {
+  constexpr uint64_t kMostSteps = 3;
+  const auto step = static_cast<int64_t>(std::min(announce_attempts_, kMostSteps));
+  const Duration fleet = knobs_.announce_retry_per_node * static_cast<int64_t>(announced_nodes());
   const Duration window =
-      std::max(knobs_.announce_retry,
-               knobs_.announce_retry_per_node * static_cast<int64_t>(announced_nodes()));
+      std::max(knobs_.announce_retry, fleet) * step / static_cast<int64_t>(kMostSteps);
   const uint64_t draw = content_hash(identity_.session, announce_attempts_);
   const double share = static_cast<double>(draw >> 11U) * 0x1.0p-53;
   // A shorter delay would meet the same burst of calls that the store has just refused.
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -148,8 +148,6 @@
   // Sets how long the store may delay answers to this node (long polling); only a longer silence
   // counts as store silence.
   void set_store_wait(Duration wait) { store_wait_ = wait; }
-  // The number of announced nodes, including this one.
-  size_t announced_nodes() const { return peers_.size() + 1; }
   // @return how many announced nodes precede this one for the key, whether alive or not, or nothing
   // before the nodes have been listed. All nodes with the same view of the table agree on it.
   std::optional<size_t> announced_rank(const std::string& key) const;
@@ -176,6 +174,8 @@
   bool others_may_reach_store() const override;
   void begin_drain() override;
   Duration view_lag() const override;
+  size_t announced_nodes() const override { return peers_.size() + 1; }
+  bool loads_known() override;
 
  private:
   struct Peer {
@@ -264,6 +264,9 @@
   bool listed_ = false;
   StoreVersion own_announcement_ = 0;
   uint64_t announce_attempts_ = 0;
+  std::optional<MonotonicTime> own_announced_;  // when the store confirmed it
+  bool loads_known_ = false;
+  MonotonicTime loads_checked_{};
   Duration store_wait_{0};
   RecentLongest own_longest_silence_;
   MonotonicTime store_contact_since_{};  // start of this node's uninterrupted store contact
--- a/src/peers/peer_queries.cc
+++ b/src/peers/peer_queries.cc
@@ -108,6 +108,41 @@
   return Address{best->peer->address.ip, best->peer->caller_port};
 }
 
+// Once known, loads stay known: later gaps are bridged by this node's own observations.
+bool PeerExchange::loads_known() {
+  const MonotonicTime now = time_source_.monotonic_now();
+  constexpr Duration kCheckInterval = std::chrono::milliseconds(50);
+  constexpr Duration kAnnouncementLag = std::chrono::milliseconds(300);
+  if (loads_known_ || !listed_ || now - loads_checked_ < kCheckInterval) {
+    return loads_known_;
+  }
+  loads_checked_ = now;
+  if (peers_.empty()) {
+    return loads_known_ = true;
+  }
+  // The others ignore the loads of a node until its announcement has reached them.
+  const Duration until_known = relayed() ? kAnnouncementLag : Duration(0);
+  if (!own_announced_ || now - *own_announced_ < until_known) {
+    return false;
+  }
+  if (is_relay_member()) {
+    loads_known_ = relay_.hears_relay();
+    return loads_known_;
+  }
+  size_t heard = 0;
+  size_t reporting = 0;
+  for (const auto& [node, peer] : peers_) {
+    if (!peer.session.empty() && (!relayed() || near(peer))) {
+      ++reporting;
+      heard += peer.last_heard != MonotonicTime{} ? 1 : 0;
+    }
+  }
+  // Some of the announced nodes may not have started again.
+  constexpr double kMost = 0.75;
+  loads_known_ = static_cast<double>(heard) >= kMost * static_cast<double>(reporting);
+  return loads_known_;
+}
+
 size_t PeerExchange::rank(const std::string& key) const {
   const uint64_t seed = content_hash(key);
   const uint64_t own = content_hash(identity_.node, seed);
--- a/src/peers/session_view.h
+++ b/src/peers/session_view.h
@@ -31,6 +31,10 @@
   virtual void begin_drain() = 0;
   // Delay until a change at one node is known to the other nodes.
   virtual Duration view_lag() const = 0;
+  // The number of announced nodes, including this one.
+  virtual size_t announced_nodes() const { return 1; }
+  // Whether this node knows the loads that most other nodes put on the workers, and they know its.
+  virtual bool loads_known() { return true; }
 };
 
 }  // namespace chalkshed
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -71,7 +71,9 @@
   const auto found = services_.find(name);
   return found != services_.end()
              ? found->second
-             : services_.emplace(name, batch_room(started_, knobs_.batch_room)).first->second;
+             : services_
+                   .try_emplace(name, batch_room(started_, knobs_.batch_room), batch_ramp(started_))
+                   .first->second;
 }
 
 const WorkerSet::Service* WorkerSet::find_service(std::string_view name) const {
@@ -214,6 +216,15 @@
   nodes_changed();  // the number of sending nodes depends on the rate
 }
 
+void WorkerSet::set_batch_sharers(size_t sharers, Duration view_lag) {
+  if (time_source_.monotonic_now() - started_ >= batch_ramp_knobs{}.lasts) {
+    return;
+  }
+  for (auto& [name, service] : services_) {
+    service.ramp.set_sharers(sharers, view_lag, sharers > 1 ? random_.unit() : 0.0);
+  }
+}
+
 MonotonicTime WorkerSet::note_nodes_listed() {
   cold_limit_.note_nodes_listed(time_source_.monotonic_now());
   return *cold_limit_.settled();
@@ -506,8 +517,11 @@
   Service& service = service_of(request.service);
   const MonotonicTime now = time_source_.monotonic_now();
   const bool online = request.work == WorkClass::kOnline;
-  if (!online && !service.room.may_start(load_of_service(service), request.urgency, now)) {
-    return nullptr;
+  if (!online) {
+    const double room = service.room.room(load_of_service(service), request.urgency, now);
+    if (room < 1 || !service.ramp.may_start(room, now)) {
+      return nullptr;
+    }
   }
   const Choice choice{request, service, now, prefix_owners(request, service)};
   WorkerPtr worker = choose(choice, false);
@@ -516,6 +530,9 @@
   if (!worker && online && !any_healthy(choice)) {
     worker = choose(choice, true);
   }
+  if (worker && !online) {
+    service.ramp.note_started();
+  }
   return worker ? make_slot(std::move(worker), choice) : nullptr;
 }
 
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "chalkshed/batch_ramp.h"
 #include "chalkshed/batch_room.h"
 #include "chalkshed/cold_start_limit.h"
 #include "chalkshed/worker_outcomes.h"
@@ -150,6 +151,9 @@
 
   // Sets the limits for cold workers by service; services not in the map have none.
   void set_cold_starts(const std::map<std::string, cold_start>& services);
+  // While this node starts: the nodes that may start batch runs, and the time until all of them
+  // know of a run.
+  void set_batch_sharers(size_t sharers, Duration view_lag);
   void set_own_rank(cold_start_limit::own_rank rank) { cold_limit_.set_own_rank(std::move(rank)); }
   // The list of the other nodes is complete. @return when nodes_changed() must be called for it.
   MonotonicTime note_nodes_listed();
@@ -215,10 +219,11 @@
 
  private:
   struct Service {
-    explicit Service(const batch_room& empty) : room(empty) {}
+    Service(const batch_room& empty, const batch_ramp& start) : room(empty), ramp(start) {}
     std::vector<WorkerPtr> workers;
     std::shared_ptr<ServiceCounts> counts = std::make_shared<ServiceCounts>();
     batch_room room;
+    batch_ramp ramp;
     cold_start cold;
   };
   // Preferred workers for requests with this prompt prefix, in order of preference.
--- a/src/start_timeline/start_timeline.cc
+++ b/src/start_timeline/start_timeline.cc
@@ -12,6 +12,8 @@
         return "workers";
     case start_step::kNodes:
         return "nodes";
+    case start_step::kLoads:
+        return "loads";
     case start_step::kJobs:
         return "jobs";
     case start_step::kReady:
--- a/tests/recovery/fleet_recovery_test.cc
+++ b/tests/recovery/fleet_recovery_test.cc
@@ -81,27 +81,39 @@
 struct StreamCounts {
   size_t streams = 0;
   size_t late = 0;
-  size_t refused = 0;  // or failed
+  size_t late_without_loads = 0;  // at nodes that did not know the loads of the others yet
+  size_t without_loads = 0;
+  size_t refused = 0;  // or ended without an event
   double most_ms = 0;
 };
 
-StreamCounts count_streams(const std::vector<TimedStream>& streams) {
+// A stream that still waits for its first event at `now` counts as late if it has waited too long.
+StreamCounts count_streams(const std::vector<TimedStream>& streams, MonotonicTime now) {
   StreamCounts counts;
   for (const TimedStream& stream : streams) {
     ++counts.streams;
-    if (!stream.first_event) {
+    const bool ended = stream.refused || stream.seen->finished || stream.seen->aborted;
+    if (!stream.first_event && ended) {
       ++counts.refused;
       continue;
     }
-    counts.late += *stream.first_event > kFirstEvent ? 1 : 0;
-    counts.most_ms = std::max(counts.most_ms, ms(*stream.first_event));
+    const Duration waited = stream.first_event.value_or(now - stream.sent);
+    const bool late = waited > kFirstEvent;
+    counts.late += late ? 1 : 0;
+    counts.late_without_loads += late && !stream.loads_known ? 1 : 0;
+    counts.without_loads += stream.loads_known ? 0 : 1;
+    counts.most_ms = std::max(counts.most_ms, ms(waited));
   }
   return counts;
 }
 
 void print_streams(const char* which, const StreamCounts& counts) {
-  std::printf("  streams %s: %zu, late %zu, refused %zu, slowest %.0f ms\n", which, counts.streams,
-              counts.late, counts.refused, counts.most_ms);
+  std::printf(
+      "  streams %s: %zu, late %zu, refused %zu, slowest %.0f ms; at nodes without loads: %zu, "
+      "late "
+      "%zu\n",
+      which, counts.streams, counts.late, counts.refused, counts.most_ms, counts.without_loads,
+      counts.late_without_loads);
 }
 
 void print_progress(LostFleet& fleet) {
@@ -109,7 +121,8 @@
   for (Duration passed = kPart; passed <= kObserved; passed += kPart) {
     fleet.run_for(kPart);
     const size_t queued = std::exchange(fleet.workers().most_queued, 0);
-    const StreamCounts sent = count_streams(fleet.streams_between(passed - kPart, passed));
+    const StreamCounts sent =
+        count_streams(fleet.streams_between(passed - kPart, passed), fleet.now());
     std::printf(
         "  %4.0f ms: slots taken %3u, by batch %3u, by killed nodes %3u, most queued %3zu; streams "
         "%3zu\n",
@@ -117,7 +130,8 @@
         queued, sent.streams);
   }
   for (Duration passed = kPart; passed <= kObserved; passed += kPart) {
-    const StreamCounts sent = count_streams(fleet.streams_between(passed - kPart, passed));
+    const StreamCounts sent =
+        count_streams(fleet.streams_between(passed - kPart, passed), fleet.now());
     if (sent.streams > 0) {
       std::printf("  sent until %4.0f ms: %3zu streams, late %3zu, without an event %3zu\n",
                   ms(passed), sent.streams, sent.late, sent.refused);
@@ -144,7 +158,7 @@
   fleet.submit_jobs();
   fleet.run_for(milliseconds(1000));
   EXPECT_EQ(fleet.accepted_jobs, deployment.jobs);
-  const StreamCounts before = count_streams(fleet.first_streams(seconds(100)));
+  const StreamCounts before = count_streams(fleet.first_streams(seconds(100)), fleet.now());
   fleet.start_spread = spread;
   fleet.lose_all_nodes();
   fleet.unsent = 0;
@@ -155,9 +169,11 @@
   std::printf("%zu nodes, %s: after the loss\n", nodes, deployment.name);
   print_steps(starts);
   print_calls(fleet.store_calls(), kObserved);
-  const StreamCounts first = count_streams(fleet.first_streams(seconds(1)));
-  const StreamCounts later = count_streams(fleet.streams_between(
-      fleet.first_start + spread + kServingAgain, kObserved - milliseconds(500)));
+  const StreamCounts first = count_streams(fleet.first_streams(seconds(1)), fleet.now());
+  const StreamCounts later =
+      count_streams(fleet.streams_between(fleet.first_start + spread + kServingAgain,
+                                          kObserved - milliseconds(500)),
+                    fleet.now());
   std::printf("  most reads in a second: %lu\n", fleet.most_reads_per_second());
   print_streams("within 1 s of readiness", first);
   print_streams("from 2 s after the start", later);
--- a/tests/recovery/lost_fleet.h
+++ b/tests/recovery/lost_fleet.h
@@ -26,6 +26,7 @@
   std::string node;
   std::optional<Duration> first_event;
   bool refused = false;
+  bool loads_known = false;  // whether the node knew the loads of the others when it arrived
   SeenAnswerPtr seen = std::make_shared<SeenAnswer>();
 };
 
@@ -166,6 +167,7 @@
   // The most calls that the nodes sent to read from the store within a second, including refused
   // ones.
   uint64_t most_reads_per_second() const { return most_reads_; }
+  MonotonicTime now() const { return cluster_.clock.monotonic_now(); }
   LimitedCalls& store_calls() { return cluster_.shared.limited; }
   SlotWorkers& workers() { return workers_; }
   ServingCluster& cluster() { return cluster_; }
@@ -257,6 +259,7 @@
     stream->node = chosen->first;
     streams.push_back(stream);
     ServingNode& node = cluster_.node(chosen->first);
+    stream->loads_known = node.start_steps().at(start_step::kLoads).has_value();
     const std::string id = "s" + std::to_string(++sent_);
     if (node.refuse(id)) {
       stream->refused = true;
