--- a/tests/recovery/fleet_recovery_test.cc
+++ b/tests/recovery/fleet_recovery_test.cc
@@ -45,7 +45,9 @@
   size_t jobs;
 };
 
-void PrintTo(const Deployment& deployment, std::ostream* out) { *out << deployment.name; }
+std::ostream& operator<<(std::ostream& out, const Deployment& deployment) {
+  return out << deployment.name;
+}
 
 constexpr Deployment kDeployments[] = {{"60 workers", 3, 60, 220, 60},
                                        {"90 workers", 4, 90, 400, 100}};
