--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -12,6 +12,8 @@
                          const WatchedTables& tables, const ServingNodeKnobs& knobs)
     : dependencies_(dependencies),
       knobs_(knobs),
+      start_order_(knobs.start),
+      start_steps_(dependencies.time_source, dependencies.logger),
       clock_(dependencies.time_source),
       watched_store_(dependencies.store, clock_, dependencies.metrics, StaleReads::kAccept),
       fresh_store_(dependencies.store, clock_, dependencies.metrics, StaleReads::kRefuse),
@@ -30,7 +32,8 @@
                quarantine_},
       route_watch_(dependencies.logger, tables.configuration_key, tables.decode_routes),
       evacuated_zones_(dependencies.logger, workers_, tables.evacuations),
-      operator_rows_({&route_watch_, &evacuated_zones_}),
+      configuration_listed_([this] { list_next_tables(); }),
+      operator_rows_({&route_watch_, &evacuated_zones_, &configuration_listed_}),
       worker_watch_(dependencies.logger, workers_, tables.decode_worker),
       gateway_(serving_),
       batch_draw_(dependencies.random),
@@ -58,20 +61,26 @@
                        dependencies.logger, quarantine_),
       job_environment_{serving_, route_watch_,           fresh_store_, dependencies.objects,
                        clock_,   dependencies.job_codec, batch_draw_,  knobs.jobs},
-      jobs_(job_environment_, peers_, [this] { return !gateway_.any_waiting(); }),
+      jobs_(job_environment_, peers_, [this] { return may_start_batch(); }),
+      workers_listed_([this] { note_start_step(start_step::kWorkers); }),
+      node_rows_listed_([this] { note_start_step(start_step::kNodes); }),
+      jobs_listed_([this] { note_start_step(start_step::kJobs); }),
+      worker_rows_({&worker_watch_, &workers_listed_}),
+      node_rows_({&peers_, &node_rows_listed_}),
+      job_rows_({&jobs_, &jobs_listed_}),
       route_table_(
           dependencies.time_source, dependencies.dispatcher, watched_store_, dependencies.logger,
           tables.configuration_table, {""}, operator_rows_,
           {.pace = knobs.watch.configuration, .keep_values = true, .random = &dependencies.random}),
       worker_table_(
           dependencies.time_source, dependencies.dispatcher, watched_store_, dependencies.logger,
-          tables.worker_table, {""}, worker_watch_,
+          tables.worker_table, {""}, worker_rows_,
           {.pace = knobs.watch.workers, .keep_values = true, .random = &dependencies.random}),
       job_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                 dependencies.logger, kStoredJobTable, job_partitions(), jobs_,
+                 dependencies.logger, kStoredJobTable, job_partitions(), job_rows_,
                  {.pace = knobs.watch.jobs, .random = &dependencies.random}),
       node_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
-                  dependencies.logger, kNodeTable, {""}, peers_,
+                  dependencies.logger, kNodeTable, {""}, node_rows_,
                   {.pace = knobs.watch.jobs, .random = &dependencies.random}),
       quarantine_table_(dependencies.time_source, dependencies.dispatcher, watched_store_,
                         dependencies.logger, kQuarantineTable, {""}, quarantine_rows_,
@@ -123,6 +132,7 @@
   route_watch_.set_on_changed([this] {
     quota_exchange_.set_tenants(route_watch_.current()->tenants());
     set_cold_starts();
+    note_start_step(start_step::kConfiguration);
     peers_.load_changed();  // announces the new configuration version to the peers soon
   });
   peers_.set_on_peers_changed([this](const std::vector<relay_candidate>& peers) {
@@ -229,6 +239,7 @@
   if (std::exchange(nodes_listed_, true)) {
     return;
   }
+  check_loads_known();
   const Duration left = workers_.note_nodes_listed() - dependencies_.time_source.monotonic_now();
   call_after(dependencies_.dispatcher, left, lifetime_.guard([this] { workers_.nodes_changed(); }));
 }
@@ -319,13 +330,15 @@
 
 void ServingNode::start() {
   started_ = dependencies_.time_source.monotonic_now();
+  start_steps_.start();
   call_after(dependencies_.dispatcher, knobs_.watch.relayed_workers.batch_delay,
              lifetime_.guard([this] { update_watch_paces(); }));
   route_table_.start();
   workers_copy_.start();
-  job_table_.start();
-  node_table_.start();
-  quarantine_table_.start();
+  for (const Duration latest :
+       {start_order_.knobs().nodes_at_latest, start_order_.knobs().others_at_latest}) {
+    call_after(dependencies_.dispatcher, latest, lifetime_.guard([this] { list_next_tables(); }));
+  }
   peers_.start();
   jobs_.start();
 }
@@ -343,6 +356,54 @@
   }));
 }
 
+void ServingNode::note_start_step(start_step step) {
+  start_steps_.note(step);
+  if (not_ready_reason() == nullptr) {
+    start_steps_.note(start_step::kReady);
+  }
+  list_next_tables();
+}
+
+void ServingNode::list_next_tables() {
+  start_progress progress;
+  progress.elapsed = start_steps_.elapsed();
+  progress.configuration_listed = route_table_.listed();
+  progress.ready = not_ready_reason() == nullptr;
+  progress.nodes_listed = node_table_.listed();
+  if (!lists_nodes_ && start_order_.list_nodes(progress)) {
+    lists_nodes_ = true;
+    node_table_.start();
+  }
+  if (!lists_others_ && start_order_.list_others(progress)) {
+    lists_others_ = true;
+    const size_t nodes = peers_.announced_nodes();
+    const double draw =
+        nodes > start_order_.knobs().small_fleet ? dependencies_.random.unit() : 0.0;
+    const Duration delay = start_order_.others_delay(nodes, draw);
+    call_after(dependencies_.dispatcher, delay, lifetime_.guard([this] {
+      job_table_.start();
+      quarantine_table_.start();
+    }));
+  }
+}
+
+// Until the loads of the other nodes are known, all workers look idle, and batch items would take
+// the slots that the first requests of callers need.
+bool ServingNode::may_start_batch() {
+  return !gateway_.any_waiting() &&
+         (peers_.loads_known() || start_steps_.elapsed() >= knobs_.start.loads_at_latest);
+}
+
+void ServingNode::check_loads_known() {
+  if (peers_.loads_known()) {
+    note_start_step(start_step::kLoads);
+    return;
+  }
+  constexpr Duration kPollInterval = std::chrono::milliseconds(50);
+  call_after(dependencies_.dispatcher, kPollInterval,
+             lifetime_.guard([this] { check_loads_known(); }));
+}
+
 const char* ServingNode::not_ready_reason() const {
   if (draining_) {
     return "draining";
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -17,6 +17,8 @@
 #include "chalkshed/row_delivery.h"
 #include "chalkshed/row_handover.h"
 #include "chalkshed/run_turns.h"
+#include "chalkshed/start_order.h"
+#include "chalkshed/start_timeline.h"
 #include "chalkshed/tenant_quota.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job_service.h"
@@ -90,6 +92,7 @@
   run_turns_knobs turns;
   quota_exchange_knobs quotas;
   first_copy_knobs workers_copy;
+  start_order_knobs start;
   // A node that has had no configuration response from the store for this long rejects all keys,
   // because one of them may have been revoked. Unset: it keeps using the keys it knows.
   std::optional<Duration> max_unconfirmed_time;
@@ -111,6 +114,8 @@
   void start();
   // @return why callers should not be sent to this node, or null.
   const char* not_ready_reason() const;
+  // When each step of the start was reached.
+  const start_timeline& start_steps() const { return start_steps_; }
   // Planned shutdown: the node reports itself not ready but keeps serving while callers still come,
   // finishes running work, hands its jobs over, then calls `done` once.
   void begin_drain(std::function<void()> done);
@@ -145,6 +150,12 @@
 
  private:
   void schedule_placement();
+  void note_start_step(start_step step);
+  bool may_start_batch();
+  // Polls until the loads of the other nodes are known.
+  void check_loads_known();
+  // Lists the tables that are due according to start_order.
+  void list_next_tables();
   // Whether the known keys have been unconfirmed, and so possibly revoked, for longer than allowed.
   bool keys_unconfirmed() const;
   // Rejects a request whose key or route is not in the known configuration. The error is permanent
@@ -172,6 +183,8 @@
 
   ServingNodeDependencies dependencies_;
   ServingNodeKnobs knobs_;
+  const start_order start_order_;
+  start_timeline start_steps_;
   StoreClock clock_;
   ObservedStore watched_store_;  // for watchers: a stale response is better than none
   ObservedStore fresh_store_;    // for responses to callers
@@ -180,6 +193,7 @@
   ServingEnvironment serving_;
   RouteWatch route_watch_;
   evacuated_zones evacuated_zones_;
+  listing_observer configuration_listed_;
   observer_list operator_rows_;  // observers of the configuration table
   WorkerWatch worker_watch_;
   ServingGateway gateway_;
@@ -195,6 +209,12 @@
   quarantine_rows quarantine_rows_;
   JobEnvironment job_environment_;
   JobService jobs_;
+  listing_observer workers_listed_;
+  listing_observer node_rows_listed_;
+  listing_observer jobs_listed_;
+  observer_list worker_rows_;  // observers of the worker table
+  observer_list node_rows_;    // of the node table
+  observer_list job_rows_;     // of the job table
   TableWatcher route_table_;
   TableWatcher worker_table_;
   TableWatcher job_table_;
@@ -206,6 +226,8 @@
   row_handover worker_handover_;
   first_copy workers_copy_;
   MonotonicTime started_{};
+  bool lists_nodes_ = false;
+  bool lists_others_ = false;
   bool nodes_listed_ = false;
   bool placement_scheduled_ = false;
   std::set<std::string> services_with_new_speeds_;
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -85,6 +85,10 @@
   // items from an old view.
   Duration store_report_lifetime = std::chrono::milliseconds(2000);
   Duration announce_retry = std::chrono::milliseconds(500);
+  // Nodes whose announcement the store has refused retry within this time for each announced node,
+  // which is a little slower than the store writes the rows of one partition. With the same delay
+  // for all of them, the store admitted a few at a time however many there were.
+  Duration announce_retry_per_node = std::chrono::milliseconds(6);
   // A peer that has been silent for this long is no longer taken into account.
   Duration gone_after = std::chrono::seconds(30);
   load_relay_knobs relays;
@@ -170,6 +174,8 @@
   bool others_may_reach_store() const override;
   void begin_drain() override;
   Duration view_lag() const override;
+  size_t announced_nodes() const override { return peers_.size() + 1; }
+  bool loads_known() override;
 
  private:
   struct Peer {
@@ -191,6 +197,8 @@
   };
 
   void announce();
+  // Delay until the announcement is sent again; differs between nodes.
+  Duration announce_delay() const;
   void tick();
   void send_heartbeats();
   void receive(std::string_view datagram);
@@ -255,6 +263,10 @@
   std::function<void()> on_unknown_session_;
   bool listed_ = false;
   StoreVersion own_announcement_ = 0;
+  uint64_t announce_attempts_ = 0;
+  std::optional<MonotonicTime> own_announced_;  // when the store confirmed it
+  bool loads_known_ = false;
+  MonotonicTime loads_checked_{};
   Duration store_wait_{0};
   RecentLongest own_longest_silence_;
   MonotonicTime store_contact_since_{};  // start of this node's uninterrupted store contact
