Let the gateway ask for shared admission and keep the rank of waiting requests

After waiting for 0.8 of its target, a request was sent to a full worker and waited in that worker's own queue, where neither priority nor tenant counts. Refused sends are left out of the measured hold times: plain workers refuse at once when full.

--- a/include/chalkshed/shared_admission.h
+++ b/include/chalkshed/shared_admission.h
@@ -91,7 +91,7 @@
     size_t late_of_tenant = 0;
 };
 
-struct admission_verdict {
+struct shared_verdict {
     /** kOverloaded, Ran::kNo, with the time at which there will be room. */
     std::optional<Error> refused;
     /** Admitted, although it can no longer be served within its target: it must not be served
@@ -114,7 +114,7 @@
     shared_admission(TimeSource &time_source, RandomGenerator &random, Logger &logger,
                      MetricsRegistry &metrics, const shared_admission_knobs &knobs = {});
 
-    admission_verdict admit(const admission_request &request);
+    shared_verdict admit(const admission_request &request);
     /** An online request has freed its slot after that time. */
     void note_ended(std::string_view service, Duration held);
     /** A request has begun to wait for a slot. */
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -43,6 +43,13 @@
                       {identity.node, identity.session, identity.zone, identity.address,
                        identity.capacity, true, false, false},
                       knobs.quotas),
+      admission_(dependencies.time_source, dependencies.random, dependencies.logger,
+                 dependencies.metrics, knobs.admission),
+      admission_exchange_(dependencies.time_source, dependencies.dispatcher, dependencies.datagrams,
+                          admission_, dependencies.logger,
+                          {identity.node, identity.session, identity.zone, identity.address,
+                           identity.capacity, true, false, false},
+                          knobs.admission_exchange),
       quarantine_api_(dependencies.time_source, quarantine_, identity.address.ip),
       crash_exchange_(dependencies.time_source, dependencies.dispatcher, dependencies.datagrams,
                       quarantine_),
@@ -117,11 +124,15 @@
   route_watch_.set_on_changed([this] {
     quota_exchange_.set_tenants(route_watch_.current()->tenants());
     set_cold_starts();
+    set_admitted_services();
     peers_.load_changed();  // announces the new configuration version to the peers soon
   });
   peers_.set_on_peers_changed([this](const std::vector<relay_candidate>& peers) {
     quota_exchange_.set_peers(peers);
     crash_exchange_.set_peers(peers);
+    if (knobs_.shared_admission) {
+      admission_exchange_.set_peers(peers);
+    }
     run_turns_.set_peers(peers);
     quarantine_rows_.set_node_count(peers.size() + 1);
     note_nodes_listed();
@@ -129,9 +140,13 @@
   });
   peers_.set_other_reader([this](std::string_view datagram) {
     return quota_exchange_.receive(datagram) || crash_exchange_.receive(datagram) ||
-           run_turns_.receive(datagram);
+           run_turns_.receive(datagram) ||
+           (knobs_.shared_admission && admission_exchange_.receive(datagram));
   });
   connect_quarantine();
+  if (knobs_.shared_admission) {
+    connect_admission();
+  }
   workers_.set_own_rank(
       [this](const std::string& worker) { return peers_.announced_rank(worker); });
   route_table_.set_on_missed(
@@ -168,6 +183,24 @@
   run_turns_.set_on_granted([this] { schedule_placement(); });
 }
 
+void ServingNode::connect_admission() {
+  gateway_.set_admission(&admission_);
+  admission_.set_slots([this](std::string_view service) {
+    const OnlineSlots slots = workers_.online_slots(service);
+    return service_slots{static_cast<double>(slots.all), static_cast<double>(slots.free)};
+  });
+  workers_.set_on_online_ended(
+      [this](const std::string& service, Duration held) { admission_.note_ended(service, held); });
+}
+
+void ServingNode::set_admitted_services() {
+  std::vector<std::string> names;
+  for (const auto& [name, service] : route_watch_.current()->services()) {
+    names.push_back(name);
+  }
+  admission_.set_services(names);
+}
+
 // PeerExchange reports its peers only after the node table has been listed, so the first report
 // means that the listing is complete.
 void ServingNode::note_nodes_listed() {
@@ -258,6 +291,7 @@
 ServingNode::~ServingNode() {
   workers_.set_on_slot_freed(nullptr);
   workers_.set_on_load_changed(nullptr);
+  workers_.set_on_online_ended(nullptr);
 }
 
 void ServingNode::start() {
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "chalkshed/admission_exchange.h"
 #include "chalkshed/caller_identity.h"
 #include "chalkshed/crash_exchange.h"
 #include "chalkshed/evacuated_zones.h"
@@ -87,6 +88,10 @@
   quarantine_knobs quarantine;
   run_turns_knobs turns;
   quota_exchange_knobs quotas;
+  // Whether all nodes together decide which requests for overloaded services are admitted.
+  bool shared_admission = false;
+  shared_admission_knobs admission;
+  admission_exchange_knobs admission_exchange;
   first_copy_knobs workers_copy;
   // A node that has had no configuration response from the store for this long rejects all keys,
   // because one of them may have been revoked. Unset: it keeps using the keys it knows.
@@ -158,8 +163,11 @@
                         const std::function<void()>& done);
   void check_drained();
   void connect_quarantine();
+  void connect_admission();
   copy_source worker_copy_source() const;
   void note_nodes_listed();
+  // Tells the services of the configuration to shared admission.
+  void set_admitted_services();
   // Applies the limits on cold workers from the configuration.
   void set_cold_starts();
 
@@ -180,6 +188,8 @@
   PeerExchange peers_;
   tenant_quota quota_;
   quota_exchange quota_exchange_;
+  shared_admission admission_;
+  admission_exchange admission_exchange_;
   quarantine_api quarantine_api_;
   crash_exchange crash_exchange_;
   run_turns run_turns_;
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -65,7 +65,7 @@
            "all workers of service '" + service_ + "' are in evacuated zones");
     return;
   }
-  if (queue_first || !send(false)) {
+  if (queue_first || !send(IfFull::kWait)) {
     wait_for_slot();
   }
 }
@@ -85,7 +85,7 @@
 }
 
 bool RequestRelay::try_dispatch() {
-  if (!waiting_ || end_if_quarantined() || !send(false)) {
+  if (!waiting_ || end_if_quarantined() || !send(IfFull::kWait)) {
     return false;
   }
   waiting_ = false;
@@ -93,7 +93,7 @@
   return true;
 }
 
-bool RequestRelay::send(bool even_if_full) {
+bool RequestRelay::send(IfFull if_full) {
   const run_permit permit = environment_.quarantine.claim_run(request_.digest, runs_ > 0);
   waits_for_earlier_run_ = permit == run_permit::kWait;
   if (waits_for_earlier_run_ || permit == run_permit::kQuarantined) {
@@ -104,7 +104,8 @@
   wanted.service = service_;
   wanted.request = &request_;
   wanted.tried = &tried_;
-  wanted.even_if_full = even_if_full;
+  wanted.even_if_full = if_full != IfFull::kWait;
+  wanted.only_if_next = if_full == IfFull::kSendIfNext;
   // A retry must remain available after the run that starts here.
   wanted.repeatable = is_repeatable(route_) && runs_ + 1 < route_.attempts;
   WorkerSlotPtr slot = environment_.workers.acquire_slot(wanted);
@@ -130,7 +131,7 @@
       environment_.time_source, environment_.worker_client, environment_.protocol,
       environment_.workers, environment_.quarantine, std::move(slot), worker_send, options, *this);
   watch_silence();
-  log(LogLevel::kInfo, "request_sent", even_if_full ? "no slot was free" : "");
+  log(LogLevel::kInfo, "request_sent", if_full == IfFull::kWait ? "" : "no slot was free");
   return true;
 }
 
@@ -141,11 +142,59 @@
 
 void RequestRelay::wait_for_slot() {
   waiting_ = true;
-  wait_timer_->enable(std::max(std::min(max_wait() - elapsed(), time_left()), Duration(0)));
+  // With an order, a request may first join an empty queue at a worker, and needs time for that.
+  constexpr double kShareBeforeQueue = 0.7;
+  const Duration wait = order_ == nullptr
+                            ? max_wait()
+                            : std::chrono::duration_cast<Duration>(max_wait() * kShareBeforeQueue);
+  wait_timer_->enable(std::max(std::min(wait - elapsed(), time_left()), Duration(0)));
+}
+
+bool RequestRelay::late() const {
+  return order_ != nullptr && runs_ == 0 && route_.target > Duration(0) &&
+         (late_ || elapsed() >= max_wait());
+}
+
+// While no worker can take the request at all, waiting for a slot is useless.
+bool RequestRelay::may_wait_on() const {
+  return order_ != nullptr && route_.target > Duration(0) && !waits_for_earlier_run_ &&
+         environment_.workers.may_get_slot(service_, tried_);
+}
+
+// Only engines queue requests; plain workers refuse them when they are full.
+bool RequestRelay::send_if_next() {
+  const ServiceSpec* service = table_->service(service_);
+  return service != nullptr && service->generates && order_->is_next(*this) &&
+         send(IfFull::kSendIfNext);
+}
+
+bool RequestRelay::send_again() {
+  if (send(IfFull::kWait)) {
+    return true;
+  }
+  if (!may_wait_on()) {
+    return send(IfFull::kSend);
+  }
+  if (!send_if_next()) {
+    wait_for_slot();
+  }
+  return true;
+}
+
+void RequestRelay::wait_on() {
+  // A late request is sent when slots become free; the timer is for a view that changes meanwhile.
+  const Duration interval = late() ? std::chrono::milliseconds(250) : std::chrono::milliseconds(25);
+  waiting_ = true;
+  if (send_if_next()) {
+    waiting_ = false;
+    return;
+  }
+  wait_timer_->enable(std::max(std::min(interval, time_left()), Duration(0)));
+  order_->dispatch_soon();
 }
 
 bool RequestRelay::send_or_wait_for_earlier_run() {
-  if (send(false) || send(true)) {
+  if (send_again()) {
     return true;
   }
   if (waits_for_earlier_run_) {
@@ -157,8 +206,12 @@
 
 // No slot became free in time: queue the request at a worker instead of holding it here.
 void RequestRelay::handle_wait_timeout() {
+  if (may_wait_on()) {
+    wait_on();
+    return;
+  }
   waiting_ = false;
-  if (send(true)) {
+  if (send(IfFull::kSend)) {
     return;
   }
   const std::string reason = waits_for_earlier_run_
@@ -286,7 +339,7 @@
   }
   if (end.status >= kInternalServerError && may_send_again()) {
     log(LogLevel::kInfo, "request_sent_again", "status " + std::to_string(end.status));
-    if (send(false) || send(true)) {
+    if (send_again()) {
       return;
     }
   }
--- a/src/serving/request_relay.h
+++ b/src/serving/request_relay.h
@@ -27,6 +27,19 @@
 // @return the stable name used in logs and metrics.
 std::string_view relay_end_name(RelayEnd end);
 
+class RequestRelay;
+
+// The order in which the waiting requests of a node are sent, by which a request also waits when
+// all workers are full: in a worker's own queue, neither priority nor tenant counts.
+class WaitingOrder {
+ public:
+  virtual ~WaitingOrder() = default;
+  // Whether the request is the next of its service.
+  virtual bool is_next(const RequestRelay& relay) const = 0;
+  // Sends waiting requests where possible, later in the event loop.
+  virtual void dispatch_soon() = 0;
+};
+
 class RequestRelay : public AttemptObserver {
  public:
   // Called once, when the answer has ended. The callback must not destroy the relay.
@@ -40,6 +53,12 @@
   RequestRelay(const RequestRelay&) = delete;
   RequestRelay& operator=(const RequestRelay&) = delete;
 
+  // Lets the request wait by that order, which outlives it. To be called before start().
+  // @param late it can no longer be served within its target.
+  void set_order(WaitingOrder* order, bool late) {
+    order_ = order;
+    late_ = late;
+  }
   // Starts the request, which may have ended when this returns.
   // @param queue_first wait even if a slot is free, because other requests have waited longer.
   void start(bool queue_first = false);
@@ -48,6 +67,10 @@
   // Whether it waits for a free slot. Other waiting requests wait for the outcome of an earlier run
   // of the same content.
   bool waits_for_slot() const { return waiting_ && !waits_for_earlier_run_; }
+  // Whether it has run nowhere yet and can't be served within its target any more. Only with an
+  // order.
+  bool late() const;
+  const std::string& tenant() const { return request_.tenant; }
   uint32_t priority() const { return request_.priority.value_or(route_.priority); }
   const std::string& service() const { return service_; }
   // Whether a worker may have started it.
@@ -60,7 +83,16 @@
   void on_events(std::string_view events) override;
   void on_attempt_ended(const AttemptEnd& end) override;
 
-  bool send(bool even_if_full);
+  enum class IfFull { kWait, kSendIfNext, kSend };
+  bool send(IfFull if_full);
+  // Sends a request that was sent before, or lets it wait.
+  bool send_again();
+  // Whether it waits by its order rather than in the queue of a full worker.
+  bool may_wait_on() const;
+  // Sends it to a full worker if it would be the next to run there.
+  bool send_if_next();
+  // Retries to send a request that has waited for long, and lets it wait on.
+  void wait_on();
   // @return false if neither is possible: no worker accepts it, or its content is quarantined.
   bool send_or_wait_for_earlier_run();
   // Ends the request if its content is quarantined for crashing workers. @return whether it did.
@@ -94,6 +126,7 @@
   ServingRequest request_;
   ResponseWriterPtr writer_;
   OnEnd on_end_;
+  WaitingOrder* order_ = nullptr;
   const MonotonicTime received_;
   MonotonicTime deadline_;
   std::unique_ptr<WorkerAttempt> attempt_;
@@ -103,6 +136,7 @@
   uint32_t refusals_ = 0;  // sends that certainly did not run
   bool waiting_ = false;
   bool waits_for_earlier_run_ = false;  // why the last send was not possible
+  bool late_ = false;                   // when it arrived
   bool started_ = false;                // the response head was written
   bool ended_ = false;
   bool reached_worker_ = false;  // a run was in progress when the request ended
--- a/src/serving/serving_gateway.cc
+++ b/src/serving/serving_gateway.cc
@@ -1,6 +1,7 @@
 #include "src/serving/serving_gateway.h"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 #include "chalkshed/request_digest.h"
@@ -20,6 +21,11 @@
       return;
     }
   }
+  const std::string service = draw_.draw(route);
+  const auto admitted = admit(route, service, request, *writer);
+  if (!admitted) {
+    return;
+  }
   const uint64_t id = next_id_++;
   const std::string tenant = request.tenant;
   const MonotonicTime received = environment_.time_source.monotonic_now();
@@ -38,18 +44,25 @@
     remove_later(id);
   };
   auto relay =
-      std::make_unique<RequestRelay>(environment_, std::move(table), route, draw_.draw(route),
+      std::make_unique<RequestRelay>(environment_, std::move(table), route, service,
                                      std::move(request), std::move(writer), std::move(on_end));
+  if (admission_ != nullptr) {
+    relay->set_order(this, admitted->late);
+  }
   RequestRelay& started = *relay;
   const double start = queues_[started.service()].enter(tenant);
   relays_.emplace(id, InProgress{std::move(relay), start});
-  started.start(count_waiting_ahead(started.service(), started.priority()) > 0);
+  const bool held = started.late() && !has_room(service);
+  started.start(held || count_waiting_ahead(started) > 0);
+  if (admission_ != nullptr && started.waits_for_slot() && !started.late()) {
+    admission_->note_waiting();
+  }
   if (!started.waiting()) {
     note_dispatched(relays_.at(id));
   }
   const size_t slots = environment_.workers.free_slots(started.service());
   const size_t short_of = waiting();
-  if (started.waiting() && short_of > slots && on_slot_shortage_) {
+  if (started.waiting() && !held && short_of > slots && on_slot_shortage_) {
     on_slot_shortage_(short_of - slots);
   } else if (started.waiting()) {
     environment_.dispatcher.post(lifetime_.guard([this] { dispatch_waiting(); }));
@@ -63,10 +76,86 @@
       .add(1);
 }
 
-size_t ServingGateway::count_waiting_ahead(const std::string& service, uint32_t priority) const {
+void ServingGateway::set_admission(shared_admission* admission) {
+  admission_ = admission;
+  admission_->set_waiting([this](const shared_admission::visit_waiting& visit) {
+    for (const auto& [id, entry] : relays_) {
+      const RequestRelay& relay = *entry.relay;
+      if (relay.waits_for_slot() && !relay.late()) {
+        visit({relay.service(), relay.tenant(), relay.priority()});
+      }
+    }
+  });
+}
+
+std::optional<shared_verdict> ServingGateway::admit(const Route& route, const std::string& service,
+                                                    const ServingRequest& request,
+                                                    ResponseWriter& writer) {
+  if (admission_ == nullptr) {
+    return shared_verdict{};
+  }
+  admission_request wanted;
+  wanted.id = request.id;
+  wanted.service = service;
+  wanted.tenant = request.tenant;
+  wanted.priority = request.priority.value_or(route.priority);
+  wanted.digest = request.digest;
+  wanted.target = route.target;
+  for (const auto& [id, entry] : relays_) {
+    const bool late = entry.relay->waits_for_slot() && entry.relay->late();
+    wanted.late += late ? 1 : 0;
+    wanted.late_of_tenant += late && entry.relay->tenant() == request.tenant ? 1 : 0;
+  }
+  shared_verdict verdict = admission_->admit(wanted);
+  if (!verdict.refused) {
+    return verdict;
+  }
+  if (quota_ != nullptr) {
+    quota_->give_back(request.tenant);
+  }
+  writer.respond(environment_.protocol.refusal(request.id, *verdict.refused));
+  count_end(route.name, "overloaded");
+  return std::nullopt;
+}
+
+// Free slots of an overloaded service are those that other nodes' requests are about to take.
+bool ServingGateway::has_room(const std::string& service) const {
+  constexpr uint32_t kLeastShare = 32;
+  const OnlineSlots slots = environment_.workers.online_slots(service);
+  return !admission_->overloaded(service) || slots.free > slots.all / kLeastShare;
+}
+
+bool ServingGateway::ranks_before(const InProgress& a, const InProgress& b) {
+  const auto rank = [](const InProgress& entry) {
+    return std::make_tuple(entry.relay->late(), entry.relay->priority(), entry.start);
+  };
+  return rank(a) < rank(b);
+}
+
+bool ServingGateway::is_next(const RequestRelay& relay) const {
+  if (relay.late() && !has_room(relay.service())) {
+    return false;
+  }
+  const auto own = std::find_if(relays_.begin(), relays_.end(), [&relay](const auto& entry) {
+    return entry.second.relay.get() == &relay;
+  });
+  return own != relays_.end() &&
+         std::none_of(relays_.begin(), relays_.end(), [&](const auto& entry) {
+           const RequestRelay& other = *entry.second.relay;
+           return other.waits_for_slot() && other.service() == relay.service() &&
+                  ranks_before(entry.second, own->second);
+         });
+}
+
+void ServingGateway::dispatch_soon() {
+  environment_.dispatcher.post(lifetime_.guard([this] { dispatch_waiting(); }));
+}
+
+size_t ServingGateway::count_waiting_ahead(const RequestRelay& arrived) const {
   return static_cast<size_t>(std::count_if(relays_.begin(), relays_.end(), [&](const auto& entry) {
     const RequestRelay& relay = *entry.second.relay;
-    return relay.waits_for_slot() && relay.service() == service && relay.priority() <= priority;
+    return relay.waits_for_slot() && relay.service() == arrived.service() &&
+           relay.priority() <= arrived.priority() && (arrived.late() || !relay.late());
   }));
 }
 
@@ -95,13 +184,20 @@
       waiting.push_back(&entry);
     }
   }
-  std::stable_sort(waiting.begin(), waiting.end(), [](const InProgress* a, const InProgress* b) {
-    return a->relay->priority() != b->relay->priority()
-               ? a->relay->priority() < b->relay->priority()
-               : a->start < b->start;
-  });
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [](const InProgress* a, const InProgress* b) { return ranks_before(*a, *b); });
+  std::map<std::string, bool> rooms;
   for (const InProgress* entry : waiting) {
-    if (entry->relay->try_dispatch()) {
+    bool held = false;
+    if (entry->relay->late()) {
+      const std::string& service = entry->relay->service();
+      auto room = rooms.find(service);
+      if (room == rooms.end()) {
+        room = rooms.emplace(service, has_room(service)).first;
+      }
+      held = !room->second;
+    }
+    if (!held && entry->relay->try_dispatch()) {
       note_dispatched(*entry);
     }
   }
--- a/src/serving/serving_gateway.h
+++ b/src/serving/serving_gateway.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "chalkshed/fair_order.h"
+#include "chalkshed/shared_admission.h"
 #include "chalkshed/tenant_quota.h"
 #include "src/core/lifetime.h"
 #include "src/serving/request_relay.h"
@@ -16,7 +17,7 @@
 
 namespace chalkshed {
 
-class ServingGateway {
+class ServingGateway : public WaitingOrder {
  public:
   explicit ServingGateway(ServingEnvironment& environment);
 
@@ -25,6 +26,9 @@
               ResponseWriterPtr writer);
   // @param quota admits or rejects the requests of limited tenants; outlives the gateway.
   void set_quota(request_quota* quota) { quota_ = quota; }
+  // @param admission decides on requests for overloaded services, together with the other nodes;
+  // outlives the gateway. Without it, a request that has waited for long is sent to a full worker.
+  void set_admission(shared_admission* admission);
   size_t requests_in_progress() const { return relays_.size(); }
   // Whether any online request waits for a slot; batch work then takes none.
   bool any_waiting() const { return waiting() > 0; }
@@ -42,14 +46,24 @@
     double start = 0;  // virtual start time, see fair_order
   };
 
+  // Decides on the request; answers it if it is refused.
+  // @return the decision, or nothing if the request was refused.
+  std::optional<shared_verdict> admit(const Route& route, const std::string& service,
+                                         const ServingRequest& request, ResponseWriter& writer);
+  // Whether a late request for the service may take a slot.
+  bool has_room(const std::string& service) const;
+  static bool ranks_before(const InProgress& a, const InProgress& b);
+  bool is_next(const RequestRelay& relay) const override;
+  void dispatch_soon() override;
   void remove_later(uint64_t id);
   void note_dispatched(const InProgress& dispatched);
   void count_end(const std::string& route, const std::string& end);
-  // Waiting requests of the service with at least this priority.
-  size_t count_waiting_ahead(const std::string& service, uint32_t priority) const;
+  // Waiting requests of the request's service that are sent before it.
+  size_t count_waiting_ahead(const RequestRelay& arrived) const;
 
   ServingEnvironment& environment_;
   request_quota* quota_ = nullptr;
+  shared_admission* admission_ = nullptr;
   ServiceDraw draw_;
   std::map<uint64_t, InProgress> relays_;     // in order of arrival
   std::map<std::string, fair_order> queues_;  // by service
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -149,6 +149,7 @@
   if (std::exchange(ended_, true)) {
     return;
   }
+  slot_->refused = result == AttemptResult::kNotRun;
   end_run();
   end_.result = result;
   end_.reason = std::move(reason);
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -38,7 +38,8 @@
 
 }  // namespace
 
-WorkerSlot::WorkerSlot(WorkerPtr worker, WorkClass work, std::function<void()> on_freed)
+WorkerSlot::WorkerSlot(WorkerPtr worker, WorkClass work,
+                       std::function<void(const WorkerSlot&)> on_freed)
     : worker_(std::move(worker)), work_(work), on_freed_(std::move(on_freed)) {
   count(1);
 }
@@ -46,7 +47,7 @@
 WorkerSlot::~WorkerSlot() {
   count(-1);
   if (on_freed_) {
-    on_freed_();
+    on_freed_(*this);
   }
 }
 
@@ -383,12 +384,47 @@
   return service == nullptr ? 0 : load_of_service(*service).free;
 }
 
+OnlineSlots WorkerSet::online_slots(std::string_view name) const {
+  const Service* service = find_service(name);
+  OnlineSlots slots;
+  if (service == nullptr) {
+    return slots;
+  }
+  const MonotonicTime now = time_source_.monotonic_now();
+  for (const WorkerPtr& worker : service->workers) {
+    if (!in_service(*worker) || worker->outcomes.suspect(now) ||
+        cold_start_limit::limited(worker->cold, service->cold, now)) {
+      continue;
+    }
+    const uint32_t load = load_at(*worker, now);
+    const uint32_t batch =
+        worker->batch_in_flight + static_cast<uint32_t>(std::max(worker->others_batch, 0));
+    slots.all += worker->record.slots;
+    slots.free +=
+        worker->record.slots - std::min(load - std::min(batch, load), worker->record.slots);
+  }
+  return slots;
+}
+
+bool WorkerSet::may_get_slot(std::string_view name, const std::set<std::string>& tried) const {
+  const Service* service = find_service(name);
+  const MonotonicTime now = time_source_.monotonic_now();
+  return service != nullptr && std::any_of(service->workers.begin(), service->workers.end(),
+                                           [&](const WorkerPtr& worker) {
+                                             return in_service(*worker) &&
+                                                    !tried.contains(worker->record.incarnation) &&
+                                                    !worker->outcomes.suspect(now);
+                                           });
+}
+
 bool WorkerSet::usable(const ServingWorker& worker, const Choice& choice) const {
   const bool limited = cold_start_limit::limited(worker.cold, choice.service.cold, choice.now);
   if (withdrawn(worker) || (limited && !cold_start_limit::may_send(worker.cold, choice.now))) {
     return false;
   }
-  return choice.request.even_if_full || load_at(worker, choice.now) < worker.record.slots;
+  const bool may_fill = choice.request.even_if_full && !choice.request.only_if_next;
+  const uint32_t places = worker.record.slots + (choice.request.only_if_next ? 1 : 0);
+  return may_fill || load_at(worker, choice.now) < places;
 }
 
 Duration WorkerSet::prefill_backlog(const ServingWorker& worker) const {
@@ -535,8 +571,11 @@
   }
   // A slot may outlive this object: its request is destroyed in a later iteration of the event
   // loop.
-  auto slot = std::make_unique<WorkerSlot>(std::move(worker), request.work,
-                                           lifetime_.guard([this] { note_slot_freed(); }));
+  auto slot = std::make_unique<WorkerSlot>(
+      std::move(worker), request.work,
+      lifetime_.guard([this, acquired = choice.now](const WorkerSlot& freed) {
+        note_slot_freed(freed, acquired);
+      }));
   slot->worker_was_idle = was_idle;
   if (request.work == WorkClass::kOnline) {
     observe_online(service_of(request.service));
@@ -547,7 +586,10 @@
   return slot;
 }
 
-void WorkerSet::note_slot_freed() {
+void WorkerSet::note_slot_freed(const WorkerSlot& slot, MonotonicTime acquired) {
+  if (on_online_ended_ && slot.work() == WorkClass::kOnline && !slot.refused) {
+    on_online_ended_(slot.worker().record.service, time_source_.monotonic_now() - acquired);
+  }
   if (on_slot_freed_) {
     on_slot_freed_();
   }
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -89,13 +89,16 @@
 class WorkerSlot {
  public:
   // @param on_freed called when the slot is freed.
-  WorkerSlot(WorkerPtr worker, WorkClass work, std::function<void()> on_freed);
+  WorkerSlot(WorkerPtr worker, WorkClass work, std::function<void(const WorkerSlot&)> on_freed);
   ~WorkerSlot();
   WorkerSlot(const WorkerSlot&) = delete;
   WorkerSlot& operator=(const WorkerSlot&) = delete;
   ServingWorker& worker() const { return *worker_; }
+  WorkClass work() const { return work_; }
   // Whether the worker had no prefill backlog when the slot was acquired.
   bool worker_was_idle = false;
+  // The worker refused the request without running it.
+  bool refused = false;
 
  private:
   // Adds `change` to the counts of requests in flight.
@@ -103,7 +106,7 @@
 
   WorkerPtr worker_;
   WorkClass work_;
-  std::function<void()> on_freed_;
+  std::function<void(const WorkerSlot&)> on_freed_;
 };
 using WorkerSlotPtr = std::unique_ptr<WorkerSlot>;
 
@@ -120,11 +123,19 @@
   batch_urgency urgency = batch_urgency::kNormal;
   // Select a worker even if no worker has a free slot.
   bool even_if_full = false;
+  // With even_if_full: only if no other request is queued at the worker, as far as known.
+  bool only_if_next = false;
   // The request may crash its worker: prefer the worker with the fewest other requests, which would
   // be lost with it.
   bool alone = false;
 };
 
+// Slots of a service at its healthy workers.
+struct OnlineSlots {
+  uint32_t all = 0;
+  uint32_t free = 0;  // not held by online requests
+};
+
 class WorkerSet {
  public:
   WorkerSet(TimeSource& time_source, RandomGenerator& random, std::string own_zone,
@@ -192,6 +203,14 @@
     on_load_changed_ = std::move(callback);
   }
 
+  // Called when an online request that its worker did not refuse has freed its slot.
+  void set_on_online_ended(std::function<void(const std::string&, Duration)> callback) {
+    on_online_ended_ = std::move(callback);
+  }
+
+  OnlineSlots online_slots(std::string_view service) const;
+  // Whether a request that was sent to the workers `tried` may still get a slot.
+  bool may_get_slot(std::string_view service, const std::set<std::string>& tried) const;
   // Free slots of the service as seen by this node.
   uint32_t free_slots(std::string_view service) const;
   bool knows(std::string_view service) const;
@@ -248,7 +267,7 @@
   // slots in a burst and stopped no runs, and four streams in ten were late.
   service_load load_of_service(const Service& service) const;
   void observe_online(Service& service);
-  void note_slot_freed();
+  void note_slot_freed(const WorkerSlot& slot, MonotonicTime acquired);
   // Estimated milliseconds until the first token of the request.
   // @param cached tokens of its prompt that the worker has in its prefix cache.
   double cost(const ServingWorker& worker, const Choice& choice, double cached) const;
@@ -297,6 +316,7 @@
   uint64_t slots_acquired_ = 0;
   std::function<void()> on_slot_freed_;
   std::function<void()> on_load_changed_;
+  std::function<void(const std::string&, Duration)> on_online_ended_;
   Lifetime lifetime_;
 };
 
--- a/src/shared_admission/shared_admission.cc
+++ b/src/shared_admission/shared_admission.cc
@@ -59,7 +59,7 @@
     }
 }
 
-admission_verdict shared_admission::admit(const admission_request &request) {
+shared_verdict shared_admission::admit(const admission_request &request) {
     const MonotonicTime now = time_source_.monotonic_now();
     served_of(request.service);
     const admission_key key{service_hash(request.service), request.priority,
--- a/tests/shared_admission/admission_cluster.h
+++ b/tests/shared_admission/admission_cluster.h
@@ -301,7 +301,7 @@
           static_cast<size_t>(std::count_if(machine.waiting.begin(), machine.waiting.end(),
                                             [](const CallPtr& c) { return c->late; }));
       request.late_of_tenant = request.late;
-      const admission_verdict verdict = machine.process->admission.admit(request);
+      const shared_verdict verdict = machine.process->admission.admit(request);
       if (verdict.refused) {
         refuse(call, *verdict.refused);
         return;
