Keep shared admission within the capacity while relays or nodes are lost

Tests in virtual time kill relays, cut off a zone or half of the nodes, stop the views of a quarter of the nodes, restart nodes and drop a fifth of the datagrams at 1.5 times the capacity. They found that nodes whose relays were lost during an overload never returned to normal: the new relays saw a short queue, which the other zones kept short, and sent no views. Relays now take over that a service is overloaded from their last view, however old, and from the sums of other zones; and a node without views admits everything while a tenth of the slots is free.

--- a/include/chalkshed/admission_exchange.h
+++ b/include/chalkshed/admission_exchange.h
@@ -125,7 +125,7 @@
     std::vector<refused_content> next_contents(uint32_t passed_content::*left);
     double coverage();
     void send_views(const admission_message &view);
-    void send_zone_sum();
+    void send_zone_sum(const std::vector<service_capacity> &services);
     void apply_view(const admission_message &view);
 
     TimeSource &time_source_;
--- a/include/chalkshed/admission_levels.h
+++ b/include/chalkshed/admission_levels.h
@@ -33,6 +33,10 @@
     /** Time in which deviations of the queue are made up for. It has to be a multiple of the time
      * from a request to the view that includes it, which is about 100 ms. */
     Duration correction_time = std::chrono::milliseconds(400);
+    /** At least this share of the capacity is admitted however long the queue is. Otherwise the level
+     * would fall below the demand of large tenants that ask for no more than usual, while one other
+     * has caused the queue. */
+    double least_share_of_capacity = 0.85;
     /** Time constant of the measured capacity. */
     Duration capacity_window = std::chrono::milliseconds(700);
     /** Time constant of the recent rates, and the number of standard deviations by which one has to
@@ -82,7 +86,9 @@
 public:
     explicit admission_levels(const admission_levels_knobs &knobs = {}) : knobs_(knobs) {}
 
-    /** Takes over what another relay had found before this node became one. */
+    /** Takes over that another relay considers the service overloaded, unless this one knows more
+     * about it: relays of other zones see the same sums at other moments, and without an agreement
+     * the nodes of one zone would admit everything. */
     void adopt(const service_capacity &known, MonotonicTime now);
     /** Adds the services, levels and shares to a view.
      * \param coverage Share of the nodes that the totals include: these nodes may use this share of
--- a/include/chalkshed/admission_message.h
+++ b/include/chalkshed/admission_message.h
@@ -96,8 +96,9 @@
     std::vector<served_count> served;
     /** Zone sum: number of nodes counted in it. */
     uint16_t nodes = 0;
-    /** View. */
+    /** View and zone sum. */
     std::vector<service_capacity> services;
+    /** View. */
     std::vector<admission_level> levels;
     std::vector<limited_demand> shares;
     /** All kinds: refusals since the message before. */
--- a/include/chalkshed/shared_admission.h
+++ b/include/chalkshed/shared_admission.h
@@ -148,7 +148,8 @@
     void note_refused(const refused_content &content);
     /** Whether that service is overloaded by the latest view. */
     bool overloaded(std::string_view service) const;
-    /** \return The services that are overloaded by the latest view, with their capacity. */
+    /** \return The services that are overloaded by the latest view, however old that is, with their
+     * capacity. */
     std::vector<service_capacity> overloaded_services() const;
     /** \return Slots of the service with that hash; none if it isn't known. */
     service_slots slots_of(uint32_t service) const;
@@ -209,7 +210,8 @@
     decision decide(const admission_request &request, const admission_key &key, usage &use);
     void read_view(const service_view &view, const admission_key &key, decision &decided) const;
     bool spend(usage &use, double part, bool returned) const;
-    bool spend_equal_share(service_view &view, std::string_view service);
+    bool alone_and_full(const service_view &view, std::string_view service) const;
+    bool spend_equal_share(service_view &view);
     Error refuse(const admission_request &request, const admission_key &key,
                  const decision &decided);
     Duration retry_after(const decision &decided);
--- a/src/shared_admission/admission_exchange.cc
+++ b/src/shared_admission/admission_exchange.cc
@@ -288,7 +288,7 @@
         send_views(view);
     }
     if (sends && !reports_.sources.empty()) {
-        send_zone_sum();
+        send_zone_sum(view.services);
     }
     std::erase_if(contents_, [sends](const passed_content &each) {
         return each.to_nodes == 0 && (each.to_zones == 0 || !sends);
@@ -306,7 +306,7 @@
     }
 }
 
-void admission_exchange::send_zone_sum() {
+void admission_exchange::send_zone_sum(const std::vector<service_capacity> &services) {
     admission_message sum;
     sum.kind = admission_message_kind::kZoneSum;
     sum.session = own_.session;
@@ -322,6 +322,7 @@
     for (const auto &[service, served] : zone_.services()) {
         sum.served.push_back({service, units(served.ended), units(served.busy)});
     }
+    sum.services = services;
     sum.contents = next_contents(&passed_content::to_zones);
     for (const admission_message &page : split_admission_message(sum)) {
         const std::string datagram = encode_admission_message(page);
@@ -362,6 +363,9 @@
     } else if (message->kind == admission_message_kind::kZoneSum && !same_zone && relaying()) {
         apply_counts(sums_, sender->second, *message, false);
         pass_on(*message, false);
+        for (const service_capacity &each : message->services) {
+            levels_.adopt(each, time_source_.monotonic_now());
+        }
         wake(knobs_.first_delay);
     }
     return true;
--- a/src/shared_admission/admission_levels.cc
+++ b/src/shared_admission/admission_levels.cc
@@ -47,7 +47,10 @@
 }
 
 void admission_levels::adopt(const service_capacity &known, MonotonicTime now) {
-    services_[known.service] = {known.overloaded, known.capacity, now, now, std::nullopt, now};
+    if (known.overloaded) {
+        services_.try_emplace(known.service,
+                              service{true, known.capacity, now, now, std::nullopt, now});
+    }
 }
 
 void admission_levels::fill(admission_message &view, const admission_totals &totals,
@@ -117,7 +120,8 @@
     const double own = known.capacity * current.coverage;
     const double aimed = std::max(own * seconds_of(knobs_.aimed_wait), knobs_.least_waiting);
     const double surplus = aimed - current.waiting + current.slots.free * current.coverage;
-    return std::max(own + surplus / seconds_of(knobs_.correction_time), 0.0);
+    return std::max(own + surplus / seconds_of(knobs_.correction_time),
+                    own * knobs_.least_share_of_capacity);
 }
 
 void admission_levels::note_calm(service &known, bool calm, MonotonicTime now) const {
--- a/src/shared_admission/shared_admission.cc
+++ b/src/shared_admission/shared_admission.cc
@@ -91,6 +91,9 @@
         return decided;
     }
     service_view &view = found->second;
+    if (!fresh(view.heard) && !alone_and_full(view, request.service)) {
+        return decided;
+    }
     const Duration max_wait =
         duration_of(seconds_of(request.target) * knobs_.max_wait_share_of_target);
     const bool targeted = request.target > Duration(0);
@@ -111,7 +114,7 @@
     }
     decided.admitted = spend(use, decided.part, refused.has_value());
     if (!fresh(view.heard)) {
-        decided.admitted = decided.admitted && spend_equal_share(view, request.service);
+        decided.admitted = decided.admitted && spend_equal_share(view);
     }
     return decided;
 }
@@ -152,14 +155,16 @@
     return true;
 }
 
+/** Whether a service, for which this node has lost the views, has to be taken for overloaded. */
+bool shared_admission::alone_and_full(const service_view &view, std::string_view service) const {
+    const service_slots slots = slots_ ? slots_(service) : service_slots{};
+    return slots.free <= knobs_.free_share * slots.all &&
+           time_source_.monotonic_now() - view.heard <= knobs_.max_isolation;
+}
+
 /** Whether this node, which has lost the views, may admit a request as one of all nodes. */
-bool shared_admission::spend_equal_share(service_view &view, std::string_view service) {
+bool shared_admission::spend_equal_share(service_view &view) {
     const MonotonicTime now = time_source_.monotonic_now();
-    const service_slots slots = slots_ ? slots_(service) : service_slots{};
-    const bool room = slots.free > knobs_.free_share * slots.all;
-    if (room || now - view.heard > knobs_.max_isolation) {
-        return true;
-    }
     const double rate = view.capacity / static_cast<double>(std::max<size_t>(nodes_, 1));
     const double passed = seconds_of(now - std::max(view.equal_share_filled, view.heard));
     const double most = std::max(1.0, rate * seconds_of(knobs_.view_lifetime));
@@ -367,7 +372,7 @@
 std::vector<service_capacity> shared_admission::overloaded_services() const {
     std::vector<service_capacity> services;
     for (const auto &[service, view] : views_) {
-        if (view.overloaded && fresh(view.heard)) {
+        if (view.overloaded) {
             services.push_back({service, true, static_cast<float>(view.capacity)});
         }
     }
