--- a/include/chalkshed/shared_admission.h
+++ b/include/chalkshed/shared_admission.h
@@ -208,6 +208,7 @@
     usage &usage_of(const admission_key &key);
     served &served_of(std::string_view service);
     decision decide(const admission_request &request, const admission_key &key, usage &use);
+    bool comes_too_late(const admission_request &request, Duration wait) const;
     void read_view(const service_view &view, const admission_key &key, decision &decided) const;
     bool spend(usage &use, double part, bool returned) const;
     bool alone_and_full(const service_view &view, std::string_view service) const;
--- a/src/shared_admission/shared_admission.cc
+++ b/src/shared_admission/shared_admission.cc
@@ -94,21 +94,17 @@
     if (!fresh(view.heard) && !alone_and_full(view, request.service)) {
         return decided;
     }
-    const Duration max_wait =
-        duration_of(seconds_of(request.target) * knobs_.max_wait_share_of_target);
-    const bool targeted = request.target > Duration(0);
     read_view(view, key, decided);
-    if (refused && targeted && now - *refused >= max_wait) {
+    if (refused && comes_too_late(request, now - *refused + decided.wait)) {
         decided.late = request.late < knobs_.max_late &&
                        (key.tenant == 0 || request.late_of_tenant < knobs_.max_late_of_tenant);
         decided.admitted = decided.late;
         return decided;
     }
-    const Duration waited = refused ? now - *refused : Duration(0);
     // The queue consists of the requests of tenants above the level: the others' go before them.
-    if (targeted && decided.part < 1 &&
-        waited + decided.wait >
-            duration_of(seconds_of(request.target) * knobs_.expected_wait_share_of_target)) {
+    const double target = seconds_of(request.target);
+    if (!refused && target > 0 && decided.part < 1 &&
+        seconds_of(decided.wait) > target * knobs_.expected_wait_share_of_target) {
         decided.admitted = false;
         return decided;
     }
@@ -119,6 +115,12 @@
     return decided;
 }
 
+/** \param wait From the first attempt to its work. */
+bool shared_admission::comes_too_late(const admission_request &request, Duration wait) const {
+    const double target = seconds_of(request.target);
+    return target > 0 && seconds_of(wait) >= target * knobs_.max_wait_share_of_target;
+}
+
 /** A priority that the view doesn't name gets what the next higher one leaves, which is nothing if
  * that one is limited. */
 void shared_admission::read_view(const service_view &view, const admission_key &key,
--- a/tests/shared_admission/admission_cluster.h
+++ b/tests/shared_admission/admission_cluster.h
@@ -14,6 +14,7 @@
 
 #include "chalkshed/admission_exchange.h"
 #include "chalkshed/fair_order.h"
+#include "chalkshed/tenant_quota.h"
 #include "sim/virtual_time.h"
 #include "src/core/call_after.h"
 
