--- a/include/chalkshed/admission_levels.h
+++ b/include/chalkshed/admission_levels.h
@@ -33,9 +33,9 @@
     /** Time in which deviations of the queue are made up for. It has to be a multiple of the time
      * from a request to the view that includes it, which is about 100 ms. */
     Duration correction_time = std::chrono::milliseconds(400);
-    /** At least this share of the capacity is admitted however long the queue is. Otherwise the level
-     * would fall below the demand of large tenants that ask for no more than usual, while one other
-     * has caused the queue. */
+    /** At least this share of the capacity is admitted however long the queue is. Otherwise the
+     * level would fall below the demand of large tenants that ask for no more than usual, while one
+     * other has caused the queue. */
     double least_share_of_capacity = 0.85;
     /** Time constant of the measured capacity. */
     Duration capacity_window = std::chrono::milliseconds(700);
--- a/src/serving/serving_gateway.h
+++ b/src/serving/serving_gateway.h
@@ -49,7 +49,7 @@
   // Decides on the request; answers it if it is refused.
   // @return the decision, or nothing if the request was refused.
   std::optional<shared_verdict> admit(const Route& route, const std::string& service,
-                                         const ServingRequest& request, ResponseWriter& writer);
+                                      const ServingRequest& request, ResponseWriter& writer);
   // Whether a late request for the service may take a slot.
   bool has_room(const std::string& service) const;
   static bool ranks_before(const InProgress& a, const InProgress& b);
