--- a/include/chalkshed/admission_message.h
+++ b/include/chalkshed/admission_message.h
@@ -18,9 +18,9 @@
 
 namespace chalkshed {
 
-/** Rates in counts are in units of 1 / rate_units per second: sums of integers can be kept up to
+/** Rates in counts are in units of 1 / kRateUnits per second: sums of integers can be kept up to
  * date by additions and subtractions without an error that grows. */
-constexpr double rate_units = 100;
+constexpr double kRateUnits = 100;
 
 /** The requests of a tenant for a service at a priority. */
 struct admission_key {
@@ -34,7 +34,7 @@
 
 struct admission_count {
     admission_key key;
-    /** Rates in units of 1 / rate_units per second. */
+    /** Rates in units of 1 / kRateUnits per second. */
     uint32_t arrived = 0;
     /** Arrived, over a shorter time. */
     uint32_t recent = 0;
@@ -47,7 +47,7 @@
 struct served_count {
     uint32_t service = 0;
     /** Rate at which requests free their slots, and the slots that these held on average, both in
-     * units of 1 / rate_units. Their quotient is the mean time for which a slot is held. */
+     * units of 1 / kRateUnits. Their quotient is the mean time for which a slot is held. */
     uint32_t ended = 0;
     uint32_t busy = 0;
 };
--- a/src/shared_admission/admission_levels.cc
+++ b/src/shared_admission/admission_levels.cc
@@ -19,7 +19,7 @@
 }
 
 double rate_of(int64_t units) {
-    return static_cast<double>(std::max<int64_t>(units, 0)) / rate_units;
+    return static_cast<double>(std::max<int64_t>(units, 0)) / kRateUnits;
 }
 
 } // namespace
--- a/src/shared_admission/shared_admission.cc
+++ b/src/shared_admission/shared_admission.cc
@@ -22,7 +22,7 @@
 }
 
 uint32_t units_of(double rate) {
-    return static_cast<uint32_t>(std::lround(std::clamp(rate * rate_units, 0.0, 4e9)));
+    return static_cast<uint32_t>(std::lround(std::clamp(rate * kRateUnits, 0.0, 4e9)));
 }
 
 } // namespace
--- a/tests/serving/shared_admission_nodes_test.cc
+++ b/tests/serving/shared_admission_nodes_test.cc
@@ -84,7 +84,7 @@
     const MonotonicTime end = cluster.clock.monotonic_now() + duration;
     while (cluster.clock.monotonic_now() < end) {
       const std::string id = "r" + std::to_string(++asked_);
-      asked[id] = {request(random.below(kNodes), id), cluster.clock.monotonic_now()};
+      asked[id] = {request(random_.below(kNodes), id), cluster.clock.monotonic_now()};
       cluster.clock.run_for(step);
     }
     cluster.clock.run_for(seconds(6));
@@ -121,7 +121,7 @@
                              std::make_unique<FakeWriter>(seen));
     return seen;
   }
-  SeededRandomGenerator random{1};
+  SeededRandomGenerator random_{1};
   int asked_ = 0;
 };
 
--- a/tests/shared_admission/admission_cluster.h
+++ b/tests/shared_admission/admission_cluster.h
@@ -326,7 +326,7 @@
       const auto found = find_waiting(call, node);
       if (!options.shared && found != machines[node].waiting.end()) {
         machines[node].waiting.erase(found);
-        at_workers.push_back(call);  // queued at a full worker, where no rank counts
+        at_workers_.push_back(call);  // queued at a full worker, where no rank counts
       }
       call->late = true;
     });
@@ -355,9 +355,9 @@
   }
   // Gives free slots to the first requests of random nodes.
   void dispatch() {
-    while (busy < options.slots && !at_workers.empty()) {
-      const CallPtr call = at_workers.front();
-      at_workers.pop_front();
+    while (busy < options.slots && !at_workers_.empty()) {
+      const CallPtr call = at_workers_.front();
+      at_workers_.pop_front();
       serve(call);
     }
     std::vector<size_t> nodes;
@@ -416,7 +416,7 @@
     }
   }
 
-  std::list<CallPtr> at_workers;
+  std::list<CallPtr> at_workers_;
 };
 
 }  // namespace chalkshed
