--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "chalkshed/admission_exchange.h"
 #include "chalkshed/caller_identity.h"
 #include "chalkshed/crash_exchange.h"
 #include "chalkshed/evacuated_zones.h"
@@ -91,6 +92,10 @@
   quarantine_knobs quarantine;
   run_turns_knobs turns;
   quota_exchange_knobs quotas;
+  // Whether all nodes together decide which requests for overloaded services are admitted.
+  bool shared_admission = false;
+  shared_admission_knobs admission;
+  admission_exchange_knobs admission_exchange;
   first_copy_knobs workers_copy;
   start_order_knobs start;
   // A node that has had no configuration response from the store for this long rejects all keys,
@@ -173,11 +178,14 @@
   void check_drained();
   void connect_quarantine();
   void connect_failures();
-  copy_source worker_copy_source() const;
-  void note_nodes_listed();
   // Tells operators of learned speeds: a log line at once, gauges at most once per second.
   void connect_speeds();
   void update_speed_gauges();
+  void connect_admission();
+  // Tells the services of the configuration to shared admission.
+  void set_admitted_services();
+  copy_source worker_copy_source() const;
+  void note_nodes_listed();
   // Applies the limits on cold workers from the configuration.
   void set_cold_starts();
 
@@ -201,6 +209,8 @@
   PeerExchange peers_;
   tenant_quota quota_;
   quota_exchange quota_exchange_;
+  shared_admission admission_;
+  admission_exchange admission_exchange_;
   quarantine_api quarantine_api_;
   crash_exchange crash_exchange_;
   worker_failures failures_;
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -210,6 +210,7 @@
   if (result == AttemptResult::kNotRun) {
     quarantine_.note_refused(request_.digest);
   }
+  slot_->refused = result == AttemptResult::kNotRun;
   end_run();
   end_.result = result;
   end_.reason = std::move(reason);
