Only 5xx answers add to the cost of a worker before its ejection

Change: lost connections and silence, for which worker_outcomes pauses a worker already, add no cost and pause no batch items.

--- a/include/chalkshed/worker_failures.h
+++ b/include/chalkshed/worker_failures.h
@@ -54,12 +54,12 @@
      */
     Duration content_memory = std::chrono::seconds(30);
     size_t max_contents = 4096;
-    /** Added to the cost of a worker for a failure that is not older than cost_lifetime; doubles
-     * with each further one. */
+    /** Added to the cost of a worker for a 5xx that is not older than cost_lifetime; doubles with
+     * each further one. Other failures pause the worker anyway (worker_outcomes). */
     double cost_milliseconds = 15;
     double max_cost_milliseconds = 240;
     Duration cost_lifetime = std::chrono::milliseconds(1500);
-    /** After its second failure and each further one, a worker gets no batch items for this long:
+    /** After its second 5xx and each further one, a worker gets no batch items for this long:
      * a node starts many of them at once, and a worker that fails at once has slots for all. */
     Duration batch_pause = std::chrono::milliseconds(250);
     /** Time from an ejection to the first probe, and between probes after a success, after a
@@ -210,6 +210,8 @@
         size_t counted = 0;     // without those that also failed elsewhere
         MonotonicTime oldest{}; // of the counted ones
         MonotonicTime newest{};
+        size_t error_statuses = 0; // of the counted ones
+        MonotonicTime newest_status{};
     };
     struct service_record {
         std::deque<MonotonicTime> own_successes;
--- a/src/outliers/worker_failures.cc
+++ b/src/outliers/worker_failures.cc
@@ -169,8 +169,10 @@
     std::vector<MonotonicTime> lost;
     record.raw = 0;
     record.counted = 0;
+    record.error_statuses = 0;
     record.oldest = now;
     record.newest = {};
+    record.newest_status = {};
     for (const failure &entry : record.failures) {
         const failed_answer &failed = entry.answer;
         if (now - failed.at > knobs_.window || failed.at < record.standing.since ||
@@ -192,6 +194,10 @@
             ++record.counted;
             record.oldest = std::min(record.oldest, failed.at);
             record.newest = std::max(record.newest, failed.at);
+            if (failed.fault == answer_fault::kStatus) {
+                ++record.error_statuses;
+                record.newest_status = std::max(record.newest_status, failed.at);
+            }
         }
     }
 }
@@ -362,18 +368,20 @@
 
 double worker_failures::cost(uint32_t worker, MonotonicTime now) const {
     const worker_record *record = suspects_.contains(worker) ? find(worker) : nullptr;
-    if (record == nullptr || record->counted == 0 || now - record->newest > knobs_.cost_lifetime) {
+    if (record == nullptr || record->error_statuses == 0 ||
+        now - record->newest_status > knobs_.cost_lifetime) {
         return 0;
     }
     constexpr size_t kMaxDoublings = 8;
-    const auto doublings = std::min(record->counted - 1, kMaxDoublings);
+    const auto doublings = std::min(record->error_statuses - 1, kMaxDoublings);
     return std::min(knobs_.cost_milliseconds * static_cast<double>(1U << doublings),
                     knobs_.max_cost_milliseconds);
 }
 
 bool worker_failures::pauses_batch(uint32_t worker, MonotonicTime now) const {
     const worker_record *record = suspects_.contains(worker) ? find(worker) : nullptr;
-    return record != nullptr && record->counted >= 2 && now - record->newest <= knobs_.batch_pause;
+    return record != nullptr && record->error_statuses >= 2 &&
+           now - record->newest_status <= knobs_.batch_pause;
 }
 
 bool worker_failures::under_review(uint32_t worker, MonotonicTime now) const {
--- a/src/outliers/worker_probes.cc
+++ b/src/outliers/worker_probes.cc
@@ -77,6 +77,7 @@
     record.told.clear();
     record.raw = 0;
     record.counted = 0;
+    record.error_statuses = 0;
     record.settled = {};
     record.fails_late = false;
     service_record &service = services_[record.service];
--- a/tests/outliers/worker_failures_test.cc
+++ b/tests/outliers/worker_failures_test.cc
@@ -232,6 +232,17 @@
     EXPECT_FALSE(failures.any());
 }
 
+// Guards against overloading the rest of a service while many of its workers lose a few
+// connections.
+TEST_F(WorkerFailures, AddNoCostForLostConnections) {
+    serve_elsewhere();
+    answer(1, 1, answer_fault::kReset);
+    answer(1, 2, answer_fault::kTruncated);
+    answer(1, 3, answer_fault::kSilent);
+    EXPECT_EQ(failures.cost(1, now), 0);
+    EXPECT_FALSE(failures.pauses_batch(1, now));
+}
+
 // A job starts many items at once; they must not all fail before the peers' successes are known.
 TEST_F(WorkerFailures, PauseBatchAfterTheSecondFailure) {
     serve_elsewhere();
