--- a/include/chalkshed/admission_exchange.h
+++ b/include/chalkshed/admission_exchange.h
@@ -10,8 +10,8 @@
  * sends sums and views; the second takes over while the first is silent. Without waiting requests,
  * nothing is sent.
  *
- * A node that hears no relay admits an equal share of the capacity on its own. A relay therefore
- * hands out only the share of the nodes that it counts. */
+ * A node without views of a relay admits an equal share of the capacity on its own. A relay
+ * therefore hands out only the share of the nodes that it counts. */
 
 #include <functional>
 #include <list>
--- a/include/chalkshed/failure_exchange.h
+++ b/include/chalkshed/failure_exchange.h
@@ -55,7 +55,7 @@
     bool receive(std::string_view datagram);
 
 private:
-    void note_news(uint32_t worker, failure_news news);
+    void note_update(uint32_t worker, failure_update update);
     void enqueue(uint32_t worker, Duration delay);
     void handle_timer();
     void schedule();
--- a/include/chalkshed/shared_admission.h
+++ b/include/chalkshed/shared_admission.h
@@ -55,7 +55,7 @@
     Duration refusal_window = std::chrono::seconds(1);
     Duration min_retry_spread = std::chrono::milliseconds(100);
     Duration max_retry_spread = std::chrono::seconds(3);
-    /** How long a refused content is recognised. Callers are not told to return later. */
+    /** How long a refused content is recognised. No caller is asked to return later than that. */
     Duration content_lifetime = std::chrono::seconds(4);
     size_t max_contents = 4096;
     /** Returned requests that a tenant may have admitted beyond its share at a node at once; later
@@ -142,7 +142,7 @@
     /** Whether this node has to report: requests wait or were refused here recently, or the view
      * says that some service is overloaded. */
     bool active();
-    /** \return The demand at this node and its recent refusals, which then count as told. */
+    /** \return The demand at this node and its recent refusals, which then count as reported. */
     admission_message make_report();
     void apply_view(const admission_message &view);
     void note_refused(const refused_content &content);
--- a/include/chalkshed/speed_sums.h
+++ b/include/chalkshed/speed_sums.h
@@ -5,7 +5,7 @@
  * Combines, at a relay, the samples of workers' speeds that many nodes have made.
  *
  * Nodes of the relay's zone tell it each sample once; a lost report is a lost sample. The relays of
- * other zones tell it the sum of their zones, which replaces what they told before, so that a lost
+ * other zones send it the sums of their zones, which replace the sums before, so that a lost
  * or repeated report leaves no error. Only workers with new samples are visited, and a few others
  * in turn for nodes that have just started. */
 
@@ -30,9 +30,9 @@
     /** Replaces the sums of another zone for the workers in the list. */
     void replace(const std::string &zone, const std::vector<worker_speed_entry> &told,
                  MonotonicTime now);
-    /** \return The sums of this zone of the next workers with news. */
+    /** \return The sums of this zone of the next workers with updates. */
     std::vector<worker_speed_entry> next_of_zone(size_t most, MonotonicTime now);
-    /** \return The sums of all zones of the next workers with news. */
+    /** \return The sums of all zones of the next workers with updates. */
     std::vector<worker_speed_entry> next_of_all(size_t most, MonotonicTime now);
     void clear();
 
@@ -44,15 +44,15 @@
         MonotonicTime slowdown_reported{};
         bool slowdown_from_zone = false;
     };
-    /** The workers whose news have not been sent, and all known workers in turn. */
+    /** The workers whose updates have not been sent, and all known workers in turn. */
     struct send_order {
-        std::deque<uint32_t> news;
+        std::deque<uint32_t> updates;
         std::unordered_map<uint32_t, bool> listed;
         size_t next = 0;
     };
     worker_sums &sums_of(uint32_t worker);
-    static void note_news(send_order &order, uint32_t worker);
-    /** \return Up to `most` workers: those with news, then a few of the others. */
+    static void note_update(send_order &order, uint32_t worker);
+    /** \return Up to `most` workers: those with updates, then a few of the others. */
     std::vector<uint32_t> take_next(send_order &order, size_t most) const;
     static void note_slowdown(worker_sums &sums, const worker_speed_entry &told, MonotonicTime now,
                               bool from_zone);
--- a/include/chalkshed/worker_failures.h
+++ b/include/chalkshed/worker_failures.h
@@ -107,8 +107,8 @@
     size_t workers = 0;   // of the service
 };
 
-/** Something that the peers must be told. */
-enum class failure_news {
+/** An event that is reported to the peers. */
+enum class failure_update {
     kFailed,     // this node has seen a failure
     kSuccesses,  // peers need this node's successes at the worker to judge it
     kProbe,      // a probe was sent or answered
@@ -120,7 +120,7 @@
     uint32_t worker = 0;
     uint64_t service = 0;
     bool ejected = false;
-    bool told_by_peer = false;
+    bool reported_by_peer = false;
     size_t failures = 0;  // distinct contents that count
     size_t successes = 0; // of all nodes, as far as known
     double rest_rate = 0; // failure rate of the rest of the service
@@ -173,8 +173,8 @@
      * peers can use. */
     bool add_to(failure_report &report, uint32_t worker, MonotonicTime now) const;
 
-    void set_on_news(std::function<void(uint32_t worker, failure_news)> callback) {
-        on_news_ = std::move(callback);
+    void set_on_update(std::function<void(uint32_t worker, failure_update)> callback) {
+        on_update_ = std::move(callback);
     }
     void set_on_changed(std::function<void(const standing_change &)> callback) {
         on_changed_ = std::move(callback);
@@ -189,7 +189,7 @@
         failed_answer answer;
         uint64_t sender = 0;
     };
-    struct told_count {
+    struct reported_count {
         uint32_t successes = 0;
         MonotonicTime at{};
         MonotonicTime succeeded{};
@@ -197,8 +197,8 @@
     struct worker_record {
         uint64_t service = 0;
         std::deque<MonotonicTime> own_successes;
-        std::map<uint64_t, told_count> told; // by sender
-        std::vector<failure> failures;       // one entry per content
+        std::map<uint64_t, reported_count> told; // by sender
+        std::vector<failure> failures;           // one entry per content
         worker_standing standing;
         MonotonicTime probe_failed{};
         /** Until then, successes at peers may be unknown. */
@@ -215,7 +215,7 @@
     };
     struct service_record {
         std::deque<MonotonicTime> own_successes;
-        std::map<uint64_t, told_count> told; // by sender
+        std::map<uint64_t, reported_count> told; // by sender
         std::set<uint32_t> suspects;
         size_t ejected = 0;
     };
@@ -268,7 +268,7 @@
     MonotonicTime probe_due(const worker_record &record) const;
     void forget_expired(MonotonicTime now);
     void prune(std::deque<MonotonicTime> &times, MonotonicTime now) const;
-    size_t sum(const std::deque<MonotonicTime> &own, const std::map<uint64_t, told_count> &told,
+    size_t sum(const std::deque<MonotonicTime> &own, const std::map<uint64_t, reported_count> &told,
                MonotonicTime now) const;
 
     const failure_knobs knobs_;
@@ -280,7 +280,7 @@
     std::unordered_map<uint64_t, content_record> contents_;
     std::set<uint32_t> suspects_;
     MonotonicTime swept_{};
-    std::function<void(uint32_t, failure_news)> on_news_ = [](uint32_t, failure_news) {};
+    std::function<void(uint32_t, failure_update)> on_update_ = [](uint32_t, failure_update) {};
     std::function<void(const standing_change &)> on_changed_ = [](const standing_change &) {};
     std::function<size_t(uint32_t)> probe_rank_ = [](uint32_t) { return size_t(0); };
 };
--- a/include/chalkshed/worker_speed.h
+++ b/include/chalkshed/worker_speed.h
@@ -58,7 +58,7 @@
     MonotonicTime as_of_{};
 };
 
-/** What one node tells another of the speed of a worker. */
+/** A node's report on the speed of a worker. */
 struct worker_speed_entry {
     uint32_t worker = 0; /**< hash of its incarnation */
     speed_samples samples;
@@ -96,8 +96,8 @@
     /** Adds samples of this node, or of nodes that tell it each of theirs.
      * \return The samples as they were counted, limited if they were outliers. */
     speed_samples add(speed_samples samples, MonotonicTime now, const worker_speed_knobs &knobs);
-    /** Replaces what a relay has told of all nodes' samples. Ignored if it has far less weight than
-     * what was told before: a relay that has just started knows little. */
+    /** Replaces a relay's report on the samples of all nodes. Ignored if it has far less weight
+     * than the report before: a relay that has just started knows little. */
     void set_shared(const speed_samples &samples, MonotonicTime now,
                     const worker_speed_knobs &knobs);
 
@@ -118,8 +118,8 @@
     Duration slowdown_age(MonotonicTime now) const {
         return now - slowdown_reported_;
     }
-    /** \return The speed that operators were last told (0: none) if it must be told anew, because
-     * it has become known or has changed notably; it then counts as told. */
+    /** \return The speed that operators last saw (0: none) if it must be logged again, because
+     * it has become known or has changed notably; it then counts as logged. */
     std::optional<double> take_notable_change(MonotonicTime now, const worker_speed_knobs &knobs);
 
 private:
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -178,11 +178,11 @@
   void check_drained();
   void connect_quarantine();
   void connect_failures();
-  // Tells operators of learned speeds: a log line at once, gauges at most once per second.
+  // Reports learned speeds to operators: a log line at once, gauges at most once per second.
   void connect_speeds();
   void update_speed_gauges();
   void connect_admission();
-  // Tells the services of the configuration to shared admission.
+  // Passes the services of the configuration to shared admission.
   void set_admitted_services();
   copy_source worker_copy_source() const;
   void note_nodes_listed();
--- a/src/outliers/failure_exchange.cc
+++ b/src/outliers/failure_exchange.cc
@@ -24,7 +24,8 @@
     : time_source_(time_source), random_(random), datagrams_(datagrams), workers_(workers),
       failures_(failures), logger_(logger), metrics_(metrics), own_(own), knobs_(knobs),
       timer_(dispatcher.create_timer([this] { handle_timer(); })) {
-    failures_.set_on_news([this](uint32_t worker, failure_news news) { note_news(worker, news); });
+    failures_.set_on_update(
+        [this](uint32_t worker, failure_update update) { note_update(worker, update); });
     failures_.set_on_changed([this](const standing_change &change) { log_change(change); });
     workers_.set_on_failed_answer(
         [this](const std::string &service, answer_fault fault) { count_failed(service, fault); });
@@ -55,22 +56,22 @@
     return true;
 }
 
-void failure_exchange::note_news(uint32_t worker, failure_news news) {
+void failure_exchange::note_update(uint32_t worker, failure_update update) {
     const MonotonicTime now = time_source_.monotonic_now();
-    switch (news) {
-    case failure_news::kFailed:
-    case failure_news::kSuccesses:
+    switch (update) {
+    case failure_update::kFailed:
+    case failure_update::kSuccesses:
         enqueue(worker, knobs_.batch_delay);
         next_repeat_[worker] = now + knobs_.repeat_interval;
         break;
-    case failure_news::kProbe:
+    case failure_update::kProbe:
         enqueue(worker, Duration(0));
         break;
-    case failure_news::kReadmitted:
+    case failure_update::kReadmitted:
         enqueue(worker, Duration(0));
         next_repeat_[worker] = now + knobs_.batch_delay;
         break;
-    case failure_news::kEjected:
+    case failure_update::kEjected:
         announcements_[worker] = now + Duration(random_.below(static_cast<uint64_t>(
                                            knobs_.announcement_spread / Duration(1))));
         break;
@@ -215,7 +216,7 @@
         &metrics_.gauge("chalkshed_ejected_workers", "Workers avoided because they fail requests.",
                         {{"service", service}});
     update_gauges();
-    const std::string source = change.told_by_peer ? "peer" : "own";
+    const std::string source = change.reported_by_peer ? "peer" : "own";
     if (change.ejected) {
         logger_.write(LogLevel::kInfo, "worker_ejected",
                       {{"worker", worker->record.incarnation},
--- a/src/outliers/peer_failures.cc
+++ b/src/outliers/peer_failures.cc
@@ -52,7 +52,7 @@
     if (own.state != worker_state::kEjected && told.state == worker_state::kEjected &&
         told.since > own.since + kMaxLag && room_to_eject(record.service, told.worker)) {
         standing_change why;
-        why.told_by_peer = true;
+        why.reported_by_peer = true;
         why.failures = record.counted;
         why.successes = successes_of(record, now);
         eject(told.worker, record, told.since, told.level,
--- a/src/outliers/worker_failures.cc
+++ b/src/outliers/worker_failures.cc
@@ -52,7 +52,7 @@
     }
     note_sender(own_, answer.worker, now);
     add_failure({answer.content, answer.worker, now, answer.fault}, answer.service, own_, now);
-    on_news_(answer.worker, failure_news::kFailed);
+    on_update_(answer.worker, failure_update::kFailed);
     judge(answer.worker, record, now);
     forget_expired(now);
 }
@@ -62,7 +62,7 @@
     const bool newer = answer.sent > record.standing.succeeded;
     record.standing.succeeded = std::max(record.standing.succeeded, answer.sent);
     if (newer && under_review(answer.worker, now)) {
-        on_news_(answer.worker, failure_news::kSuccesses);
+        on_update_(answer.worker, failure_update::kSuccesses);
     }
 }
 
@@ -127,7 +127,7 @@
     if (record.raw == 2) {
         record.settled = now + knobs_.settle;
         if (!record.own_successes.empty()) {
-            on_news_(failed.worker, failure_news::kSuccesses);
+            on_update_(failed.worker, failure_update::kSuccesses);
         }
     }
 }
@@ -223,7 +223,8 @@
 }
 
 size_t worker_failures::sum(const std::deque<MonotonicTime> &own,
-                            const std::map<uint64_t, told_count> &told, MonotonicTime now) const {
+                            const std::map<uint64_t, reported_count> &told,
+                            MonotonicTime now) const {
     const auto recent = [&](MonotonicTime at) { return now - at <= knobs_.window; };
     auto total = static_cast<double>(std::count_if(own.begin(), own.end(), recent));
     for (const auto &[sender, count] : told) {
@@ -337,7 +338,7 @@
     why.rest_rate = rest;
     const uint8_t level = next_level(record, now);
     eject(worker, record, now, level, passes_needed(record, level, all_fail), why);
-    on_news_(worker, failure_news::kEjected);
+    on_update_(worker, failure_update::kEjected);
 }
 
 void worker_failures::eject(uint32_t worker, worker_record &record, MonotonicTime since,
--- a/src/outliers/worker_probes.cc
+++ b/src/outliers/worker_probes.cc
@@ -11,7 +11,7 @@
     const auto found = workers_.find(worker);
     if (found != workers_.end() && found->second.standing.state == worker_state::kEjected) {
         found->second.standing.probed = now;
-        on_news_(worker, failure_news::kProbe);
+        on_update_(worker, failure_update::kProbe);
     }
 }
 
@@ -26,7 +26,7 @@
     record.probe_failed = now;
     record.passed_content = 0;
     record.fails_late = record.fails_late || answer.fault == answer_fault::kTruncated;
-    on_news_(answer.worker, failure_news::kProbe);
+    on_update_(answer.worker, failure_update::kProbe);
 }
 
 void worker_failures::pass_probe(uint32_t worker, worker_record &record, uint64_t content,
@@ -41,7 +41,7 @@
     if (standing.passed >= standing.needed && now >= standing.since + hold_of(standing.level)) {
         readmit(worker, record, now, false, now);
     } else {
-        on_news_(worker, failure_news::kProbe);
+        on_update_(worker, failure_update::kProbe);
     }
 }
 
@@ -67,7 +67,7 @@
     standing_change change;
     change.worker = worker;
     change.service = record.service;
-    change.told_by_peer = told;
+    change.reported_by_peer = told;
     change.lasted = now - record.standing.since;
     change.level = record.standing.level;
     record.standing.state = worker_state::kReadmitted;
@@ -84,7 +84,7 @@
     service.ejected -= std::min<size_t>(service.ejected, 1);
     on_changed_(change);
     if (!told) {
-        on_news_(worker, failure_news::kReadmitted);
+        on_update_(worker, failure_update::kReadmitted);
     }
 }
 
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -351,7 +351,7 @@
       heartbeat.outcomes.push_back(reported);
     }
   }
-  heartbeat.speeds = workers_.take_speed_news(kMaxSpeeds);
+  heartbeat.speeds = workers_.take_speed_updates(kMaxSpeeds);
   if (relay_.relaying()) {
     relay_.collect_speeds(heartbeat.speeds);
   }
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -76,7 +76,7 @@
   void note_first_event();
   // Records the end of the answer for the detection of failing workers. Only the first call counts.
   void note_answer(answer_fault fault);
-  // Tells the WorkerSet how fast the worker was, after a complete, successful answer.
+  // Reports to the WorkerSet how fast the worker was, after a complete, successful answer.
   void note_pace();
   // Tells the quarantine that this run is over, so that another run of the same content may start.
   void end_run();
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -666,7 +666,7 @@
     worker.speed.note_slowdown(*report.slowdown, worker.reported);
     constexpr double kNotableSlowdown = 1.2;
     if (*report.slowdown >= kNotableSlowdown) {
-      note_speed_news(find_hash(worker.hash));
+      note_speed_update(find_hash(worker.hash));
     }
   }
 }
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -101,9 +101,9 @@
   MonotonicTime avoided_until{};
   worker_outcomes outcomes;
   worker_speed speed;
-  // Samples of its speed that the other nodes have not been told yet.
-  speed_samples untold_speed;
-  bool speed_untold = false;  // listed among the workers of which the other nodes must be told
+  // Samples of its speed that were not reported to the other nodes yet.
+  speed_samples unreported_speed;
+  bool speed_unreported = false;  // listed among the workers to report to the other nodes
 
   uint32_t in_flight() const { return online_in_flight + batch_in_flight; }
   // Negative if a peer reported a request's start before the worker was listed and its end after.
@@ -218,12 +218,12 @@
   // Learns the speed of a worker that reports its slowdown; ignored for others.
   void note_pace(ServingWorker& worker, const PaceSample& sample);
 
-  // Speeds that other nodes must be told: samples of this node since they were last taken, and
-  // recent reports of slowdowns. Only workers with news are visited.
-  std::vector<worker_speed_entry> take_speed_news(size_t most);
+  // Speeds to report to other nodes: samples of this node since they were last taken, and
+  // recent reports of slowdowns. Only workers with updates are visited.
+  std::vector<worker_speed_entry> take_speed_updates(size_t most);
   // Adds samples of another node.
   void add_peer_speed(const worker_speed_entry& told);
-  // Replaces what a relay has told of the samples of all nodes.
+  // Replaces a relay's report on the samples of all nodes.
   void set_shared_speed(const worker_speed_entry& told);
   // @return what this node knows of all samples of the worker; weight 0 if the worker is unknown.
   speed_samples known_speed(uint64_t worker) const;
@@ -341,7 +341,7 @@
   // How long work begun now takes at the worker, compared with one of speed 1; exactly 1 for
   // workers that do not report their slowdown.
   double slowness(const ServingWorker& worker, MonotonicTime now) const;
-  void note_speed_news(const WorkerPtr& worker);
+  void note_speed_update(const WorkerPtr& worker);
   void report_speed_change(ServingWorker& worker);
   // Estimated milliseconds until the first token of the request.
   // @param cached tokens of its prompt that the worker has in its prefix cache.
@@ -403,7 +403,7 @@
     MonotonicTime since{};
   };
   std::deque<Unlisted> unlisted_;
-  std::deque<WorkerPtr> speed_news_;
+  std::deque<WorkerPtr> speed_updates_;
   std::function<void(const ServingWorker&, double)> on_speed_changed_;
   uint64_t notable_changes_ = 0;
   uint64_t outcome_changes_ = 0;
--- a/src/serving/worker_set_speeds.cc
+++ b/src/serving/worker_set_speeds.cc
@@ -86,34 +86,34 @@
   const double weight = sample.kind == PaceKind::kFirstEvent ? kWeightOfFirstEvent : 1.0;
   const speed_samples counted = worker.speed.add({*expected - log_duration, weight * confidence},
                                                  time_source_.monotonic_now(), knobs_.speed);
-  worker.untold_speed.add(counted);
-  note_speed_news(find_hash(worker.hash));
+  worker.unreported_speed.add(counted);
+  note_speed_update(find_hash(worker.hash));
   report_speed_change(worker);
 }
 
-void WorkerSet::note_speed_news(const WorkerPtr& worker) {
-  if (worker && !std::exchange(worker->speed_untold, true)) {
-    speed_news_.push_back(worker);
+void WorkerSet::note_speed_update(const WorkerPtr& worker) {
+  if (worker && !std::exchange(worker->speed_unreported, true)) {
+    speed_updates_.push_back(worker);
   }
 }
 
-std::vector<worker_speed_entry> WorkerSet::take_speed_news(size_t most) {
+std::vector<worker_speed_entry> WorkerSet::take_speed_updates(size_t most) {
   const MonotonicTime now = time_source_.monotonic_now();
-  std::vector<worker_speed_entry> news;
-  while (!speed_news_.empty() && news.size() < most) {
-    ServingWorker& worker = *speed_news_.front();
-    worker.speed_untold = false;
+  std::vector<worker_speed_entry> updates;
+  while (!speed_updates_.empty() && updates.size() < most) {
+    ServingWorker& worker = *speed_updates_.front();
+    worker.speed_unreported = false;
     worker_speed_entry entry;
     entry.worker = static_cast<uint32_t>(worker.hash);
-    entry.samples = std::exchange(worker.untold_speed, {});
+    entry.samples = std::exchange(worker.unreported_speed, {});
     entry.slowdown = worker.speed.recent_slowdown(now, knobs_.speed);
     entry.slowdown_age = worker.speed.slowdown_age(now);
     if (entry.slowdown || entry.samples.weight > 0) {
-      news.push_back(entry);
+      updates.push_back(entry);
     }
-    speed_news_.pop_front();
+    speed_updates_.pop_front();
   }
-  return news;
+  return updates;
 }
 
 void WorkerSet::add_peer_speed(const worker_speed_entry& told) {
--- a/src/shared_admission/admission_exchange.cc
+++ b/src/shared_admission/admission_exchange.cc
@@ -231,7 +231,7 @@
     }
 }
 
-/** \param to_zones Whether the relays of other zones haven't been told. */
+/** \param to_zones Whether it goes to the relays of other zones. */
 void admission_exchange::pass_on(const admission_message &message, bool to_zones) {
     const MonotonicTime now = time_source_.monotonic_now();
     for (const refused_content &each : message.contents) {
--- a/src/worker_speed/speed_sums.cc
+++ b/src/worker_speed/speed_sums.cc
@@ -5,7 +5,7 @@
 namespace chalkshed {
 namespace {
 
-// Workers without news that are told in turn each time.
+// Number of workers without updates that are repeated in turn each time.
 constexpr size_t kRepeated = 2;
 
 } // namespace
@@ -18,9 +18,9 @@
     return found->second;
 }
 
-void speed_sums::note_news(send_order &order, uint32_t worker) {
+void speed_sums::note_update(send_order &order, uint32_t worker) {
     if (!std::exchange(order.listed[worker], true)) {
-        order.news.push_back(worker);
+        order.updates.push_back(worker);
     }
 }
 
@@ -39,8 +39,8 @@
         worker_sums &sums = sums_of(entry.worker);
         sums.zone.add(entry.samples, now, knobs_.half_life);
         note_slowdown(sums, entry, now, true);
-        note_news(of_zone_, entry.worker);
-        note_news(of_all_, entry.worker);
+        note_update(of_zone_, entry.worker);
+        note_update(of_all_, entry.worker);
     }
 }
 
@@ -50,16 +50,16 @@
         worker_sums &sums = sums_of(entry.worker);
         sums.others[zone].set(entry.samples, now);
         note_slowdown(sums, entry, now, false);
-        note_news(of_all_, entry.worker);
+        note_update(of_all_, entry.worker);
     }
 }
 
 std::vector<uint32_t> speed_sums::take_next(send_order &order, size_t most) const {
     std::vector<uint32_t> workers;
-    while (!order.news.empty() && workers.size() < most) {
-        workers.push_back(order.news.front());
-        order.listed.erase(order.news.front());
-        order.news.pop_front();
+    while (!order.updates.empty() && workers.size() < most) {
+        workers.push_back(order.updates.front());
+        order.listed.erase(order.updates.front());
+        order.updates.pop_front();
     }
     const size_t repeated = std::min({kRepeated, known_.size(), most - workers.size()});
     for (size_t count = 0; count < repeated; ++count) {
--- a/tests/worker_speed/speed_fleet.h
+++ b/tests/worker_speed/speed_fleet.h
@@ -281,7 +281,7 @@
             return;
         }
         for (const auto &from : nodes_) {
-            const std::vector<worker_speed_entry> news = from->workers.take_speed_news(8);
+            const std::vector<worker_speed_entry> news = from->workers.take_speed_updates(8);
             if (news.empty()) {
                 continue;
             }
--- a/tests/worker_speed/worker_choice_test.cc
+++ b/tests/worker_speed/worker_choice_test.cc
@@ -200,7 +200,7 @@
             }
             time.run_for(milliseconds(7));
         }
-        EXPECT_TRUE(view.take_speed_news(100).empty());
+        EXPECT_TRUE(view.take_speed_updates(100).empty());
         return chosen;
     };
     EXPECT_EQ(choices(true), choices(false));
@@ -211,17 +211,17 @@
         workers.update(record(name));
     }
     learn_all(2);
-    EXPECT_EQ(workers.take_speed_news(2).size(), 2U);
-    EXPECT_EQ(workers.take_speed_news(2).size(), 1U);
-    EXPECT_TRUE(workers.take_speed_news(2).empty());
+    EXPECT_EQ(workers.take_speed_updates(2).size(), 2U);
+    EXPECT_EQ(workers.take_speed_updates(2).size(), 1U);
+    EXPECT_TRUE(workers.take_speed_updates(2).empty());
     learn("i-fast", 1.6);
-    ASSERT_EQ(workers.take_speed_news(2).size(), 1U);
+    ASSERT_EQ(workers.take_speed_updates(2).size(), 1U);
 }
 
 TEST_F(WorkerChoice, ASlowdownIsToldAtOnceAndSamplesOfPeersCount) {
     workers.update(record("i-0"));
     workers.note_report(*workers.find("i-0"), {1, 0, 8, 2.5});
-    const std::vector<worker_speed_entry> news = workers.take_speed_news(8);
+    const std::vector<worker_speed_entry> news = workers.take_speed_updates(8);
     ASSERT_EQ(news.size(), 1U);
     EXPECT_EQ(news.front().slowdown, 2.5);
     EXPECT_EQ(news.front().samples.weight, 0);
@@ -234,7 +234,7 @@
     peer.add_peer_speed(told);
     EXPECT_NEAR(peer.find("i-0")->speed.speed(), 1.58, 0.05);
     EXPECT_EQ(peer.find("i-0")->speed.slowdown(clock.monotonic_now(), {}), 2.5);
-    EXPECT_TRUE(peer.take_speed_news(8).empty()) << "samples of others must not be told as own";
+    EXPECT_TRUE(peer.take_speed_updates(8).empty()) << "samples of others must not be told as own";
 }
 
 } // namespace
