--- a/tests/compatibility/production/heartbeat_generated.h
+++ b/tests/compatibility/production/heartbeat_generated.h
@@ -22,6 +22,8 @@
 
 struct JobRemainderEntry;
 
+struct WorkerSpeedEntry;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 
@@ -129,6 +131,47 @@
 };
 FLATBUFFERS_STRUCT_END(JobRemainderEntry, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) WorkerSpeedEntry FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t worker_;
+  int16_t log_speed_;
+  uint16_t weight_;
+  uint16_t slowdown_percent_;
+  uint16_t slowdown_ms_ago_;
+
+ public:
+  WorkerSpeedEntry()
+      : worker_(0),
+        log_speed_(0),
+        weight_(0),
+        slowdown_percent_(0),
+        slowdown_ms_ago_(0) {
+  }
+  WorkerSpeedEntry(uint32_t _worker, int16_t _log_speed, uint16_t _weight, uint16_t _slowdown_percent, uint16_t _slowdown_ms_ago)
+      : worker_(flatbuffers::EndianScalar(_worker)),
+        log_speed_(flatbuffers::EndianScalar(_log_speed)),
+        weight_(flatbuffers::EndianScalar(_weight)),
+        slowdown_percent_(flatbuffers::EndianScalar(_slowdown_percent)),
+        slowdown_ms_ago_(flatbuffers::EndianScalar(_slowdown_ms_ago)) {
+  }
+  uint32_t worker() const {
+    return flatbuffers::EndianScalar(worker_);
+  }
+  int16_t log_speed() const {
+    return flatbuffers::EndianScalar(log_speed_);
+  }
+  uint16_t weight() const {
+    return flatbuffers::EndianScalar(weight_);
+  }
+  uint16_t slowdown_percent() const {
+    return flatbuffers::EndianScalar(slowdown_percent_);
+  }
+  uint16_t slowdown_ms_ago() const {
+    return flatbuffers::EndianScalar(slowdown_ms_ago_);
+  }
+};
+FLATBUFFERS_STRUCT_END(WorkerSpeedEntry, 12);
+
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HeartbeatBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -142,7 +185,8 @@
     VT_REMAINDERS = 18,
     VT_CONFIGURATION_VERSION = 20,
     VT_WORKERS_VERSION = 22,
-    VT_NEXT_WITHIN_MS = 24
+    VT_NEXT_WITHIN_MS = 24,
+    VT_SPEEDS = 26
   };
   const flatbuffers::String *session() const {
     return GetPointer<const flatbuffers::String *>(VT_SESSION);
@@ -177,6 +221,9 @@
   uint32_t next_within_ms() const {
     return GetField<uint32_t>(VT_NEXT_WITHIN_MS, 0);
   }
+  const flatbuffers::Vector<const chalkshed::production_wire::WorkerSpeedEntry *> *speeds() const {
+    return GetPointer<const flatbuffers::Vector<const chalkshed::production_wire::WorkerSpeedEntry *> *>(VT_SPEEDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SESSION) &&
@@ -194,6 +241,8 @@
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_WORKERS_VERSION, 8) &&
            VerifyField<uint32_t>(verifier, VT_NEXT_WITHIN_MS, 4) &&
+           VerifyOffset(verifier, VT_SPEEDS) &&
+           verifier.VerifyVector(speeds()) &&
            verifier.EndTable();
   }
 };
@@ -235,6 +284,9 @@
   void add_next_within_ms(uint32_t next_within_ms) {
     fbb_.AddElement<uint32_t>(Heartbeat::VT_NEXT_WITHIN_MS, next_within_ms, 0);
   }
+  void add_speeds(flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::WorkerSpeedEntry *>> speeds) {
+    fbb_.AddOffset(Heartbeat::VT_SPEEDS, speeds);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -259,12 +311,14 @@
     flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::JobRemainderEntry *>> remainders = 0,
     uint64_t configuration_version = 0,
     uint64_t workers_version = 0,
-    uint32_t next_within_ms = 0) {
+    uint32_t next_within_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::WorkerSpeedEntry *>> speeds = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_workers_version(workers_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_store_version(store_version);
   builder_.add_sequence(sequence);
+  builder_.add_speeds(speeds);
   builder_.add_next_within_ms(next_within_ms);
   builder_.add_remainders(remainders);
   builder_.add_outcomes(outcomes);
@@ -287,11 +341,13 @@
     const std::vector<chalkshed::production_wire::JobRemainderEntry> *remainders = nullptr,
     uint64_t configuration_version = 0,
     uint64_t workers_version = 0,
-    uint32_t next_within_ms = 0) {
+    uint32_t next_within_ms = 0,
+    const std::vector<chalkshed::production_wire::WorkerSpeedEntry> *speeds = nullptr) {
   auto session__ = session ? _fbb.CreateString(session) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::WorkerLoadEntry>(*loads) : 0;
   auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::WorkerOutcomeEntry>(*outcomes) : 0;
   auto remainders__ = remainders ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::JobRemainderEntry>(*remainders) : 0;
+  auto speeds__ = speeds ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::WorkerSpeedEntry>(*speeds) : 0;
   return chalkshed::production_wire::CreateHeartbeat(
       _fbb,
       session__,
@@ -304,7 +360,8 @@
       remainders__,
       configuration_version,
       workers_version,
-      next_within_ms);
+      next_within_ms,
+      speeds__);
 }
 
 inline const chalkshed::production_wire::Heartbeat *GetHeartbeat(const void *buf) {
--- a/tests/compatibility/production/load_digest_generated.h
+++ b/tests/compatibility/production/load_digest_generated.h
@@ -18,6 +18,8 @@
 
 struct DigestEntry;
 
+struct DigestSpeedEntry;
+
 struct LoadDigest;
 struct LoadDigestBuilder;
 
@@ -56,6 +58,47 @@
 };
 FLATBUFFERS_STRUCT_END(DigestEntry, 8);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) DigestSpeedEntry FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t worker_;
+  int16_t log_speed_;
+  uint16_t weight_;
+  uint16_t slowdown_percent_;
+  uint16_t slowdown_ms_ago_;
+
+ public:
+  DigestSpeedEntry()
+      : worker_(0),
+        log_speed_(0),
+        weight_(0),
+        slowdown_percent_(0),
+        slowdown_ms_ago_(0) {
+  }
+  DigestSpeedEntry(uint32_t _worker, int16_t _log_speed, uint16_t _weight, uint16_t _slowdown_percent, uint16_t _slowdown_ms_ago)
+      : worker_(flatbuffers::EndianScalar(_worker)),
+        log_speed_(flatbuffers::EndianScalar(_log_speed)),
+        weight_(flatbuffers::EndianScalar(_weight)),
+        slowdown_percent_(flatbuffers::EndianScalar(_slowdown_percent)),
+        slowdown_ms_ago_(flatbuffers::EndianScalar(_slowdown_ms_ago)) {
+  }
+  uint32_t worker() const {
+    return flatbuffers::EndianScalar(worker_);
+  }
+  int16_t log_speed() const {
+    return flatbuffers::EndianScalar(log_speed_);
+  }
+  uint16_t weight() const {
+    return flatbuffers::EndianScalar(weight_);
+  }
+  uint16_t slowdown_percent() const {
+    return flatbuffers::EndianScalar(slowdown_percent_);
+  }
+  uint16_t slowdown_ms_ago() const {
+    return flatbuffers::EndianScalar(slowdown_ms_ago_);
+  }
+};
+FLATBUFFERS_STRUCT_END(DigestSpeedEntry, 12);
+
 struct LoadDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef LoadDigestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -69,7 +112,8 @@
     VT_LAPSED = 18,
     VT_STORE_VERSION = 20,
     VT_CONFIGURATION_VERSION = 22,
-    VT_WORKERS_VERSION = 24
+    VT_WORKERS_VERSION = 24,
+    VT_SPEEDS = 26
   };
   const flatbuffers::String *session() const {
     return GetPointer<const flatbuffers::String *>(VT_SESSION);
@@ -104,6 +148,9 @@
   uint64_t workers_version() const {
     return GetField<uint64_t>(VT_WORKERS_VERSION, 0);
   }
+  const flatbuffers::Vector<const chalkshed::production_wire::DigestSpeedEntry *> *speeds() const {
+    return GetPointer<const flatbuffers::Vector<const chalkshed::production_wire::DigestSpeedEntry *> *>(VT_SPEEDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SESSION) &&
@@ -120,6 +167,8 @@
            VerifyField<uint64_t>(verifier, VT_STORE_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_WORKERS_VERSION, 8) &&
+           VerifyOffset(verifier, VT_SPEEDS) &&
+           verifier.VerifyVector(speeds()) &&
            verifier.EndTable();
   }
 };
@@ -161,6 +210,9 @@
   void add_workers_version(uint64_t workers_version) {
     fbb_.AddElement<uint64_t>(LoadDigest::VT_WORKERS_VERSION, workers_version, 0);
   }
+  void add_speeds(flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::DigestSpeedEntry *>> speeds) {
+    fbb_.AddOffset(LoadDigest::VT_SPEEDS, speeds);
+  }
   explicit LoadDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -185,12 +237,14 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> lapsed = 0,
     uint64_t store_version = 0,
     uint64_t configuration_version = 0,
-    uint64_t workers_version = 0) {
+    uint64_t workers_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::DigestSpeedEntry *>> speeds = 0) {
   LoadDigestBuilder builder_(_fbb);
   builder_.add_workers_version(workers_version);
   builder_.add_configuration_version(configuration_version);
   builder_.add_store_version(store_version);
   builder_.add_sequence(sequence);
+  builder_.add_speeds(speeds);
   builder_.add_lapsed(lapsed);
   builder_.add_entries(entries);
   builder_.add_last(last);
@@ -213,10 +267,12 @@
     const std::vector<uint64_t> *lapsed = nullptr,
     uint64_t store_version = 0,
     uint64_t configuration_version = 0,
-    uint64_t workers_version = 0) {
+    uint64_t workers_version = 0,
+    const std::vector<chalkshed::production_wire::DigestSpeedEntry> *speeds = nullptr) {
   auto session__ = session ? _fbb.CreateString(session) : 0;
   auto entries__ = entries ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::DigestEntry>(*entries) : 0;
   auto lapsed__ = lapsed ? _fbb.CreateVector<uint64_t>(*lapsed) : 0;
+  auto speeds__ = speeds ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::DigestSpeedEntry>(*speeds) : 0;
   return chalkshed::production_wire::CreateLoadDigest(
       _fbb,
       session__,
@@ -229,7 +285,8 @@
       lapsed__,
       store_version,
       configuration_version,
-      workers_version);
+      workers_version,
+      speeds__);
 }
 
 inline const chalkshed::production_wire::LoadDigest *GetLoadDigest(const void *buf) {
