Failing test: a stream goes on at another software version after a crash

Two workers of version 1, to which six of version 2 are added after a stream's first event. The stream's worker crashes. On the current code the node sends the stream, with the id of the last event, to a worker of version 2, whose text does not continue what version 1 wrote.

--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -252,13 +252,17 @@
     }
     put("op", "config", configuration.dump());
   }
+  // @param version of the worker's software; empty: its record has none.
   void write_worker(const std::string& id, size_t number, const std::string& state,
-                    uint32_t slots = 4) {
-    const nlohmann::json worker = {{"service", "engines"},
-                                   {"address", "10.1.0." + std::to_string(number) + ":80"},
-                                   {"zone", "zone-a"},
-                                   {"slots", slots},
-                                   {"state", state}};
+                    uint32_t slots = 4, const std::string& version = "1") {
+    nlohmann::json worker = {{"service", "engines"},
+                             {"address", "10.1.0." + std::to_string(number) + ":80"},
+                             {"zone", "zone-a"},
+                             {"slots", slots},
+                             {"state", state}};
+    if (!version.empty()) {
+      worker["version"] = version;
+    }
     put("servers", id, worker.dump());
   }
   void put(const std::string& table, const std::string& key, std::optional<std::string> value) {
