A stream goes on only at the software version that began it

Cause: the version in a worker's record was checked and dropped, so no node knew it, and the relay chose the next worker by service, load and the workers tried, not by who had written the events already sent.

Change: a worker's record carries its version; its software_id is a hash of service and version, or of the incarnation alone when the record names none, since then only that incarnation certainly runs the same software. From the first event that goes to the caller, the relay asks for workers of that software (SlotRequest::software); before it, any worker may take the stream. If none is left, the answer is aborted at once. A row that names another version under the same id is another incarnation. Ejection and suspicion are weighed among the workers of the version, so its last worker is used when all of it look bad. New requests avoid a version with less than a quarter of its service's slots, by less than what a full worker costs: what it began can go on nowhere else.

Seen: worker_listed, stream_resumed and stream_not_resumed name the versions; chalkshed_resumptions_total counts by outcome.

--- /dev/null
+++ b/include/chalkshed/service_versions.h
@@ -0,0 +1,61 @@
+#ifndef CHALKSHED_SERVICE_VERSIONS_H
+#define CHALKSHED_SERVICE_VERSIONS_H
+
+/** \file
+ * The software versions that the workers of one service have run, as far back as a stream may have
+ * begun. If there was only one, it has written every stream of the service that is still open. */
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "chalkshed/software_id.h"
+#include "src/core/time.h"
+
+namespace chalkshed {
+
+/** What is known of the versions of a service over some time. */
+struct version_span {
+    enum class kind : uint8_t {
+        /** The time is not covered: the node has not known the service for so long. */
+        kUncovered = 0,
+        /** Only `software` has served. */
+        kSole = 1,
+        /** More than one version has served. */
+        kSeveral = 2,
+    };
+    kind known = kind::kUncovered;
+    /** The only version if `known` is kSole; the only one known if it is kUncovered and there is
+     * just one; else kUnknown. */
+    software_id software = software_id::kUnknown;
+};
+
+class service_versions {
+public:
+    /** Versions that were not listed for this long are forgotten: longer than any stream lasts. */
+    static constexpr Duration kMemory = std::chrono::minutes(5);
+
+    /** A worker of that version was listed. */
+    void note_listed(software_id software, MonotonicTime now);
+    /** One of its workers is listed no more. */
+    void note_unlisted(software_id software, MonotonicTime now);
+
+    /** \param longest How long before `now` the time begins; at most kMemory. */
+    version_span span(Duration longest, MonotonicTime now) const;
+    /** Number of versions with listed workers. */
+    size_t listed() const;
+
+private:
+    struct listing {
+        uint32_t workers = 0;
+        /** When the last of them was removed; only meaningful if there are none. */
+        MonotonicTime until{};
+    };
+    std::map<software_id, listing> listings_;
+    /** When the first worker was listed. */
+    std::optional<MonotonicTime> known_since_;
+};
+
+} // namespace chalkshed
+
+#endif
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "chalkshed/request_digest.h"
+#include "chalkshed/resumption_outcome.h"
 #include "src/core/number_text.h"
 
 namespace chalkshed {
@@ -108,6 +109,7 @@
   wanted.only_if_next = if_full == IfFull::kSendIfNext;
   // A retry must remain available after the run that starts here.
   wanted.repeatable = is_repeatable(route_) && runs_ + 1 < route_.attempts;
+  wanted.software = software_;
   WorkerSlotPtr slot = environment_.workers.acquire_slot(wanted);
   if (!slot) {
     return false;
@@ -158,7 +160,7 @@
 // While no worker can take the request at all, waiting for a slot is useless.
 bool RequestRelay::may_wait_on() const {
   return order_ != nullptr && route_.target > Duration(0) && !waits_for_earlier_run_ &&
-         environment_.workers.may_get_slot(service_, tried_);
+         environment_.workers.may_get_slot(service_, tried_, software_);
 }
 
 // Only engines queue requests; plain workers refuse them when they are full.
@@ -217,7 +219,7 @@
   const std::string reason = waits_for_earlier_run_
                                  ? "workers crashed during earlier runs of this request, and "
                                    "another run is in progress"
-                                 : "no worker of service '" + service_ + "' accepts requests";
+                                 : no_worker_reason();
   if (runs_ > 0) {
     fail_after_run(reason);
   } else {
@@ -255,12 +257,24 @@
   if (fresh.empty()) {
     return;
   }
+  note_first_event();
   writer_->write(fresh);
   if (writer_->buffered_bytes() > environment_.knobs.max_buffered_bytes) {
     abort_answer("too many unread bytes are buffered for the caller");
   }
 }
 
+void RequestRelay::note_first_event() {
+  if (!goes_on()) {
+    software_ = attempt_->worker().software;
+  }
+}
+
+std::string RequestRelay::no_worker_reason() const {
+  return goes_on() ? "no worker of the software version that began the stream accepts requests"
+                   : "no worker of service '" + service_ + "' accepts requests";
+}
+
 Duration RequestRelay::max_silence() const {
   const Duration expected_pause = started_ ? route_.longest_pause : route_.target;
   return std::max(environment_.knobs.repeatable_silence, 2 * expected_pause) +
@@ -374,8 +388,12 @@
   if (end.result == AttemptResult::kBroken) {
     ++runs_;
   }
-  if (may_send_again()) {
-    log(LogLevel::kInfo, started_ ? "stream_resumed" : "request_sent_again", end.reason);
+  if (may_send_again() && goes_on()) {
+    if (resume_stream(end.reason)) {
+      return;
+    }
+  } else if (may_send_again()) {
+    log(LogLevel::kInfo, "request_sent_again", end.reason);
     if (send_or_wait_for_earlier_run()) {
       return;
     }
@@ -383,6 +401,38 @@
   fail_after_run(end.reason);
 }
 
+bool RequestRelay::resume_stream(const std::string& reason) {
+  const std::string interrupted = worker_;
+  const bool resumed = send_or_wait_for_earlier_run();
+  count_resumption(environment_.metrics, resumed_work::kAnswer,
+                   resumed ? resumption_outcome::kSameVersion : resumption_outcome::kNoWorker);
+  log_resumption(resumed ? "stream_resumed" : "stream_not_resumed", interrupted,
+                 resumed ? reason : reason + "; " + no_worker_reason());
+  return resumed;
+}
+
+std::string RequestRelay::version_of(const std::string& worker) const {
+  const WorkerPtr known = environment_.workers.find(worker);
+  return known ? known->record.version : "";
+}
+
+void RequestRelay::log_resumption(std::string_view event, const std::string& interrupted,
+                                  const std::string& reason) const {
+  environment_.logger.write(LogLevel::kInfo, event,
+                            {{"request", request_.id},
+                             {"route", route_.name},
+                             {"service", service_},
+                             {"interrupted_worker", interrupted},
+                             {"interrupted_version", version_of(interrupted)},
+                             {"worker", attempt_ ? worker_ : ""},
+                             {"version", attempt_ ? version_of(worker_) : ""},
+                             {"software", software_text(software_)},
+                             {"origin", "answer"},
+                             {"resume_after", std::to_string(last_event_.value_or(0))},
+                             {"runs", std::to_string(runs_)},
+                             {"reason", reason}});
+}
+
 void RequestRelay::handle_timeout() {
   if (started_) {
     abort_answer("the deadline of the request has passed");
--- a/src/serving/request_relay.h
+++ b/src/serving/request_relay.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "chalkshed/software_id.h"
 #include "src/core/lifetime.h"
 #include "src/serving/route_table.h"
 #include "src/serving/serving_environment.h"
@@ -59,6 +60,8 @@
     order_ = order;
     late_ = late;
   }
+  // Whether it goes on with a stream that has begun, so that only some workers may take it.
+  bool goes_on() const { return software_ != software_id::kUnknown; }
   // Starts the request, which may have ended when this returns.
   // @param queue_first wait even if a slot is free, because other requests have waited longer.
   void start(bool queue_first = false);
@@ -97,6 +100,16 @@
   bool send_or_wait_for_earlier_run();
   // Ends the request if its content is quarantined for crashing workers. @return whether it did.
   bool end_if_quarantined();
+  // Binds the stream to the software of the worker that sends its first event.
+  void note_first_event();
+  // Sends an interrupted stream to another worker of its software. @return false if none takes it.
+  bool resume_stream(const std::string& reason);
+  void log_resumption(std::string_view event, const std::string& interrupted,
+                      const std::string& reason) const;
+  // @return the software version of the worker, or an empty string.
+  std::string version_of(const std::string& worker) const;
+  // Why no worker takes the request.
+  std::string no_worker_reason() const;
   void handle_not_run(const AttemptEnd& end);
   void handle_broken(const AttemptEnd& end);
   void handle_whole(const AttemptEnd& end);
@@ -142,6 +155,8 @@
   bool ended_ = false;
   bool reached_worker_ = false;  // a run was in progress when the request ended
   std::optional<uint64_t> last_event_;
+  // That began the stream; unknown before its first event.
+  software_id software_ = software_id::kUnknown;
   TimerPtr deadline_timer_;
   TimerPtr wait_timer_;
   TimerPtr silence_timer_;
--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -72,6 +72,10 @@
   // worker. Nodes learn of free slots with a delay; without offsets they would all choose the same
   // worker.
   double order_offset_milliseconds = 12.0;
+  // New requests avoid a version with less than this share of its service's slots, by up to that
+  // much cost: less than a full worker costs.
+  double scarce_version_share = 0.25;
+  double scarce_version_milliseconds = 40.0;
   // Shared prompt prefixes shorter than this are ignored in worker selection.
   uint32_t min_shared_tokens = 1000;
   // Distant nodes are told at once of a prompt with at least this many tokens to prefill.
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -101,10 +101,29 @@
   service.workers.push_back(worker);
 }
 
+void WorkerSet::set_listed(ServingWorker& worker, bool listed) {
+  if (std::exchange(worker.listed, listed) == listed) {
+    return;
+  }
+  service_versions& versions = service_of(worker.record.service).versions;
+  const MonotonicTime now = time_source_.monotonic_now();
+  if (!listed) {
+    versions.note_unlisted(worker.software, now);
+    return;
+  }
+  const size_t before = versions.listed();
+  versions.note_listed(worker.software, now);
+  if (before == 1 && versions.listed() > 1 && on_second_version_) {
+    on_second_version_(worker.record.service);
+  }
+}
+
 void WorkerSet::update(const WorkerRecord& record) {
   WorkerPtr& worker = workers_[record.incarnation];
-  const bool restarted = worker && worker->record.started != record.started;
+  const bool restarted = worker && (worker->record.started != record.started ||
+                                    worker->record.version != record.version);
   if (restarted) {
+    set_listed(*worker, false);
     drop(worker);
     worker.reset();  // no state of the previous incarnation applies to the new one
   }
@@ -119,11 +138,13 @@
     by_hash_[worker->hash] = worker;
   }
   if (is_new || worker->record.service != record.service) {
+    set_listed(*worker, false);
     move_to_service(worker, record.service);
   }
   worker->record = record;
+  worker->software = software_of(record.service, record.version, record.incarnation);
   worker->replaced = false;
-  worker->listed = true;
+  set_listed(*worker, true);
   worker->evacuated = evacuated_zones_.contains(record.zone);
   cold_limit_.note_cold(worker->cold, record.incarnation, service_of(record.service).cold,
                         record.cold_left, time_source_.monotonic_now());
@@ -136,7 +157,7 @@
 void WorkerSet::remove(const std::string& incarnation) {
   const auto found = workers_.find(incarnation);
   if (found != workers_.end() && found->second->listed) {
-    found->second->listed = false;
+    set_listed(*found->second, false);
     found->second->unlisted_since = time_source_.monotonic_now();
     unlisted_.push_back({found->second, found->second->unlisted_since});
   }
@@ -423,17 +444,66 @@
   return slots;
 }
 
-bool WorkerSet::may_get_slot(std::string_view name, const std::set<std::string>& tried) const {
+bool WorkerSet::may_get_slot(std::string_view name, const std::set<std::string>& tried,
+                             software_id software) const {
   const Service* service = find_service(name);
   const MonotonicTime now = time_source_.monotonic_now();
+  SlotRequest request;
+  request.tried = &tried;
+  request.software = software;
   return service != nullptr && std::any_of(service->workers.begin(), service->workers.end(),
                                            [&](const WorkerPtr& worker) {
                                              return in_service(*worker) &&
-                                                    !tried.contains(worker->record.incarnation) &&
+                                                    !excluded(*worker, request) &&
                                                     !worker->outcomes.suspect(now);
                                            });
 }
 
+version_span WorkerSet::versions(std::string_view name, Duration longest) const {
+  const Service* service = find_service(name);
+  return service == nullptr ? version_span{}
+                            : service->versions.span(longest, time_source_.monotonic_now());
+}
+
+bool WorkerSet::serves(std::string_view name, software_id software) const {
+  const Service* service = find_service(name);
+  return service != nullptr && std::any_of(service->workers.begin(), service->workers.end(),
+                                           [&](const WorkerPtr& worker) {
+                                             return worker->software == software &&
+                                                    in_service(*worker);
+                                           });
+}
+
+WorkerSet::VersionSlots WorkerSet::version_slots(const SlotRequest& request,
+                                                 const Service& service) const {
+  VersionSlots slots;
+  if (request.software != software_id::kUnknown || service.versions.listed() <= 1) {
+    return slots;
+  }
+  for (const WorkerPtr& worker : service.workers) {
+    if (!in_service(*worker)) {
+      continue;
+    }
+    const auto found = std::find_if(slots.begin(), slots.end(), [&](const auto& entry) {
+      return entry.first == worker->software;
+    });
+    auto& entry = found == slots.end() ? slots.emplace_back(worker->software, 0) : *found;
+    entry.second += worker->record.slots;
+  }
+  return slots;
+}
+
+double WorkerSet::version_cost(const ServingWorker& worker, const Choice& choice) const {
+  double all = 0;
+  double own = 0;
+  for (const auto& [software, slots] : choice.version_slots) {
+    all += slots;
+    own += software == worker.software ? slots : 0;
+  }
+  const double scarce = knobs_.scarce_version_share * all;
+  return own >= scarce ? 0.0 : knobs_.scarce_version_milliseconds * (1.0 - own / scarce);
+}
+
 bool WorkerSet::usable(const ServingWorker& worker, const Choice& choice) const {
   const bool limited = cold_start_limit::limited(worker.cold, choice.service.cold, choice.now);
   if (withdrawn(worker) || (limited && !cold_start_limit::may_send(worker.cold, choice.now))) {
@@ -475,7 +545,7 @@
   if (failures_ != nullptr && failures_->any()) {
     milliseconds += failure_cost(worker, choice);
   }
-  return milliseconds;
+  return milliseconds + version_cost(worker, choice);
 }
 
 WorkerSet::PrefixOwners WorkerSet::prefix_owners(const SlotRequest& request,
@@ -546,15 +616,19 @@
   return choice.request.repeatable || !worker.outcomes.suspect(choice.now);
 }
 
-bool WorkerSet::tried(const ServingWorker& worker, const SlotRequest& request) {
-  return request.tried != nullptr && request.tried->contains(worker.record.incarnation);
+bool WorkerSet::excluded(const ServingWorker& worker, const SlotRequest& request) {
+  const bool other_software =
+      request.software != software_id::kUnknown && request.software != worker.software;
+  return other_software ||
+         (request.tried != nullptr && request.tried->contains(worker.record.incarnation));
 }
 
 bool WorkerSet::any_healthy(const Choice& choice) const {
-  return std::any_of(
-      choice.service.workers.begin(), choice.service.workers.end(), [&](const WorkerPtr& worker) {
-        return in_service(*worker) && !tried(*worker, choice.request) && healthy(*worker, choice);
-      });
+  return std::any_of(choice.service.workers.begin(), choice.service.workers.end(),
+                     [&](const WorkerPtr& worker) {
+                       return in_service(*worker) && !excluded(*worker, choice.request) &&
+                              healthy(*worker, choice);
+                     });
 }
 
 // The random part spreads the requests of this node over workers of equal cost; the order offset
@@ -577,7 +651,7 @@
   for (const WorkerPtr& worker : workers) {
     const bool known = worker->listed || use_unlisted;
     const bool good = ignore_failures || healthy(*worker, choice);
-    if (!known || !good || tried(*worker, choice.request) || !usable(*worker, choice)) {
+    if (!known || !good || excluded(*worker, choice.request) || !usable(*worker, choice)) {
       continue;
     }
     const double rank = rank_of(*worker, cost(*worker, choice, cached_tokens(choice, *worker)));
@@ -599,7 +673,8 @@
       return nullptr;
     }
   }
-  const Choice choice{request, service, now, prefix_owners(request, service)};
+  const Choice choice{request, service, now, prefix_owners(request, service),
+                      version_slots(request, service)};
   WorkerPtr worker = choose(choice, false);
   // Prefer waiting for a healthy worker over sending to a failing one, which looks idle: in a burst
   // with 13 of 89 workers down, 177 requests were sent to four failing workers and refused.
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -17,6 +17,8 @@
 #include "chalkshed/batch_ramp.h"
 #include "chalkshed/batch_room.h"
 #include "chalkshed/cold_start_limit.h"
+#include "chalkshed/service_versions.h"
+#include "chalkshed/software_id.h"
 #include "chalkshed/worker_failures.h"
 #include "chalkshed/worker_outcomes.h"
 #include "chalkshed/worker_speed.h"
@@ -35,6 +37,7 @@
 struct WorkerRecord {
   std::string incarnation;
   std::string service;
+  std::string version;  // of its software; empty if the record has none
   Address address;
   std::string zone;
   uint32_t slots = 1;
@@ -75,10 +78,11 @@
 // This node's view of one worker.
 struct ServingWorker {
   WorkerRecord record;
+  software_id software = software_id::kUnknown;
   std::shared_ptr<ServiceCounts> counts;  // of its service
   uint64_t hash = 0;        // 32-bit hash of the incarnation; identifies the worker between nodes
   double order_offset = 0;  // in [0, 1): this node's fixed pseudo-random offset for it
-  bool listed = true;       // false: the record was removed
+  bool listed = false;      // false: the record was removed
   MonotonicTime unlisted_since{};
   bool evacuated = false;  // the worker's zone is evacuated
   cold_state cold;
@@ -154,6 +158,9 @@
   // The request may crash its worker: prefer the worker with the fewest other requests, which would
   // be lost with it.
   bool alone = false;
+  // The request goes on with what a worker of this software wrote, and only these may take it.
+  // kUnknown: it begins, and any worker may.
+  software_id software = software_id::kUnknown;
 };
 
 // Slots of a service at its healthy workers.
@@ -185,6 +192,17 @@
   // slot is useless.
   bool all_evacuated(std::string_view service) const;
 
+  // @param longest how far back a stream of the service may have begun.
+  // @return the software versions that have served it since then.
+  version_span versions(std::string_view service, Duration longest) const;
+  // Whether a worker of that software is listed and not leaving, so that a stream may go on there.
+  bool serves(std::string_view service, software_id software) const;
+  // Called when a worker of a service's second version is listed. A stream's version is then no
+  // longer known from its service alone.
+  void set_on_second_version(std::function<void(const std::string& service)> callback) {
+    on_second_version_ = std::move(callback);
+  }
+
   // Sets the limits for cold workers by service; services not in the map have none.
   void set_cold_starts(const std::map<std::string, cold_start>& services);
   // While this node starts: the nodes that may start batch runs, and the time until all of them
@@ -278,7 +296,9 @@
 
   OnlineSlots online_slots(std::string_view service) const;
   // Whether a request that was sent to the workers `tried` may still get a slot.
-  bool may_get_slot(std::string_view service, const std::set<std::string>& tried) const;
+  // @param software as in SlotRequest.
+  bool may_get_slot(std::string_view service, const std::set<std::string>& tried,
+                    software_id software = software_id::kUnknown) const;
   // Free slots of the service as seen by this node.
   uint32_t free_slots(std::string_view service) const;
   bool knows(std::string_view service) const;
@@ -309,21 +329,27 @@
     batch_ramp ramp;
     cold_start cold;
     std::array<service_pace, kPaceKinds> paces;
+    service_versions versions;
   };
   // Preferred workers for requests with this prompt prefix, in order of preference.
   using PrefixOwners = std::vector<const ServingWorker*>;
+  // Slots of a service by the software of its workers; empty while there is only one version.
+  using VersionSlots = std::vector<std::pair<software_id, uint32_t>>;
   // Inputs of one worker selection, common to all candidates.
   struct Choice {
     const SlotRequest& request;
     const Service& service;
     MonotonicTime now;
     PrefixOwners owners;
+    VersionSlots version_slots;
   };
 
   Service& service_of(const std::string& name);
   // @return the service, or null if it has never had a worker.
   const Service* find_service(std::string_view name) const;
   void move_to_service(const WorkerPtr& worker, const std::string& name);
+  // Counts the worker among those of its software, or no more.
+  void set_listed(ServingWorker& worker, bool listed);
   uint32_t load_at(const ServingWorker& worker, MonotonicTime now) const;
   static bool withdrawn(const ServingWorker& worker) {
     return worker.record.leaving || worker.replaced || worker.evacuated;
@@ -367,7 +393,13 @@
   // Milliseconds added to the cost of the worker because of its failed answers.
   double failure_cost(const ServingWorker& worker, const Choice& choice) const;
   bool healthy(const ServingWorker& worker, const Choice& choice) const;
-  static bool tried(const ServingWorker& worker, const SlotRequest& request);
+  // Whether the request was sent there before, or goes on with what other software wrote.
+  static bool excluded(const ServingWorker& worker, const SlotRequest& request);
+  // @return the slots by version, or nothing if they don't matter to the request.
+  VersionSlots version_slots(const SlotRequest& request, const Service& service) const;
+  // Milliseconds added to the cost of a worker whose version has few slots left: streams that it
+  // began can go on nowhere else.
+  double version_cost(const ServingWorker& worker, const Choice& choice) const;
   // Whether a healthy worker exists that the request was not sent to yet, with or without a free
   // slot.
   bool any_healthy(const Choice& choice) const;
@@ -413,6 +445,7 @@
   worker_failures* failures_ = nullptr;
   std::function<void(const std::string&, answer_fault)> on_failed_answer_;
   std::function<void(const std::string&, Duration)> on_online_ended_;
+  std::function<void(const std::string&)> on_second_version_;
   Lifetime lifetime_;
 };
 
--- a/src/serving/worker_watch.cc
+++ b/src/serving/worker_watch.cc
@@ -30,6 +30,7 @@
                    {"service", record->service},
                    {"address", to_string(record->address)},
                    {"zone", record->zone},
+                   {"version", record->version},
                    {"slots", std::to_string(record->slots)},
                    {"leaving", record->leaving ? "yes" : "no"},
                    {"store_version", std::to_string(row.version)}});
