A caller's stream goes on at the version that began it, at any node

What callers saw: a caller that takes its stream up at another node, because its own is gone, got the rest from any worker. Resumes, which names the attempt that brought the first event, was not read.

Change: a node remembers which software began each stream that may be taken up. While a service has had one version for longer than a stream lasts, nothing is sent: the version is known from the service. Otherwise a copy of (stream, software) goes to three peers that follow from the stream's key, in three zones where there are so many; when a second version is listed, each node sends copies for its open streams. A node that gets Last-Event-Id and Resumes asks these peers and two more (all, if there are twelve at most) and waits 110 ms at most; decide_origin() takes a record, or the sole version if nobody knows of another. Nothing is guessed: an unknown origin, a version without a worker, or records that contradict each other are refused at once with the promise that nothing ran. A request that names itself is rejected with 400. Its place is before new requests of its priority, and shared admission lets it pass: its caller has been served in part.

Why it holds: the key contains tenant, host, method and path, so another's attempt names no stream; a copy is first written and never replaced; a sole version counts only over the longest life of a stream, from a view that is as recent as any other node's.

--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -57,6 +57,11 @@
       quarantine_api_(dependencies.time_source, quarantine_, identity.address.ip),
       crash_exchange_(dependencies.time_source, dependencies.dispatcher, dependencies.datagrams,
                       quarantine_),
+      origin_exchange_(dependencies.dispatcher, dependencies.datagrams,
+                       {identity.node, identity.session, identity.zone, identity.address,
+                        identity.capacity, true, false, false},
+                       knobs.origins),
+      stream_origins_(dependencies.time_source, workers_, origin_exchange_),
       failures_(knobs.workers.failures, content_hash(identity.session),
                 [this](uint32_t worker) { return workers_.place_of(worker); }),
       failure_exchange_(dependencies.time_source, dependencies.dispatcher, dependencies.random,
@@ -147,6 +152,7 @@
     quota_exchange_.set_peers(peers);
     crash_exchange_.set_peers(peers);
     failure_exchange_.set_peers(peers);
+    origin_exchange_.set_peers(peers);
     if (knobs_.shared_admission) {
       admission_exchange_.set_peers(peers);
     }
@@ -157,12 +163,13 @@
   });
   peers_.set_other_reader([this](std::string_view datagram) {
     return quota_exchange_.receive(datagram) || crash_exchange_.receive(datagram) ||
-           run_turns_.receive(datagram) ||
+           run_turns_.receive(datagram) || origin_exchange_.receive(datagram) ||
            (knobs_.workers.failures.enabled && failure_exchange_.receive(datagram)) ||
            (knobs_.shared_admission && admission_exchange_.receive(datagram));
   });
   connect_quarantine();
   connect_failures();
+  connect_stream_origins();
   connect_speeds();
   if (knobs_.shared_admission) {
     connect_admission();
@@ -213,6 +220,18 @@
   workers_.set_failures(&failures_);
 }
 
+void ServingNode::connect_stream_origins() {
+  serving_.origins = &stream_origins_;
+  stream_origins_.set_view_is_current([this] { return worker_view_is_current(); });
+}
+
+bool ServingNode::worker_view_is_current() const {
+  // A healthy store answers a poll within 1.5 s, a slow one within two more.
+  constexpr Duration kMaxAge = std::chrono::seconds(4);
+  const bool recent = worker_table_.age() <= kMaxAge || peers_.hears_informed_relay();
+  return !worker_table_.behind() && (recent || !peers_.others_may_reach_store());
+}
+
 void ServingNode::connect_speeds() {
   workers_.set_on_speed_changed([this](const ServingWorker& worker, double before) {
     const auto text = [](double speed) { return std::to_string(speed).substr(0, 4); };
@@ -360,6 +379,7 @@
   workers_.set_failures(nullptr);  // destroyed before the requests that would report to it
   workers_.set_on_speed_changed(nullptr);
   workers_.set_on_online_ended(nullptr);
+  workers_.set_on_second_version(nullptr);
 }
 
 void ServingNode::start() {
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -20,6 +20,7 @@
 #include "chalkshed/run_turns.h"
 #include "chalkshed/start_order.h"
 #include "chalkshed/start_timeline.h"
+#include "chalkshed/stream_origins.h"
 #include "chalkshed/tenant_quota.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job_service.h"
@@ -96,6 +97,7 @@
   bool shared_admission = false;
   shared_admission_knobs admission;
   admission_exchange_knobs admission_exchange;
+  origin_exchange_knobs origins;
   first_copy_knobs workers_copy;
   start_order_knobs start;
   // A node that has had no configuration response from the store for this long rejects all keys,
@@ -182,6 +184,10 @@
   void connect_speeds();
   void update_speed_gauges();
   void connect_admission();
+  // Lets callers take up streams that began at any node.
+  void connect_stream_origins();
+  // Whether no other node can know of a worker that this one does not know of yet.
+  bool worker_view_is_current() const;
   // Passes the services of the configuration to shared admission.
   void set_admitted_services();
   copy_source worker_copy_source() const;
@@ -213,6 +219,8 @@
   admission_exchange admission_exchange_;
   quarantine_api quarantine_api_;
   crash_exchange crash_exchange_;
+  origin_exchange origin_exchange_;
+  stream_origins stream_origins_;
   worker_failures failures_;
   failure_exchange failure_exchange_;
   run_turns run_turns_;
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -4,6 +4,7 @@
 
 #include "chalkshed/request_digest.h"
 #include "chalkshed/resumption_outcome.h"
+#include "chalkshed/stream_origins.h"
 #include "src/core/number_text.h"
 
 namespace chalkshed {
@@ -66,6 +67,10 @@
            "all workers of service '" + service_ + "' are in evacuated zones");
     return;
   }
+  if (goes_on() && !environment_.workers.serves(service_, software_)) {
+    refuse(ErrorKind::kUnavailable, no_worker_reason());
+    return;
+  }
   if (queue_first || !send(IfFull::kWait)) {
     wait_for_slot();
   }
@@ -265,9 +270,15 @@
 }
 
 void RequestRelay::note_first_event() {
+  if (std::exchange(origin_noted_, true)) {
+    return;
+  }
   if (!goes_on()) {
     software_ = attempt_->worker().software;
   }
+  if (environment_.origins != nullptr && route_.resumable) {
+    environment_.origins->note_begun(request_, route_, service_, software_);
+  }
 }
 
 std::string RequestRelay::no_worker_reason() const {
--- a/src/serving/request_relay.h
+++ b/src/serving/request_relay.h
@@ -9,7 +9,7 @@
 #include <set>
 #include <string>
 
-#include "chalkshed/software_id.h"
+#include "chalkshed/origin_decision.h"
 #include "src/core/lifetime.h"
 #include "src/serving/route_table.h"
 #include "src/serving/serving_environment.h"
@@ -60,6 +60,9 @@
     order_ = order;
     late_ = late;
   }
+  // The request takes up a stream of that origin, after ServingRequest::resume_after. To be called
+  // before start().
+  void set_origin(const stream_origin& origin) { software_ = origin.software; }
   // Whether it goes on with a stream that has begun, so that only some workers may take it.
   bool goes_on() const { return software_ != software_id::kUnknown; }
   // Starts the request, which may have ended when this returns.
@@ -157,6 +160,7 @@
   std::optional<uint64_t> last_event_;
   // That began the stream; unknown before its first event.
   software_id software_ = software_id::kUnknown;
+  bool origin_noted_ = false;
   TimerPtr deadline_timer_;
   TimerPtr wait_timer_;
   TimerPtr silence_timer_;
--- a/src/serving/serving_environment.h
+++ b/src/serving/serving_environment.h
@@ -15,6 +15,8 @@
 
 namespace chalkshed {
 
+class stream_origins;
+
 struct ServingKnobs {
   // Maximum number of sends of one request that workers refuse without running it.
   uint32_t max_refused_sends = 4;
@@ -41,6 +43,8 @@
   MetricsRegistry& metrics;
   ServingKnobs knobs;
   request_quarantine& quarantine;
+  // Null: callers cannot take streams up again.
+  stream_origins* origins = nullptr;
 };
 
 }  // namespace chalkshed
--- a/src/serving/serving_gateway.cc
+++ b/src/serving/serving_gateway.cc
@@ -9,7 +9,18 @@
 namespace chalkshed {
 
 ServingGateway::ServingGateway(ServingEnvironment& environment)
-    : environment_(environment), draw_(environment.random) {}
+    : environment_(environment),
+      draw_(environment.random),
+      lookups_(
+          environment,
+          // Shared admission does not hold it back: its caller has already been served in part.
+          [this](ReceivedRequest received, const std::string& service,
+                 const stream_origin& origin) {
+            begin(std::move(received), service, origin, shared_verdict{});
+          },
+          [this](const ServingRequest& request, const Route& route, const std::string& end) {
+            end_unsent(request, route, end);
+          }) {}
 
 void ServingGateway::handle(RouteTablePtr table, const Route& route, ServingRequest request,
                             ResponseWriterPtr writer) {
@@ -21,16 +32,34 @@
       return;
     }
   }
+  if (environment_.origins != nullptr && StreamLookups::takes_up_stream(route, request)) {
+    lookups_.add({std::move(table), &route, std::move(request), std::move(writer)});
+    return;
+  }
   const std::string service = draw_.draw(route);
   const auto admitted = admit(route, service, request, *writer);
-  if (!admitted) {
-    return;
+  if (admitted) {
+    begin({std::move(table), &route, std::move(request), std::move(writer)}, service, {},
+          *admitted);
+  }
+}
+
+void ServingGateway::end_unsent(const ServingRequest& request, const Route& route,
+                                const std::string& end) {
+  if (quota_ != nullptr) {
+    quota_->give_back(request.tenant);
   }
+  count_end(route.name, end);
+}
+
+void ServingGateway::begin(ReceivedRequest received, const std::string& service,
+                           const stream_origin& origin, const shared_verdict& admitted) {
+  const Route& route = *received.route;
+  const ServingRequest& request = received.request;
   const uint64_t id = next_id_++;
   const std::string tenant = request.tenant;
-  const MonotonicTime received = environment_.time_source.monotonic_now();
-  auto on_end = [this, id, received, route_name = route.name,
-                 tenant = request.tenant](RelayEnd end) {
+  const MonotonicTime begun = environment_.time_source.monotonic_now();
+  auto on_end = [this, id, begun, route_name = route.name, tenant = request.tenant](RelayEnd end) {
     if (quota_ != nullptr && !relays_.at(id).relay->may_have_run()) {
       quota_->give_back(tenant);
     }
@@ -39,15 +68,16 @@
     environment_.metrics
         .histogram("chalkshed_serving_request_seconds", "Time to the end of the answer.",
                    {{"end", name}})
-        .observe(std::chrono::duration<double>(environment_.time_source.monotonic_now() - received)
+        .observe(std::chrono::duration<double>(environment_.time_source.monotonic_now() - begun)
                      .count());
     remove_later(id);
   };
-  auto relay =
-      std::make_unique<RequestRelay>(environment_, std::move(table), route, service,
-                                     std::move(request), std::move(writer), std::move(on_end));
+  auto relay = std::make_unique<RequestRelay>(environment_, std::move(received.table), route,
+                                              service, std::move(received.request),
+                                              std::move(received.writer), std::move(on_end));
+  relay->set_origin(origin);
   if (admission_ != nullptr) {
-    relay->set_order(this, admitted->late);
+    relay->set_order(this, admitted.late);
   }
   RequestRelay& started = *relay;
   const double start = queues_[started.service()].enter(tenant);
@@ -127,7 +157,8 @@
 
 bool ServingGateway::ranks_before(const InProgress& a, const InProgress& b) {
   const auto rank = [](const InProgress& entry) {
-    return std::make_tuple(entry.relay->late(), entry.relay->priority(), entry.start);
+    return std::make_tuple(entry.relay->late(), entry.relay->priority(),
+                           entry.relay->goes_on() ? 0 : 1, entry.start);
   };
   return rank(a) < rank(b);
 }
--- a/src/serving/serving_gateway.h
+++ b/src/serving/serving_gateway.h
@@ -14,6 +14,7 @@
 #include "src/core/lifetime.h"
 #include "src/serving/request_relay.h"
 #include "src/serving/service_draw.h"
+#include "src/serving/stream_lookups.h"
 
 namespace chalkshed {
 
@@ -29,7 +30,7 @@
   // @param admission decides on requests for overloaded services, together with the other nodes;
   // outlives the gateway. Without it, a request that has waited for long is sent to a full worker.
   void set_admission(shared_admission* admission);
-  size_t requests_in_progress() const { return relays_.size(); }
+  size_t requests_in_progress() const { return relays_.size() + lookups_.size(); }
   // Whether any online request waits for a slot; batch work then takes none.
   bool any_waiting() const { return waiting() > 0; }
   size_t waiting() const;
@@ -46,6 +47,12 @@
     double start = 0;  // virtual start time, see fair_order
   };
 
+  // Begins the relay of a request that was admitted.
+  // @param origin of the stream that the request goes on with; kUnknown: it begins one.
+  void begin(ReceivedRequest received, const std::string& service, const stream_origin& origin,
+             const shared_verdict& admitted);
+  // Ends a request that no worker has run.
+  void end_unsent(const ServingRequest& request, const Route& route, const std::string& end);
   // Decides on the request; answers it if it is refused.
   // @return the decision, or nothing if the request was refused.
   std::optional<shared_verdict> admit(const Route& route, const std::string& service,
@@ -69,6 +76,7 @@
   std::map<std::string, fair_order> queues_;  // by service
   uint64_t next_id_ = 0;
   bool dispatching_ = false;
+  StreamLookups lookups_;
   std::function<void(size_t)> on_slot_shortage_;
   Lifetime lifetime_;
 };
--- a/src/serving/serving_request.h
+++ b/src/serving/serving_request.h
@@ -36,6 +36,8 @@
   uint64_t queue_tokens = 0;
   // The caller resumes a stream after this event.
   std::optional<uint64_t> resume_after;
+  // Id of the caller's attempt that brought the first event of that stream; empty: not named.
+  std::string resumes;
   // Hash of the content (request_digest.h), equal for all attempts of a caller. Set on admission.
   uint64_t digest = 0;
 };
--- a/tests/compatibility/admission_datagram_test.cc
+++ b/tests/compatibility/admission_datagram_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "chalkshed/admission_message.h"
+#include "tests/compatibility/hexadecimal.h"
 #include "tests/compatibility/production/crash_message_generated.h"
 #include "tests/compatibility/production/heartbeat_generated.h"
 #include "tests/compatibility/production/load_digest_generated.h"
@@ -39,15 +40,6 @@
   return message;
 }
 
-std::string bytes_of(std::string_view hexadecimal) {
-  constexpr int kBase = 16;
-  std::string bytes;
-  for (size_t at = 0; at + 1 < hexadecimal.size(); at += 2) {
-    bytes += static_cast<char>(std::stoi(std::string(hexadecimal.substr(at, 2)), nullptr, kBase));
-  }
-  return bytes;
-}
-
 TEST(AdmissionDatagram, TheFirstBytesAreReadAsTheyWereMeant) {
   const auto read = decode_admission_message(bytes_of(kBytes));
   const admission_message meant = sample();
--- a/tests/compatibility/datagrams_test.cc
+++ b/tests/compatibility/datagrams_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "chalkshed/turn_message.h"
+#include "tests/compatibility/hexadecimal.h"
 #include "tests/compatibility/production/crash_message_generated.h"
 #include "tests/compatibility/production/golden_bytes_generated.h"
 #include "tests/compatibility/production/heartbeat_generated.h"
@@ -24,15 +25,6 @@
     "1c00000038000000ffffffff2c000000240000001000000009000000000000000000000001000000"
     "290000000cfe3000fa0014000000000000000000040000006e32233400000000";
 
-std::string bytes_of(std::string_view hexadecimal) {
-  constexpr int kBase = 16;
-  std::string bytes;
-  for (size_t at = 0; at + 1 < hexadecimal.size(); at += 2) {
-    bytes += static_cast<char>(std::stoi(std::string(hexadecimal.substr(at, 2)), nullptr, kBase));
-  }
-  return bytes;
-}
-
 flatbuffers::Verifier verifier_of(const std::string& bytes) {
   return {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()};
 }
--- a/tests/compatibility/failure_datagram_test.cc
+++ b/tests/compatibility/failure_datagram_test.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "chalkshed/failure_message.h"
+#include "tests/compatibility/hexadecimal.h"
 #include "tests/compatibility/production/crash_message_generated.h"
 #include "tests/compatibility/production/heartbeat_generated.h"
 #include "tests/compatibility/production/load_digest_generated.h"
@@ -45,25 +46,6 @@
   return report;
 }
 
-std::string bytes_of(std::string_view hexadecimal) {
-  constexpr int kBase = 16;
-  std::string bytes;
-  for (size_t at = 0; at + 1 < hexadecimal.size(); at += 2) {
-    bytes += static_cast<char>(std::stoi(std::string(hexadecimal.substr(at, 2)), nullptr, kBase));
-  }
-  return bytes;
-}
-
-std::string hexadecimal_of(const std::string& bytes) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (const char byte : bytes) {
-    text += kDigits[static_cast<uint8_t>(byte) >> 4U];
-    text += kDigits[static_cast<uint8_t>(byte) & 0xFU];
-  }
-  return text;
-}
-
 // A later build may add fields; it then keeps these bytes readable and drops this comparison.
 TEST(FailureDatagrams, AreWrittenAsCommitted) {
   EXPECT_EQ(hexadecimal_of(encode_failure_report(sample(), kNow)), kFailureMessage);
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -281,20 +281,28 @@
   void kill_node(const std::string& name) { nodes[name] = nullptr; }
   ServingNode& node(const std::string& name = "n0") { return nodes.at(name)->node; }
 
-  SeenAnswerPtr request(const std::string& path, const std::string& id = "r1") {
+  SeenAnswerPtr request(const std::string& path, const std::string& id = "r1",
+                        const std::string& at = "n0", const HttpHeaders& more = {}) {
     HttpRequest message;
     message.method = "POST";
     message.path = path;
     message.body = "body of " + id;
     message.headers = {{platform::kRequestId, id}, {platform::kDeadline, "8000"}};
+    message.headers.insert(message.headers.end(), more.begin(), more.end());
     auto seen = std::make_shared<SeenAnswer>();
-    const RouteTablePtr table = node().routes();
+    const RouteTablePtr table = node(at).routes();
     const Route* route = table->find("a.example", path);
     EXPECT_NE(route, nullptr);
-    node().gateway().handle(table, *route, platform::read_request("a.example", std::move(message)),
-                            std::make_unique<FakeWriter>(seen));
+    node(at).gateway().handle(table, *route,
+                              platform::read_request("a.example", std::move(message)),
+                              std::make_unique<FakeWriter>(seen));
     return seen;
   }
+  // A caller takes up, after event 1, the stream that its attempt `first` began.
+  SeenAnswerPtr take_up(const std::string& path, const std::string& id, const std::string& first,
+                        const std::string& at) {
+    return request(path, id, at, {{platform::kLastEventId, "1"}, {"Resumes", first}});
+  }
 
   RequestJob job(const std::string& id, size_t items, size_t body_bytes = 10) const {
     nlohmann::json requests = nlohmann::json::array();
--- /dev/null
+++ b/tests/stream_origin/service_versions_test.cc
@@ -0,0 +1,52 @@
+#include "chalkshed/service_versions.h"
+
+#include <gtest/gtest.h>
+
+namespace chalkshed {
+namespace {
+
+using std::chrono::seconds;
+using kind = version_span::kind;
+
+constexpr software_id kOne{1};
+constexpr software_id kTwo{2};
+constexpr MonotonicTime kStart{seconds(1000)};
+
+TEST(ServiceVersions, AVersionIsSoleOnlyOnceTheTimeIsCovered) {
+  service_versions versions;
+  versions.note_listed(kOne, kStart);
+  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(9)).known, kind::kUncovered);
+  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(9)).software, kOne);
+  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(10)).known, kind::kSole);
+}
+
+TEST(ServiceVersions, AVersionThatIsGoneCountsForAsLongAsAStreamMayLast) {
+  service_versions versions;
+  versions.note_listed(kOne, kStart);
+  versions.note_listed(kTwo, kStart + seconds(60));
+  versions.note_unlisted(kOne, kStart + seconds(70));
+  EXPECT_EQ(versions.listed(), 1U);
+  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(80)).known, kind::kSeveral);
+  const version_span later = versions.span(seconds(10), kStart + seconds(81));
+  EXPECT_EQ(later.known, kind::kSole);
+  EXPECT_EQ(later.software, kTwo);
+}
+
+TEST(ServiceVersions, AVersionStaysWhileOneOfItsWorkersDoes) {
+  service_versions versions;
+  versions.note_listed(kOne, kStart);
+  versions.note_listed(kOne, kStart);
+  versions.note_listed(kTwo, kStart);
+  versions.note_unlisted(kOne, kStart);
+  EXPECT_EQ(versions.span(seconds(1), kStart + seconds(100)).known, kind::kSeveral);
+}
+
+TEST(ServiceVersions, ALongerTimeThanIsRememberedIsNotCovered) {
+  service_versions versions;
+  versions.note_listed(kOne, kStart);
+  EXPECT_EQ(versions.span(std::chrono::minutes(6), kStart + std::chrono::hours(1)).known,
+            kind::kUncovered);
+}
+
+}  // namespace
+}  // namespace chalkshed
