A batch item's text goes on at the version that began it, or starts over

What callers would have seen: an item's listed text from two software versions, after its worker crashed or its owner died.

Cause: a checkpoint keeps the text and the last event, not who wrote them.

Change: the version stands in one row a job beside the checkpoints, under a key that older builds read as the progress of an item without id and skip; each entry holds for the hash of one text, so a text that an older owner wrote later has no version. An item with a text asks for workers of its version. If none is listed for 2.5 s, in which workers return whose entries lapsed with the store, it starts over with its text dropped; so it does when only workers of other versions have room for longer than its runs took. A text of unknown version goes on only if one version has served since the job was accepted. The decision is item_continuation.h and needs no network. Items that wait for their version do not hold others back.

Why it holds: text and version are one object in memory and are written in one transaction, conditional on the ownership; an item may run more than once, and its result is still appended once.

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "chalkshed/software_id.h"
 #include "src/core/error.h"
 #include "src/core/http_message.h"
 #include "src/core/time.h"
@@ -74,6 +75,8 @@
   std::string text;  // data of the events, separated by line feeds
   bool has_text = false;
   std::optional<uint64_t> last_event;
+  // Of the workers that wrote the text.
+  software_id software = software_id::kUnknown;
 };
 
 // The part of the wire format that jobs are submitted in.
--- a/src/jobs/job_item_run.cc
+++ b/src/jobs/job_item_run.cc
@@ -45,7 +45,10 @@
 
 JobItemRun::JobItemRun(JobEnvironment& environment, const ServingRequest& item, WorkerSlotPtr slot,
                        ItemProgress& progress, OnEnd on_end)
-    : progress_(progress), on_end_(std::move(on_end)), worker_(slot->worker().record.incarnation) {
+    : progress_(progress),
+      on_end_(std::move(on_end)),
+      worker_(slot->worker().record.incarnation),
+      software_(slot->worker().software) {
   WorkerSend send;
   send.request = &item;
   send.incarnation = worker_;
@@ -73,6 +76,7 @@
       progress_.text += '\n';
     }
     progress_.text += event->data;
+    progress_.software = software_;
   }
 }
 
--- a/src/jobs/job_item_run.h
+++ b/src/jobs/job_item_run.h
@@ -43,6 +43,7 @@
   ItemProgress& progress_;
   OnEnd on_end_;
   std::string worker_;
+  const software_id software_;  // of the worker
   std::unique_ptr<WorkerAttempt> attempt_;
 };
 
--- a/src/jobs/job_loader.cc
+++ b/src/jobs/job_loader.cc
@@ -125,7 +125,11 @@
 
 void JobLoader::load_progress(const std::string& job, std::shared_ptr<LoadedJob> loaded,
                               Callback<LoadedJob> callback) {
-  auto take = [job, loaded](const StoredRow& row) {
+  auto take = [job, loaded, origins = progress_origins_key(job)](const StoredRow& row) {
+    if (row.key.key == origins.key) {
+      loaded->origins = decode_progress_origins(row.value);
+      return;
+    }
     Expected<ItemProgress> progress = decode_item_progress(row.value);
     if (progress) {
       loaded->progress[item_of_key(job, row.key)] = std::move(*progress);
--- a/src/jobs/job_loader.h
+++ b/src/jobs/job_loader.h
@@ -10,6 +10,7 @@
 #include "chalkshed/failure_recorder.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job_environment.h"
+#include "src/jobs/progress_origins.h"
 
 namespace chalkshed {
 
@@ -18,6 +19,7 @@
   std::vector<std::string> listed;  // ids of the items that have results, in the result order
   std::map<std::string, ItemProgress> progress;   // of unfinished items, by id
   std::map<std::string, item_failures> failures;  // of items with failed runs, by id
+  std::vector<ProgressOrigin> origins = {};       // of the progress
 };
 
 class JobLoader {
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "chalkshed/request_digest.h"
+#include "chalkshed/resumption_outcome.h"
 #include "src/core/digest.h"
 #include "src/jobs/job_rows.h"
 
@@ -41,6 +42,15 @@
     item.request.digest = request_digest(item.request);
     items_.push_back(std::move(item));
   }
+  origins_recorded_ = !loaded.origins.empty();
+  for (const ProgressOrigin& origin : loaded.origins) {
+    Item* item = origin.item < items_.size() ? &items_[origin.item] : nullptr;
+    if (item != nullptr && item->progress.last_event &&
+        origin.text_hash == progress_text_hash(item->progress.text)) {
+      item->progress.software = origin.software;
+      item->origin = origin;
+    }
+  }
 }
 
 const Route* OwnedJob::route_of(const RouteTable& table, const Item& item) const {
@@ -153,18 +163,104 @@
     end_item(*item, ItemState::kErrored);
     return true;
   }
+  const std::string service = service_for(*route, *item);
+  const item_continuation step = next_step(*item, service);
+  if (step.step == item_step::kStartOver) {
+    drop_text(*item);
+  }
+  WorkerSlotPtr slot;
+  if (step.step != item_step::kWait) {
+    slot = acquire_slot(*item, service, step.software);
+  }
+  if (!slot && step.may_start_over) {
+    slot = acquire_slot(*item, service, software_id::kUnknown);
+    if (slot) {
+      drop_text(*item);
+    }
+  }
+  if (!slot && item->progress.last_event) {
+    defer(*item);  // items that may run at any worker may have room
+    return true;
+  }
+  if (!slot) {
+    return false;
+  }
+  start_run(*next, std::move(slot), table->version());
+  return true;
+}
+
+std::string OwnedJob::service_for(const Route& route, const Item& item) {
+  for (const WeightedService& candidate : route.services) {
+    if (environment_.serving.workers.serves(candidate.service, item.progress.software)) {
+      return candidate.service;
+    }
+  }
+  return environment_.draw.draw(route);
+}
+
+WorkerSlotPtr OwnedJob::acquire_slot(const Item& item, const std::string& service,
+                                     software_id software) {
   SlotRequest wanted;
-  wanted.service = environment_.draw.draw(*route);
+  wanted.service = service;
+  wanted.software = software;
   wanted.work = WorkClass::kBatch;
   wanted.repeatable = true;
-  wanted.request = &item->request;
-  wanted.urgency = urgency_of(*item);
-  wanted.alone = may_crash_worker(*item);
-  WorkerSlotPtr slot = environment_.serving.workers.acquire_slot(wanted);
-  if (!slot) {
-    return false;
+  wanted.request = &item.request;
+  wanted.urgency = urgency_of(item);
+  wanted.alone = may_crash_worker(item);
+  return environment_.serving.workers.acquire_slot(wanted);
+}
+
+item_continuation OwnedJob::next_step(const Item& item, const std::string& service) const {
+  const WorkerSet& workers = environment_.serving.workers;
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  item_state state;
+  state.has_text = item.progress.last_event.has_value();
+  state.software = item.progress.software;
+  state.waited = now - item.waits_for_version.value_or(now);
+  state.ran = item.ran;
+  const Duration since_accepted = environment_.clock.now() - record_.accepted;
+  return continue_item(state, workers.versions(service, since_accepted),
+                       workers.serves(service, state.software));
+}
+
+void OwnedJob::drop_text(Item& item) {
+  note_continuation(item, nullptr);
+  item.progress = {};
+  item.ran = Duration(0);
+  item.waits_for_version.reset();
+}
+
+void OwnedJob::defer(Item& item) {
+  constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
+  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+  item.waits_for_version = item.waits_for_version.value_or(now);
+  item.not_before = now + kRetryInterval;
+}
+
+void OwnedJob::note_continuation(const Item& item, const WorkerRecord* at) const {
+  const bool known = item.progress.software != software_id::kUnknown;
+  const resumption_outcome outcome = at != nullptr ? resumption_outcome::kSameVersion
+                                     : known       ? resumption_outcome::kNoWorker
+                                                   : resumption_outcome::kOriginUnknown;
+  count_resumption(environment_.serving.metrics, resumed_work::kItem, outcome);
+  environment_.serving.logger.write(
+      LogLevel::kInfo, at != nullptr ? "item_resumed" : "item_started_over",
+      {{"job", caller_job_id(record_.id)},
+       {"request", item.request.id},
+       {"software", software_text(item.progress.software)},
+       {"outcome", std::string(resumption_outcome_name(outcome))},
+       {"worker", at != nullptr ? at->incarnation : ""},
+       {"version", at != nullptr ? at->version : ""},
+       {"resume_after", std::to_string(item.progress.last_event.value_or(0))}});
+}
+
+void OwnedJob::start_run(size_t index, WorkerSlotPtr slot, uint64_t configuration) {
+  Item* item = &items_[index];
+  if (item->progress.last_event) {
+    note_continuation(*item, &slot->worker().record);
   }
-  const size_t index = *next;
+  item->waits_for_version.reset();
   checkpoint_later();
   item->phase = Phase::kRunning;
   item->started = environment_.serving.time_source.monotonic_now();
@@ -174,8 +270,7 @@
                                    [this, index](JobItemRunEnd end, const std::string& reason) {
                                      handle_run_end(index, end, reason);
                                    });
-  log_start(*item, table->version());
-  return true;
+  log_start(*item, configuration);
 }
 
 // Logs on what basis the item was started: the owner and epoch of the job, and the age of this
@@ -340,6 +435,8 @@
     }
     bytes += size;
     item.recorded_event = progress.last_event;
+    item.origin = ProgressOrigin{static_cast<uint32_t>(next), progress.software,
+                                 progress_text_hash(progress.text)};
     transaction.writes.push_back(
         {job_progress_key(record_.id, item.request.id), encode_item_progress(progress)});
   }
@@ -347,6 +444,7 @@
     done();
     return;
   }
+  add_origins(transaction);
   // A lost checkpoint does no harm: the next one contains more. One that is applied late is
   // rejected because of its epoch, or replaces a newer one, which only costs repeated work. A
   // rejection shows that the record has changed, often before the table's watchers see the change.
@@ -367,6 +465,22 @@
                             }));
 }
 
+void OwnedJob::add_origins(StoreTransaction& transaction) {
+  std::vector<ProgressOrigin> origins;
+  for (const Item& item : items_) {
+    if (item.request.id.empty()) {
+      return;  // its progress has the key of this row
+    }
+    if (item.phase != Phase::kEnded && item.origin &&
+        item.origin->software != software_id::kUnknown) {
+      origins.push_back(*item.origin);
+    }
+  }
+  origins_recorded_ = true;
+  transaction.writes.push_back(
+      {progress_origins_key(record_.id), encode_progress_origins(origins)});
+}
+
 void OwnedJob::commit_later() {
   if (committing_.empty() && !commit_timer_->enabled()) {
     commit_timer_->enable(environment_.knobs.commit_delay);
@@ -445,6 +559,9 @@
     StoredJob finished = record_;
     finished.finished = true;
     transaction.writes.push_back({stored_job_key(record_.id), encode_job_record(finished)});
+    if (origins_recorded_) {
+      transaction.writes.push_back({progress_origins_key(record_.id), std::nullopt});
+    }
   }
   const MonotonicTime sent = environment_.serving.time_source.monotonic_now();
   environment_.store.commit(std::move(transaction),
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "chalkshed/caller_identity.h"
+#include "chalkshed/item_continuation.h"
 #include "src/core/lifetime.h"
 #include "src/jobs/job.h"
 #include "src/jobs/job_environment.h"
@@ -96,8 +97,26 @@
     std::unique_ptr<JobItemRun> run;
     bool listed = false;
     std::optional<uint64_t> recorded_event;  // the last event in its checkpoint
+    std::optional<ProgressOrigin> origin;    // of the text in its checkpoint
+    // Since when it has been waiting for a worker of the version that wrote its text.
+    std::optional<MonotonicTime> waits_for_version;
   };
 
+  // The service that the item runs at next: that of its text, if it has one.
+  std::string service_for(const Route& route, const Item& item);
+  WorkerSlotPtr acquire_slot(const Item& item, const std::string& service, software_id software);
+  item_continuation next_step(const Item& item, const std::string& service) const;
+  // The item starts over.
+  void drop_text(Item& item);
+  // Lets the item wait a little for a worker of the version that wrote its text.
+  void defer(Item& item);
+  void start_run(size_t index, WorkerSlotPtr slot, uint64_t configuration);
+  // Logs and counts how an item with a partial text goes on.
+  // @param at null: it starts over.
+  void note_continuation(const Item& item, const WorkerRecord* at) const;
+  // Adds the row with the versions that wrote the recorded texts.
+  void add_origins(StoreTransaction& transaction);
+
   void log_start(const Item& item, uint64_t configuration) const;
   void handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason);
   void log_failed_run(const Item& item, const std::string& worker, JobItemRunEnd end,
@@ -147,6 +166,7 @@
   std::vector<JobResult> pending_;      // ended, not yet sent to the store
   std::vector<JobResult> committing_;   // sent; unchanged until the outcome is known
   std::string first_committing_value_;  // as written to the store
+  bool origins_recorded_ = false;       // a row with the versions of the texts was written
   bool commit_finishes_ = false;        // the commit in progress contains the last result
   std::vector<std::function<void()>> on_commit_;
   TimerPtr commit_timer_;
