The fleet soak plays software versions

Emulated workers of a service may run several versions, which mark the data of each event; releases and rollbacks replace workers one after the other while others crash; a share of the callers closes its connection in the middle of a stream and takes it up at another node, and so do those whose answer broke off. Judged is what callers and job results hold over all attempts, not the nodes' logs: events of two versions in one stream or item, and whether streams that are taken up at nodes in touch, while two workers of their version serve, go on at least half as often as new ones begin.

--- a/tests/soak/fleet/checks.cc
+++ b/tests/soak/fleet/checks.cc
@@ -38,6 +38,9 @@
     named_check{check_kind::kFatalContent, "fatal_content"},
     named_check{check_kind::kEndsOfContent, "ends_of_content"},
     named_check{check_kind::kInnocent, "innocent"},
+    named_check{check_kind::kStreamVersions, "stream_versions"},
+    named_check{check_kind::kItemVersions, "item_versions"},
+    named_check{check_kind::kTakenUp, "taken_up"},
 };
 
 int64_t in_ms(Duration length) {
@@ -114,6 +117,8 @@
     void check_ends_of_contents();
     void check_innocent(const std::string &id, const request_history &request);
     void check_lag();
+    void check_software_versions();
+    void judge_mixed(check_kind kind, const std::vector<mixed_text> &mixed);
 
     /** Whether the sender of the run or its store was disturbed within `contact` before it. */
     bool sender_disturbed(const run_begin &run) const;
@@ -148,6 +153,7 @@
     check_leaving_workers();
     check_fatal_contents();
     check_ends_of_contents();
+    check_software_versions();
     check_lag();
     report_.end_to_last_begin = spread_of(std::move(last_begins_));
     return std::move(report_);
@@ -545,6 +551,32 @@
     report_.checks[check_kind::kLeavingWorker].tested = used.size();
 }
 
+void checker::judge_mixed(check_kind kind, const std::vector<mixed_text> &mixed) {
+    for (const mixed_text &each : mixed) {
+        if (each.excused) {
+            excuse(kind, each.at, each.what);
+        } else {
+            violate(kind, each.at, each.what);
+        }
+    }
+}
+
+void checker::check_software_versions() {
+    report_.versions = check_versions(history_, bounds_);
+    const version_report &versions = report_.versions;
+    report_.checks[check_kind::kStreamVersions].tested = versions.streams_judged;
+    report_.checks[check_kind::kItemVersions].tested = versions.items_judged;
+    report_.checks[check_kind::kTakenUp].tested = versions.taken_up;
+    judge_mixed(check_kind::kStreamVersions, versions.streams);
+    judge_mixed(check_kind::kItemVersions, versions.items);
+    if (!versions.enough_go_on()) {
+        violate(check_kind::kTakenUp, history_.last,
+                std::to_string(versions.went_on) + " of " + std::to_string(versions.taken_up) +
+                    " streams that were taken up went on, and " + std::to_string(versions.begun) +
+                    " of " + std::to_string(versions.first_attempts) + " new ones began");
+    }
+}
+
 void checker::check_lag() {
     for (const auto &entry : history_.lags) {
         const process_lag &lag = entry.second;
@@ -663,4 +695,11 @@
     output << in_json(report).dump() << '\n';
 }
 
+void print_versions(const version_report &versions, std::ostream &output) {
+    output << "streams_of_two_versions=" << versions.streams.size()
+           << " items_of_two_versions=" << versions.items.size()
+           << " taken_up=" << versions.taken_up << " went_on=" << versions.went_on
+           << " new=" << versions.first_attempts << " begun=" << versions.begun << '\n';
+}
+
 } // namespace chalkshed::soak
--- a/tests/soak/fleet/checks.h
+++ b/tests/soak/fleet/checks.h
@@ -13,6 +13,7 @@
 
 #include "tests/soak/fleet/deployment.h"
 #include "tests/soak/fleet/records.h"
+#include "tests/soak/fleet/version_checks.h"
 
 namespace chalkshed::soak {
 
@@ -33,6 +34,9 @@
                         the contact time */
     kEndsOfContent,  /**< a content terminates few workers in total, even if many copies are sent */
     kInnocent,       /**< no other request is refused because workers terminated */
+    kStreamVersions, /**< all events of a stream, over its caller's attempts, are of one version */
+    kItemVersions,   /**< so are those of an item */
+    kTakenUp,        /**< streams that callers take up go on, against those that begin */
 };
 
 /** All kinds in the order of the report. */
@@ -73,6 +77,7 @@
     uint64_t requests = 0;
     uint64_t jobs = 0;
     uint64_t runs = 0;
+    version_report versions;
     /** The test process with the highest 99th percentile of timer lag. */
     process_lag worst_lag;
     /** Why the run is inconclusive; empty if it is valid. */
@@ -90,6 +95,9 @@
 /** Prints a line for each example, then the report as one line of JSON. */
 void print_report(const check_report &report, std::ostream &output);
 
+/** Prints one line with the counts of streams, items and attempts. */
+void print_versions(const version_report &versions, std::ostream &output);
+
 } // namespace chalkshed::soak
 
 #endif
--- a/tests/soak/fleet/deployment.cc
+++ b/tests/soak/fleet/deployment.cc
@@ -412,6 +412,8 @@
         service.slowdown_percent.emplace();
         fields.whole("slowdown_percent", *service.slowdown_percent, 100, kMostPercent);
     }
+    constexpr uint64_t kMaxVersions = 10;
+    fields.whole("versions", service.versions, 0, kMaxVersions);
     fields.finish();
     const bool twice = std::any_of(result_.services.begin(), result_.services.end(),
                                    [&](const auto &other) { return other.name == service.name; });
@@ -525,6 +527,7 @@
     fields.whole("fatal_contents", callers.fatal_contents, 0, kMaxFatal);
     fields.number("fatal_per_minute", callers.fatal_per_minute, 0, kMaxFatalPerMinute);
     fields.percent("fatal_items_percent", callers.fatal_items_percent);
+    fields.percent("take_up_percent", callers.take_up_percent);
     fields.finish();
     if (callers.end_soon_percent + callers.end_unseen_percent > 100) {
         fields.problem("end_unseen_percent", "more than all jobs are ended",
@@ -615,11 +618,13 @@
 
 const std::vector<std::string> &fault_kinds() {
     static const std::vector<std::string> kKinds = {
-        "node_kill",    "node_kill_all",      "node_freeze",      "node_stop",    "node_reload",
-        "node_replace", "node_upgrade",       "node_upgrade_all", "store_refuse", "store_slow",
-        "store_cut",    "store_lose_answers", "store_late",       "store_forget", "worker_kill",
-        "worker_rack",  "worker_leave",       "worker_break",     "worker_mute",  "worker_refuse",
-        "worker_fail",  "worker_wrong",       "worker_flap",      "route_move"};
+        "node_kill",      "node_kill_all",  "node_freeze",  "node_stop",
+        "node_reload",    "node_replace",   "node_upgrade", "node_upgrade_all",
+        "store_refuse",   "store_slow",     "store_cut",    "store_lose_answers",
+        "store_late",     "store_forget",   "worker_kill",  "worker_rack",
+        "worker_leave",   "worker_break",   "worker_mute",  "worker_refuse",
+        "worker_fail",    "worker_wrong",   "worker_flap",  "route_move",
+        "worker_release", "worker_rollback"};
     return kKinds;
 }
 
--- a/tests/soak/fleet/deployment.h
+++ b/tests/soak/fleet/deployment.h
@@ -41,6 +41,9 @@
     /** How long work takes at most during slow phases, in percent of the usual time. If set, the
      * workers report it with their load, 100 outside of slow phases. */
     std::optional<uint64_t> slowdown_percent;
+    /** Software versions that serve side by side at the start. If it is not 0, each event is marked
+     * with the version that wrote it, and releases and rollbacks are possible. */
+    uint64_t versions = 0;
 };
 
 enum class route_kind { kStreaming, kIdempotent, kNonIdempotent, kBatch };
@@ -100,6 +103,9 @@
     /** Items whose content terminates every worker that starts it; each has a content of its own.
      */
     uint64_t fatal_items_percent = 0;
+    /** Resumable streams whose callers close their connection in the middle and take the stream up
+     * at another node. */
+    uint64_t take_up_percent = 0;
 };
 
 /** A kind of fault and how often it is injected. */
--- a/tests/soak/fleet/expected_answers.cc
+++ b/tests/soak/fleet/expected_answers.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr char kItemSeparator = '-';
+constexpr char kVersionMark = '@';
 constexpr std::string_view kFatalPrefix = "ends its worker ";
 constexpr size_t kEventBytes = 75;
 constexpr size_t kPlainBytes = 800;
@@ -71,8 +72,34 @@
     return pad_by_repetition(id + "." + std::to_string(event), kEventBytes);
 }
 
-std::string event_bytes(const std::string &id, uint64_t event) {
-    return "id: " + std::to_string(event) + "\ndata: " + event_text(id, event) + "\n\n";
+std::string event_bytes(const std::string &id, uint64_t event, const std::string &version) {
+    const std::string mark = version.empty() ? "" : kVersionMark + version;
+    return "id: " + std::to_string(event) + "\ndata: " + event_text(id, event) + mark + "\n\n";
+}
+
+marked_text without_marks(std::string_view marked) {
+    marked_text result;
+    while (!marked.empty()) {
+        const size_t end = std::min(marked.find('\n'), marked.size() - 1) + 1;
+        std::string_view line = marked.substr(0, end);
+        marked.remove_prefix(end);
+        const size_t mark = line.find(kVersionMark);
+        if (mark == std::string_view::npos) {
+            result.text += line;
+            continue;
+        }
+        result.text += line.substr(0, mark);
+        if (!line.ends_with('\n')) {
+            continue; // cut off: the mark may be incomplete
+        }
+        result.text += '\n';
+        const std::string version(line.substr(mark + 1, line.size() - mark - 2));
+        const auto known = std::find(result.versions.begin(), result.versions.end(), version);
+        if (known == result.versions.end()) {
+            result.versions.push_back(version);
+        }
+    }
+    return result;
 }
 
 std::string whole_text(const std::string &id, uint64_t events) {
--- a/tests/soak/fleet/expected_answers.h
+++ b/tests/soak/fleet/expected_answers.h
@@ -8,6 +8,8 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "tests/soak/fleet/deployment.h"
 
@@ -32,8 +34,16 @@
 
 /** The data of one event, counted from 1. */
 std::string event_text(const std::string &id, uint64_t event);
-/** The event as sent on the wire. */
-std::string event_bytes(const std::string &id, uint64_t event);
+/** The event as sent on the wire. \param version Of the worker, which marks its data; empty: none.
+ */
+std::string event_bytes(const std::string &id, uint64_t event, const std::string &version = "");
+/** A text as received, split into what it says and the versions that mark it. */
+struct marked_text {
+    std::string text;
+    /** Each version of a line that ends, once, in the order of its first mark. */
+    std::vector<std::string> versions;
+};
+marked_text without_marks(std::string_view marked);
 /** The data of all events, as a job lists them. */
 std::string whole_text(const std::string &id, uint64_t events);
 /** The body of an answer that is not a stream. */
--- a/tests/soak/fleet/fleet_main.cc
+++ b/tests/soak/fleet/fleet_main.cc
@@ -75,6 +75,10 @@
                      .dump()
               << '\n';
     print_report(checked, std::cout);
+    if (std::any_of(plan.services.begin(), plan.services.end(),
+                    [](const service_options &service) { return service.versions > 0; })) {
+        print_versions(checked.versions, std::cout);
+    }
     if (!checked.invalid.empty()) {
         return kInvalid;
     }
--- a/tests/soak/fleet/fleet_worker.cc
+++ b/tests/soak/fleet/fleet_worker.cc
@@ -31,9 +31,11 @@
 } // namespace
 
 fleet_worker::fleet_worker(role_process &process, const service_options &service,
-                           std::string incarnation, std::string zone, const Address &local)
-    : process_(process), service_(service), incarnation_(std::move(incarnation)),
-      zone_(std::move(zone)), server_(process.dispatcher, local, *this) {
+                           std::string version, std::string incarnation, std::string zone,
+                           const Address &local)
+    : process_(process), service_(service), version_(std::move(version)),
+      incarnation_(std::move(incarnation)), zone_(std::move(zone)),
+      server_(process.dispatcher, local, *this) {
     const range &speeds = service_.speed_percent;
     // No draw if all are equal, so that deployments without the field keep their sequences.
     speed_ = speeds.fewest == speeds.most
@@ -256,7 +258,7 @@
         end(current, run_outcome::kWhole);
         return;
     }
-    current->answer->write(event_bytes(current->id, current->next_event++));
+    current->answer->write(event_bytes(current->id, current->next_event++, version_));
     current->timer->enable(at_own_pace(service_.between_events));
 }
 
--- a/tests/soak/fleet/fleet_worker.h
+++ b/tests/soak/fleet/fleet_worker.h
@@ -31,8 +31,10 @@
 
 class fleet_worker : private wire_handler {
 public:
-    fleet_worker(role_process &process, const service_options &service, std::string incarnation,
-                 std::string zone, const Address &local);
+    /** \param version Of its software; empty: its record names none and its events are not marked.
+     */
+    fleet_worker(role_process &process, const service_options &service, std::string version,
+                 std::string incarnation, std::string zone, const Address &local);
     ~fleet_worker() override;
 
     const std::string &incarnation() const {
@@ -41,6 +43,9 @@
     const service_options &service() const {
         return service_;
     }
+    const std::string &version() const {
+        return version_;
+    }
     const std::string &zone() const {
         return zone_;
     }
@@ -106,6 +111,7 @@
     service_options service_;
     /** In percent of the usual. */
     uint64_t speed_ = 100;
+    std::string version_;
     std::string incarnation_;
     std::string zone_;
     std::map<uint64_t, run_ptr> running_; // by number
--- a/tests/soak/fleet/history.cc
+++ b/tests/soak/fleet/history.cc
@@ -224,6 +224,10 @@
     fatal_runs.emplace(entry.worker, entry.id);
 }
 
+void run_history::add(const worker_version &entry) {
+    worker_versions.push_back(&entry);
+}
+
 void run_history::add(const worker_leaving &entry) {
     leaving.try_emplace(entry.worker, entry.at);
 }
--- a/tests/soak/fleet/history.h
+++ b/tests/soak/fleet/history.h
@@ -90,6 +90,8 @@
     std::map<std::string, job_history> jobs;
     std::unordered_map<std::string, item_history> items;
     std::vector<const run_begin *> runs;
+    /** Which workers of which versions served when. */
+    std::vector<const worker_version *> worker_versions;
     /** When the store accepted that a worker leaves. */
     std::unordered_map<std::string, MonotonicTime> leaving;
     /** When workers terminated because of each fatal content, in the order of time. */
@@ -128,6 +130,7 @@
     void add(const configuration_written &entry);
     void add(const process_lag &entry);
     void add(const fatal_end &entry);
+    void add(const worker_version &entry);
     void join_runs();
 
     std::unordered_map<std::string, std::vector<address_owner>>
--- a/tests/soak/fleet/job_load.cc
+++ b/tests/soak/fleet/job_load.cc
@@ -345,8 +345,9 @@
         entry.position = position++;
         entry.item = result_fields.at("id");
         entry.completed = result_fields.at("state") == "completed";
-        entry.text_ok =
-            entry.completed && result_fields.at("message") == whole_text(entry.item, events);
+        const marked_text text = without_marks(result_fields.value("message", "") + "\n");
+        entry.text_ok = entry.completed && text.text == whole_text(entry.item, events) + "\n";
+        entry.versions = text.versions;
         process_.add_record(entry);
     }
     target->listed = std::max(target->listed, position);
--- a/tests/soak/fleet/online_load.cc
+++ b/tests/soak/fleet/online_load.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <optional>
 
 #include "platform/header_names.h"
 #include "src/serving/event_stream.h"
@@ -54,9 +55,27 @@
     bool kept = false;
     bool ended = false;
     HttpRequest request;
+    /** The body, for the caller to take the stream up; empty unless its route allows that. */
+    std::string body;
+    /** The attempt that began the stream that this one takes up, and the last event that its caller
+     * has; empty and 0 if it begins one. */
+    std::string first_attempt;
+    uint64_t resume_after = 0;
+    /** Its caller closes the connection and takes the stream up at another node. */
+    bool moves = false;
     wire_client_ptr connection;
 };
 
+/** \return The id of the last event that arrived whole, or `before` if none did. */
+uint64_t last_event_of(const std::string &body, uint64_t before) {
+    EventSplitter splitter;
+    std::string_view events = splitter.add(body);
+    while (const std::optional<StreamEvent> event = take_event(events)) {
+        before = event->id.value_or(before);
+    }
+    return before;
+}
+
 uint64_t draw_length(RandomGenerator &random, const range &lengths) {
     constexpr double kSteepness = 6;
     const double share = std::pow(random.unit(), kSteepness);
@@ -143,6 +162,8 @@
          std::to_string(std::chrono::duration_cast<milliseconds>(route.timeout).count())},
         {"Content-Type", "application/octet-stream"},
         {"X-Soak-Note", added->id}};
+    added->moves =
+        route.resumable && process_.chance(process_.options.plan.callers.take_up_percent);
     if (route.kind == route_kind::kStreaming) {
         request.headers.push_back({"Chalkshed-Model", "m"});
         request.headers.push_back({platform::kTokenUsage, "450,200"});
@@ -186,6 +207,8 @@
     entry.once = sent->route->kind == route_kind::kNonIdempotent ||
                  (sent->route->kind == route_kind::kStreaming && !sent->route->resumable);
     entry.kept = connection->exchanges() > 0 || !connection->idle();
+    entry.first_attempt = sent->first_attempt;
+    entry.resumable = sent->route->resumable;
     process_.add_record(entry);
     ++open_calls_;
     const size_t chunk =
@@ -193,12 +216,15 @@
     sent->connection = connection;
     connection->send(encode_request(sent->request, kHost, chunk),
                      [this, sent](const call_result &result) { handle_answer(sent, result); });
+    if (sent->route->resumable) {
+        sent->body = std::move(sent->request.body);
+    }
     sent->request.body.clear();
     schedule_disconnect(sent);
 }
 
 void online_load::schedule_disconnect(const call_ptr &sent) {
-    const bool early = process_.chance(process_.options.plan.callers.leave_percent);
+    const bool early = sent->moves || process_.chance(process_.options.plan.callers.leave_percent);
     const Duration longest = sent->route->timeout + kExtraWait;
     const Duration wait = early ? process_.random_duration(milliseconds(0), seconds(1)) : longest;
     process_.run_after(wait, [weak = std::weak_ptr<call>(sent)] {
@@ -211,10 +237,11 @@
     });
 }
 
-void online_load::record_disconnect(const call &sent) {
+void online_load::record_disconnect(const call &sent, const call_result &result) {
     caller_left entry;
     entry.at = process_.now();
     entry.id = sent.id;
+    entry.versions = without_marks(result.body).versions;
     process_.add_record(entry);
 }
 
@@ -228,14 +255,16 @@
         return false;
     }
     std::string expected = plain_body(sent.id);
+    std::string received = result.body;
     if (sent.route->kind == route_kind::kStreaming) {
         expected.clear();
+        received = without_marks(result.body).text;
         const uint64_t events = events_of(process_.options.plan, *sent.route);
-        for (uint64_t event = 1; event <= events; ++event) {
+        for (uint64_t event = sent.resume_after + 1; event <= events; ++event) {
             expected += event_bytes(sent.id, event);
         }
     }
-    return result.whole ? result.body == expected : expected.starts_with(result.body);
+    return result.whole ? received == expected : expected.starts_with(received);
 }
 
 void online_load::handle_answer(const call_ptr &sent, const call_result &result) {
@@ -245,7 +274,10 @@
     --open_calls_;
     const wire_client_ptr connection = std::move(sent->connection);
     if (result.disconnected) {
-        record_disconnect(*sent);
+        record_disconnect(*sent, result);
+        if (sent->moves) {
+            take_up(*sent, result);
+        }
         return;
     }
     online_answer entry;
@@ -256,6 +288,9 @@
     entry.held = result.status == 503 &&
                  result.body.find("ended while they ran this request") != std::string::npos;
     entry.matches = matches(*sent, result);
+    if (sent->route->kind == route_kind::kStreaming) {
+        entry.versions = without_marks(result.body).versions;
+    }
     process_.add_record(entry);
     if (sent->kept && connection->open() && connection->idle()) {
         idle_connections_[sent->node].push_back(connection);
@@ -263,7 +298,40 @@
     retry(*sent, result);
 }
 
+/** Sends the request again, at another node, to go on after the last event that arrived. */
+void online_load::take_up(const call &sent, const call_result &result) {
+    constexpr int kMaxTakeUps = 4;
+    const uint64_t last = last_event_of(result.body, sent.resume_after);
+    const bool whole = last >= events_of(process_.options.plan, *sent.route);
+    if (last == 0 || whole || sent.tries + 1 >= kMaxTakeUps || ended_) {
+        return;
+    }
+    const uint64_t node = nodes_.pick_other_than(sent.node);
+    const call_ptr next = prepare(*sent.route, node, sent.tries + 1);
+    next->first_attempt = sent.first_attempt.empty() ? sent.id : sent.first_attempt;
+    next->resume_after = last;
+    next->request.path = sent.request.path;
+    next->request.query = sent.request.query;
+    next->request.headers = sent.request.headers;
+    std::erase_if(next->request.headers, [](const HttpHeader &header) {
+        return header.name == platform::kRequestId || header.name == platform::kLastEventId ||
+               header.name == platform::kResumes;
+    });
+    next->request.headers.push_back({platform::kRequestId, next->id});
+    next->request.headers.push_back({platform::kLastEventId, std::to_string(last)});
+    next->request.headers.push_back({platform::kResumes, next->first_attempt});
+    next->request.body = sent.body;
+    process_.run_after(process_.random_duration(milliseconds(0), milliseconds(300)),
+                       [this, next, node] { send(next, connection_to(node, false)); });
+}
+
 void online_load::retry(const call &sent, const call_result &result) {
+    const bool interrupted = result.status == 200 && !result.whole;
+    const bool refused_take_up = !sent.first_attempt.empty() && is_not_run_status(result.status);
+    if (sent.route->resumable && (interrupted || refused_take_up)) {
+        take_up(sent, result.status == 200 ? result : call_result{});
+        return;
+    }
     const bool refused = is_not_run_status(result.status);
     const bool repeatable = sent.route->kind == route_kind::kIdempotent;
     const bool failed = result.status == 0 || result.status >= 500;
--- a/tests/soak/fleet/online_load.h
+++ b/tests/soak/fleet/online_load.h
@@ -42,7 +42,8 @@
     wire_client_ptr connection_to(uint64_t node, bool kept);
     void send(const call_ptr &sent, const wire_client_ptr &connection);
     void schedule_disconnect(const call_ptr &sent);
-    void record_disconnect(const call &sent);
+    void record_disconnect(const call &sent, const call_result &result);
+    void take_up(const call &sent, const call_result &result);
     void handle_answer(const call_ptr &sent, const call_result &result);
     bool matches(const call &sent, const call_result &result) const;
     void retry(const call &sent, const call_result &result);
--- a/tests/soak/fleet/records.cc
+++ b/tests/soak/fleet/records.cc
@@ -141,10 +141,19 @@
     if constexpr (std::is_same_v<type, online_send>) {
         visit("once", entry.once);
         visit("kept", entry.kept);
+        visit("first_attempt", entry.first_attempt);
+        visit("resumable", entry.resumable);
     } else if constexpr (std::is_same_v<type, online_answer>) {
         visit("whole", entry.whole);
         visit("held", entry.held);
         visit("matches", entry.matches);
+        visit("versions", entry.versions);
+    } else if constexpr (std::is_same_v<type, caller_left>) {
+        visit("versions", entry.versions);
+    } else if constexpr (std::is_same_v<type, worker_version>) {
+        visit("service", entry.service);
+        visit("version", entry.version);
+        visit("serving", entry.serving);
     } else if constexpr (std::is_same_v<type, job_send>) {
         visit("items", entry.items);
     } else if constexpr (std::is_same_v<type, listed_item>) {
@@ -152,6 +161,7 @@
         visit("item", entry.item);
         visit("completed", entry.completed);
         visit("text_ok", entry.text_ok);
+        visit("versions", entry.versions);
     } else if constexpr (std::is_same_v<type, item_body>) {
         visit("item", entry.item);
         visit("body", entry.body_digest);
@@ -221,7 +231,7 @@
 constexpr std::array<const char *, std::variant_size_v<record>> kKinds = {
     "online_send",    "online_answer", "caller_left", "job_send",  "job_answer", "end_send",
     "end_answer",     "listed_item",   "run_begin",   "run_end",   "node_start", "disturbance",
-    "worker_leaving", "configuration", "lag",         "fatal_end", "item_body"};
+    "worker_leaving", "configuration", "lag",         "fatal_end", "item_body",  "worker_version"};
 
 template <size_t Index = 0> record parse_as(const std::string &kind, const json &object) {
     if constexpr (Index == std::variant_size_v<record>) {
--- a/tests/soak/fleet/records.h
+++ b/tests/soak/fleet/records.h
@@ -51,6 +51,11 @@
     bool once = false;
     /** It is sent on a connection that was used before. */
     bool kept = false;
+    /** The attempt that brought the first event of the stream that this one takes up; empty: it
+     * begins one. */
+    std::string first_attempt = {};
+    /** Its route allows a caller to take streams up. */
+    bool resumable = false;
 };
 
 /** The request's answer ended. Each online_send gets this or a caller_left. */
@@ -65,12 +70,16 @@
     bool matches = false;
     /** The request was not run because earlier ones with its content terminated their workers. */
     bool held = false;
+    /** The software versions of the events that were received, in order. */
+    std::vector<std::string> versions = {};
 };
 
 /** The caller closed its connection before the answer was whole. */
 struct caller_left {
     MonotonicTime at{};
     std::string id;
+    /** As in online_answer. */
+    std::vector<std::string> versions = {};
 };
 
 /** An item as submitted in its job; the worker receives it as a POST. */
@@ -122,6 +131,8 @@
     bool completed = false;
     /** Whether the text of a completed item is its whole output. */
     bool text_ok = false;
+    /** The software versions of its events, in order. */
+    std::vector<std::string> versions = {};
 };
 
 /** The body of an item as returned by one read of it. */
@@ -218,10 +229,19 @@
     Duration most{};
 };
 
-using record =
-    std::variant<online_send, online_answer, caller_left, job_send, job_answer, end_send,
-                 end_answer, listed_item, run_begin, run_end, node_start, disturbance,
-                 worker_leaving, configuration_written, process_lag, fatal_end, item_body>;
+/** A worker of a software version began to serve, or serves no more. */
+struct worker_version {
+    MonotonicTime at{};
+    std::string worker;
+    std::string service;
+    std::string version;
+    bool serving = false;
+};
+
+using record = std::variant<online_send, online_answer, caller_left, job_send, job_answer, end_send,
+                            end_answer, listed_item, run_begin, run_end, node_start, disturbance,
+                            worker_leaving, configuration_written, process_lag, fatal_end,
+                            item_body, worker_version>;
 
 /** \return The record as one line without a line feed. */
 std::string write_record(const record &entry);
--- a/tests/soak/fleet/worker_role.cc
+++ b/tests/soak/fleet/worker_role.cc
@@ -11,6 +11,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+std::string version_name(const service_options &service, uint64_t number) {
+    return service.versions == 0 ? "" : "v" + std::to_string(number);
+}
+
 /** A crashed worker is removed from the worker table after three missed heartbeats. */
 constexpr Duration kRemovalDelay = milliseconds(3600);
 constexpr Duration kDrainTime = seconds(5);
@@ -40,6 +44,8 @@
             {"worker_leave", [&] { drain_and_stop(); }},
             {"worker_kill", [&] { crash(); }},
             {"worker_rack", [&] { crash_rack(); }},
+            {"worker_release", [&] { release(); }},
+            {"worker_rollback", [&] { roll_back(); }},
         };
         kinds.at(fields.at("kind"))();
         return json::object();
@@ -54,26 +60,32 @@
     const deployment &plan = process_.options.plan;
     uint64_t number = 0;
     for (const service_options &service : plan.services) {
+        newest_[service.name] = service.versions;
         for (uint64_t each = 0; each < service.workers; ++each, ++number) {
             if (number % plan.worker_processes == process_.options.number) {
                 const std::string &zone = plan.zones[each % plan.zones.size()];
-                add(service, zone, {process_.options.layout.workers_ip(), 0});
+                const uint64_t version = 1 + each % std::max<uint64_t>(service.versions, 1);
+                add(service, version_name(service, version), zone,
+                    {process_.options.layout.workers_ip(), 0});
             }
         }
     }
 }
 
-fleet_worker &worker_role::add(const service_options &service, const std::string &zone,
-                               const Address &local) {
+fleet_worker &worker_role::add(const service_options &service, const std::string &version,
+                               const std::string &zone, const Address &local) {
     const std::string incarnation =
         "i-" + std::to_string(process_.options.number) + "-" + std::to_string(++next_incarnation_);
-    return add(service, zone, local, incarnation);
+    return add(service, version, zone, local, incarnation);
 }
 
-fleet_worker &worker_role::add(const service_options &service, const std::string &zone,
-                               const Address &local, const std::string &incarnation) {
-    workers_.push_back(std::make_unique<fleet_worker>(process_, service, incarnation, zone, local));
+fleet_worker &worker_role::add(const service_options &service, const std::string &version,
+                               const std::string &zone, const Address &local,
+                               const std::string &incarnation) {
+    workers_.push_back(
+        std::make_unique<fleet_worker>(process_, service, version, incarnation, zone, local));
     fleet_worker &added = *workers_.back();
+    record_version(added, true);
     added.on_fatal = [this, &added](const std::string &id, const std::string &content) {
         crash_by_request(added, id, content);
     };
@@ -86,7 +98,7 @@
     const json fields = {{"service", worker.service().name},
                          {"address", to_string(worker.address())},
                          {"zone", worker.zone()},
-                         {"version", "1"},
+                         {"version", worker.version().empty() ? "1" : worker.version()},
                          {"slots", worker.service().slots},
                          {"state", state},
                          {"cold_left_ms", 0},
@@ -192,7 +204,14 @@
     if (worker == nullptr) {
         return;
     }
-    add(worker->service(), worker->zone(), {process_.options.layout.workers_ip(), 0});
+    add(worker->service(), worker->version(), worker->zone(),
+        {process_.options.layout.workers_ip(), 0});
+    drain_and_stop(*worker);
+}
+
+void worker_role::drain_and_stop(fleet_worker &leaving) {
+    fleet_worker *worker = &leaving;
+    record_version(leaving, false);
     write(*worker, "draining", [this, worker] {
         worker->drain();
         worker_leaving entry;
@@ -207,11 +226,69 @@
     });
 }
 
+std::vector<fleet_worker *> worker_role::serving(const service_options &service) const {
+    std::vector<fleet_worker *> found;
+    for (const auto &worker : workers_) {
+        if (worker->service().name == service.name && !worker->draining() && !worker->crashed()) {
+            found.push_back(worker.get());
+        }
+    }
+    return found;
+}
+
+void worker_role::record_version(const fleet_worker &worker, bool serving) {
+    worker_version entry;
+    entry.at = process_.now();
+    entry.worker = worker.incarnation();
+    entry.service = worker.service().name;
+    entry.version = worker.version();
+    entry.serving = serving;
+    process_.add_record(entry);
+}
+
+void worker_role::release() {
+    for (const service_options &service : process_.options.plan.services) {
+        if (service.versions > 0) {
+            replace_by(service, version_name(service, ++newest_[service.name]));
+        }
+    }
+}
+
+void worker_role::roll_back() {
+    for (const service_options &service : process_.options.plan.services) {
+        if (service.versions > 0 && newest_[service.name] > 1) {
+            replace_by(service, version_name(service, --newest_[service.name]));
+        }
+    }
+}
+
+/** One worker after the other; those of other versions leave first. */
+void worker_role::replace_by(const service_options &service, const std::string &version) {
+    constexpr Duration kStep = milliseconds(400);
+    std::vector<fleet_worker *> leaving = serving(service);
+    std::stable_partition(leaving.begin(), leaving.end(),
+                          [&](const fleet_worker *worker) { return worker->version() != version; });
+    leaving.resize(leaving.size() / 2 + process_.random.below(2) * (leaving.size() % 2));
+    Duration wait{0};
+    for (fleet_worker *worker : leaving) {
+        process_.run_after(wait, [this, &service, version, worker] {
+            add(service, version, worker->zone(), {process_.options.layout.workers_ip(), 0});
+        });
+        wait += kStep;
+        process_.run_after(wait, [this, worker] {
+            if (!worker->draining() && !worker->crashed()) {
+                drain_and_stop(*worker);
+            }
+        });
+    }
+}
+
 void worker_role::crash() {
     fleet_worker *worker = pick_serving_worker();
     if (worker == nullptr) {
         return;
     }
+    record_version(*worker, false);
     record_disturbance(*worker, "worker_kill", kRemovalDelay);
     worker->crash();
     process_.run_after(kRemovalDelay, [this, worker] { remove(worker->incarnation(), [] {}); });
@@ -236,6 +313,7 @@
     entry.content = content;
     process_.add_record(entry);
     record_disturbance(worker, "worker_ends", kRemovalDelay);
+    record_version(worker, false);
     worker.crash();
     const bool keeps_id = process_.chance(50);
     const Duration pause = process_.random_duration(kAddressReuseDelay, kRemovalDelay);
@@ -244,9 +322,10 @@
     }
     process_.run_after(pause, [this, &worker, keeps_id] {
         if (keeps_id) {
-            add(worker.service(), worker.zone(), worker.address(), worker.incarnation());
+            add(worker.service(), worker.version(), worker.zone(), worker.address(),
+                worker.incarnation());
         } else {
-            add(worker.service(), worker.zone(), worker.address());
+            add(worker.service(), worker.version(), worker.zone(), worker.address());
         }
     });
 }
@@ -258,9 +337,12 @@
     const bool other = process_.chance(50) && services.size() > 1;
     const service_options &service =
         other ? services[process_.random.below(services.size())] : ended.service();
-    add(service, ended.zone(), ended.address());
-    if (service.name != ended.service().name) {
-        add(ended.service(), ended.zone(), {process_.options.layout.workers_ip(), 0});
+    const bool same = service.name == ended.service().name;
+    add(service, same ? ended.version() : version_name(service, newest_[service.name]),
+        ended.zone(), ended.address());
+    if (!same) {
+        add(ended.service(), ended.version(), ended.zone(),
+            {process_.options.layout.workers_ip(), 0});
     }
 }
 
--- a/tests/soak/fleet/worker_role.h
+++ b/tests/soak/fleet/worker_role.h
@@ -27,8 +27,8 @@
     using done_callback = std::function<void()>;
 
     void add_workers();
-    fleet_worker &add(const service_options &service, const std::string &zone,
-                      const Address &local);
+    fleet_worker &add(const service_options &service, const std::string &version,
+                      const std::string &zone, const Address &local);
     /** Calls `done` once the store has accepted the row. */
     void write(const fleet_worker &worker, const char *state, done_callback done);
     void remove(const std::string &incarnation, done_callback done);
@@ -44,17 +44,30 @@
     void answer_wrongly(Duration length);
     void fail_by_turns(Duration length);
     void drain_and_stop();
+    void drain_and_stop(fleet_worker &worker);
+    /** Replaces a share of the workers of a service by workers of the next version. */
+    void release();
+    /** The same, by workers of the version before the newest. */
+    void roll_back();
+    void replace_by(const service_options &service, const std::string &version);
+    /** The workers of the service that are neither draining nor crashed. */
+    std::vector<fleet_worker *> serving(const service_options &service) const;
+    /** Records that it serves, or serves no more. */
+    void record_version(const fleet_worker &worker, bool serving);
     void crash();
     void crash_rack();
     /** Crashes the worker; it restarts some seconds later, half of the time with the same id. */
     void crash_by_request(fleet_worker &worker, const std::string &id, const std::string &content);
     void start_replacement(const fleet_worker &ended);
-    fleet_worker &add(const service_options &service, const std::string &zone, const Address &local,
+    fleet_worker &add(const service_options &service, const std::string &version,
+                      const std::string &zone, const Address &local,
                       const std::string &incarnation);
     void clear_faults();
 
     role_process process_;
     std::vector<std::unique_ptr<fleet_worker>> workers_;
+    /** The newest version of each service, by name. */
+    std::map<std::string, uint64_t> newest_;
     uint64_t next_incarnation_ = 0;
 };
 
--- a/tests/soak_fleet/checks_test.cc
+++ b/tests/soak_fleet/checks_test.cc
@@ -39,6 +39,7 @@
         add_jobs();
         add_leaving_worker();
         add_fatal_content();
+        add_versions();
         add(process_lag{at(100'000), "caller-1", 100, milliseconds(1), milliseconds(5),
                         milliseconds(80)});
     }
@@ -56,7 +57,7 @@
         begin(12'500, "j-done-0", message("/list/j-done-0"));
         begin(12'600, "j-done-1", message("/list/j-done-1"));
         for (const int64_t when : {14'000, 15'000}) {
-            add(listed_item{at(when), "j-done", 0, "j-done-1", true, true});
+            add(listed_item{at(when), "j-done", 0, "j-done-1", true, true, {"v1"}});
             add(listed_item{at(when), "j-done", 1, "j-done-0", false, false});
         }
         send_job(16'000, "j-refused", 503);
@@ -100,6 +101,23 @@
         add(caller_left{at(when + 55), "f-" + number});
     }
 
+    /** A stream of version 1 that its caller takes up at another node while two workers of that
+     * version serve. */
+    void add_versions() {
+        for (const char *worker : {"w-10", "w-11"}) {
+            add(worker_version{at(0), worker, "engines", "v1", true});
+        }
+        add(online_send{at(70'000), "s-1", "n-1", message("/stream/s"), false, false, "", true});
+        begin(70'010, "s-1", message("/stream/s"), "w-10");
+        add(caller_left{at(70'500), "s-1", {"v1"}});
+        add(online_send{at(71'000), "s-2", "n-2", message("/stream/s"), false, false, "s-1", true});
+        begin(71'010, "s-2", message("/stream/s"), "w-11", "127.0.0.2");
+        add(online_answer{at(71'500), "s-2", 200, true, true, false, {"v1"}});
+        add(online_send{at(72'000), "s-3", "n-1", message("/stream/t"), false, false, "", true});
+        begin(72'010, "s-3", message("/stream/t"), "w-10");
+        add(online_answer{at(72'500), "s-3", 200, true, true, false, {"v1"}});
+    }
+
     static std::vector<sent_item> items_of(const std::string &job) {
         return {{job + "-0", message("/list/" + job + "-0")},
                 {job + "-1", message("/list/" + job + "-1")}};
@@ -188,11 +206,49 @@
         EXPECT_GE(report.checks.at(kind).tested, 1U) << check_name(kind);
     }
     EXPECT_TRUE(report.passed());
-    EXPECT_EQ(report.runs, 11U);
-    EXPECT_EQ(report.checks.at(check_kind::kSent).tested, 11U);
+    EXPECT_EQ(report.runs, 14U);
+    EXPECT_EQ(report.checks.at(check_kind::kSent).tested, 14U);
     EXPECT_EQ(report.checks.at(check_kind::kListing).tested, 2U);
 }
 
+// Streams and items hold events of one software version.
+
+TEST_F(fleet_checks, a_stream_that_goes_on_at_another_version_is_found) {
+    answer_of("s-2").versions = {"v2"};
+    expect_found(check_kind::kStreamVersions, 1);
+}
+
+TEST_F(fleet_checks, an_answer_with_events_of_two_versions_is_found) {
+    answer_of("s-3").versions = {"v1", "v2"};
+    expect_found(check_kind::kStreamVersions, 1);
+}
+
+TEST_F(fleet_checks, an_item_with_events_of_two_versions_is_found_once) {
+    for (record &entry : records_) {
+        auto *listed = std::get_if<listed_item>(&entry);
+        if (listed != nullptr && listed->completed) {
+            listed->versions = {"v1", "v2"};
+        }
+    }
+    expect_found(check_kind::kItemVersions, 1);
+}
+
+TEST_F(fleet_checks, a_version_of_an_older_build_is_excused) {
+    find<node_start>([](const node_start &start) { return start.name == "n-2"; }).production = true;
+    answer_of("s-2").versions = {"v2"};
+    expect_found(check_kind::kStreamVersions, 0, 1);
+}
+
+TEST_F(fleet_checks, streams_that_seldom_go_on_are_found) {
+    for (int64_t number = 0; number < 12; ++number) {
+        const std::string id = "again-" + std::to_string(number);
+        const int64_t when = 73'000 + 100 * number;
+        add(online_send{at(when), id, "n-2", message("/stream/s"), false, false, "s-1", true});
+        add(online_answer{at(when + 10), id, 503, true, true});
+    }
+    expect_found(check_kind::kTakenUp, 1);
+}
+
 // Every id that ran was sent before.
 
 TEST_F(fleet_checks, a_run_that_nobody_sent_is_found) {
--- a/tests/soak_fleet/records_test.cc
+++ b/tests/soak_fleet/records_test.cc
@@ -24,14 +24,14 @@
 
 /** One record of each type. */
 std::vector<record> one_of_each() {
-    return {online_send{at(1), "r-1", "n-1", message(), true, true},
-            online_answer{at(2), "r-1", 200, true, true, true},
-            caller_left{at(3), "r-1"},
+    return {online_send{at(1), "r-1", "n-1", message(), true, true, "r-0", true},
+            online_answer{at(2), "r-1", 200, true, true, true, {"v1", "v2"}},
+            caller_left{at(3), "r-1", {"v1"}},
             job_send{at(4), "j-1", 2, "n-2", {{"j-1-0", message()}, {"j-1-1", message()}}},
             job_answer{at(5), "j-1", 2, "n-2", 202},
             end_send{at(6), "j-1", "n-3"},
             end_answer{at(7), "j-1", "n-3", 200},
-            listed_item{at(8), "j-1", 4, "j-1-0", true, true},
+            listed_item{at(8), "j-1", 4, "j-1-0", true, true, {"v1"}},
             run_begin{at(9), 77, "w-1", "engines", "j-1-0", message(), 3, "127.0.0.2"},
             run_end{at(10), 77, "w-1", "j-1-0", run_outcome::kBroken},
             node_start{at(11), "n-1", "127.0.0.1", 4711, true},
@@ -40,7 +40,8 @@
             configuration_written{at(14), 9},
             process_lag{at(15), "caller-1", 100, milliseconds(1), milliseconds(2), milliseconds(3)},
             fatal_end{at(16), "w-1", "r-1", "4567"},
-            item_body{at(17), "j-1", "n-2", "j-1-0", "89ab"}};
+            item_body{at(17), "j-1", "n-2", "j-1-0", "89ab"},
+            worker_version{at(18), "w-1", "engines", "v2", true}};
 }
 
 class fleet_records : public ::testing::Test {
@@ -112,7 +113,7 @@
     EXPECT_FALSE(read_record(R"({"record":"caller_left","at":"soon","id":"r-1"})"));
     EXPECT_FALSE(read_record(R"({"at":1,"id":"r-1"})"));
     EXPECT_FALSE(read_record(""));
-    EXPECT_TRUE(read_record(R"({"record":"caller_left","at":1,"id":"r-1"})"));
+    EXPECT_TRUE(read_record(R"({"record":"caller_left","at":1,"id":"r-1","versions":[]})"));
 }
 
 TEST_F(fleet_records, a_folder_without_records_is_refused) {
