The choice of a worker is a module of its own

WorkerSelection now decides which workers may take a request and which of them is best, from what is passed in: the request, the workers of the service, the time. WorkerSet keeps the list with its counts and holds the slots; a worker as one node sees it stands in serving_worker.h. The code was moved, not changed, but for names and for what is passed; the whole of it follows the same steps and draws the same random numbers.

--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -8,31 +8,12 @@
 namespace chalkshed {
 namespace {
 
-// Tokens of the shared segments, which are all but the last.
-uint32_t shared_tokens(const ServingRequest& request) {
-  uint32_t tokens = 0;
-  for (size_t index = 0; index + 1 < request.prompt.size(); ++index) {
-    tokens += request.prompt[index].tokens;
-  }
-  return tokens;
-}
-
-uint64_t prefix_hash(const ServingRequest& request) {
-  uint64_t hash = 0;
-  for (size_t index = 0; index + 1 < request.prompt.size(); ++index) {
-    hash = content_hash(request.prompt[index].id, hash + 1);
-  }
-  return hash;
-}
-
 // Identifies one incarnation of a worker.
 uint64_t hash_of(const WorkerRecord& record) {
   const auto started = static_cast<uint64_t>(record.started.time_since_epoch().count());
   return content_hash(record.incarnation, started) & UINT32_MAX;
 }
 
-double to_seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 // Maps a hash uniformly to [0, 1).
 double to_unit_interval(uint64_t hash) { return static_cast<double>(hash >> 11U) * 0x1.0p-53; }
 
@@ -66,13 +47,8 @@
       started_(time_source.monotonic_now()),
       order_seed_(random.next()),
       prompt_rate_(knobs.prompt_tokens_per_millisecond),
-      cold_limit_(knobs.cold_start) {
-  for (size_t free = 0; free < crowding_.size(); ++free) {
-    const double missing = knobs.speed_choice.wanted_free_slots - static_cast<double>(free);
-    // Smooth, so that a request more or less never decides for all nodes alike.
-    crowding_[free] = knobs.speed_choice.crowding_milliseconds * std::log1p(std::exp(missing));
-  }
-}
+      selection_(random, own_zone_, knobs_, prompt_rate_),
+      cold_limit_(knobs.cold_start) {}
 
 WorkerSet::Service& WorkerSet::service_of(const std::string& name) {
   const auto found = services_.find(name);
@@ -105,6 +81,9 @@
   if (std::exchange(worker.listed, listed) == listed) {
     return;
   }
+  if (on_listing_changed_) {
+    on_listing_changed_(worker.record.service);
+  }
   service_versions& versions = service_of(worker.record.service).versions;
   const MonotonicTime now = time_source_.monotonic_now();
   if (!listed) {
@@ -356,22 +335,7 @@
 }
 
 uint32_t WorkerSet::load_of(const ServingWorker& worker) const {
-  return load_at(worker, time_source_.monotonic_now());
-}
-
-uint32_t WorkerSet::load_at(const ServingWorker& worker, MonotonicTime now) const {
-  auto others = static_cast<uint32_t>(std::max(worker.others_online + worker.others_batch, 0));
-  if (worker.report) {
-    const Duration age = now - worker.reported;
-    if (age < knobs_.report_lifetime) {
-      const uint32_t total = worker.report->running + worker.report->waiting;
-      const uint32_t reported_others =
-          total > worker.in_flight_when_reported ? total - worker.in_flight_when_reported : 0;
-      const double weight = 1.0 - to_seconds(age) / to_seconds(knobs_.report_lifetime);
-      others = std::max(others, static_cast<uint32_t>(std::lround(weight * reported_others)));
-    }
-  }
-  return worker.in_flight() + others;
+  return load_at(worker, time_source_.monotonic_now(), knobs_.report_lifetime);
 }
 
 void WorkerSet::observe_online(Service& service) {
@@ -384,17 +348,17 @@
   service_load healthy;
   service_load all;
   for (const WorkerPtr& worker : service.workers) {
-    if (!in_service(*worker)) {
+    if (!worker->in_service()) {
       continue;
     }
-    const uint32_t load = load_at(*worker, now);
+    const uint32_t load = load_at(*worker, now, knobs_.report_lifetime);
     service_load one;
     one.slots = worker->record.slots;
     one.free = worker->record.slots - std::min(load, worker->record.slots);
     one.batch = worker->batch_in_flight + static_cast<uint32_t>(std::max(worker->others_batch, 0));
     one.own_batch = worker->batch_in_flight;
     all += one;
-    if (!worker->outcomes.suspect(now) && !ejected(*worker, now) &&
+    if (!worker->outcomes.suspect(now) && !selection_.ejected(*worker, now) &&
         !cold_start_limit::limited(worker->cold, service.cold, now)) {
       healthy += one;
     }
@@ -430,11 +394,11 @@
   }
   const MonotonicTime now = time_source_.monotonic_now();
   for (const WorkerPtr& worker : service->workers) {
-    if (!in_service(*worker) || worker->outcomes.suspect(now) ||
+    if (!worker->in_service() || worker->outcomes.suspect(now) ||
         cold_start_limit::limited(worker->cold, service->cold, now)) {
       continue;
     }
-    const uint32_t load = load_at(*worker, now);
+    const uint32_t load = load_at(*worker, now, knobs_.report_lifetime);
     const uint32_t batch =
         worker->batch_in_flight + static_cast<uint32_t>(std::max(worker->others_batch, 0));
     slots.all += worker->record.slots;
@@ -453,8 +417,8 @@
   request.software = software;
   return service != nullptr && std::any_of(service->workers.begin(), service->workers.end(),
                                            [&](const WorkerPtr& worker) {
-                                             return in_service(*worker) &&
-                                                    !excluded(*worker, request) &&
+                                             return worker->in_service() &&
+                                                    !WorkerSelection::excluded(*worker, request) &&
                                                     !worker->outcomes.suspect(now);
                                            });
 }
@@ -465,204 +429,29 @@
                             : service->versions.span(longest, time_source_.monotonic_now());
 }
 
+std::map<std::string, uint32_t> WorkerSet::workers_by_version(std::string_view name) const {
+  std::map<std::string, uint32_t> workers;
+  if (const Service* service = find_service(name)) {
+    for (const WorkerPtr& worker : service->workers) {
+      workers[worker->record.version] += worker->listed ? 1 : 0;
+    }
+  }
+  return workers;
+}
+
 bool WorkerSet::serves(std::string_view name, software_id software) const {
   const Service* service = find_service(name);
   return service != nullptr && std::any_of(service->workers.begin(), service->workers.end(),
                                            [&](const WorkerPtr& worker) {
                                              return worker->software == software &&
-                                                    in_service(*worker);
+                                                    worker->in_service();
                                            });
 }
 
-WorkerSet::VersionSlots WorkerSet::version_slots(const SlotRequest& request,
-                                                 const Service& service) const {
-  VersionSlots slots;
-  if (request.software != software_id::kUnknown || service.versions.listed() <= 1) {
-    return slots;
-  }
-  for (const WorkerPtr& worker : service.workers) {
-    if (!in_service(*worker)) {
-      continue;
-    }
-    const auto found = std::find_if(slots.begin(), slots.end(), [&](const auto& entry) {
-      return entry.first == worker->software;
-    });
-    auto& entry = found == slots.end() ? slots.emplace_back(worker->software, 0) : *found;
-    entry.second += worker->record.slots;
-  }
-  return slots;
-}
-
-double WorkerSet::version_cost(const ServingWorker& worker, const Choice& choice) const {
-  double all = 0;
-  double own = 0;
-  for (const auto& [software, slots] : choice.version_slots) {
-    all += slots;
-    own += software == worker.software ? slots : 0;
-  }
-  const double scarce = knobs_.scarce_version_share * all;
-  return own >= scarce ? 0.0 : knobs_.scarce_version_milliseconds * (1.0 - own / scarce);
-}
-
-bool WorkerSet::usable(const ServingWorker& worker, const Choice& choice) const {
-  const bool limited = cold_start_limit::limited(worker.cold, choice.service.cold, choice.now);
-  if (withdrawn(worker) || (limited && !cold_start_limit::may_send(worker.cold, choice.now))) {
-    return false;
-  }
-  const SlotRequest& request = choice.request;
-  const bool may_fill = request.even_if_full && !request.only_if_next;
-  const uint32_t queued = request.only_if_next || may_queue(worker, request) ? 1 : 0;
-  return may_fill || load_at(worker, choice.now) < worker.record.slots + queued;
-}
-
 Duration WorkerSet::prefill_backlog(const ServingWorker& worker) const {
   return std::max(worker.prefill_until - time_source_.monotonic_now(), Duration(0));
 }
 
-double WorkerSet::cost(const ServingWorker& worker, const Choice& choice, double cached) const {
-  const uint32_t load = load_at(worker, choice.now);
-  const ServingRequest* request = choice.request.request;
-  const double tokens = request == nullptr ? 0.0 : request->prompt_tokens;
-  const Duration prefill = std::max(worker.prefill_until - choice.now, Duration(0));
-  const double own_prefill = std::max(tokens - cached, 0.0) / prompt_rate_.tokens_per_millisecond();
-  double milliseconds = std::chrono::duration<double, std::milli>(prefill).count() + own_prefill +
-                        knobs_.milliseconds_per_request * load;
-  if (worker.speed.reports()) {
-    milliseconds += cost_by_speed(worker, choice, own_prefill, load);
-  } else if (load >= worker.record.slots) {
-    milliseconds += knobs_.full_worker_milliseconds +
-                    knobs_.waiting_milliseconds * (load - worker.record.slots);
-  }
-  if (cold_start_limit::limited(worker.cold, choice.service.cold, choice.now)) {
-    milliseconds += knobs_.cold_milliseconds;
-  }
-  if (choice.request.alone) {
-    milliseconds += knobs_.milliseconds_per_request_at_risk * load;
-  }
-  if (worker.record.zone != own_zone_) {
-    milliseconds += knobs_.other_zone_milliseconds;
-  }
-  if (failures_ != nullptr && failures_->any()) {
-    milliseconds += failure_cost(worker, choice);
-  }
-  return milliseconds + version_cost(worker, choice);
-}
-
-WorkerSet::PrefixOwners WorkerSet::prefix_owners(const SlotRequest& request,
-                                                 const Service& service) const {
-  if (request.request == nullptr || shared_tokens(*request.request) < knobs_.min_shared_tokens) {
-    return {};
-  }
-  struct Ranked {
-    uint64_t rank = 0;
-    const ServingWorker* worker = nullptr;
-  };
-  const uint64_t prefix = prefix_hash(*request.request);
-  std::vector<Ranked> ranked;
-  for (const WorkerPtr& worker : service.workers) {
-    if (in_service(*worker)) {
-      ranked.push_back({content_hash(worker->record.incarnation, prefix), worker.get()});
-    }
-  }
-  const size_t count = std::min(ranked.size(), knobs_.prefix_cached_probability.size());
-  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count), ranked.end(),
-                    [](const Ranked& a, const Ranked& b) { return a.rank > b.rank; });
-  PrefixOwners owners;
-  for (size_t index = 0; index < count; ++index) {
-    owners.push_back(ranked[index].worker);
-  }
-  return owners;
-}
-
-double WorkerSet::cached_tokens(const Choice& choice, const ServingWorker& worker) const {
-  const auto owner = std::find(choice.owners.begin(), choice.owners.end(), &worker);
-  if (owner == choice.owners.end()) {
-    return 0.0;
-  }
-  const double share =
-      knobs_.prefix_cached_probability[static_cast<size_t>(owner - choice.owners.begin())];
-  return share * shared_tokens(*choice.request.request);
-}
-
-bool WorkerSet::probes(const ServingWorker& worker, const Choice& choice) const {
-  const bool batch = choice.request.work == WorkClass::kBatch;
-  return choice.request.repeatable && !choice.request.alone &&
-         failures_->may_probe(static_cast<uint32_t>(worker.hash), batch, choice.now);
-}
-
-double WorkerSet::failure_cost(const ServingWorker& worker, const Choice& choice) const {
-  if (ejected(worker, choice.now)) {
-    return probes(worker, choice) ? -knobs_.probe_milliseconds : knobs_.probe_milliseconds;
-  }
-  const double cost = failures_->cost(static_cast<uint32_t>(worker.hash), choice.now);
-  return choice.request.repeatable ? cost : knobs_.once_failure_factor * cost;
-}
-
-bool WorkerSet::healthy(const ServingWorker& worker, const Choice& choice) const {
-  if (worker.avoided_until > choice.now) {
-    return false;
-  }
-  if (ejected(worker, choice.now)) {
-    // Probes don't wait for the pause after failed connections, which can last longer than the
-    // failure.
-    return probes(worker, choice);
-  }
-  const bool batch = choice.request.work == WorkClass::kBatch;
-  if (worker.outcomes.paused(choice.now) ||
-      (batch && failures_ != nullptr &&
-       failures_->pauses_batch(static_cast<uint32_t>(worker.hash), choice.now))) {
-    return false;
-  }
-  return choice.request.repeatable || !worker.outcomes.suspect(choice.now);
-}
-
-bool WorkerSet::excluded(const ServingWorker& worker, const SlotRequest& request) {
-  const bool other_software =
-      request.software != software_id::kUnknown && request.software != worker.software;
-  return other_software ||
-         (request.tried != nullptr && request.tried->contains(worker.record.incarnation));
-}
-
-bool WorkerSet::any_healthy(const Choice& choice) const {
-  return std::any_of(choice.service.workers.begin(), choice.service.workers.end(),
-                     [&](const WorkerPtr& worker) {
-                       return in_service(*worker) && !excluded(*worker, choice.request) &&
-                              healthy(*worker, choice);
-                     });
-}
-
-// The random part spreads the requests of this node over workers of equal cost; the order offset
-// spreads those of different nodes.
-double WorkerSet::rank_of(const ServingWorker& worker, double cost) {
-  if (worker.speed.reports()) {
-    return cost + random_.unit();
-  }
-  return cost + knobs_.order_offset_milliseconds * worker.order_offset + random_.unit();
-}
-
-WorkerPtr WorkerSet::choose(const Choice& choice, bool ignore_failures) {
-  const std::vector<WorkerPtr>& workers = choice.service.workers;
-  // The records of a service all disappear together only when the store has a fault.
-  const bool use_unlisted =
-      ignore_failures && std::none_of(workers.begin(), workers.end(),
-                                      [](const WorkerPtr& worker) { return in_service(*worker); });
-  WorkerPtr best;
-  double least_rank = 0;
-  for (const WorkerPtr& worker : workers) {
-    const bool known = worker->listed || use_unlisted;
-    const bool good = ignore_failures || healthy(*worker, choice);
-    if (!known || !good || excluded(*worker, choice.request) || !usable(*worker, choice)) {
-      continue;
-    }
-    const double rank = rank_of(*worker, cost(*worker, choice, cached_tokens(choice, *worker)));
-    if (!best || rank < least_rank) {
-      best = worker;
-      least_rank = rank;
-    }
-  }
-  return best;
-}
-
 WorkerSlotPtr WorkerSet::acquire_slot(const SlotRequest& request) {
   Service& service = service_of(request.service);
   const MonotonicTime now = time_source_.monotonic_now();
@@ -673,42 +462,38 @@
       return nullptr;
     }
   }
-  const Choice choice{request, service, now, prefix_owners(request, service),
-                      version_slots(request, service)};
-  WorkerPtr worker = choose(choice, false);
-  // Prefer waiting for a healthy worker over sending to a failing one, which looks idle: in a burst
-  // with 13 of 89 workers down, 177 requests were sent to four failing workers and refused.
-  if (!worker && online && !any_healthy(choice)) {
-    worker = choose(choice, true);
-  }
-  if (worker && !online) {
+  const SelectableService selectable{service.workers, service.cold, service.versions.listed() > 1};
+  SelectedWorker selected = selection_.select(request, selectable, now);
+  if (selected.worker && !online) {
     service.ramp.note_started();
   }
-  return worker ? make_slot(std::move(worker), choice) : nullptr;
+  return selected.worker ? make_slot(std::move(selected), request, service) : nullptr;
 }
 
-WorkerSlotPtr WorkerSet::make_slot(WorkerPtr worker, const Choice& choice) {
-  const SlotRequest& request = choice.request;
-  const double cached = cached_tokens(choice, *worker);
+WorkerSlotPtr WorkerSet::make_slot(SelectedWorker selected, const SlotRequest& request,
+                                   const Service& service) {
+  const MonotonicTime now = time_source_.monotonic_now();
+  const WorkerPtr worker = std::move(selected.worker);
   const double tokens =
-      request.request == nullptr ? 0.0 : std::max(request.request->prompt_tokens - cached, 0.0);
+      request.request == nullptr
+          ? 0.0
+          : std::max(request.request->prompt_tokens - selected.cached_tokens, 0.0);
   const bool was_idle = prefill_backlog(*worker) == Duration(0);
   worker->prompt_tokens_sent += static_cast<uint32_t>(tokens);
   const bool many = ++slots_acquired_ % knobs_.notable_slots == 0;
   notable_changes_ += many || tokens >= knobs_.long_prompt_tokens ? 1 : 0;
   add_prefill(*worker, tokens);
   active_[worker->hash] = worker;
-  if (ejected(*worker, choice.now)) {
-    failures_->note_probe(static_cast<uint32_t>(worker->hash), choice.now);
+  if (selection_.ejected(*worker, now)) {
+    failures_->note_probe(static_cast<uint32_t>(worker->hash), now);
   }
-  if (cold_start_limit::limited(worker->cold, choice.service.cold, choice.now)) {
-    cold_limit_.note_sent(worker->cold, choice.service.cold, choice.now);
+  if (cold_start_limit::limited(worker->cold, service.cold, now)) {
+    cold_limit_.note_sent(worker->cold, service.cold, now);
   }
   // A slot may outlive this object: its request is destroyed in a later iteration of the event
   // loop.
   auto slot = std::make_unique<WorkerSlot>(
-      std::move(worker), request.work,
-      lifetime_.guard([this, acquired = choice.now](const WorkerSlot& freed) {
+      worker, request.work, lifetime_.guard([this, acquired = now](const WorkerSlot& freed) {
         note_slot_freed(freed, acquired);
       }));
   slot->worker_was_idle = was_idle;
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -1,4 +1,5 @@
-// Tracks the workers known to this node and their load, and selects the worker for each request.
+// Tracks the workers known to this node and their load, and holds their slots for requests;
+// worker_selection.h selects the worker for each.
 #pragma once
 
 #include <algorithm>
@@ -29,27 +30,12 @@
 #include "src/serving/prompt_rate.h"
 #include "src/serving/serving_protocol.h"
 #include "src/serving/serving_request.h"
+#include "src/serving/serving_worker.h"
 #include "src/serving/worker_knobs.h"
+#include "src/serving/worker_selection.h"
 
 namespace chalkshed {
 
-// A worker's record in the source of truth. Name and start time identify one incarnation of it.
-struct WorkerRecord {
-  std::string incarnation;
-  std::string service;
-  std::string version;  // of its software; empty if the record has none
-  Address address;
-  std::string zone;
-  uint32_t slots = 1;
-  bool leaving = false;
-  // Start time, which tells apart incarnations with the same name; the epoch if the record has
-  // none.
-  WallTime started{};
-  Duration cold_left{0};  // remaining warm-up time as reported by the worker
-};
-
-enum class WorkClass { kOnline, kBatch };
-
 // What the duration of an answer, or of a part of it, was measured by. Each has its own pace.
 enum class PaceKind : uint8_t {
   kEvents,       // time between two events
@@ -68,53 +54,6 @@
   WorkerLoadReport load;
 };
 
-// Requests in flight at all workers of a service together. Maintained incrementally: summing over
-// all workers for each load update of a peer took 45 in 100 of a core at 3,000 workers.
-struct ServiceCounts {
-  int64_t online = 0;     // of all nodes, as far as known
-  int64_t own_batch = 0;  // of this node
-};
-
-// This node's view of one worker.
-struct ServingWorker {
-  WorkerRecord record;
-  software_id software = software_id::kUnknown;
-  std::shared_ptr<ServiceCounts> counts;  // of its service
-  uint64_t hash = 0;        // 32-bit hash of the incarnation; identifies the worker between nodes
-  double order_offset = 0;  // in [0, 1): this node's fixed pseudo-random offset for it
-  bool listed = false;      // false: the record was removed
-  MonotonicTime unlisted_since{};
-  bool evacuated = false;  // the worker's zone is evacuated
-  cold_state cold;
-  uint32_t online_in_flight = 0;  // of this node
-  uint32_t batch_in_flight = 0;
-  // In flight from other nodes, as reported by them.
-  int32_t others_online = 0;
-  int32_t others_batch = 0;
-  // Prompt tokens sent there by this node; wraps around.
-  uint32_t prompt_tokens_sent = 0;
-  // Estimated end of the prefill of all prompts sent there by any node, as far as known.
-  MonotonicTime prefill_until{};
-  // The load that the worker itself reported with an answer.
-  std::optional<WorkerLoadReport> report;
-  MonotonicTime reported{};
-  uint32_t in_flight_when_reported = 0;
-  // Another worker has answered at its address.
-  bool replaced = false;
-  // Set after a refusal: not selected before this time unless there is no alternative.
-  MonotonicTime avoided_until{};
-  worker_outcomes outcomes;
-  worker_speed speed;
-  // Samples of its speed that were not reported to the other nodes yet.
-  speed_samples unreported_speed;
-  bool speed_unreported = false;  // listed among the workers to report to the other nodes
-
-  uint32_t in_flight() const { return online_in_flight + batch_in_flight; }
-  // Negative if a peer reported a request's start before the worker was listed and its end after.
-  int64_t online_of_others() const { return std::max(others_online, 0); }
-};
-using WorkerPtr = std::shared_ptr<ServingWorker>;
-
 // A slot of a worker that is held by a request of this node; the destructor frees it.
 class WorkerSlot {
  public:
@@ -140,29 +79,6 @@
 };
 using WorkerSlotPtr = std::unique_ptr<WorkerSlot>;
 
-// Constraints for the selection of a worker.
-struct SlotRequest {
-  std::string service;
-  WorkClass work = WorkClass::kOnline;
-  const ServingRequest* request = nullptr;
-  // Incarnations that this request was sent to before; they are excluded.
-  const std::set<std::string>* tried = nullptr;
-  // The request can be retried on another worker, so it may be sent to a suspect worker.
-  bool repeatable = false;
-  // Batch work only: urgent runs leave less headroom for online work.
-  batch_urgency urgency = batch_urgency::kNormal;
-  // Select a worker even if no worker has a free slot.
-  bool even_if_full = false;
-  // With even_if_full: only if no other request is queued at the worker, as far as known.
-  bool only_if_next = false;
-  // The request may crash its worker: prefer the worker with the fewest other requests, which would
-  // be lost with it.
-  bool alone = false;
-  // The request goes on with what a worker of this software wrote, and only these may take it.
-  // kUnknown: it begins, and any worker may.
-  software_id software = software_id::kUnknown;
-};
-
 // Slots of a service at its healthy workers.
 struct OnlineSlots {
   uint32_t all = 0;
@@ -197,6 +113,12 @@
   version_span versions(std::string_view service, Duration longest) const;
   // Whether a worker of that software is listed and not leaving, so that a stream may go on there.
   bool serves(std::string_view service, software_id software) const;
+  // Listed workers of the service by the version of their software.
+  std::map<std::string, uint32_t> workers_by_version(std::string_view service) const;
+  // Called when a worker is listed, or listed no more, with the name of its service.
+  void set_on_listing_changed(std::function<void(const std::string& service)> callback) {
+    on_listing_changed_ = std::move(callback);
+  }
   // Called when a worker of a service's second version is listed. A stream's version is then no
   // longer known from its service alone.
   void set_on_second_version(std::function<void(const std::string& service)> callback) {
@@ -266,7 +188,10 @@
   void note_replaced(ServingWorker& worker);  // another worker has its address
 
   // Detects workers that fail more requests than others. Null: no worker is avoided for that.
-  void set_failures(worker_failures* failures) { failures_ = failures; }
+  void set_failures(worker_failures* failures) {
+    failures_ = failures;
+    selection_.set_failures(failures);
+  }
   bool detects_failures() const { return failures_ != nullptr; }
   // Records for the detection how an answer ended, or that it has begun well.
   // @param content the digest of the request. @param sent when the request was sent.
@@ -331,82 +256,23 @@
     std::array<service_pace, kPaceKinds> paces;
     service_versions versions;
   };
-  // Preferred workers for requests with this prompt prefix, in order of preference.
-  using PrefixOwners = std::vector<const ServingWorker*>;
-  // Slots of a service by the software of its workers; empty while there is only one version.
-  using VersionSlots = std::vector<std::pair<software_id, uint32_t>>;
-  // Inputs of one worker selection, common to all candidates.
-  struct Choice {
-    const SlotRequest& request;
-    const Service& service;
-    MonotonicTime now;
-    PrefixOwners owners;
-    VersionSlots version_slots;
-  };
-
   Service& service_of(const std::string& name);
   // @return the service, or null if it has never had a worker.
   const Service* find_service(std::string_view name) const;
   void move_to_service(const WorkerPtr& worker, const std::string& name);
   // Counts the worker among those of its software, or no more.
   void set_listed(ServingWorker& worker, bool listed);
-  uint32_t load_at(const ServingWorker& worker, MonotonicTime now) const;
-  static bool withdrawn(const ServingWorker& worker) {
-    return worker.record.leaving || worker.replaced || worker.evacuated;
-  }
-  static bool in_service(const ServingWorker& worker) {
-    return worker.listed && !withdrawn(worker);
-  }
-  bool usable(const ServingWorker& worker, const Choice& choice) const;
   // Ignores suspect and cold workers unless there are no others, because their slots look free but
   // cannot be used. When they were counted, with 13 of 89 workers down, batch work saw 60 free
   // slots in a burst and stopped no runs, and four streams in ten were late.
   service_load load_of_service(const Service& service) const;
   void observe_online(Service& service);
   void note_slot_freed(const WorkerSlot& slot, MonotonicTime acquired);
-  // How long work begun now takes at the worker, compared with one of speed 1; exactly 1 for
-  // workers that do not report their slowdown.
-  double slowness(const ServingWorker& worker, MonotonicTime now) const;
   void note_speed_update(const WorkerPtr& worker);
   void report_speed_change(ServingWorker& worker);
-  // Estimated milliseconds until the first token of the request.
-  // @param cached tokens of its prompt that the worker has in its prefix cache.
-  double cost(const ServingWorker& worker, const Choice& choice, double cached) const;
-  // What the speed of a worker that reports its slowdown changes in the cost.
-  // @param prefill milliseconds that the prompt takes at a worker of speed 1.
-  double cost_by_speed(const ServingWorker& worker, const Choice& choice, double prefill,
-                       uint32_t load) const;
-  // Whether the request may wait at the worker although all slots are taken.
-  bool may_queue(const ServingWorker& worker, const SlotRequest& request) const;
-  // @return the cost of `load` requests at a worker of speed 1 with that many slots.
-  double crowding(uint32_t load, uint32_t slots) const;
-  PrefixOwners prefix_owners(const SlotRequest& request, const Service& service) const;
-  // Expected number of prompt tokens in the worker's prefix cache.
-  double cached_tokens(const Choice& choice, const ServingWorker& worker) const;
   void add_prefill(ServingWorker& worker, double tokens);
-  bool ejected(const ServingWorker& worker, MonotonicTime now) const {
-    return failures_ != nullptr && failures_->ejected(static_cast<uint32_t>(worker.hash), now);
-  }
-  // Whether the request may be a probe of that ejected worker. It must be repeatable, and must not
-  // be under suspicion of crashing workers.
-  bool probes(const ServingWorker& worker, const Choice& choice) const;
-  // Milliseconds added to the cost of the worker because of its failed answers.
-  double failure_cost(const ServingWorker& worker, const Choice& choice) const;
-  bool healthy(const ServingWorker& worker, const Choice& choice) const;
-  // Whether the request was sent there before, or goes on with what other software wrote.
-  static bool excluded(const ServingWorker& worker, const SlotRequest& request);
-  // @return the slots by version, or nothing if they don't matter to the request.
-  VersionSlots version_slots(const SlotRequest& request, const Service& service) const;
-  // Milliseconds added to the cost of a worker whose version has few slots left: streams that it
-  // began can go on nowhere else.
-  double version_cost(const ServingWorker& worker, const Choice& choice) const;
-  // Whether a healthy worker exists that the request was not sent to yet, with or without a free
-  // slot.
-  bool any_healthy(const Choice& choice) const;
-  WorkerPtr choose(const Choice& choice, bool ignore_failures);
-  // The sort key of a worker; the lowest is selected. @param cost in milliseconds.
-  double rank_of(const ServingWorker& worker, double cost);
-  WorkerSlotPtr make_slot(WorkerPtr worker, const Choice& choice);
+  WorkerSlotPtr make_slot(SelectedWorker selected, const SlotRequest& request,
+                          const Service& service);
   void note_active(const ServingWorker& worker);
   // Drops the workers whose records were removed longer ago than the grace period.
   void drop_expired();
@@ -421,7 +287,7 @@
   const MonotonicTime started_;
   const uint64_t order_seed_;  // seed of this node's order offsets
   PromptRate prompt_rate_;
-  std::array<double, 32> crowding_{};  // by free slots; calculated once to make choices cheap
+  WorkerSelection selection_;
   std::map<std::string, WorkerPtr> workers_;  // by incarnation
   std::map<uint64_t, WorkerPtr> by_hash_;
   std::map<uint64_t, WorkerPtr> active_;  // may include workers that are no longer active
@@ -446,6 +312,7 @@
   std::function<void(const std::string&, answer_fault)> on_failed_answer_;
   std::function<void(const std::string&, Duration)> on_online_ended_;
   std::function<void(const std::string&)> on_second_version_;
+  std::function<void(const std::string&)> on_listing_changed_;
   Lifetime lifetime_;
 };
 
--- a/src/serving/worker_set_speeds.cc
+++ b/src/serving/worker_set_speeds.cc
@@ -13,46 +13,6 @@
 
 }  // namespace
 
-double WorkerSet::slowness(const ServingWorker& worker, MonotonicTime now) const {
-  if (!worker.speed.reports()) {
-    return 1.0;
-  }
-  return knobs_.speed_choice.by_slowdown ? worker.speed.slowness(now, knobs_.speed)
-                                         : 1.0 / worker.speed.speed();
-}
-
-// Workers that count no tokens refuse requests when they are full, and batch never queues.
-bool WorkerSet::may_queue(const ServingWorker& worker, const SlotRequest& request) const {
-  return worker.speed.reports() && request.work == WorkClass::kOnline &&
-         request.request != nullptr && request.request->prompt_tokens > 0 &&
-         worker.speed.speed() >= knobs_.speed_choice.min_speed_to_queue;
-}
-
-double WorkerSet::crowding(uint32_t load, uint32_t slots) const {
-  if (load >= slots) {
-    return crowding_[0] + knobs_.speed_choice.crowding_milliseconds * (load - slots);
-  }
-  return crowding_[std::min<size_t>(slots - load, crowding_.size() - 1)];
-}
-
-double WorkerSet::cost_by_speed(const ServingWorker& worker, const Choice& choice, double prefill,
-                                uint32_t load) const {
-  const speed_choice_knobs& knobs = knobs_.speed_choice;
-  const double slow = slowness(worker, choice.now);
-  double milliseconds = knobs.order_offset_milliseconds * worker.order_offset -
-                        (knobs.order_offset_milliseconds - knobs_.order_offset_milliseconds) / 2 +
-                        prefill * knobs.share_in_prefill * (slow - 1.0) +
-                        crowding(load, worker.record.slots) * slow;
-  const uint32_t queued = may_queue(worker, choice.request) ? 1 : 0;
-  if (load >= worker.record.slots + queued) {
-    // A fast worker frees its slots sooner.
-    milliseconds += (knobs_.full_worker_milliseconds +
-                     knobs_.waiting_milliseconds * (load - worker.record.slots)) *
-                    slow;
-  }
-  return milliseconds;
-}
-
 void WorkerSet::note_first_token(const ServingWorker& worker, uint32_t prompt_tokens,
                                  Duration took) {
   // The rate is that of a worker of speed 1.
