Operators see which versions serve; copies of origins within a byte limit

chalkshed_workers{service,version} counts the listed workers, at most once a second for each service whose list has changed. chalkshed-explain follows a stream over all attempts of its caller: stream_taken_up names the first one, and the id of any leads to all.

Copies of a stream's origin go to five peers while a node's copies take at most 2,000 bytes a second, and to two beyond that. With three at any rate, half of ten nodes lost at once took all copies of one stream in six (0.55^3, reckoned), and 360 nodes whose streams may all be taken up would have sent 12 KB/s each.

--- a/include/chalkshed/origin_exchange.h
+++ b/include/chalkshed/origin_exchange.h
@@ -20,9 +20,14 @@
 namespace chalkshed {
 
 struct origin_exchange_knobs {
-    /** Holders of a stream's origin, beside the node that began it: enough that the loss of two
-     * zones, or of 40 in 100 nodes at once, rarely takes them all. */
-    size_t copies = 3;
+    /** Holders of a stream's origin, beside the node that began it: enough that the loss of half of
+     * the nodes at once rarely takes them all. */
+    size_t copies = 5;
+    /** Holders while the copies of this node exceed `bytes_per_second`: in different zones, so that
+     * the loss of any zone leaves one. */
+    size_t least_copies = 2;
+    /** Limit of the bytes of copies beyond the least, over some seconds. */
+    double bytes_per_second = 2000;
     /** More nodes than hold a copy are asked, because the asking node may see other nodes alive. */
     size_t more_asked = 2;
     /** With at most this many peers, all of them are asked. */
@@ -43,8 +48,8 @@
     using on_evidence = std::function<void(const std::vector<origin_evidence> &)>;
 
     /** \param own This node. All references outlive this. */
-    origin_exchange(Dispatcher &dispatcher, DatagramTransport &datagrams, relay_candidate own,
-                    const origin_exchange_knobs &knobs = {});
+    origin_exchange(TimeSource &time_source, Dispatcher &dispatcher, DatagramTransport &datagrams,
+                    relay_candidate own, const origin_exchange_knobs &knobs = {});
 
     void set_peers(const std::vector<relay_candidate> &peers);
     /** Sets what this node answers to a question. */
@@ -73,10 +78,13 @@
         on_evidence done;
     };
     std::vector<Address> asked_for(stream_key stream) const;
+    /** \return How many copies of the next origin the limit allows; counts their bytes. */
+    size_t take_copies();
     void send_question(const open_question &open);
     void note_answer(const origin_answer &answer);
     void finish(uint64_t number);
 
+    TimeSource &time_source_;
     Dispatcher &dispatcher_;
     DatagramTransport &datagrams_;
     const relay_candidate own_;
@@ -88,6 +96,8 @@
     /** Starts at a number of this session's own: an answer to an earlier session is ignored. */
     uint64_t next_number_;
     std::map<uint64_t, open_question> open_;
+    /** When all copies sent so far would have been sent at the limit. */
+    MonotonicTime budget_time_{};
     Lifetime lifetime_;
 };
 
--- a/src/explain/timeline.cc
+++ b/src/explain/timeline.cc
@@ -39,9 +39,26 @@
   return static_cast<double>(timegm(&parts)) + fraction;
 }
 
-bool contains_id(const LogLine& line, const std::string& id) {
+bool contains_id(const LogLine& line, const std::set<std::string>& ids) {
   return std::any_of(line.fields.begin(), line.fields.end(),
-                     [&](const LogLineField& field) { return field.value == id; });
+                     [&](const LogLineField& field) { return ids.contains(field.value); });
+}
+
+// @return the id, and those of all attempts at the same stream: a caller that takes its stream up
+// again uses a new id and names the first attempt.
+std::set<std::string> attempts_of(const std::vector<LogLine>& lines, const std::string& id) {
+  std::set<std::string> ids = {id};
+  for (size_t before = 0; before != ids.size();) {
+    before = ids.size();
+    for (const LogLine& line : lines) {
+      const std::string request(line.field("request"));
+      const std::string first(line.field("first_attempt"));
+      if (!first.empty() && (ids.contains(request) || ids.contains(first))) {
+        ids.insert({request, first});
+      }
+    }
+  }
+  return ids;
 }
 
 std::string text_of(const nlohmann::json& value) {
@@ -132,12 +149,13 @@
 }
 
 std::vector<LogLine> make_timeline(const std::vector<LogLine>& lines, const std::string& id) {
+  const std::set<std::string> ids = attempts_of(lines, id);
   std::set<std::string> nodes;
   std::set<std::string> workers;
   double first = 0;
   double last = 0;
   for (const LogLine& line : lines) {
-    if (!contains_id(line, id)) {
+    if (!contains_id(line, ids)) {
       continue;
     }
     nodes.insert(line.node);
@@ -156,9 +174,9 @@
         line.event.starts_with("worker_") && workers.contains(std::string(line.field("worker")));
     const bool context =
         in_window && nodes.contains(line.node) && (is_state_event(line) || about_worker);
-    if (contains_id(line, id) || context) {
+    if (contains_id(line, ids) || context) {
       timeline.push_back(line);
-      timeline.back().names_id = contains_id(line, id);
+      timeline.back().names_id = contains_id(line, ids);
     }
   }
   std::stable_sort(timeline.begin(), timeline.end(),
--- a/src/explain/timeline.h
+++ b/src/explain/timeline.h
@@ -37,7 +37,8 @@
 // Context starts this long before the first line with the id and ends this long after the last.
 inline constexpr int kContextSeconds = 3;
 
-// @return the lines that contain `id` and, as context, the involved nodes' lines about the workers
+// @return the lines that contain `id`, or the id of another attempt at the same stream, and, as
+// context, the involved nodes' lines about the workers
 // used, the store, the configuration, other nodes and shutdowns, ordered by time.
 std::vector<LogLine> make_timeline(const std::vector<LogLine>& lines, const std::string& id);
 
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -57,7 +57,7 @@
       quarantine_api_(dependencies.time_source, quarantine_, identity.address.ip),
       crash_exchange_(dependencies.time_source, dependencies.dispatcher, dependencies.datagrams,
                       quarantine_),
-      origin_exchange_(dependencies.dispatcher, dependencies.datagrams,
+      origin_exchange_(dependencies.time_source, dependencies.dispatcher, dependencies.datagrams,
                        {identity.node, identity.session, identity.zone, identity.address,
                         identity.capacity, true, false, false},
                        knobs.origins),
@@ -223,6 +223,28 @@
 void ServingNode::connect_stream_origins() {
   serving_.origins = &stream_origins_;
   stream_origins_.set_view_is_current([this] { return worker_view_is_current(); });
+  workers_.set_on_listing_changed(
+      [this](const std::string& service) { update_version_gauges_soon(service); });
+}
+
+void ServingNode::update_version_gauges_soon(const std::string& service) {
+  constexpr Duration kGaugeInterval = std::chrono::seconds(1);
+  if (services_with_new_workers_.empty()) {
+    call_after(dependencies_.dispatcher, kGaugeInterval,
+               lifetime_.guard([this] { update_version_gauges(); }));
+  }
+  services_with_new_workers_.insert(service);
+}
+
+void ServingNode::update_version_gauges() {
+  for (const std::string& service : std::exchange(services_with_new_workers_, {})) {
+    for (const auto& [version, workers] : workers_.workers_by_version(service)) {
+      dependencies_.metrics
+          .gauge("chalkshed_workers", "Listed workers by service and software version.",
+                 {{"service", service}, {"version", version}})
+          .set(workers);
+    }
+  }
 }
 
 bool ServingNode::worker_view_is_current() const {
@@ -380,6 +402,7 @@
   workers_.set_on_speed_changed(nullptr);
   workers_.set_on_online_ended(nullptr);
   workers_.set_on_second_version(nullptr);
+  workers_.set_on_listing_changed(nullptr);
 }
 
 void ServingNode::start() {
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -186,6 +186,9 @@
   void connect_admission();
   // Lets callers take up streams that began at any node.
   void connect_stream_origins();
+  // Updates the numbers of workers by service and version, at most once per second.
+  void update_version_gauges_soon(const std::string& service);
+  void update_version_gauges();
   // Whether no other node can know of a worker that this one does not know of yet.
   bool worker_view_is_current() const;
   // Passes the services of the configuration to shared admission.
@@ -249,6 +252,7 @@
   bool nodes_listed_ = false;
   bool placement_scheduled_ = false;
   std::set<std::string> services_with_new_speeds_;
+  std::set<std::string> services_with_new_workers_;
   bool draining_ = false;
   bool jobs_drained_ = false;
   bool withdrawn_ = false;  // peers no longer need to wait for this node
--- a/src/stream_origin/origin_exchange.cc
+++ b/src/stream_origin/origin_exchange.cc
@@ -32,10 +32,12 @@
     return holders;
 }
 
-origin_exchange::origin_exchange(Dispatcher &dispatcher, DatagramTransport &datagrams,
-                                 relay_candidate own, const origin_exchange_knobs &knobs)
-    : dispatcher_(dispatcher), datagrams_(datagrams), own_(std::move(own)), knobs_(knobs),
-      nodes_({own_}), next_number_(content_hash(own_.session)) {}
+origin_exchange::origin_exchange(TimeSource &time_source, Dispatcher &dispatcher,
+                                 DatagramTransport &datagrams, relay_candidate own,
+                                 const origin_exchange_knobs &knobs)
+    : time_source_(time_source), dispatcher_(dispatcher), datagrams_(datagrams),
+      own_(std::move(own)), knobs_(knobs), nodes_({own_}),
+      next_number_(content_hash(own_.session)) {}
 
 void origin_exchange::set_peers(const std::vector<relay_candidate> &peers) {
     nodes_ = {own_};
@@ -53,14 +55,13 @@
         message.placed.clear();
     };
     for (const placed_origin &origin : origins) {
+        size_t copies = take_copies();
         // One more, since this node may be among them.
-        size_t copies = 0;
-        for (const relay_candidate *holder :
-             origin_holders(origin.stream, nodes_, knobs_.copies + 1)) {
-            if (holder->node == own_.node || copies == knobs_.copies) {
+        for (const relay_candidate *holder : origin_holders(origin.stream, nodes_, copies + 1)) {
+            if (holder->node == own_.node || copies == 0) {
                 continue;
             }
-            ++copies;
+            --copies;
             origin_message &message = messages[holder->address];
             message.placed.push_back(origin);
             if (message.placed.size() == kMaxPlacedOrigins) {
@@ -75,6 +76,18 @@
     }
 }
 
+size_t origin_exchange::take_copies() {
+    constexpr size_t kBytesOfCopy = 48;
+    constexpr Duration kBurst = std::chrono::seconds(3);
+    const MonotonicTime now = time_source_.monotonic_now();
+    const size_t copies = budget_time_ <= now ? knobs_.copies : knobs_.least_copies;
+    const std::chrono::duration<double> cost(static_cast<double>(copies * kBytesOfCopy) /
+                                             knobs_.bytes_per_second);
+    budget_time_ =
+        std::max(budget_time_, now - kBurst) + std::chrono::duration_cast<Duration>(cost);
+    return copies;
+}
+
 std::vector<Address> origin_exchange::asked_for(stream_key stream) const {
     const bool all = nodes_.size() <= knobs_.max_peers_all_asked + 1;
     const size_t count = all ? nodes_.size() : knobs_.copies + 1 + knobs_.more_asked;
--- a/tests/explain/timeline_test.cc
+++ b/tests/explain/timeline_test.cc
@@ -29,6 +29,20 @@
   EXPECT_FALSE(parse_log_line(R"({"no": "event"})"));
 }
 
+TEST(TimelineTest, FollowsAStreamOverAllAttemptsOfItsCaller) {
+  const std::vector<LogLine> lines = parse({
+      R"({"time":"2026-12-02T10:00:00.000000Z","node":"n1","event":"request_sent","request":"r1"})",
+      R"({"time":"2026-12-02T10:00:01.000000Z","node":"n2","event":"stream_taken_up","request":"r2","first_attempt":"r1"})",
+      R"({"time":"2026-12-02T10:00:02.000000Z","node":"n2","event":"request_sent","request":"r2"})",
+      R"({"time":"2026-12-02T10:00:03.000000Z","node":"n3","event":"stream_taken_up","request":"r3","first_attempt":"r1"})",
+      R"({"time":"2026-12-02T10:00:04.000000Z","node":"n3","event":"request_sent","request":"r4"})",
+  });
+  for (const char* id : {"r1", "r2", "r3"}) {
+    EXPECT_EQ(make_timeline(lines, id).size(), 4U) << id;
+  }
+  EXPECT_EQ(make_timeline(lines, "r4").size(), 1U);
+}
+
 TEST(TimelineTest, MergesNodesByTimeWithContextLines) {
   const std::vector<LogLine> lines = parse({
       R"({"time":"2026-12-02T10:00:04.000000Z","node":"n2","event":"request_ended_without_answer","request":"r1","worker":"i-2"})",
--- a/tests/stream_origin/origin_exchange_test.cc
+++ b/tests/stream_origin/origin_exchange_test.cc
@@ -82,14 +82,14 @@
   VirtualClock clock;
   VirtualDispatcher dispatcher{clock};
   SentDatagrams datagrams;
-  origin_exchange exchange{dispatcher, datagrams, node("own", "0")};
+  origin_exchange exchange{clock, dispatcher, datagrams, node("own", "0")};
   int done = 0;
   std::vector<origin_evidence> evidence;
 };
 
 TEST_F(OriginExchangeTest, EndsAtTheFirstRecord) {
   ask();
-  ASSERT_EQ(datagrams.sent.size(), 6U);
+  ASSERT_EQ(datagrams.sent.size(), 8U);
   answer(0, {});
   EXPECT_EQ(done, 0);
   answer(1, {software_id{9}, {}, true});
@@ -104,7 +104,7 @@
   ask();
   answer(0, {});
   clock.run_for(milliseconds(50));
-  EXPECT_EQ(datagrams.sent.size(), 11U) << "the peer that has answered is not asked again";
+  EXPECT_EQ(datagrams.sent.size(), 15U) << "the peer that has answered is not asked again";
   EXPECT_EQ(done, 0);
   clock.run_for(milliseconds(70));
   EXPECT_EQ(done, 1);
@@ -113,7 +113,7 @@
 
 TEST_F(OriginExchangeTest, ARepeatedAnswerCountsOnce) {
   ask();
-  for (int count = 0; count < 6; ++count) {
+  for (int count = 0; count < 8; ++count) {
     answer(0, {});
   }
   EXPECT_EQ(done, 0);
@@ -130,6 +130,28 @@
   EXPECT_EQ(datagrams.sent.size(), origin_exchange_knobs{}.copies);
 }
 
+// With few streams each has all its copies; with many each has two, whatever the limit says.
+TEST_F(OriginExchangeTest, CopiesTakeNoMoreBytesThanTheirLimitButTwoOfEachStreamAreSent) {
+  const auto bytes_per_second = [this](uint64_t streams_per_second) {
+    constexpr uint64_t kSeconds = 60;
+    datagrams.sent.clear();
+    for (uint64_t number = 0; number < kSeconds * streams_per_second; ++number) {
+      exchange.place({{stream_key{number}, software_id{9}}});
+      clock.run_for(std::chrono::duration_cast<Duration>(std::chrono::seconds(1)) /
+                    static_cast<int64_t>(streams_per_second));
+    }
+    size_t bytes = 0;
+    for (const auto& [to, datagram] : datagrams.sent) {
+      bytes += datagram.size();
+    }
+    return bytes / kSeconds;
+  };
+  const origin_exchange_knobs knobs;
+  EXPECT_EQ(bytes_per_second(5), 5 * knobs.copies * 48);
+  EXPECT_LE(static_cast<double>(bytes_per_second(14)), 1.1 * knobs.bytes_per_second);
+  EXPECT_LE(bytes_per_second(83), 83 * 48 * knobs.least_copies + 200);
+}
+
 TEST_F(OriginExchangeTest, ADatagramOfAnotherModuleIsNotTaken) {
   EXPECT_FALSE(exchange.receive("something else"));
   EXPECT_FALSE(exchange.receive(""));
