Keep the order of a worker record's fields

The version was inserted before the address; online_path_test fills records by position and did not compile. It now stands last, as fields are added elsewhere.

--- a/src/serving/serving_worker.h
+++ b/src/serving/serving_worker.h
@@ -22,7 +22,6 @@
 struct WorkerRecord {
   std::string incarnation;
   std::string service;
-  std::string version;  // of its software; empty if the record has none
   Address address;
   std::string zone;
   uint32_t slots = 1;
@@ -30,7 +29,8 @@
   // Start time, which tells apart incarnations with the same name; the epoch if the record has
   // none.
   WallTime started{};
-  Duration cold_left{0};  // remaining warm-up time as reported by the worker
+  Duration cold_left{0};     // remaining warm-up time as reported by the worker
+  std::string version = {};  // of its software; empty if the record has none
 };
 
 // Requests in flight at all workers of a service together. Maintained incrementally: summing over
