--- a/tests/recovery/lost_fleet.h
+++ b/tests/recovery/lost_fleet.h
@@ -195,6 +195,7 @@
                                    {"address", "10.1.0." + std::to_string(index) + ":80"},
                                    {"zone", "zone-" + std::to_string(index % size_.zones)},
                                    {"slots", SlotWorkers::kSlots},
+                                   {"version", "1"},
                                    {"state", "ready"}};
     cluster_.put("servers", "i-" + std::to_string(index), worker.dump());
   }
--- a/tests/soak/soak.cc
+++ b/tests/soak/soak.cc
@@ -149,6 +149,7 @@
                                    {"address", to_string(worker.address())},
                                    {"zone", "zone-a"},
                                    {"slots", 16},
+                                   {"version", "1"},
                                    {"state", state}};
     store_->put(platform::kWorkerTable, worker.incarnation(), fields.dump());
 }
