--- a/include/chalkshed/service_versions.h
+++ b/include/chalkshed/service_versions.h
@@ -43,7 +43,9 @@
     /** \param longest How long before `now` the time begins; at most kMemory. */
     version_span span(Duration longest, MonotonicTime now) const;
     /** Number of versions with listed workers. */
-    size_t listed() const;
+    size_t listed() const {
+        return listed_;
+    }
 
 private:
     struct listing {
@@ -51,7 +53,14 @@
         /** When the last of them was removed; only meaningful if there are none. */
         MonotonicTime until{};
     };
+    void forget_old(MonotonicTime now);
+
     std::map<software_id, listing> listings_;
+    /** Number of entries with workers. */
+    size_t listed_ = 0;
+    /** Number of entries from which on the old ones are dropped: a step for each row would walk all
+     * of them, and workers that name no version have an entry each. */
+    size_t forget_from_ = 8;
     /** When the first worker was listed. */
     std::optional<MonotonicTime> known_since_;
 };
--- a/src/serving/worker_selection.cc
+++ b/src/serving/worker_selection.cc
@@ -48,34 +48,46 @@
   return may_fill || load_of(worker, choice) < worker.record.slots + queued;
 }
 
-WorkerSelection::VersionSlots WorkerSelection::version_slots(
+std::vector<WorkerSelection::ScarceVersion> WorkerSelection::scarce_versions(
     const SlotRequest& request, const SelectableService& service) const {
-  VersionSlots slots;
+  // With more, none is worth keeping free; workers that name no version are one each.
+  constexpr size_t kMaxVersions = 8;
   if (request.software != software_id::kUnknown || !service.several_versions) {
-    return slots;
+    return {};
   }
+  std::vector<std::pair<software_id, double>> versions;
+  double all = 0;
   for (const WorkerPtr& worker : service.workers) {
     if (!worker->in_service()) {
       continue;
     }
-    const auto found = std::find_if(slots.begin(), slots.end(), [&](const auto& entry) {
-      return entry.first == worker->software;
+    const auto found = std::find_if(versions.begin(), versions.end(), [&](const auto& version) {
+      return version.first == worker->software;
     });
-    auto& entry = found == slots.end() ? slots.emplace_back(worker->software, 0) : *found;
-    entry.second += worker->record.slots;
+    if (found == versions.end() && versions.size() == kMaxVersions) {
+      return {};
+    }
+    auto& version = found == versions.end() ? versions.emplace_back(worker->software, 0) : *found;
+    version.second += worker->record.slots;
+    all += worker->record.slots;
   }
-  return slots;
+  const double enough = knobs_.scarce_version_share * all;
+  std::vector<ScarceVersion> scarce;
+  for (const auto& [software, slots] : versions) {
+    if (slots < enough) {
+      scarce.push_back({software, knobs_.scarce_version_milliseconds * (1.0 - slots / enough)});
+    }
+  }
+  return scarce;
 }
 
 double WorkerSelection::version_cost(const ServingWorker& worker, const Choice& choice) const {
-  double all = 0;
-  double own = 0;
-  for (const auto& [software, slots] : choice.version_slots) {
-    all += slots;
-    own += software == worker.software ? slots : 0;
+  for (const ScarceVersion& version : choice.scarce) {
+    if (version.software == worker.software) {
+      return version.milliseconds;
+    }
   }
-  const double scarce = knobs_.scarce_version_share * all;
-  return own >= scarce ? 0.0 : knobs_.scarce_version_milliseconds * (1.0 - own / scarce);
+  return 0.0;
 }
 
 double WorkerSelection::slowness(const ServingWorker& worker, MonotonicTime now) const {
@@ -266,7 +278,7 @@
 SelectedWorker WorkerSelection::select(const SlotRequest& request, const SelectableService& service,
                                        MonotonicTime now) {
   const Choice choice{request, service, now, prefix_owners(request, service),
-                      version_slots(request, service)};
+                      scarce_versions(request, service)};
   WorkerPtr worker = choose(choice, false);
   // Prefer waiting for a healthy worker over sending to a failing one, which looks idle: in a burst
   // with 13 of 89 workers down, 177 requests were sent to four failing workers and refused.
--- a/src/serving/worker_selection.h
+++ b/src/serving/worker_selection.h
@@ -77,15 +77,18 @@
  private:
   // Preferred workers for requests with this prompt prefix, in order of preference.
   using PrefixOwners = std::vector<const ServingWorker*>;
-  // Slots of a service by the software of its workers; empty if they don't matter.
-  using VersionSlots = std::vector<std::pair<software_id, uint32_t>>;
+  // A version with few slots left, which new requests avoid by this cost.
+  struct ScarceVersion {
+    software_id software = software_id::kUnknown;
+    double milliseconds = 0;
+  };
   // Inputs of one selection, common to all candidates.
   struct Choice {
     const SlotRequest& request;
     const SelectableService& service;
     MonotonicTime now;
     PrefixOwners owners;
-    VersionSlots version_slots;
+    std::vector<ScarceVersion> scarce;
   };
 
   uint32_t load_of(const ServingWorker& worker, const Choice& choice) const {
@@ -115,9 +118,10 @@
   // Milliseconds added to the cost of the worker because of its failed answers.
   double failure_cost(const ServingWorker& worker, const Choice& choice) const;
   bool healthy(const ServingWorker& worker, const Choice& choice) const;
-  VersionSlots version_slots(const SlotRequest& request, const SelectableService& service) const;
-  // Milliseconds added to the cost of a worker whose version has few slots left: streams that it
-  // began can go on nowhere else.
+  // @return the versions with few slots left: streams that they began can go on nowhere else.
+  std::vector<ScarceVersion> scarce_versions(const SlotRequest& request,
+                                             const SelectableService& service) const;
+  // Milliseconds added to the cost of a worker of such a version.
   double version_cost(const ServingWorker& worker, const Choice& choice) const;
   // Whether a healthy worker exists that the request was not sent to yet, with or without a free
   // slot.
--- a/tests/serving/taken_up_stream_test.cc
+++ b/tests/serving/taken_up_stream_test.cc
@@ -38,7 +38,7 @@
   std::string begin_at(const std::string& worker, const std::string& node = "n0") {
     constexpr int kMaxTries = 60;
     for (int number = 0; number < kMaxTries; ++number) {
-      const std::string id = "first-" + std::to_string(++streams);
+      std::string id = "first-" + std::to_string(++streams);
       seen[id] = cluster.request("/stream/x", id, node);
       if (last_worker().starts_with(worker)) {
         last().begin();
@@ -85,6 +85,7 @@
   constexpr int kStreams = 3;
   release("2");
   std::vector<std::string> older;
+  older.reserve(kStreams);
   for (int number = 0; number < kStreams; ++number) {
     older.push_back(begin_at("old"));
   }
--- a/tests/stream_origin/service_versions_test.cc
+++ b/tests/stream_origin/service_versions_test.cc
@@ -41,6 +41,22 @@
   EXPECT_EQ(versions.span(seconds(1), kStart + seconds(100)).known, kind::kSeveral);
 }
 
+// Workers that name no version are one each; listing one must not walk all of them.
+TEST(ServiceVersions, AVersionOfEachOfManyWorkersIsForgottenInTime) {
+  constexpr uint64_t kWorkers = 100'000;
+  service_versions versions;
+  for (uint64_t number = 1; number <= kWorkers; ++number) {
+    versions.note_listed(software_id{number}, kStart);
+  }
+  EXPECT_EQ(versions.listed(), kWorkers);
+  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(60)).known, kind::kSeveral);
+  for (uint64_t number = 2; number <= kWorkers; ++number) {
+    versions.note_unlisted(software_id{number}, kStart);
+  }
+  EXPECT_EQ(versions.listed(), 1U);
+  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(60)).known, kind::kSole);
+}
+
 TEST(ServiceVersions, ALongerTimeThanIsRememberedIsNotCovered) {
   service_versions versions;
   versions.note_listed(kOne, kStart);
