--- a/include/chalkshed/item_continuation.h
+++ b/include/chalkshed/item_continuation.h
@@ -38,8 +38,8 @@
 struct item_continuation {
     item_step step = item_step::kBegin;
     software_id software = software_id::kUnknown;
-    /** With kGoOn: it has waited for as long as its text is worth, so if those workers have no room
-     * and others have, it starts over there. */
+    /** With kGoOn: it has waited for as long as the runs took that wrote its text, so if those
+     * workers have no room and others have, it starts over there. */
     bool may_start_over = false;
 };
 
