--- a/include/chalkshed/item_continuation.h
+++ b/include/chalkshed/item_continuation.h
@@ -4,7 +4,7 @@
 /** \file
  * Decides how a batch item with a partial text runs next. Its text may only be continued by the
  * software version that wrote it. An item may run more than once, so when that version is gone, or
- * only its workers have no room for longer than the text is worth, the item starts over. */
+ * only its workers have no room for longer than its runs took, the item starts over. */
 
 #include <cstdint>
 
