--- a/tests/quarantine/crashing_fleet.h
+++ b/tests/quarantine/crashing_fleet.h
@@ -2,13 +2,16 @@
 #define CHALKSHED_TESTS_QUARANTINE_CRASHING_FLEET_H
 
 /** \file
- * Simulated nodes and workers. A worker that starts one of the fatal contents crashes a little
- * later and loses all its runs. Its entry is removed after three missed heartbeats; it restarts
- * some seconds later, under a new id or under its previous one. */
+ * Simulated nodes and workers. A worker that starts one of the fatal contents, or a request with a
+ * fatal part in its prompt, crashes a little later and loses all its runs. Its entry is removed
+ * after three missed heartbeats; it restarts some seconds later, under a new id or under its
+ * previous one. */
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -34,13 +37,15 @@
         uint64_t seed = 1;
         Duration entry_removed_after = milliseconds(2800);
         Duration restarts_after = milliseconds(3200);
+        /** Software versions of the workers, which serve side by side. */
+        size_t versions = 1;
         /** The worker restarts under its previous id. */
         bool keeps_id = false;
         ServingNodeKnobs node;
     };
     /** A fatal run that reached a worker. */
     struct fatal_run {
-        std::string content;
+        std::string cause; // the fatal content or part
         MonotonicTime sent;
         std::string worker;
         std::string node; // that sent it
@@ -56,15 +61,19 @@
         cluster.clock.run_for(seconds(4));
     }
 
-    /** Sends a request with that content to a node; does nothing if the node is down. */
-    SeenAnswerPtr send(const std::string &node, const std::string &path,
-                       const std::string &content) {
+    /** Sends a request with that content to a node; does nothing if the node is down.
+     * \param prompt The parts of its prompt as the header names them; empty: none. */
+    SeenAnswerPtr send(const std::string &node, const std::string &path, const std::string &content,
+                       const std::string &prompt = "") {
         HttpRequest message;
         message.method = "POST";
         message.path = path;
         message.body = content;
         message.headers = {{platform::kRequestId, "r" + std::to_string(++requests_)},
                            {platform::kDeadline, "8000"}};
+        if (!prompt.empty()) {
+            message.headers.push_back({platform::kPromptPrefix, prompt});
+        }
         auto seen = std::make_shared<SeenAnswer>();
         if (cluster.nodes.at(node) == nullptr) {
             return seen;
@@ -103,7 +112,7 @@
         const std::string id = ended.id;
         for (ScriptedCall &call : cluster.workers.calls) {
             if (call.open() && call.worker == address_of(number)) {
-                note_lost(call.request.body);
+                note_lost(call);
                 call.fail(Ran::kUnknown);
             }
         }
@@ -168,10 +177,14 @@
     /** Digests of contents that some node has quarantined. */
     std::set<uint64_t> quarantined_digests;
     std::set<std::string> fatal;
+    /** Parts of prompts that crash each worker that answers a request with one of them. */
+    std::set<std::string> fatal_parts;
+    /** If not empty, the only software version that the fatal parts crash. */
+    std::string fatal_version;
     /** The data of an event of an answer; unset: "d" and the event's number. */
     std::function<std::string(const HttpRequest &request, uint64_t event)> event_data;
     std::vector<fatal_run> runs;
-    /** Times at which each content crashed a worker. */
+    /** Times at which each fatal content or part crashed a worker. */
     std::map<std::string, std::vector<MonotonicTime>> crashes;
     /** Time from the loss of its worker to its retry, for each innocent request that was retried.
      */
@@ -179,14 +192,18 @@
 
     /** Fatal runs sent later than `after` the third crash under the same content. */
     size_t late_runs(const std::string &content, Duration after = seconds(3)) const {
-        const auto found = crashes.find(content);
-        if (found == crashes.end() || found->second.size() < 3) {
+        return runs_after_crash(content, 3, after);
+    }
+    /** Runs with that cause sent later than `after` its crash of that number, counted from 1. */
+    size_t runs_after_crash(const std::string &cause, size_t number, Duration after) const {
+        const auto found = crashes.find(cause);
+        if (found == crashes.end() || found->second.size() < number) {
             return 0;
         }
-        const MonotonicTime from = found->second[2] + after;
+        const MonotonicTime from = found->second[number - 1] + after;
         return static_cast<size_t>(
             std::count_if(runs.begin(), runs.end(), [&](const fatal_run &run) {
-                return run.content == content && run.sent > from;
+                return run.cause == cause && run.sent > from;
             }));
     }
 
@@ -217,7 +234,7 @@
                                       {"address", to_string(address_of(number))},
                                       {"zone", "zone-a"},
                                       {"slots", 6},
-                                      {"version", "1"},
+                                      {"version", version_of(number)},
                                       {"state", state},
                                       {"born", workers_[number].born}};
         cluster.put("servers", workers_[number].id, entry.dump());
@@ -231,9 +248,38 @@
         return number;
     }
 
-    void note_lost(const std::string &content) {
-        if (!fatal.contains(content)) {
-            lost_.emplace(content, cluster.clock.monotonic_now());
+    /** \return The fatal content or part of the request; nothing if it is innocent. */
+    std::optional<std::string> cause_of(const ScriptedCall &call, size_t number) const {
+        if (fatal.contains(call.request.body)) {
+            return call.request.body;
+        }
+        const bool sound_version = !fatal_version.empty() && fatal_version != version_of(number);
+        if (fatal_parts.empty() || sound_version) {
+            return std::nullopt;
+        }
+        const std::vector<std::string> ids = part_ids(call.header(platform::kPromptPrefix));
+        for (size_t index = 0; index + 1 < ids.size(); ++index) {
+            if (fatal_parts.contains(ids[index])) {
+                return ids[index];
+            }
+        }
+        return std::nullopt;
+    }
+    static std::vector<std::string> part_ids(const std::string &prompt) {
+        std::vector<std::string> ids;
+        std::istringstream parts(prompt);
+        for (std::string part; std::getline(parts, part, ',');) {
+            ids.push_back(part.substr(0, part.find(':')));
+        }
+        return ids;
+    }
+    std::string version_of(size_t number) const {
+        return std::to_string(1 + number % knobs_.versions);
+    }
+
+    void note_lost(const ScriptedCall &call) {
+        if (!cause_of(call, number_of(call.worker))) {
+            lost_.emplace(call.request.body, cluster.clock.monotonic_now());
         }
     }
     void note_retried(const std::string &content) {
@@ -268,18 +314,18 @@
             if (!expected) {
                 call.callbacks->on_headers(421, {});
                 call.end();
-            } else if (fatal.contains(call.request.body)) {
-                start_fatal_run(call, number, id);
+            } else if (const auto cause = cause_of(call, number)) {
+                start_fatal_run(call, number, id, *cause);
             } else {
                 play(call, 0);
             }
         });
     }
 
-    void start_fatal_run(ScriptedCall &call, size_t number, const std::string &id) {
-        const std::string content = call.request.body;
+    void start_fatal_run(ScriptedCall &call, size_t number, const std::string &id,
+                         const std::string &cause) {
         const std::string node = call.sender.substr(0, call.sender.find('#'));
-        runs.push_back({content, cluster.clock.monotonic_now(), id, node});
+        runs.push_back({cause, cluster.clock.monotonic_now(), id, node});
         call.begin();
         const uint64_t last = events_received(call);
         for (uint64_t sent = 0; sent < knobs_.events_before_crash; ++sent) {
@@ -287,9 +333,9 @@
                 send_event(call, last + sent + 1);
             }
         }
-        call_after(cluster.loop, draw_crash_delay(), [this, &call, number, id, content] {
+        call_after(cluster.loop, draw_crash_delay(), [this, &call, number, id, cause] {
             if (call.open() && workers_[number].up && workers_[number].id == id) {
-                crashes[content].push_back(cluster.clock.monotonic_now());
+                crashes[cause].push_back(cluster.clock.monotonic_now());
                 stop_worker(number);
             }
         });
--- /dev/null
+++ b/tests/quarantine/crashing_parts_test.cc
@@ -0,0 +1,249 @@
+/** \file
+ * Guards against a part of prompts that crashes worker after worker: requests with that part have
+ * contents of their own, so that no evidence against them added up. */
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+
+#include "tests/quarantine/crashing_fleet.h"
+
+namespace chalkshed {
+namespace {
+
+/** Requests with fatal parts among sound ones, at random nodes. */
+struct part_load {
+    std::string name;
+    size_t nodes = 63;
+    size_t workers = 90;
+    double fatal_per_second = 30;
+    double sound_per_second = 250;
+    /** The shared parts of the fatal requests, of which they carry one list in turn. */
+    std::vector<std::vector<std::string>> fatal_prompts = {{"route", "fatal"}};
+    /** The shared parts of the sound requests, in turn. */
+    std::vector<std::vector<std::string>> sound_prompts = {{"route", "m0"}, {"route", "m1"}};
+    std::set<std::string> fatal_parts = {"fatal"};
+    size_t versions = 1;
+    std::string fatal_version;
+    std::string path = "/stream/1";
+    Duration crash_after = milliseconds(2);
+    Duration crash_by = milliseconds(200);
+    Duration restarts_after = milliseconds(2500);
+    /** Workers crash for other reasons, one in this time; 0: none. */
+    Duration other_crashes{0};
+    uint64_t seed = 1;
+    Duration length = seconds(8);
+};
+
+struct part_result {
+    size_t crashes = 0;
+    /** Runs of the part with most of them that were sent later than 3 s after its fifth crash. */
+    size_t sent_late = 0;
+    size_t sound = 0;
+    /** Sound requests that were answered whole, each with a single attempt of its caller. */
+    size_t sound_answered = 0;
+};
+
+/** A caller that sends its request up to three times. */
+class retrying_caller {
+public:
+    retrying_caller(crashing_fleet &fleet, const part_load &load, std::string content,
+                    std::string prompt)
+        : fleet_(fleet), path_(load.path), content_(std::move(content)),
+          prompt_(std::move(prompt)) {
+        send();
+    }
+    /** Sends the request again if its last attempt has failed. */
+    void check() {
+        constexpr int kMaxTries = 3;
+        const bool failed = seen_->aborted || (seen_->finished && seen_->status != 200);
+        if (failed && tries_ < kMaxTries) {
+            send();
+        }
+    }
+
+private:
+    void send() {
+        ++tries_;
+        seen_ = fleet_.send(fleet_.random_node(), path_, content_, prompt_);
+    }
+
+    crashing_fleet &fleet_;
+    const std::string path_;
+    const std::string content_;
+    const std::string prompt_;
+    int tries_ = 0;
+    SeenAnswerPtr seen_;
+};
+
+std::string prompt_of(const std::vector<std::string> &shared, size_t number) {
+    std::string prompt;
+    for (const std::string &part : shared) {
+        prompt += part + ":200,";
+    }
+    return prompt + "own" + std::to_string(number) + ":50";
+}
+
+/** Whether `step` begins one of `per_second` equal periods. */
+bool due(size_t step, double per_second) {
+    constexpr double kStepsPerSecond = 1000;
+    const auto periods = [&](size_t at) {
+        return static_cast<size_t>(static_cast<double>(at) * per_second / kStepsPerSecond);
+    };
+    return periods(step + 1) > periods(step);
+}
+
+crashing_fleet::knobs fleet_knobs(const part_load &load) {
+    crashing_fleet::knobs knobs;
+    knobs.nodes = load.nodes;
+    knobs.workers = load.workers;
+    knobs.crash_after = load.crash_after;
+    knobs.crash_by = load.crash_by;
+    knobs.events_before_crash = 1;
+    knobs.restarts_after = load.restarts_after;
+    knobs.versions = load.versions;
+    knobs.seed = load.seed;
+    return knobs;
+}
+
+part_result play(const part_load &load) {
+    crashing_fleet fleet(fleet_knobs(load));
+    fleet.fatal_parts = load.fatal_parts;
+    fleet.fatal_version = load.fatal_version;
+    std::vector<retrying_caller> fatal;
+    std::vector<SeenAnswerPtr> sound;
+    constexpr Duration kStep = milliseconds(1);
+    const auto other_crash_steps = static_cast<size_t>(load.other_crashes / kStep);
+    for (size_t step = 0; step < static_cast<size_t>(load.length / kStep); ++step) {
+        if (due(step, load.fatal_per_second)) {
+            const size_t number = fatal.size();
+            const auto &shared = load.fatal_prompts[number % load.fatal_prompts.size()];
+            fatal.emplace_back(fleet, load, "fatal " + std::to_string(number),
+                               prompt_of(shared, number));
+        }
+        if (due(step, load.sound_per_second)) {
+            const size_t number = sound.size();
+            const auto &shared = load.sound_prompts[number % load.sound_prompts.size()];
+            sound.push_back(fleet.send(fleet.random_node(), load.path,
+                                       "sound " + std::to_string(number),
+                                       prompt_of(shared, number)));
+        }
+        if (other_crash_steps > 0 && step % other_crash_steps == other_crash_steps - 1) {
+            fleet.stop_random_worker();
+        }
+        for (retrying_caller &caller : fatal) {
+            caller.check();
+        }
+        fleet.run_for(kStep, kStep);
+    }
+    fleet.run_for(seconds(2));
+    part_result result;
+    for (const std::string &part : load.fatal_parts) {
+        result.crashes += fleet.crashes[part].size();
+        result.sent_late = std::max(result.sent_late, fleet.runs_after_crash(part, 5, seconds(3)));
+    }
+    result.sound = sound.size();
+    for (const SeenAnswerPtr &answer : sound) {
+        result.sound_answered += answer->status == 200 && answer->finished ? 1 : 0;
+    }
+    return result;
+}
+
+constexpr double kMinSoundShare = 0.95;
+
+void expect_held(part_load load, uint64_t seeds = 2) {
+    for (load.seed = 1; load.seed <= seeds; ++load.seed) {
+        SCOPED_TRACE(load.name + ", seed " + std::to_string(load.seed));
+        const part_result result = play(load);
+        const double share =
+            static_cast<double>(result.sound_answered) / static_cast<double>(result.sound);
+        std::printf("%s, seed %d: %zu workers crashed, %zu runs late, sound answered %.3f\n",
+                    load.name.c_str(), static_cast<int>(load.seed), result.crashes,
+                    result.sent_late, share);
+        EXPECT_GE(result.crashes, 1U);
+        EXPECT_EQ(result.sent_late, 0U);
+        EXPECT_GE(share, kMinSoundShare);
+    }
+}
+
+part_load small_fleet(const std::string &name) {
+    part_load load;
+    load.name = name;
+    load.nodes = 10;
+    load.workers = 18;
+    load.fatal_per_second = 5;
+    load.sound_per_second = 60;
+    return load;
+}
+
+TEST(CrashingParts, AMiddlePartIsHeldAndSoundRequestsGoOn) {
+    part_load load;
+    load.name = "a middle part";
+    expect_held(load, 1);
+}
+
+TEST(CrashingParts, AMiddlePartIsHeldInASmallFleet) {
+    part_load load = small_fleet("a middle part, small fleet");
+    load.fatal_prompts = {{"route", "fatal", "x0"}, {"route", "fatal", "x1"}};
+    load.sound_prompts = {{"route", "m0", "x0"}, {"route", "m1", "x1"}};
+    expect_held(load);
+}
+
+// All requests of the route hold the part, and those of the other route are sound.
+TEST(CrashingParts, TheFirstPartIsHeldAndOtherRoutesGoOn) {
+    part_load load = small_fleet("the first part");
+    load.fatal_prompts = {{"fatal", "m0"}, {"fatal", "m1"}, {"fatal", "m2"}};
+    load.sound_prompts = {{"other", "m0"}, {"other", "m1"}};
+    expect_held(load);
+}
+
+TEST(CrashingParts, TwoPartsAtOnceAreHeld) {
+    part_load load;
+    load.name = "two parts at once";
+    load.fatal_prompts = {{"route", "fatal"}, {"route", "fatal2"}};
+    load.fatal_parts = {"fatal", "fatal2"};
+    expect_held(load, 1);
+}
+
+TEST(CrashingParts, APartIsHeldWhenSoundRequestsAreRare) {
+    part_load load = small_fleet("few sound requests");
+    load.sound_per_second = 2;
+    expect_held(load);
+}
+
+TEST(CrashingParts, APartIsHeldWhenNoSoundRequestHoldsItsFirstPart) {
+    part_load load = small_fleet("no sound request with the first part");
+    load.sound_prompts = {{"other", "m0"}};
+    expect_held(load);
+}
+
+// The second part is in all fatal requests and in few sound ones.
+TEST(CrashingParts, ANewPartBehindANewPartIsHeldAlone) {
+    part_load load = small_fleet("a new part behind a new part");
+    load.fatal_prompts = {{"route", "new", "fatal"}};
+    load.sound_prompts = {{"route", "m0"}, {"route", "m1"}, {"route", "m2"}, {"route", "new"}};
+    expect_held(load);
+}
+
+TEST(CrashingParts, AHundredPerSecondAreHeld) {
+    part_load load;
+    load.name = "100 fatal requests a second";
+    load.fatal_per_second = 100;
+    expect_held(load, 1);
+}
+
+TEST(CrashingParts, APartIsHeldWhileOtherWorkersCrash) {
+    part_load load;
+    load.name = "workers crash for other reasons";
+    load.other_crashes = milliseconds(300);
+    expect_held(load, 1);
+}
+
+TEST(CrashingParts, ARequestOfARouteThatCannotBeResumedIsHeld) {
+    part_load load = small_fleet("a route that cannot be resumed");
+    load.path = "/plain/1";
+    expect_held(load);
+}
+
+} // namespace
+} // namespace chalkshed
