--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -2,8 +2,9 @@
 #define CHALKSHED_CRASH_EVIDENCE_H
 
 /** \file
- * Detects requests that crash their workers, identified by their content across all attempts,
- * nodes and workers.
+ * Collects the evidence against what crashes workers: the content of a request, identified across
+ * all attempts, nodes and workers, or a part of prompts that requests share. It decides about
+ * contents itself; part_blame.h decides about parts.
  *
  * A crashing worker interrupts all of its runs, and at most one of them caused the crash. The
  * evidence against a content is therefore the number of distinct workers that lost a run of it and
@@ -20,6 +21,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "chalkshed/software_id.h"
 #include "src/core/time.h"
 
 namespace chalkshed {
@@ -32,6 +34,11 @@
      * suffice to quarantine a content, and no node starts another run of it meanwhile, since that
      * run could be lost to the same cause. */
     Duration settle_time = std::chrono::milliseconds(40);
+    /** Crashes of workers under one part that are less than this apart are a single loss. */
+    Duration same_moment = std::chrono::milliseconds(20);
+    /** A worker that has written on an answer for this long after its first event would have
+     * crashed by then if a part of the prompt crashed it. */
+    Duration crash_time = std::chrono::milliseconds(300);
     /** A peer's suspicion expires after this time unless the peer confirms it. By then the peer has
      * seen whether other runs were lost at the same time, and has sent its report twice. */
     Duration suspicion_timeout = std::chrono::milliseconds(250);
@@ -50,6 +57,17 @@
     size_t max_contents = 4096;
     /** Maximum number of workers tracked per content. */
     size_t max_workers_per_content = 16;
+    /** The same for parts, of which several are compared by the workers that they lost. */
+    size_t max_workers_per_part = 64;
+};
+
+/** What the evidence is about. */
+enum class crash_suspect : uint8_t {
+    /** A request, by its content. */
+    kContent,
+    /** A part of prompts. Most parts of a lost run are innocent, and a part may crash one software
+     * version of the workers only. */
+    kPart,
 };
 
 /** State of a worker that lost a run. */
@@ -66,7 +84,7 @@
 /** A run that was lost because the connection to its worker failed or the worker stopped
  * responding. */
 struct broken_run {
-    uint64_t digest = 0; // of the request
+    uint64_t digest = 0; // of the content or the part
     uint32_t worker = 0; // hash of the worker's incarnation
     MonotonicTime at{};
     /** Another cause is more likely: the run counts only once the worker is known to have crashed.
@@ -77,6 +95,9 @@
     /** Reported before it is known whether other runs were lost at the same time. Makes a content
      * suspect, but doesn't quarantine it. */
     bool suspected = false;
+    crash_suspect suspect = crash_suspect::kContent;
+    /** Of the worker; only for parts. */
+    software_id software = software_id::kUnknown;
 };
 
 /** Whether a content may be sent to a worker. */
@@ -121,6 +142,32 @@
      * an operator released the content. \return Whether there was any. */
     bool clear(uint64_t digest, MonotonicTime up_to);
 
+    /** Workers of that software have written on answers to requests with the part for longer than a
+     * crash takes, so that earlier crashes of that software have another cause.
+     * \param up_to When such an answer began.
+     * \return Whether this is news: evidence was cleared, or that software was not known to be
+     * sound.
+     */
+    bool clear_part(uint64_t digest, software_id software, MonotonicTime up_to);
+    /** Whether a part was cleared at that software, and nothing has been lost there since. */
+    bool proved(uint64_t digest, software_id software) const;
+    bool is_part(uint64_t digest) const;
+    /** Whether any run of the content or the part was lost and not cleared. */
+    bool has_evidence(uint64_t digest) const;
+    /** The lost runs that count, and those that peers report as suspected. */
+    std::vector<broken_run> suspect_runs(uint64_t digest, MonotonicTime now) const;
+    /** All contents and parts that lost a run at the worker. */
+    std::vector<uint64_t> lost_at(uint32_t worker, MonotonicTime now) const;
+    /** Whether any run was lost at the worker after that time. */
+    bool lost_any(uint32_t worker, MonotonicTime after) const;
+    /** Parts with that many crashed workers at several moments. */
+    std::vector<uint64_t> parts_with_crashes() const;
+    /** Whether crashes at these times are as many as quarantine, and not one common loss. */
+    bool suffices(std::vector<MonotonicTime> crash_times) const;
+    const crash_knobs &knobs() const {
+        return knobs_;
+    }
+
     run_permit permit(uint64_t digest, const run_claim &claim, MonotonicTime now) const;
     /** Whether a run of it needs a turn, so that no other node runs it at the same time: several
      * workers have crashed. */
@@ -148,8 +195,9 @@
     std::vector<broken_run> review(const fate_lookup &fate_of, MonotonicTime now);
     /** The runs that count against the content, one per worker. */
     std::vector<broken_run> counted(uint64_t digest) const;
-    /** All contents with at least that many crashed workers. */
-    std::vector<uint64_t> all_with_crashes(size_t least) const;
+    /** All contents, or all parts, with at least that many crashed workers. */
+    std::vector<uint64_t> all_with_crashes(size_t least,
+                                           crash_suspect suspect = crash_suspect::kContent) const;
     std::vector<uint64_t> all_quarantined() const;
     size_t size() const {
         return contents_.size();
@@ -160,8 +208,15 @@
         broken_run run;
         worker_fate fate = worker_fate::kUnknown;
     };
+    /** Latest answer on which workers of a software version have written on. */
+    struct software_proof {
+        software_id software = software_id::kUnknown;
+        MonotonicTime at{};
+    };
     struct content {
+        crash_suspect suspect = crash_suspect::kContent;
         std::vector<broken_worker> workers; // one entry per worker
+        std::vector<software_proof> proofs; // parts only
         MonotonicTime cleared{};
         MonotonicTime last_probe{};
     };
@@ -188,10 +243,14 @@
     size_t failed_probes(const content &known) const;
     Duration probe_delay(size_t failed) const;
     void evict_if_full();
+    static MonotonicTime proved_at(const content &known, software_id software);
+    void index(const broken_run &run);
 
     const crash_knobs knobs_;
     std::unordered_map<uint64_t, content> contents_;
     std::unordered_map<uint64_t, uint32_t> under_way_;
+    /** Contents and parts by the workers that lost runs of them; may name some that are cleared. */
+    std::unordered_map<uint32_t, std::vector<uint64_t>> lost_at_;
 };
 
 } // namespace chalkshed
--- a/include/chalkshed/crash_exchange.h
+++ b/include/chalkshed/crash_exchange.h
@@ -8,6 +8,7 @@
  * packet loss; the durable copy is in the store (quarantine_rows.h). */
 
 #include <deque>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -32,13 +33,18 @@
     /** Maximum number of pending entries; beyond it, the oldest are dropped. A node that loses so
      * many runs a second is itself cut off, or has lost all its workers. */
     size_t max_pending = 1024;
+    /** Most nodes see at about the same time that a part is sound. Each waits for up to this long
+     * per peer before it says so, and is silent if another has said it meanwhile. */
+    Duration proof_delay_per_peer = std::chrono::milliseconds(1);
+    int proof_sends = 2;
 };
 
 class crash_exchange {
 public:
     /** All references outlive this. */
     crash_exchange(TimeSource &time_source, Dispatcher &dispatcher, DatagramTransport &datagrams,
-                   request_quarantine &quarantine, const crash_exchange_knobs &knobs = {});
+                   request_quarantine &quarantine, std::string own_node,
+                   const crash_exchange_knobs &knobs = {});
 
     void set_peers(const std::vector<relay_candidate> &peers);
     /** \return Whether the datagram was a crash message. */
@@ -52,6 +58,10 @@
         MonotonicTime due{};
     };
     void enqueue(crash_message message, Duration batch_delay, int sends);
+    /** When this node says that a part is sound, unless a peer does before. */
+    Duration proof_delay(const answered_run &run) const;
+    /** A peer has said that a part is sound. */
+    void drop_pending_proof(const answered_run &run);
     void flush();
     void schedule();
     /** When this node may send to all peers again under the rate limit. */
@@ -60,6 +70,7 @@
     TimeSource &time_source_;
     DatagramTransport &datagrams_;
     request_quarantine &quarantine_;
+    const std::string own_node_;
     const crash_exchange_knobs knobs_;
     std::vector<Address> peers_;
     std::deque<pending_entry> pending_;
--- a/include/chalkshed/crash_message.h
+++ b/include/chalkshed/crash_message.h
@@ -14,10 +14,13 @@
 
 namespace chalkshed {
 
-/** A run that brought a complete answer. */
+/** A run that brought a complete answer; for a part, one that was written on at that software. */
 struct answered_run {
     uint64_t digest = 0;
+    /** When the run was sent; for a part, when its answer began. */
     MonotonicTime sent{};
+    crash_suspect suspect = crash_suspect::kContent;
+    software_id software = software_id::kUnknown;
 };
 
 struct crash_message {
@@ -27,7 +30,7 @@
     std::vector<broken_run> suspected;
 };
 
-/** Entries that fit into one datagram with margin: 24 bytes each. */
+/** Entries that fit into one datagram with margin: 24 bytes each at most. */
 inline constexpr size_t kMaxCrashEntries = 40;
 
 std::string encode_crash_message(const crash_message &message, MonotonicTime now);
--- /dev/null
+++ b/include/chalkshed/part_blame.h
@@ -0,0 +1,58 @@
+#ifndef CHALKSHED_PART_BLAME_H
+#define CHALKSHED_PART_BLAME_H
+
+/** \file
+ * Decides whether a request holds a part that crashes workers. A crash takes all runs of its worker
+ * with it, so every part of theirs has lost that worker, and the part that most requests share has
+ * lost the most. A part is therefore blamed in a request only if the request holds everything that
+ * may explain its crashes as well: requests with the fatal part do, and sound ones lack it. A
+ * request that holds only some of the suspects runs, and clears them or tells them apart.
+ *
+ * Performs no I/O and takes the time as a parameter. */
+
+#include <cstdint>
+#include <vector>
+
+#include "chalkshed/crash_evidence.h"
+#include "src/serving/serving_request.h"
+
+namespace chalkshed {
+
+enum class part_verdict : uint8_t {
+    kFree,
+    /** Two workers crashed under a part: runs go where few others are lost with them, and none is
+     * repeated at once. */
+    kSuspect,
+    /** Enough workers crashed, and some of these crashes are not confirmed yet. */
+    kUnconfirmed,
+    /** The request crashes workers. */
+    kHeld,
+};
+
+/** The part of a request with the strongest evidence. */
+struct blamed_part {
+    part_verdict verdict = part_verdict::kFree;
+    uint64_t digest = 0;
+};
+
+class part_blame {
+public:
+    /** \param evidence Outlives this. */
+    explicit part_blame(const crash_evidence &evidence) : evidence_(evidence) {}
+
+    /** Whether the request may run at workers of that software. */
+    blamed_part blame(const ServingRequest &request, software_id software, MonotonicTime now) const;
+
+private:
+    part_verdict judge(uint64_t part, const ServingRequest &request, software_id software,
+                       MonotonicTime now) const;
+    /** Whether something that the request doesn't hold may explain the crashes as well. */
+    bool explained_otherwise(const std::vector<broken_run> &runs, const ServingRequest &request,
+                             MonotonicTime now) const;
+
+    const crash_evidence &evidence_;
+};
+
+} // namespace chalkshed
+
+#endif
--- a/include/chalkshed/quarantine_rows.h
+++ b/include/chalkshed/quarantine_rows.h
@@ -11,6 +11,9 @@
  * That row has a different key, because nodes of older versions remove rows of contents that they
  * haven't quarantined.
  *
+ * A part of prompts has one row, written once its crashes have stood for a while: most parts that
+ * lost workers are cleared within that time, because sound requests hold them too.
+ *
  * Every node watches the table and compares it with its own evidence after each review. The first
  * node to notice a difference writes. */
 
@@ -37,6 +40,8 @@
     uint64_t digest = 0;
     /** Two workers have crashed, and the content isn't quarantined for certain. */
     bool suspect = false;
+    /** The digest is that of a part of prompts. */
+    bool part = false;
 
     auto operator<=>(const quarantine_row_key &) const = default;
 };
@@ -48,7 +53,8 @@
 /** \param offset Offset of the store's clock from this node's. */
 std::string encode_quarantine(const std::vector<broken_run> &runs, Duration offset);
 /** Skips malformed lines. */
-std::vector<broken_run> decode_quarantine(uint64_t digest, std::string_view value, Duration offset);
+std::vector<broken_run> decode_quarantine(const quarantine_row_key &key, std::string_view value,
+                                          Duration offset);
 
 struct quarantine_rows_knobs {
     /** Each node writes after a random delay of up to this much per node, so that usually one node
@@ -57,6 +63,8 @@
     /** A request that loses two workers in a row is usually innocent and has been answered within
      * this time. */
     Duration suspect_write_delay = std::chrono::milliseconds(500);
+    /** A sound part that other requests hold too has been cleared within this time. */
+    Duration part_write_delay = std::chrono::milliseconds(700);
     Duration retry_delay = std::chrono::seconds(1);
     Duration max_retry_delay = std::chrono::seconds(16);
 };
--- a/include/chalkshed/request_quarantine.h
+++ b/include/chalkshed/request_quarantine.h
@@ -5,12 +5,14 @@
  * Decides by the evidence against requests that crash their workers whether a request may be sent,
  * determines the fate of workers, and writes the related log lines and metrics. */
 
+#include <deque>
 #include <functional>
 #include <set>
 #include <string>
 
 #include "chalkshed/crash_evidence.h"
 #include "chalkshed/crash_message.h"
+#include "chalkshed/part_blame.h"
 #include "src/core/dispatcher.h"
 #include "src/core/error.h"
 #include "src/core/lifetime.h"
@@ -65,12 +67,13 @@
                        Logger &logger, MetricsRegistry &metrics,
                        const quarantine_knobs &knobs = {});
 
-    /** Whether a request with that content would be refused now. */
-    bool refuses(uint64_t digest) const;
-    /** Requests permission to run the content. If the result is kWait, other nodes have been asked
+    /** Whether the request would be refused now. \param service Whose workers would run it. */
+    bool refuses(const ServingRequest &request, const std::string &service) const;
+    /** Requests permission to run the request. If the result is kWait, other nodes have been asked
      * for a turn where one is needed, and on_permits_changed is called once the request may be
      * repeated. \param lost_worker See run_claim. */
-    run_permit claim_run(uint64_t digest, bool lost_worker);
+    run_permit claim_run(const ServingRequest &request, const std::string &service,
+                         bool lost_worker);
     /** Requests permission to run an item of a job that this node owns, whose runs are repeated
      * until one succeeds. Other nodes may own jobs with the same content, so that it needs turns
      * too. Each owner probes its own items. If the result is kWait, the caller asks again;
@@ -79,9 +82,13 @@
      * The runs of several such items of one node are often lost within milliseconds, as if they had
      * a common cause. They count only once their workers are known to have crashed; until then,
      * items would crash further workers. */
-    run_permit claim_owned_run(uint64_t digest);
+    run_permit claim_owned_run(const ServingRequest &item, const std::string &service);
+    /** \return The software versions of the service that a part of the request's prompt crashes
+     * more likely than others; empty if all are alike. */
+    std::vector<software_id> crashing_software(const ServingRequest &request,
+                                               const std::string &service) const;
     /** \return The error with which a quarantined request is refused. The request has not run. */
-    Error refusal(uint64_t digest, const std::string &request_id) const;
+    Error refusal(const ServingRequest &request, const std::string &service);
 
     /** Records the start of a run. \return A callback to invoke once the run has finished, whatever
      * its result. It may be invoked after this object is destroyed, since runs are destroyed in a
@@ -94,7 +101,11 @@
     /** \param sent When the run was sent to the worker.
      * \param silent The worker stopped responding while its connection stayed open: most such
      * workers are busy. */
-    void note_broken(uint64_t digest, const ServingWorker &worker, MonotonicTime sent, bool silent);
+    void note_broken(const ServingRequest &request, const ServingWorker &worker, MonotonicTime sent,
+                     bool silent);
+    /** The worker has begun to write a successful answer. If it goes on working for
+     * crash_knobs::crash_time, the shared parts of the prompt are sound at its software. */
+    void note_answer_begun(const ServingRequest &request, const ServingWorker &worker);
     void note_answered(uint64_t digest, MonotonicTime sent);
 
     /** Takes in reports from peers and from the store. */
@@ -105,6 +116,9 @@
     bool release_by_operator(uint64_t digest);
     /** The store has no evidence up to that time any more. */
     void release(uint64_t digest, MonotonicTime up_to);
+    /** The software of a worker as the evidence names it: workers that name no version are alike.
+     */
+    static software_id software_of_worker(const ServingWorker &worker);
 
     /** The evidence of all nodes together, as far as this node knows. */
     const crash_evidence &evidence() const {
@@ -151,6 +165,12 @@
     };
     /** Marks runs as weak evidence if they were lost together with runs at other workers. */
     void evaluate_recent();
+    void note_lost(broken_run run);
+    /** The strongest evidence against a part of the request, at the software with the least. */
+    blamed_part blame(const ServingRequest &request, const std::string &service) const;
+    bool any_evidence(const ServingRequest &request) const;
+    /** Clears the parts of answers that have been written on for long enough. */
+    void clear_proved_parts();
     bool has_common_cause(const broken_run &run) const;
     static bool broke_together(const broken_run &run, const broken_run &other, Duration within);
     /** Whether a run of that content was just lost at that worker, which explains why the worker
@@ -180,6 +200,9 @@
     /** Logs that the content was quarantined or released since the last check. */
     void update_quarantined(uint64_t digest);
     void update_all_quarantined();
+    /** Logs which held parts have become free since the last check. */
+    void update_held_parts();
+    void log_held_part(uint64_t part, const ServingRequest &request);
 
     TimeSource &time_source_;
     const WorkerSet &workers_;
@@ -187,9 +210,19 @@
     MetricsRegistry &metrics_;
     const quarantine_knobs knobs_;
     crash_evidence evidence_;
+    const part_blame part_blame_;
     std::set<uint64_t> quarantined_;
     /** Runs that this node lost recently, oldest first. */
     std::vector<recent_run> recent_;
+    /** Answers that have begun, oldest first, on prompts with a part under suspicion. */
+    struct begun_answer {
+        std::vector<uint64_t> parts;
+        software_id software = software_id::kUnknown;
+        uint32_t worker = 0;
+        MonotonicTime at{};
+    };
+    std::deque<begun_answer> begun_answers_;
+    std::set<uint64_t> held_parts_;         // for which a request was refused
     std::vector<broken_run> suspected_;     // not reported yet
     std::set<uint64_t> contents_with_turn_; // contents with a run that holds this node's turn
     turn_functions turns_;
@@ -204,6 +237,7 @@
     TimerPtr recent_timer_;
     TimerPtr suspected_timer_;
     TimerPtr claim_timer_;
+    TimerPtr proof_timer_;
     Lifetime lifetime_;
 };
 
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -39,7 +39,7 @@
       item.failures = std::move(failures->second);
     }
     item.request = std::move(request);
-    item.request.digest = request_digest(item.request);
+    set_digests(item.request);
     items_.push_back(std::move(item));
   }
   origins_recorded_ = !loaded.origins.empty();
@@ -88,7 +88,11 @@
 // A quarantined item waits until its next probe or until its retention has passed: no other result
 // may be listed for it. Only the owner of its job runs it, so the owner also runs the probe.
 bool OwnedJob::is_held(const Item& item) const {
-  const run_permit permit = environment_.serving.quarantine.claim_owned_run(item.request.digest);
+  const RouteTablePtr table = environment_.routes.current();
+  const Route* route = table ? route_of(*table, item) : nullptr;
+  const bool named = route != nullptr && !route->services.empty();
+  const std::string service = named ? route->services.front().service : "";
+  const run_permit permit = environment_.serving.quarantine.claim_owned_run(item.request, service);
   return permit == run_permit::kQuarantined || permit == run_permit::kWait;
 }
 
@@ -207,6 +211,9 @@
   wanted.repeatable = true;
   wanted.request = &item.request;
   wanted.urgency = urgency_of(item);
+  const std::vector<software_id> crashing =
+      environment_.serving.quarantine.crashing_software(item.request, service);
+  wanted.excluded_software = &crashing;
   wanted.alone = may_crash_worker(item);
   return environment_.serving.workers.acquire_slot(wanted);
 }
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -56,7 +56,7 @@
                           knobs.admission_exchange),
       quarantine_api_(dependencies.time_source, quarantine_, identity.address.ip),
       crash_exchange_(dependencies.time_source, dependencies.dispatcher, dependencies.datagrams,
-                      quarantine_),
+                      quarantine_, identity.node),
       origin_exchange_(dependencies.time_source, dependencies.dispatcher, dependencies.datagrams,
                        {identity.node, identity.session, identity.zone, identity.address,
                         identity.capacity, true, false, false},
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -52,6 +52,7 @@
         evict_if_full();
     }
     content &known = contents_[run.digest];
+    known.suspect = run.suspect;
     const auto same =
         std::find_if(known.workers.begin(), known.workers.end(),
                      [&](const broken_worker &broken) { return broken.run.worker == run.worker; });
@@ -59,13 +60,148 @@
         return std::exchange(same->run.suspected, same->run.suspected && run.suspected) !=
                same->run.suspected;
     }
-    if (run.at <= known.cleared || known.workers.size() >= knobs_.max_workers_per_content) {
+    const MonotonicTime cleared = std::max(known.cleared, proved_at(known, run.software));
+    const size_t max_workers = run.suspect == crash_suspect::kPart ? knobs_.max_workers_per_part
+                                                                   : knobs_.max_workers_per_content;
+    if (run.at <= cleared || known.workers.size() >= max_workers) {
         return false;
     }
     known.workers.push_back({run, worker_fate::kUnknown});
+    index(run);
     return true;
 }
 
+void crash_evidence::index(const broken_run &run) {
+    std::vector<uint64_t> &digests = lost_at_[run.worker];
+    if (std::find(digests.begin(), digests.end(), run.digest) == digests.end()) {
+        digests.push_back(run.digest);
+    }
+}
+
+MonotonicTime crash_evidence::proved_at(const content &known, software_id software) {
+    for (const software_proof &proof : known.proofs) {
+        if (proof.software == software) {
+            return proof.at;
+        }
+    }
+    return {};
+}
+
+bool crash_evidence::clear_part(uint64_t digest, software_id software, MonotonicTime up_to) {
+    const auto found = contents_.find(digest);
+    if (found == contents_.end()) {
+        return false;
+    }
+    content &known = found->second;
+    const auto proof =
+        std::find_if(known.proofs.begin(), known.proofs.end(),
+                     [&](const software_proof &each) { return each.software == software; });
+    const bool first = proof == known.proofs.end();
+    if (first) {
+        known.proofs.push_back({software, up_to});
+    } else {
+        proof->at = std::max(proof->at, up_to);
+    }
+    const size_t cleared = std::erase_if(known.workers, [&](const broken_worker &broken) {
+        return broken.run.software == software && broken.run.at <= up_to;
+    });
+    return cleared > 0 || (first && !known.workers.empty());
+}
+
+bool crash_evidence::proved(uint64_t digest, software_id software) const {
+    const content *known = find(digest);
+    return known != nullptr && proved_at(*known, software) != MonotonicTime{} &&
+           std::none_of(known->workers.begin(), known->workers.end(),
+                        [&](const broken_worker &broken) {
+                            return !survived(broken) && broken.run.software == software;
+                        });
+}
+
+bool crash_evidence::is_part(uint64_t digest) const {
+    const content *known = find(digest);
+    return known != nullptr && known->suspect == crash_suspect::kPart;
+}
+
+bool crash_evidence::has_evidence(uint64_t digest) const {
+    const content *known = find(digest);
+    return known != nullptr && !known->workers.empty();
+}
+
+std::vector<broken_run> crash_evidence::suspect_runs(uint64_t digest, MonotonicTime now) const {
+    std::vector<broken_run> runs;
+    if (const content *known = find(digest)) {
+        for (const broken_worker &broken : known->workers) {
+            if (suspect(broken, now)) {
+                runs.push_back(broken.run);
+                runs.back().suspected = !counts(broken);
+            }
+        }
+    }
+    return runs;
+}
+
+std::vector<uint64_t> crash_evidence::lost_at(uint32_t worker, MonotonicTime now) const {
+    std::vector<uint64_t> digests;
+    const auto found = lost_at_.find(worker);
+    if (found == lost_at_.end()) {
+        return digests;
+    }
+    for (const uint64_t digest : found->second) {
+        const content *known = find(digest);
+        const bool lost =
+            known != nullptr && std::any_of(known->workers.begin(), known->workers.end(),
+                                            [&](const broken_worker &broken) {
+                                                return broken.run.worker == worker &&
+                                                       suspect(broken, now);
+                                            });
+        if (lost) {
+            digests.push_back(digest);
+        }
+    }
+    return digests;
+}
+
+bool crash_evidence::lost_any(uint32_t worker, MonotonicTime after) const {
+    const auto found = lost_at_.find(worker);
+    return found != lost_at_.end() &&
+           std::any_of(found->second.begin(), found->second.end(), [&](uint64_t digest) {
+               const content *known = find(digest);
+               return known != nullptr && std::any_of(known->workers.begin(), known->workers.end(),
+                                                      [&](const broken_worker &broken) {
+                                                          return broken.run.worker == worker &&
+                                                                 broken.run.at >= after;
+                                                      });
+           });
+}
+
+bool crash_evidence::suffices(std::vector<MonotonicTime> crash_times) const {
+    std::sort(crash_times.begin(), crash_times.end());
+    size_t moments = 0;
+    MonotonicTime last{};
+    for (const MonotonicTime time : crash_times) {
+        if (moments == 0 || time - last >= knobs_.same_moment) {
+            ++moments;
+            last = time;
+        }
+    }
+    return moments >= knobs_.quarantine_threshold;
+}
+
+std::vector<uint64_t> crash_evidence::parts_with_crashes() const {
+    std::vector<uint64_t> digests;
+    for (const uint64_t digest :
+         all_with_crashes(knobs_.quarantine_threshold, crash_suspect::kPart)) {
+        std::vector<MonotonicTime> times;
+        for (const broken_run &run : counted(digest)) {
+            times.push_back(run.at);
+        }
+        if (suffices(std::move(times))) {
+            digests.push_back(digest);
+        }
+    }
+    return digests;
+}
+
 void crash_evidence::update_weak(const broken_run &run) {
     const auto found = contents_.find(run.digest);
     if (found == contents_.end()) {
@@ -155,6 +291,9 @@
 }
 
 bool crash_evidence::is_quarantined(const content &known) const {
+    if (known.suspect != crash_suspect::kContent) {
+        return false;
+    }
     std::vector<MonotonicTime> times;
     for (const broken_worker &broken : known.workers) {
         if (counts(broken)) {
@@ -259,8 +398,18 @@
     }
     std::erase_if(contents_, [&](const auto &entry) {
         // Peers may still repeat evidence that an answer has cleared.
-        return entry.second.workers.empty() && now - entry.second.cleared > knobs_.fate_known_after;
+        MonotonicTime cleared = entry.second.cleared;
+        for (const software_proof &proof : entry.second.proofs) {
+            cleared = std::max(cleared, proof.at);
+        }
+        return entry.second.workers.empty() && now - cleared > knobs_.fate_known_after;
     });
+    lost_at_.clear();
+    for (const auto &[digest, known] : contents_) {
+        for (const broken_worker &broken : known.workers) {
+            index(broken.run);
+        }
+    }
     return ended;
 }
 
@@ -276,10 +425,10 @@
     return runs;
 }
 
-std::vector<uint64_t> crash_evidence::all_with_crashes(size_t least) const {
+std::vector<uint64_t> crash_evidence::all_with_crashes(size_t least, crash_suspect suspect) const {
     std::vector<uint64_t> digests;
     for (const auto &[digest, known] : contents_) {
-        if (crashes_of(known) >= least) {
+        if (known.suspect == suspect && crashes_of(known) >= least) {
             digests.push_back(digest);
         }
     }
--- a/src/quarantine/crash_exchange.cc
+++ b/src/quarantine/crash_exchange.cc
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 
+#include "src/core/digest.h"
+
 namespace chalkshed {
 
 crash_exchange::crash_exchange(TimeSource &time_source, Dispatcher &dispatcher,
                                DatagramTransport &datagrams, request_quarantine &quarantine,
-                               const crash_exchange_knobs &knobs)
-    : time_source_(time_source), datagrams_(datagrams), quarantine_(quarantine), knobs_(knobs),
+                               std::string own_node, const crash_exchange_knobs &knobs)
+    : time_source_(time_source), datagrams_(datagrams), quarantine_(quarantine),
+      own_node_(std::move(own_node)), knobs_(knobs),
       timer_(dispatcher.create_timer([this] { flush(); })) {
     quarantine_.set_on_suspected([this](const broken_run &run) {
         enqueue({{}, {}, {run}}, Duration(0), 1); // sent again as broken
@@ -16,7 +19,23 @@
         enqueue({{run}, {}, {}}, knobs_.batch_delay, knobs_.max_sends);
     });
     quarantine_.set_on_answered([this](const answered_run &run) {
-        enqueue({{}, {run}, {}}, knobs_.batch_delay, knobs_.max_sends);
+        const bool part = run.suspect == crash_suspect::kPart;
+        enqueue({{}, {run}, {}}, part ? proof_delay(run) : knobs_.batch_delay,
+                part ? knobs_.proof_sends : knobs_.max_sends);
+    });
+}
+
+Duration crash_exchange::proof_delay(const answered_run &run) const {
+    const Duration longest = knobs_.proof_delay_per_peer * static_cast<int64_t>(peers_.size() + 1);
+    const uint64_t drawn = content_hash(own_node_, run.digest);
+    return Duration(static_cast<int64_t>(drawn % static_cast<uint64_t>(longest.count())));
+}
+
+void crash_exchange::drop_pending_proof(const answered_run &run) {
+    std::erase_if(pending_, [&](const pending_entry &entry) {
+        const bool proof = !entry.message.answered.empty() && entry.times_sent == 0;
+        return proof && entry.message.answered.front().digest == run.digest &&
+               entry.message.answered.front().software == run.software;
     });
 }
 
@@ -43,6 +62,9 @@
     }
     for (const answered_run &run : message->answered) {
         quarantine_.learn_answered(run);
+        if (run.suspect == crash_suspect::kPart) {
+            drop_pending_proof(run);
+        }
     }
     return true;
 }
--- a/src/quarantine/quarantine_rows.cc
+++ b/src/quarantine/quarantine_rows.cc
@@ -11,23 +11,36 @@
 
 constexpr int kHexadecimal = 16;
 constexpr size_t kSuspectCrashes = 2;
+constexpr size_t kPartCrashes = 3;
+constexpr size_t kMaxRowRuns = 16;
 constexpr std::string_view kSuspectPrefix = "suspect-";
+constexpr std::string_view kPartPrefix = "part-";
 
-// "WORKER MILLISECONDS": the hash of the worker's incarnation, and the time at which its run was
-// lost.
-std::optional<broken_run> parse_line(uint64_t digest, std::string_view line, Duration offset) {
+/** Removes and returns the text up to the next space. */
+std::string_view take_word(std::string_view &line) {
     const size_t space = line.find(' ');
-    if (space == std::string_view::npos) {
-        return std::nullopt;
-    }
-    const auto worker = parse_number<uint32_t>(line.substr(0, space));
-    const auto time = parse_number<int64_t>(line.substr(space + 1));
+    const std::string_view word = line.substr(0, space);
+    line.remove_prefix(space == std::string_view::npos ? line.size() : space + 1);
+    return word;
+}
+
+// "WORKER MILLISECONDS", and for parts " SOFTWARE": the hash of the worker's incarnation, the time
+// at which its run was lost, and its software.
+std::optional<broken_run> parse_line(const quarantine_row_key &key, std::string_view line,
+                                     Duration offset) {
+    const auto worker = parse_number<uint32_t>(take_word(line));
+    const auto time = parse_number<int64_t>(take_word(line));
     // Sums of later times would overflow.
     constexpr int64_t kLatestTime = INT64_MAX / 1'000'000;
     if (!worker || !time || *time < 0 || *time > kLatestTime) {
         return std::nullopt;
     }
-    return broken_run{digest, *worker, MonotonicTime(std::chrono::milliseconds(*time) - offset)};
+    broken_run run{key.digest, *worker, MonotonicTime(std::chrono::milliseconds(*time) - offset)};
+    if (key.part) {
+        run.suspect = crash_suspect::kPart;
+        run.software = parse_software(line);
+    }
+    return run;
 }
 
 MonotonicTime oldest_of(const std::vector<broken_run> &runs) {
@@ -48,17 +61,20 @@
 } // namespace
 
 std::string to_text(const quarantine_row_key &key) {
-    return std::string(key.suspect ? kSuspectPrefix : "") + digest_text(key.digest);
+    return std::string(key.part ? kPartPrefix : "") +
+           std::string(key.suspect ? kSuspectPrefix : "") + digest_text(key.digest);
 }
 
 std::optional<quarantine_row_key> parse_quarantine_row_key(std::string_view text) {
-    const bool suspect = text.starts_with(kSuspectPrefix);
+    const bool part = text.starts_with(kPartPrefix);
+    const std::string_view rest = text.substr(part ? kPartPrefix.size() : 0);
+    const bool suspect = rest.starts_with(kSuspectPrefix);
     const auto digest =
-        parse_number<uint64_t>(text.substr(suspect ? kSuspectPrefix.size() : 0), kHexadecimal);
-    if (!digest || to_text({*digest, suspect}) != text) {
+        parse_number<uint64_t>(rest.substr(suspect ? kSuspectPrefix.size() : 0), kHexadecimal);
+    if (!digest || to_text({*digest, suspect, part}) != text) {
         return std::nullopt;
     }
-    return quarantine_row_key{*digest, suspect};
+    return quarantine_row_key{*digest, suspect, part};
 }
 
 std::string encode_quarantine(const std::vector<broken_run> &runs, Duration offset) {
@@ -67,18 +83,21 @@
         const Duration at = run.at.time_since_epoch() + offset;
         value.append(std::to_string(run.worker))
             .append(" ")
-            .append(std::to_string(at / std::chrono::milliseconds(1)))
-            .append("\n");
+            .append(std::to_string(at / std::chrono::milliseconds(1)));
+        if (run.suspect == crash_suspect::kPart) {
+            value.append(" ").append(software_text(run.software));
+        }
+        value.append("\n");
     }
     return value;
 }
 
-std::vector<broken_run> decode_quarantine(uint64_t digest, std::string_view value,
+std::vector<broken_run> decode_quarantine(const quarantine_row_key &key, std::string_view value,
                                           Duration offset) {
     std::vector<broken_run> runs;
     while (!value.empty()) {
         const size_t end = value.find('\n');
-        if (const auto run = parse_line(digest, value.substr(0, end), offset)) {
+        if (const auto run = parse_line(key, value.substr(0, end), offset)) {
             runs.push_back(*run);
         }
         value.remove_prefix(end == std::string_view::npos ? value.size() : end + 1);
@@ -119,7 +138,7 @@
         return;
     }
     known.version = row.version;
-    known.runs = decode_quarantine(key->digest, row.value, clock_offset());
+    known.runs = decode_quarantine(*key, row.value, clock_offset());
     for (broken_run &run : known.runs) {
         // A time in the future would never expire.
         run.at = std::min(run.at, time_source_.monotonic_now());
@@ -129,6 +148,9 @@
 
 bool quarantine_rows::lacks_any(const known_row &row,
                                 const std::vector<broken_run> &counted) const {
+    if (row.runs.size() >= kMaxRowRuns) {
+        return false;
+    }
     return std::any_of(counted.begin(), counted.end(), [&](const broken_run &run) {
         return std::none_of(row.runs.begin(), row.runs.end(),
                             [&](const broken_run &stored) { return stored.worker == run.worker; });
@@ -145,6 +167,9 @@
     for (const uint64_t digest : quarantine_.evidence().all_quarantined()) {
         rows_.try_emplace({digest, false});
     }
+    for (const uint64_t digest : quarantine_.evidence().parts_with_crashes()) {
+        rows_.try_emplace({digest, false, true});
+    }
     for (auto &[key, row] : rows_) {
         write_if_due(key, row);
     }
@@ -157,6 +182,9 @@
 
 bool quarantine_rows::wanted(const quarantine_row_key &key,
                              const std::vector<broken_run> &counted) const {
+    if (key.part) {
+        return counted.size() >= kPartCrashes;
+    }
     return key.suspect ? counted.size() >= kSuspectCrashes
                        : quarantine_.evidence().quarantined(key.digest);
 }
@@ -166,6 +194,10 @@
     if (!wanted(key, counted)) {
         return row.version != 0 && is_remover_(key.digest);
     }
+    if (key.part && row.version == 0 &&
+        time_source_.monotonic_now() - oldest_of(counted) < knobs_.part_write_delay) {
+        return false;
+    }
     if (key.suspect) {
         // A quarantined content has the more specific row.
         const bool fresh =
@@ -178,7 +210,8 @@
 }
 
 void quarantine_rows::write_if_due(const quarantine_row_key &key, known_row &row) {
-    const std::vector<broken_run> counted = quarantine_.evidence().counted(key.digest);
+    std::vector<broken_run> counted = quarantine_.evidence().counted(key.digest);
+    counted.resize(std::min(counted.size(), kMaxRowRuns));
     const bool due = differs(key, row, counted);
     if (row.writing || !due) {
         row.write_at = due ? row.write_at : MonotonicTime{};
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -1,6 +1,7 @@
 #include "chalkshed/request_quarantine.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "chalkshed/request_digest.h"
 #include "src/core/number_text.h"
@@ -18,34 +19,99 @@
                                        const WorkerSet &workers, Logger &logger,
                                        MetricsRegistry &metrics, const quarantine_knobs &knobs)
     : time_source_(time_source), workers_(workers), logger_(logger), metrics_(metrics),
-      knobs_(knobs), evidence_(knobs.evidence),
+      knobs_(knobs), evidence_(knobs.evidence), part_blame_(evidence_),
       timer_(dispatcher.create_timer([this] { review(); })),
       recent_timer_(dispatcher.create_timer([this] { report_recent(); })),
       suspected_timer_(dispatcher.create_timer([this] { report_suspected(); })),
-      claim_timer_(dispatcher.create_timer([this] { on_permits_changed_(); })) {}
-
-bool request_quarantine::refuses(uint64_t digest) const {
-    const run_claim claim{.may_probe = may_probe(digest)};
-    return evidence_.permit(digest, claim, time_source_.monotonic_now()) ==
-           run_permit::kQuarantined;
+      claim_timer_(dispatcher.create_timer([this] { on_permits_changed_(); })),
+      proof_timer_(dispatcher.create_timer([this] { clear_proved_parts(); })) {}
+
+bool request_quarantine::refuses(const ServingRequest &request, const std::string &service) const {
+    const run_claim claim{.may_probe = may_probe(request.digest)};
+    return evidence_.permit(request.digest, claim, time_source_.monotonic_now()) ==
+               run_permit::kQuarantined ||
+           blame(request, service).verdict == part_verdict::kHeld;
 }
 
-run_permit request_quarantine::claim_run(uint64_t digest, bool lost_worker) {
+run_permit request_quarantine::claim_run(const ServingRequest &request, const std::string &service,
+                                         bool lost_worker) {
+    const uint64_t digest = request.digest;
     const MonotonicTime now = time_source_.monotonic_now();
+    const part_verdict verdict = blame(request, service).verdict;
+    if (verdict == part_verdict::kHeld) {
+        return run_permit::kQuarantined;
+    }
     const run_claim claim{.may_probe = may_probe(digest), .lost_worker = lost_worker};
-    const run_permit permit = take_turn(digest, evidence_.permit(digest, claim, now), now);
+    run_permit permit = evidence_.permit(digest, claim, now);
+    const bool waits =
+        verdict == part_verdict::kUnconfirmed || (lost_worker && verdict == part_verdict::kSuspect);
+    if (permit != run_permit::kQuarantined && waits) {
+        permit = run_permit::kWait;
+    } else {
+        permit = take_turn(digest, permit, now);
+    }
     if (permit == run_permit::kWait) {
         retry_claims();
     }
-    return permit;
+    const bool alone = permit == run_permit::kFree && verdict == part_verdict::kSuspect;
+    return alone ? run_permit::kExclusive : permit;
 }
 
-run_permit request_quarantine::claim_owned_run(uint64_t digest) {
+run_permit request_quarantine::claim_owned_run(const ServingRequest &item,
+                                               const std::string &service) {
     const MonotonicTime now = time_source_.monotonic_now();
-    if (evidence_.awaits_fate(digest, now)) {
+    const part_verdict verdict = blame(item, service).verdict;
+    if (verdict == part_verdict::kHeld) {
+        return run_permit::kQuarantined;
+    }
+    if (verdict != part_verdict::kFree || evidence_.awaits_fate(item.digest, now)) {
         return run_permit::kWait;
     }
-    return take_turn(digest, evidence_.permit(digest, {.may_probe = true}, now), now);
+    return take_turn(item.digest, evidence_.permit(item.digest, {.may_probe = true}, now), now);
+}
+
+software_id request_quarantine::software_of_worker(const ServingWorker &worker) {
+    return software_of(worker.record.service, worker.record.version, "");
+}
+
+bool request_quarantine::any_evidence(const ServingRequest &request) const {
+    return evidence_.size() > 0 &&
+           std::any_of(request.shared_parts.begin(), request.shared_parts.end(),
+                       [this](uint64_t part) { return evidence_.has_evidence(part); });
+}
+
+blamed_part request_quarantine::blame(const ServingRequest &request,
+                                      const std::string &service) const {
+    if (!any_evidence(request)) {
+        return {};
+    }
+    const MonotonicTime now = time_source_.monotonic_now();
+    std::optional<blamed_part> least;
+    for (const auto &[version, workers] : workers_.workers_by_version(service)) {
+        const blamed_part blamed =
+            part_blame_.blame(request, software_of(service, version, ""), now);
+        if (workers > 0 && (!least || blamed.verdict < least->verdict)) {
+            least = blamed;
+        }
+    }
+    return least.value_or(blamed_part{});
+}
+
+std::vector<software_id> request_quarantine::crashing_software(const ServingRequest &request,
+                                                               const std::string &service) const {
+    std::vector<software_id> crashing;
+    if (!any_evidence(request)) {
+        return crashing;
+    }
+    const part_verdict best = blame(request, service).verdict;
+    const MonotonicTime now = time_source_.monotonic_now();
+    for (const auto &[version, workers] : workers_.workers_by_version(service)) {
+        const software_id software = software_of(service, version, "");
+        if (part_blame_.blame(request, software, now).verdict > best) {
+            crashing.push_back(software);
+        }
+    }
+    return crashing;
 }
 
 run_permit request_quarantine::take_turn(uint64_t digest, run_permit permit, MonotonicTime now) {
@@ -67,13 +133,22 @@
     }
 }
 
-Error request_quarantine::refusal(uint64_t digest, const std::string &request_id) const {
+Error request_quarantine::refusal(const ServingRequest &request, const std::string &service) {
+    const blamed_part blamed = blame(request, service);
+    const bool by_part = blamed.verdict == part_verdict::kHeld;
+    if (by_part && held_parts_.insert(blamed.digest).second) {
+        log_held_part(blamed.digest, request);
+    }
+    const uint64_t digest = by_part ? blamed.digest : request.digest;
+    const std::string &request_id = request.id;
     constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
     constexpr Duration kMaxRetryAfter = std::chrono::minutes(1);
     const size_t crashes = evidence_.crash_count(digest);
-    const Duration wait = evidence_.next_probe(digest) - time_source_.monotonic_now();
+    const Duration wait =
+        by_part ? kMaxRetryAfter : evidence_.next_probe(digest) - time_source_.monotonic_now();
     Error error = not_run(ErrorKind::kUnavailable,
-                          std::to_string(crashes) + " workers crashed while running this request",
+                          std::to_string(crashes) + " workers crashed while running " +
+                              (by_part ? "requests with a part of this prompt" : "this request"),
                           "change the request, or retry it after the Retry-After time");
     error.retry_after = std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
     logger_.write(LogLevel::kInfo, "request_held",
@@ -102,12 +177,24 @@
     });
 }
 
-void request_quarantine::note_broken(uint64_t digest, const ServingWorker &worker,
+void request_quarantine::note_broken(const ServingRequest &request, const ServingWorker &worker,
                                      MonotonicTime sent, bool silent) {
-    broken_run run{digest, static_cast<uint32_t>(worker.hash), time_source_.monotonic_now(), silent,
-                   sent};
+    broken_run run{request.digest, static_cast<uint32_t>(worker.hash), time_source_.monotonic_now(),
+                   silent, sent};
+    note_lost(run);
+    run.suspect = crash_suspect::kPart;
+    run.software = software_of_worker(worker);
+    for (const uint64_t part : request.shared_parts) {
+        run.digest = part;
+        note_lost(run);
+    }
+}
+
+void request_quarantine::note_lost(broken_run run) {
     const bool is_new = evidence_.note_broken(run);
-    if (!silent) {
+    // Many runs of a worker share a part, which is evidence once.
+    const bool part = run.suspect == crash_suspect::kPart;
+    if (!run.weak && (is_new || !part)) {
         recent_.push_back({run});
         evaluate_recent();
         run.weak = recent_.back().run.weak;
@@ -115,7 +202,40 @@
     }
     if (is_new) {
         log_broken(run, kSeenHere);
-        review_soon(digest);
+        review_soon(run.digest);
+    }
+}
+
+void request_quarantine::note_answer_begun(const ServingRequest &request,
+                                           const ServingWorker &worker) {
+    if (!any_evidence(request)) {
+        return;
+    }
+    begun_answers_.push_back({request.shared_parts, software_of_worker(worker),
+                              static_cast<uint32_t>(worker.hash), time_source_.monotonic_now()});
+    if (!proof_timer_->enabled()) {
+        proof_timer_->enable(knobs_.evidence.crash_time);
+    }
+}
+
+void request_quarantine::clear_proved_parts() {
+    const MonotonicTime now = time_source_.monotonic_now();
+    while (!begun_answers_.empty() &&
+           now - begun_answers_.front().at >= knobs_.evidence.crash_time) {
+        const begun_answer begun = std::move(begun_answers_.front());
+        begun_answers_.pop_front();
+        if (evidence_.lost_any(begun.worker, begun.at)) {
+            continue;
+        }
+        for (const uint64_t part : begun.parts) {
+            if (evidence_.clear_part(part, begun.software, begun.at) && on_answered_) {
+                on_answered_({part, begun.at, crash_suspect::kPart, begun.software});
+            }
+        }
+    }
+    update_held_parts();
+    if (!begun_answers_.empty()) {
+        proof_timer_->enable(begun_answers_.front().at + knobs_.evidence.crash_time - now);
     }
 }
 
@@ -130,11 +250,15 @@
 }
 
 void request_quarantine::evaluate_recent() {
+    const auto lost = static_cast<size_t>(
+        std::count_if(recent_.begin(), recent_.end(), [](const recent_run &recent) {
+            return recent.run.suspect == crash_suspect::kContent;
+        }));
     for (auto &[run, reported] : recent_) {
         if (reported) {
             continue;
         }
-        const bool weak = recent_.size() > knobs_.max_lost_runs || has_common_cause(run);
+        const bool weak = lost > knobs_.max_lost_runs || has_common_cause(run);
         if (weak != run.weak) {
             run.weak = weak;
             evidence_.update_weak(run);
@@ -163,7 +287,8 @@
         }
         if (other.digest == run.digest) {
             copies += broke_together(run, other, knobs_.same_instant_window) ? 1 : 0;
-        } else if (broke_together(run, other, knobs_.common_cause_window) &&
+        } else if (other.suspect == crash_suspect::kContent &&
+                   broke_together(run, other, knobs_.common_cause_window) &&
                    !explained(run.digest, other.worker)) {
             return true;
         }
@@ -245,7 +370,12 @@
 }
 
 void request_quarantine::learn_answered(const answered_run &run) {
-    release(run.digest, run.sent);
+    if (run.suspect == crash_suspect::kPart) {
+        evidence_.clear_part(run.digest, run.software, run.sent);
+        update_held_parts();
+    } else {
+        release(run.digest, run.sent);
+    }
 }
 
 bool request_quarantine::release_by_operator(uint64_t digest) {
@@ -284,6 +414,7 @@
         }
     }
     update_all_quarantined();
+    update_held_parts();
     if (on_reviewed_) {
         on_reviewed_();
     }
@@ -323,15 +454,16 @@
         return;
     }
     const WorkerPtr worker = workers_.find_hash(run.worker);
-    logger_.write(LogLevel::kInfo, "run_broken_off",
-                  {{"content", digest_text(run.digest)},
-                   {"worker", worker ? worker->record.incarnation : ""},
-                   {"worker_hash", std::to_string(run.worker)},
-                   {"source", source},
-                   {"weak", run.weak ? "yes" : "no"},
-                   {"ran_ms", source == kSeenHere ? milliseconds_text(run.at - run.sent) : ""},
-                   {"broken_ms_ago", milliseconds_text(time_source_.monotonic_now() - run.at)},
-                   {"workers_ended", std::to_string(crashes)}});
+    logger_.write(
+        LogLevel::kInfo, "run_broken_off",
+        {{run.suspect == crash_suspect::kPart ? "part" : "content", digest_text(run.digest)},
+         {"worker", worker ? worker->record.incarnation : ""},
+         {"worker_hash", std::to_string(run.worker)},
+         {"source", source},
+         {"weak", run.weak ? "yes" : "no"},
+         {"ran_ms", source == kSeenHere ? milliseconds_text(run.at - run.sent) : ""},
+         {"broken_ms_ago", milliseconds_text(time_source_.monotonic_now() - run.at)},
+         {"workers_ended", std::to_string(crashes)}});
 }
 
 void request_quarantine::log_confirmed(const broken_run &run) const {
@@ -364,6 +496,32 @@
         .set(static_cast<double>(quarantined_.size()));
 }
 
+void request_quarantine::log_held_part(uint64_t part, const ServingRequest &request) {
+    std::string others;
+    for (const uint64_t other : request.shared_parts) {
+        others += other == part ? "" : (others.empty() ? "" : " ") + digest_text(other);
+    }
+    logger_.write(LogLevel::kWarning, "prompt_part_quarantined",
+                  {{"part", digest_text(part)},
+                   {"workers_ended", std::to_string(evidence_.crash_count(part))},
+                   {"request", request.id},
+                   {"other_parts", others}});
+    metrics_.gauge("chalkshed_quarantined_parts", "Parts of prompts that are held.", {})
+        .set(static_cast<double>(held_parts_.size()));
+}
+
+void request_quarantine::update_held_parts() {
+    std::erase_if(held_parts_, [this](uint64_t part) {
+        const bool freed = evidence_.crash_count(part) < knobs_.evidence.quarantine_threshold;
+        if (freed) {
+            logger_.write(LogLevel::kInfo, "prompt_part_freed", {{"part", digest_text(part)}});
+        }
+        return freed;
+    });
+    metrics_.gauge("chalkshed_quarantined_parts", "Parts of prompts that are held.", {})
+        .set(static_cast<double>(held_parts_.size()));
+}
+
 void request_quarantine::update_all_quarantined() {
     std::vector<uint64_t> digests = evidence_.all_quarantined();
     digests.insert(digests.end(), quarantined_.begin(), quarantined_.end());
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -77,14 +77,14 @@
 }
 
 bool RequestRelay::end_if_quarantined() {
-  if (!environment_.quarantine.refuses(request_.digest)) {
+  if (!environment_.quarantine.refuses(request_, service_)) {
     return false;
   }
   if (runs_ > 0) {
     fail_after_run("workers crashed while they ran this request");
     return true;
   }
-  const Error error = environment_.quarantine.refusal(request_.digest, request_.id);
+  const Error error = environment_.quarantine.refusal(request_, service_);
   writer_->respond(environment_.protocol.refusal(request_.id, error));
   finish(RelayEnd::kRefused, error.message);
   return true;
@@ -100,12 +100,15 @@
 }
 
 bool RequestRelay::send(IfFull if_full) {
-  const run_permit permit = environment_.quarantine.claim_run(request_.digest, runs_ > 0);
+  const run_permit permit = environment_.quarantine.claim_run(request_, service_, runs_ > 0);
   waits_for_earlier_run_ = permit == run_permit::kWait;
   if (waits_for_earlier_run_ || permit == run_permit::kQuarantined) {
     return false;
   }
+  const std::vector<software_id> crashing =
+      environment_.quarantine.crashing_software(request_, service_);
   SlotRequest wanted;
+  wanted.excluded_software = &crashing;
   wanted.alone = permit != run_permit::kFree;
   wanted.service = service_;
   wanted.request = &request_;
@@ -314,7 +317,7 @@
     return;  // no retry is left, and the answer may still arrive
   }
   environment_.workers.note_failure(attempt_->worker(), attempt_->sent());
-  environment_.quarantine.note_broken(request_.digest, attempt_->worker(), attempt_->sent(), true);
+  environment_.quarantine.note_broken(request_, attempt_->worker(), attempt_->sent(), true);
   attempt_.reset();
   AttemptEnd end;
   end.reason = "the worker sent nothing for " + milliseconds_text(silence) + " ms";
@@ -451,8 +454,7 @@
   }
   const bool sent = attempt_ != nullptr || runs_ > 0;
   if (attempt_) {
-    environment_.quarantine.note_broken(request_.digest, attempt_->worker(), attempt_->sent(),
-                                        true);
+    environment_.quarantine.note_broken(request_, attempt_->worker(), attempt_->sent(), true);
   }
   attempt_.reset();
   if (sent) {
--- a/src/serving/serving_gateway.cc
+++ b/src/serving/serving_gateway.cc
@@ -24,7 +24,7 @@
 
 void ServingGateway::handle(RouteTablePtr table, const Route& route, ServingRequest request,
                             ResponseWriterPtr writer) {
-  request.digest = request_digest(request);
+  set_digests(request);
   if (quota_ != nullptr) {
     if (const std::optional<Error> refused = quota_->admit(request.tenant, request.id)) {
       writer->respond(environment_.protocol.refusal(request.id, *refused));
--- a/src/serving/serving_request.h
+++ b/src/serving/serving_request.h
@@ -30,6 +30,7 @@
   // The segments in order; the last one is specific to this request. Empty if the service doesn't
   // generate text.
   std::vector<PromptPart> prompt;
+  std::string model;  // as the caller names it; empty if it names none
   uint32_t prompt_tokens = 0;
   uint32_t max_output_tokens = 0;
   // Tokens that an item of a batch job counts towards the queue limit of its route.
@@ -40,6 +41,8 @@
   std::string resumes;
   // Hash of the content (request_digest.h), equal for all attempts of a caller. Set on admission.
   uint64_t digest = 0;
+  // Hashes of the segments of the prompt that other requests may share. Set on admission.
+  std::vector<uint64_t> shared_parts;
 };
 
 }  // namespace chalkshed
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -105,6 +105,7 @@
     return;
   }
   workers_.note_answer_begun(slot_->worker(), request_.digest, sent_);
+  quarantine_.note_answer_begun(request_, slot_->worker());
   if (slot_->worker_was_idle) {
     first_event_after_ = time_source_.monotonic_now() - sent_;
     workers_.note_first_token(slot_->worker(), request_.prompt_tokens, *first_event_after_);
@@ -165,6 +166,9 @@
     workers_.note_success(worker);
     note_answer(answer_fault::kNone);
     note_pace();
+    if (!relays_events_) {
+      quarantine_.note_answer_begun(request_, worker);
+    }
   } else if (end_.status >= kFirstServerError) {
     note_answer(answer_fault::kStatus);
   }
@@ -195,7 +199,7 @@
 
 void WorkerAttempt::note_broken() {
   const Duration silence = time_source_.monotonic_now() - last_activity_;
-  quarantine_.note_broken(request_.digest, slot_->worker(), sent_, silence >= silence_timeout_);
+  quarantine_.note_broken(request_, slot_->worker(), sent_, silence >= silence_timeout_);
 }
 
 void WorkerAttempt::abandon(std::string reason) {
--- a/src/serving/worker_selection.cc
+++ b/src/serving/worker_selection.cc
@@ -231,7 +231,10 @@
 bool WorkerSelection::excluded(const ServingWorker& worker, const SlotRequest& request) {
   const bool other_software =
       request.software != software_id::kUnknown && request.software != worker.software;
-  return other_software ||
+  const std::vector<software_id>* crashing = request.excluded_software;
+  const bool may_crash = crashing != nullptr && std::find(crashing->begin(), crashing->end(),
+                                                          worker.software) != crashing->end();
+  return other_software || may_crash ||
          (request.tried != nullptr && request.tried->contains(worker.record.incarnation));
 }
 
--- a/src/serving/worker_selection.h
+++ b/src/serving/worker_selection.h
@@ -42,6 +42,8 @@
   // The request goes on with what a worker of this software wrote, and only these may take it.
   // kUnknown: it begins, and any worker may.
   software_id software = software_id::kUnknown;
+  // Software versions that the request may crash. Null: none.
+  const std::vector<software_id>* excluded_software = nullptr;
 };
 
 // The workers of one service.
