The fleet soak plays parts of prompts that crash workers

Judged on what workers ran and callers received: requests with the part later than 3 s after its fifth crash, and sound ones with the same first part that begin, against before.

Found while writing it: the check that no innocent request is refused looked for a wording that refusals have not had since they were reworded, so it could not fail. It reads the present one again; nothing else of the check changes.

--- a/tests/soak/fleet/checks.cc
+++ b/tests/soak/fleet/checks.cc
@@ -41,6 +41,9 @@
     named_check{check_kind::kStreamVersions, "stream_versions"},
     named_check{check_kind::kItemVersions, "item_versions"},
     named_check{check_kind::kTakenUp, "taken_up"},
+    named_check{check_kind::kFatalPart, "fatal_part"},
+    named_check{check_kind::kPartRequests, "part_requests"},
+    named_check{check_kind::kSoundPart, "sound_part"},
 };
 
 int64_t in_ms(Duration length) {
@@ -118,6 +121,7 @@
     void check_innocent(const std::string &id, const request_history &request);
     void check_lag();
     void check_software_versions();
+    void check_fatal_parts();
     void judge_mixed(check_kind kind, const std::vector<mixed_text> &mixed);
 
     /** Whether the sender of the run or its store was disturbed within `contact` before it. */
@@ -154,6 +158,7 @@
     check_fatal_contents();
     check_ends_of_contents();
     check_software_versions();
+    check_fatal_parts();
     check_lag();
     report_.end_to_last_begin = spread_of(std::move(last_begins_));
     return std::move(report_);
@@ -258,7 +263,8 @@
 }
 
 void checker::check_innocent(const std::string &id, const request_history &request) {
-    const bool fatal = history_.fatal_ends.contains(request.send->message.body_digest);
+    const bool fatal = history_.fatal_ends.contains(request.send->message.body_digest) ||
+                       holds_fatal_part(request.send->message);
     if (history_.fatal_ends.empty() || fatal || request.answer == nullptr) {
         return;
     }
@@ -577,6 +583,26 @@
     }
 }
 
+void checker::check_fatal_parts() {
+    constexpr uint64_t kMaxLateRuns = 3;
+    report_.parts = check_parts(history_, bounds_);
+    const part_report &parts = report_.parts;
+    report_.checks[check_kind::kFatalPart].tested = parts.parts;
+    report_.checks[check_kind::kPartRequests].tested = parts.fatal_sent;
+    report_.checks[check_kind::kSoundPart].tested = parts.sound_sent;
+    if (parts.most_of_one_part > kMaxLateRuns) {
+        violate(check_kind::kFatalPart, history_.last,
+                std::to_string(parts.most_of_one_part) +
+                    " requests with one part reached workers after its fifth crash was known");
+    }
+    if (!parts.enough_begin()) {
+        violate(check_kind::kSoundPart, history_.last,
+                std::to_string(parts.sound_began) + " of " + std::to_string(parts.sound_sent) +
+                    " sound requests began, and " + std::to_string(parts.sound_began_before) +
+                    " of " + std::to_string(parts.sound_before) + " before");
+    }
+}
+
 void checker::check_lag() {
     for (const auto &entry : history_.lags) {
         const process_lag &lag = entry.second;
@@ -695,6 +721,14 @@
     output << in_json(report).dump() << '\n';
 }
 
+void print_parts(const part_report &parts, std::ostream &output) {
+    output << "parts=" << parts.parts << " fatal_sent=" << parts.fatal_sent
+           << " sent_after_fifth=" << parts.sent_after_fifth
+           << " most_of_one_part=" << parts.most_of_one_part << " sound_sent=" << parts.sound_sent
+           << " sound_began=" << parts.sound_began << " sound_before=" << parts.sound_before
+           << " sound_began_before=" << parts.sound_began_before << '\n';
+}
+
 void print_versions(const version_report &versions, std::ostream &output) {
     output << "streams_of_two_versions=" << versions.streams.size()
            << " items_of_two_versions=" << versions.items.size()
--- a/tests/soak/fleet/checks.h
+++ b/tests/soak/fleet/checks.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "tests/soak/fleet/deployment.h"
+#include "tests/soak/fleet/part_checks.h"
 #include "tests/soak/fleet/records.h"
 #include "tests/soak/fleet/version_checks.h"
 
@@ -37,6 +38,9 @@
     kStreamVersions, /**< all events of a stream, over its caller's attempts, are of one version */
     kItemVersions,   /**< so are those of an item */
     kTakenUp,        /**< streams that callers take up go on, against those that begin */
+    kFatalPart,      /**< requests with a part that crashes workers are kept from them */
+    kPartRequests,   /**< counts the requests with such a part */
+    kSoundPart,      /**< sound requests with the same first part begin as before */
 };
 
 /** All kinds in the order of the report. */
@@ -78,6 +82,7 @@
     uint64_t jobs = 0;
     uint64_t runs = 0;
     version_report versions;
+    part_report parts;
     /** The test process with the highest 99th percentile of timer lag. */
     process_lag worst_lag;
     /** Why the run is inconclusive; empty if it is valid. */
@@ -98,6 +103,9 @@
 /** Prints one line with the counts of streams, items and attempts. */
 void print_versions(const version_report &versions, std::ostream &output);
 
+/** One line of the counts, as "parts=N fatal_sent=N ...". */
+void print_parts(const part_report &parts, std::ostream &output);
+
 } // namespace chalkshed::soak
 
 #endif
--- a/tests/soak/fleet/deployment.cc
+++ b/tests/soak/fleet/deployment.cc
@@ -527,6 +527,9 @@
     fields.whole("fatal_contents", callers.fatal_contents, 0, kMaxFatal);
     fields.number("fatal_per_minute", callers.fatal_per_minute, 0, kMaxFatalPerMinute);
     fields.percent("fatal_items_percent", callers.fatal_items_percent);
+    constexpr double kMaxPartsPerSecond = 200;
+    fields.whole("fatal_parts", callers.fatal_parts, 0, kMaxFatal);
+    fields.number("fatal_parts_per_second", callers.fatal_parts_per_second, 0, kMaxPartsPerSecond);
     fields.percent("take_up_percent", callers.take_up_percent);
     fields.finish();
     if (callers.end_soon_percent + callers.end_unseen_percent > 100) {
--- a/tests/soak/fleet/deployment.h
+++ b/tests/soak/fleet/deployment.h
@@ -103,6 +103,10 @@
     /** Items whose content terminates every worker that starts it; each has a content of its own.
      */
     uint64_t fatal_items_percent = 0;
+    /** Parts of prompts that crash every worker that begins an answer on one. The callers begin to
+     * send requests with them one after the other; how many with each, per second. */
+    uint64_t fatal_parts = 0;
+    double fatal_parts_per_second = 5;
     /** Resumable streams whose callers close their connection in the middle and take the stream up
      * at another node. */
     uint64_t take_up_percent = 0;
@@ -126,6 +130,9 @@
     Duration leaving = std::chrono::seconds(3);
     /** A disturbance of a node or its store excuses the node for this long afterwards. */
     Duration contact = std::chrono::seconds(4);
+    /** Requests with a part that crashes workers reach none later than this after its fifth crash.
+     */
+    Duration part_lateness = std::chrono::seconds(3);
     /** An accepted job that was not ended lists all items this long after its 202. */
     Duration finish = std::chrono::seconds(60);
     /** A run is invalid if the 99th percentile of the timer lag of a test process exceeds this. */
--- a/tests/soak/fleet/expected_answers.cc
+++ b/tests/soak/fleet/expected_answers.cc
@@ -11,6 +11,7 @@
 constexpr char kItemSeparator = '-';
 constexpr char kVersionMark = '@';
 constexpr std::string_view kFatalPrefix = "ends its worker ";
+constexpr std::string_view kFatalPartPrefix = "fatal-part-";
 constexpr size_t kEventBytes = 75;
 constexpr size_t kPlainBytes = 800;
 
@@ -126,6 +127,18 @@
     return body.starts_with(kFatalPrefix);
 }
 
+std::string fatal_part(uint64_t number) {
+    return std::string(kFatalPartPrefix) + std::to_string(number);
+}
+
+std::string fatal_part_of(const std::string &prompt) {
+    const size_t begin = prompt.find(kFatalPartPrefix);
+    if (begin == std::string::npos || prompt.find(',', begin) == std::string::npos) {
+        return "";
+    }
+    return prompt.substr(begin, prompt.find_first_of(":,", begin) - begin);
+}
+
 std::string request_body(const std::string &id, uint64_t length) {
     std::mt19937_64 engine(content_hash(id));
     std::string body;
--- a/tests/soak/fleet/expected_answers.h
+++ b/tests/soak/fleet/expected_answers.h
@@ -53,6 +53,12 @@
 std::string fatal_item_body(const std::string &item, uint64_t length);
 bool is_fatal(const std::string &body);
 
+/** The parts of a prompt that crash each worker that begins an answer on it. */
+std::string fatal_part(uint64_t number);
+/** \param prompt The header's value. \return The fatal part in it that isn't the last; empty: none.
+ */
+std::string fatal_part_of(const std::string &prompt);
+
 /** A request body of pseudo-random bytes of all values, different for each id. */
 std::string request_body(const std::string &id, uint64_t length);
 
--- a/tests/soak/fleet/fleet_main.cc
+++ b/tests/soak/fleet/fleet_main.cc
@@ -79,6 +79,9 @@
                     [](const service_options &service) { return service.versions > 0; })) {
         print_versions(checked.versions, std::cout);
     }
+    if (plan.callers.fatal_parts > 0) {
+        print_parts(checked.parts, std::cout);
+    }
     if (!checked.invalid.empty()) {
         return kInvalid;
     }
--- a/tests/soak/fleet/fleet_worker.cc
+++ b/tests/soak/fleet/fleet_worker.cc
@@ -130,7 +130,7 @@
     }
     running_.emplace(added->number, added);
     if (is_fatal(added->request.body)) {
-        schedule_crash_by(*added);
+        schedule_crash_by(*added, content_digest(added->request.body));
     }
     const std::weak_ptr<run> weak = added;
     added->timer = process_.dispatcher.create_timer([this, weak] {
@@ -149,14 +149,13 @@
     }
 }
 
-void fleet_worker::schedule_crash_by(const run &fatal) {
+void fleet_worker::schedule_crash_by(const run &fatal, const std::string &cause) {
     constexpr Duration kMinDelay = milliseconds(2);
     constexpr Duration kMaxDelay = milliseconds(90);
     process_.run_after(process_.random_duration(kMinDelay, kMaxDelay),
-                       lifetime_.guard([this, number = fatal.number, id = fatal.id,
-                                        content = content_digest(fatal.request.body)] {
+                       lifetime_.guard([this, number = fatal.number, id = fatal.id, cause] {
                            if (!crashed_ && running_.contains(number) && on_fatal) {
-                               on_fatal(id, content);
+                               on_fatal(id, cause);
                            }
                        }));
 }
@@ -215,6 +214,10 @@
 }
 
 void fleet_worker::begin_answer(const run_ptr &current) {
+    const std::string part = fatal_part_of(header(current->request, platform::kPromptPrefix));
+    if (!part.empty()) {
+        schedule_crash_by(*current, part);
+    }
     if (answer_wrongly(current)) {
         return;
     }
--- a/tests/soak/fleet/fleet_worker.h
+++ b/tests/soak/fleet/fleet_worker.h
@@ -92,7 +92,7 @@
     std::optional<HttpResponse> refusal(const HttpRequest &head);
     HttpResponse not_run_response(int status, const std::string &id) const;
     void begin(const run_ptr &added);
-    void schedule_crash_by(const run &fatal);
+    void schedule_crash_by(const run &fatal, const std::string &cause);
     void begin_queued();
     /** Answers with a failure if one of the faults says so. \return Whether it did. */
     bool answer_wrongly(const run_ptr &current);
--- a/tests/soak/fleet/online_load.cc
+++ b/tests/soak/fleet/online_load.cc
@@ -37,8 +37,9 @@
     return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
+constexpr uint64_t kSharedPrompts = 16;
+
 std::string random_prompt(RandomGenerator &random) {
-    constexpr uint64_t kSharedPrompts = 16;
     constexpr uint64_t kOtherPrompts = 1655;
     return "a" + std::to_string(random.below(kSharedPrompts)) + ":100,b" +
            std::to_string(random.below(kOtherPrompts)) + ":100,c" +
@@ -98,6 +99,51 @@
     for (uint64_t number = 0; number < process_.options.plan.callers.fatal_contents; ++number) {
         schedule_fatal(number);
     }
+    begin_fatal_parts();
+}
+
+void online_load::begin_fatal_parts() {
+    const uint64_t parts = process_.options.plan.callers.fatal_parts;
+    std::vector<const route_options *> routes;
+    for (const route_options &route : process_.options.plan.routes) {
+        if (route.kind == route_kind::kStreaming) {
+            routes.push_back(&route);
+        }
+    }
+    for (uint64_t number = 0; !routes.empty() && number < parts; ++number) {
+        // The first begins when a third of the time has passed, to compare with the time before.
+        const Duration begin = process_.options.plan.length / 3 + process_.options.plan.length / 3 *
+                                                                      static_cast<int64_t>(number) /
+                                                                      static_cast<int64_t>(parts);
+        process_.run_after(begin, [this, number, route = routes[number % routes.size()]] {
+            schedule_fatal_part(*route, number);
+        });
+    }
+}
+
+void online_load::schedule_fatal_part(const route_options &route, uint64_t number) {
+    const caller_options &callers = process_.options.plan.callers;
+    const double rate = callers.fatal_parts_per_second / static_cast<double>(callers.processes);
+    if (ended_ || rate <= 0) {
+        return;
+    }
+    process_.run_after(exponential(process_.random, rate), [this, &route, number] {
+        send_fatal_part(route, number);
+        schedule_fatal_part(route, number);
+    });
+}
+
+void online_load::send_fatal_part(const route_options &route, uint64_t number) {
+    const uint64_t node = nodes_.pick();
+    const call_ptr fatal = prepare(route, node, kMaxTries);
+    fatal->moves = false;
+    for (HttpHeader &header : fatal->request.headers) {
+        if (header.name == platform::kPromptPrefix) {
+            header.value = "a" + std::to_string(number % kSharedPrompts) + ":100," +
+                           fatal_part(number) + ":100,c" + std::to_string(next_id_) + ":250";
+        }
+    }
+    send(fatal, connection_to(node, false));
 }
 
 void online_load::schedule_fatal(uint64_t number) {
@@ -286,7 +332,7 @@
     entry.status = result.status;
     entry.whole = result.whole;
     entry.held = result.status == 503 &&
-                 result.body.find("ended while they ran this request") != std::string::npos;
+                 result.body.find("workers crashed while running") != std::string::npos;
     entry.matches = matches(*sent, result);
     if (sent->route->kind == route_kind::kStreaming) {
         entry.versions = without_marks(result.body).versions;
--- a/tests/soak/fleet/online_load.h
+++ b/tests/soak/fleet/online_load.h
@@ -37,6 +37,10 @@
     void schedule_fatal(uint64_t number);
     /** Sends one request with that body. */
     void send_fatal(const route_options &route, uint64_t number);
+    void begin_fatal_parts();
+    /** Repeatedly sends requests of their own content with that part to random nodes. */
+    void schedule_fatal_part(const route_options &route, uint64_t number);
+    void send_fatal_part(const route_options &route, uint64_t number);
     void submit(const route_options &route, uint64_t node, int tries);
     call_ptr prepare(const route_options &route, uint64_t node, int tries);
     wire_client_ptr connection_to(uint64_t node, bool kept);
--- a/tests/soak/fleet/records.h
+++ b/tests/soak/fleet/records.h
@@ -209,7 +209,8 @@
     MonotonicTime at{};
     std::string worker;
     std::string id;
-    /** body_digest of the request: all requests of one fatal content have the same. */
+    /** body_digest of the request, which all requests of one fatal content share, or the id of the
+     * part of its prompt that crashed the worker. */
     std::string content;
 };
 
--- a/tests/soak_fleet/checks_test.cc
+++ b/tests/soak_fleet/checks_test.cc
@@ -40,6 +40,7 @@
         add_leaving_worker();
         add_fatal_content();
         add_versions();
+        add_fatal_part();
         add(process_lag{at(100'000), "caller-1", 100, milliseconds(1), milliseconds(5),
                         milliseconds(80)});
     }
@@ -118,6 +119,38 @@
         add(online_answer{at(72'500), "s-3", 200, true, true, false, {"v1"}});
     }
 
+    /** A part that crashes a worker, a sound request with the same first part while the part is
+     * requested, and a request with the part that is refused. */
+    void add_fatal_part() {
+        send_part(80'000);
+        send_sound(90'000, "p-sound");
+        const carried_message refused = part_message("p-refused", "fatal-part-0");
+        add(online_send{at(95'000), "p-refused", "n-1", refused, false, false});
+        add(online_answer{at(95'001), "p-refused", 503, true, true, true});
+    }
+    /** \return A request of its own content whose second part is that one. */
+    static carried_message part_message(const std::string &id, const std::string &second) {
+        carried_message with = message("/stream/" + id);
+        with.headers.push_back({"chalkshed-prompt-prefix", "a0:1," + second + ":1,own:1"});
+        return with;
+    }
+    void send_part(int64_t when) {
+        const std::string id = "p-" + std::to_string(++parts_sent_);
+        const carried_message fatal = part_message(id, "fatal-part-0");
+        add(online_send{at(when), id, "n-1", fatal, false, false});
+        begin(when + 10, id, fatal, "w-" + id);
+        add(fatal_end{at(when + 50), "w-" + id, id, "fatal-part-0"});
+        add(caller_left{at(when + 55), id});
+    }
+    void send_sound(int64_t when, const std::string &id, int status = 200) {
+        const carried_message sound = part_message(id, "other");
+        add(online_send{at(when), id, "n-1", sound, false, false});
+        if (status == 200) {
+            begin(when + 10, id, sound);
+        }
+        add(online_answer{at(when + 100), id, status, true, true});
+    }
+
     static std::vector<sent_item> items_of(const std::string &job) {
         return {{job + "-0", message("/list/" + job + "-0")},
                 {job + "-1", message("/list/" + job + "-1")}};
@@ -196,6 +229,7 @@
     std::vector<record> records_;
     uint64_t runs_ = 0;
     uint64_t fatal_ = 0;
+    uint64_t parts_sent_ = 0;
 };
 
 TEST_F(fleet_checks, pass_valid_records_and_count_each_case) {
@@ -206,11 +240,33 @@
         EXPECT_GE(report.checks.at(kind).tested, 1U) << check_name(kind);
     }
     EXPECT_TRUE(report.passed());
-    EXPECT_EQ(report.runs, 14U);
-    EXPECT_EQ(report.checks.at(check_kind::kSent).tested, 14U);
+    EXPECT_EQ(report.runs, 16U);
+    EXPECT_EQ(report.checks.at(check_kind::kSent).tested, 16U);
     EXPECT_EQ(report.checks.at(check_kind::kListing).tested, 2U);
 }
 
+// A part that crashes workers is kept from them, and sound requests begin as before.
+
+TEST_F(fleet_checks, a_part_that_reaches_workers_after_its_fifth_crash_is_found) {
+    for (int64_t when = 81'000; when < 83'000; when += 500) {
+        send_part(when);
+    }
+    for (int64_t when = 93'000; when < 93'300; when += 100) {
+        send_part(when);
+    }
+    expect_found(check_kind::kFatalPart, 0);
+    send_part(94'000);
+    expect_found(check_kind::kFatalPart, 1);
+}
+
+TEST_F(fleet_checks, sound_requests_that_begin_less_often_than_before_are_found) {
+    for (int64_t number = 0; number < 20; ++number) {
+        send_sound(76'000 + number, "before-" + std::to_string(number));
+        send_sound(91'000 + number, "refused-" + std::to_string(number), number < 11 ? 503 : 200);
+    }
+    expect_found(check_kind::kSoundPart, 1);
+}
+
 // Streams and items hold events of one software version.
 
 TEST_F(fleet_checks, a_stream_that_goes_on_at_another_version_is_found) {
