Parts that were sound a moment ago do not explain crashes under one that never was

Callers lost more workers than needed before a fatal part was held: a part that half of the sound requests hold is lost with nearly every worker, so it explained the crashes as well until it was proved again, 300 ms and a report later. Nodes now remember for 15 to 30 s which parts were written on (sound_parts), and such a part explains no crashes under a part that never was. A part that was itself sound is blamed only for crashes that no several others explain together, as two fatal parts behind one first part do (a trial held 3 sound requests there).

The test's plays begin with these 2 s now and last 2 s longer; its bounds are as before.

--- a/include/chalkshed/part_blame.h
+++ b/include/chalkshed/part_blame.h
@@ -11,9 +11,11 @@
  * Performs no I/O and takes the time as a parameter. */
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 #include "chalkshed/crash_evidence.h"
+#include "chalkshed/sound_parts.h"
 #include "src/serving/serving_request.h"
 
 namespace chalkshed {
@@ -37,20 +39,34 @@
 
 class part_blame {
 public:
-    /** \param evidence Outlives this. */
-    explicit part_blame(const crash_evidence &evidence) : evidence_(evidence) {}
+    /** Both outlive this. */
+    part_blame(const crash_evidence &evidence, const sound_parts &sound)
+        : evidence_(evidence), sound_(sound) {}
 
     /** Whether the request may run at workers of that software. */
     blamed_part blame(const ServingRequest &request, software_id software, MonotonicTime now) const;
 
 private:
+    /** All contents and parts that lost a run at one worker. */
+    using lost_worker = std::vector<uint64_t>;
+
     part_verdict judge(uint64_t part, const ServingRequest &request, software_id software,
                        MonotonicTime now) const;
     /** Whether something that the request doesn't hold may explain the crashes as well. */
-    bool explained_otherwise(const std::vector<broken_run> &runs, const ServingRequest &request,
+    bool explained_otherwise(uint64_t part, const std::vector<broken_run> &runs,
+                             const ServingRequest &request, software_id software,
                              MonotonicTime now) const;
 
+    /** \return What was lost with each of the workers, but for the newest ones. */
+    std::vector<lost_worker> settled_losses(const std::vector<broken_run> &runs,
+                                            MonotonicTime now) const;
+    /** Whether parts with several crashes each explain at least half of the losses together, as two
+     * fatal parts do that share a sound one. \param others Suspects by their number of losses. */
+    bool explained_by_several(const std::vector<lost_worker> &losses,
+                              const std::map<uint64_t, size_t> &others) const;
+
     const crash_evidence &evidence_;
+    const sound_parts &sound_;
 };
 
 } // namespace chalkshed
--- a/include/chalkshed/quarantine_api.h
+++ b/include/chalkshed/quarantine_api.h
@@ -2,10 +2,10 @@
 #define CHALKSHED_QUARANTINE_API_H
 
 /** \file
- * Lets operators list the suspect and quarantined contents, and release one.
+ * Lets operators list the suspect and quarantined contents and parts of prompts, and release one.
  *
  *     GET  /admin/quarantine                    {"contents": [{"content", "workers_ended", "held",
- *                                               "next_trial_ms"}]}
+ *                                               "next_trial_ms", "kind"}]}
  *     POST /admin/quarantine/CONTENT/release    the same, without the released content
  *
  * Only callers on this machine may release a content, because there are no credentials for
--- a/include/chalkshed/request_quarantine.h
+++ b/include/chalkshed/request_quarantine.h
@@ -210,11 +210,12 @@
     MetricsRegistry &metrics_;
     const quarantine_knobs knobs_;
     crash_evidence evidence_;
+    sound_parts sound_parts_;
     const part_blame part_blame_;
     std::set<uint64_t> quarantined_;
     /** Runs that this node lost recently, oldest first. */
     std::vector<recent_run> recent_;
-    /** Answers that have begun, oldest first, on prompts with a part under suspicion. */
+    /** Answers that have begun, oldest first, on prompts with shared parts. */
     struct begun_answer {
         std::vector<uint64_t> parts;
         software_id software = software_id::kUnknown;
--- a/src/control/listings.cc
+++ b/src/control/listings.cc
@@ -112,7 +112,8 @@
               {{"CONTENT", "/content"},
                {"WORKERS ENDED", "/workers_ended"},
                {"HELD", "/held"},
-               {"NEXT TRIAL MS", "/next_trial_ms"}}};
+               {"NEXT TRIAL MS", "/next_trial_ms"},
+               {"KIND", "/kind"}}};
     default:
       return {"nodes",
               {{"NODE", "/id"},
--- a/src/quarantine/part_blame.cc
+++ b/src/quarantine/part_blame.cc
@@ -33,7 +33,7 @@
         return part_verdict::kFree;
     }
     const std::vector<broken_run> runs = evidence_.suspect_runs(part, now);
-    if (runs.size() < kSuspectCrashes || explained_otherwise(runs, request, now)) {
+    if (runs.size() < kSuspectCrashes || explained_otherwise(part, runs, request, software, now)) {
         return part_verdict::kFree;
     }
     std::vector<MonotonicTime> all;
@@ -51,29 +51,54 @@
 }
 
 // Reports of the newest crash may not have arrived for all that was lost with the worker.
-bool part_blame::explained_otherwise(const std::vector<broken_run> &runs,
-                                     const ServingRequest &request, MonotonicTime now) const {
-    std::map<uint64_t, size_t> shared;
-    size_t settled = 0;
+std::vector<part_blame::lost_worker> part_blame::settled_losses(const std::vector<broken_run> &runs,
+                                                                MonotonicTime now) const {
+    std::vector<lost_worker> losses;
     for (const broken_run &run : runs) {
-        if (now - run.at < evidence_.knobs().settle_time) {
-            continue;
-        }
-        ++settled;
-        for (const uint64_t digest : evidence_.lost_at(run.worker, now)) {
-            ++shared[digest];
+        if (now - run.at >= evidence_.knobs().settle_time) {
+            losses.push_back(evidence_.lost_at(run.worker, now));
         }
     }
-    if (settled < kSuspectCrashes) {
+    return losses;
+}
+
+bool part_blame::explained_otherwise(uint64_t part, const std::vector<broken_run> &runs,
+                                     const ServingRequest &request, software_id software,
+                                     MonotonicTime now) const {
+    const std::vector<lost_worker> losses = settled_losses(runs, now);
+    if (losses.size() < kSuspectCrashes) {
         return true;
     }
-    return std::any_of(shared.begin(), shared.end(), [&](const auto &entry) {
+    const bool was_sound = sound_.known(part, software, now);
+    std::map<uint64_t, size_t> others;
+    for (const lost_worker &loss : losses) {
+        for (const uint64_t digest : loss) {
+            // A part that was sound a moment ago doesn't explain crashes under one that never was.
+            const bool competes = was_sound || !sound_.known(digest, software, now);
+            if (competes && !holds(request, digest)) {
+                ++others[digest];
+            }
+        }
+    }
+    const bool by_one = std::any_of(others.begin(), others.end(), [&](const auto &entry) {
         const auto &[digest, crashes] = entry;
         // A content has one crash in two of the first two, whatever causes them.
-        const bool competes =
-            evidence_.is_part(digest) ? 2 * crashes >= settled : 2 * crashes > settled;
-        return competes && !holds(request, digest);
+        return evidence_.is_part(digest) ? 2 * crashes >= losses.size()
+                                         : 2 * crashes > losses.size();
+    });
+    return by_one || (was_sound && explained_by_several(losses, others));
+}
+
+bool part_blame::explained_by_several(const std::vector<lost_worker> &losses,
+                                      const std::map<uint64_t, size_t> &others) const {
+    const auto explained = std::count_if(losses.begin(), losses.end(), [&](const auto &loss) {
+        return std::any_of(loss.begin(), loss.end(), [&](uint64_t digest) {
+            const auto found = others.find(digest);
+            return found != others.end() && found->second >= kSuspectCrashes &&
+                   evidence_.is_part(digest);
+        });
     });
+    return 2 * static_cast<size_t>(explained) >= losses.size();
 }
 
 } // namespace chalkshed
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -19,7 +19,7 @@
                                        const WorkerSet &workers, Logger &logger,
                                        MetricsRegistry &metrics, const quarantine_knobs &knobs)
     : time_source_(time_source), workers_(workers), logger_(logger), metrics_(metrics),
-      knobs_(knobs), evidence_(knobs.evidence), part_blame_(evidence_),
+      knobs_(knobs), evidence_(knobs.evidence), part_blame_(evidence_, sound_parts_),
       timer_(dispatcher.create_timer([this] { review(); })),
       recent_timer_(dispatcher.create_timer([this] { report_recent(); })),
       suspected_timer_(dispatcher.create_timer([this] { report_suspected(); })),
@@ -208,7 +208,7 @@
 
 void request_quarantine::note_answer_begun(const ServingRequest &request,
                                            const ServingWorker &worker) {
-    if (!any_evidence(request)) {
+    if (request.shared_parts.empty()) {
         return;
     }
     begun_answers_.push_back({request.shared_parts, software_of_worker(worker),
@@ -228,6 +228,7 @@
             continue;
         }
         for (const uint64_t part : begun.parts) {
+            sound_parts_.note(part, begun.software, now);
             if (evidence_.clear_part(part, begun.software, begun.at) && on_answered_) {
                 on_answered_({part, begun.at, crash_suspect::kPart, begun.software});
             }
--- a/tests/quarantine/crashing_parts_test.cc
+++ b/tests/quarantine/crashing_parts_test.cc
@@ -32,7 +32,7 @@
     /** Workers crash for other reasons, one in this time; 0: none. */
     Duration other_crashes{0};
     uint64_t seed = 1;
-    Duration length = seconds(8);
+    Duration length = seconds(10);
 };
 
 struct part_result {
@@ -114,9 +114,11 @@
     std::vector<retrying_caller> fatal;
     std::vector<SeenAnswerPtr> sound;
     constexpr Duration kStep = milliseconds(1);
+    // Sound requests alone at first, as in a fleet that has served for a while.
+    constexpr size_t kStepsBefore = 2000;
     const auto other_crash_steps = static_cast<size_t>(load.other_crashes / kStep);
     for (size_t step = 0; step < static_cast<size_t>(load.length / kStep); ++step) {
-        if (due(step, load.fatal_per_second)) {
+        if (step >= kStepsBefore && due(step, load.fatal_per_second)) {
             const size_t number = fatal.size();
             const auto &shared = load.fatal_prompts[number % load.fatal_prompts.size()];
             fatal.emplace_back(fleet, load, "fatal " + std::to_string(number),
@@ -355,6 +357,35 @@
     EXPECT_TRUE(fleet->cluster.node("n0").quarantine().refuses(request, "engines"));
 }
 
+std::string listing(crashing_fleet &fleet, const std::string &method, const std::string &path) {
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.peer.ip = "127.0.0.1";
+    auto seen = std::make_shared<SeenAnswer>();
+    fleet.cluster.node("n0").operator_handler().handle(std::move(request),
+                                                       std::make_unique<FakeWriter>(seen));
+    return seen->body;
+}
+
+TEST(CrashingParts, AnOperatorReleasesAPartAtAllNodes) {
+    const auto fleet = fleet_with_held_part({});
+    fleet->fatal_parts.clear();
+    const auto listed =
+        nlohmann::json::parse(listing(*fleet, "GET", "/admin/quarantine")).at("contents");
+    size_t held = 0;
+    for (const nlohmann::json &entry : listed) {
+        if (entry.at("kind") == "part" && entry.at("held").get<bool>()) {
+            ++held;
+            const std::string digest = entry.at("content").get<std::string>();
+            listing(*fleet, "POST", "/admin/quarantine/" + digest + "/release");
+        }
+    }
+    EXPECT_GE(held, 1U);
+    fleet->run_for(seconds(2));
+    EXPECT_EQ(send_fatal(*fleet, "n2", "after the release")->status, 200);
+}
+
 TEST(CrashingParts, AnItemWithAHeldPartWaits) {
     const auto fleet = fleet_with_held_part({});
     const size_t runs = fleet->runs.size();
--- a/tests/quarantine/part_blame_test.cc
+++ b/tests/quarantine/part_blame_test.cc
@@ -44,7 +44,8 @@
 
     MonotonicTime now{std::chrono::seconds(100)};
     crash_evidence evidence;
-    part_blame blame{evidence};
+    sound_parts sound;
+    part_blame blame{evidence, sound};
 };
 
 TEST_F(PartBlame, HoldsRequestsWithAllThatMayExplainTheCrashes) {
@@ -82,6 +83,41 @@
     EXPECT_EQ(verdict({10, 30}), part_verdict::kFree);
 }
 
+// A popular part is lost with nearly every worker.
+TEST_F(PartBlame, APartThatWasSoundAMomentAgoDoesNotExplainCrashesUnderANewOne) {
+    sound.note(10, kOld, now);
+    sound.note(30, kOld, now);
+    for (uint32_t worker = 1; worker <= 3; ++worker) {
+        crash(worker, {request_with(worker, {10, 20}), request_with(100 + worker, {10, 30})});
+    }
+    EXPECT_EQ(verdict({10, 20}), part_verdict::kHeld);
+    EXPECT_EQ(verdict({10, 30}), part_verdict::kFree);
+    EXPECT_EQ(verdict({10}), part_verdict::kFree);
+}
+
+// A part that was sound may crash workers of another version, or from a change of its text on.
+TEST_F(PartBlame, APartThatWasSoundIsHeldOnceItAloneExplainsTheCrashes) {
+    sound.note(10, kOld, now);
+    for (uint32_t worker = 1; worker <= 4; ++worker) {
+        crash(worker, {request_with(worker, {10, 20U + worker})});
+    }
+    EXPECT_EQ(verdict({10, 99}), part_verdict::kHeld);
+}
+
+TEST(SoundParts, AreRememberedForAWhileAndInALimitedNumber) {
+    sound_parts sound({.memory = std::chrono::seconds(10), .max_parts = 3});
+    const MonotonicTime begin{std::chrono::seconds(100)};
+    sound.note(1, kOld, begin);
+    EXPECT_TRUE(sound.known(1, kOld, begin));
+    EXPECT_FALSE(sound.known(1, kNew, begin));
+    EXPECT_FALSE(sound.known(1, kOld, begin + std::chrono::seconds(21)));
+    for (uint64_t part = 2; part <= 7; ++part) {
+        sound.note(part, kOld, begin);
+    }
+    EXPECT_FALSE(sound.known(1, kOld, begin));
+    EXPECT_TRUE(sound.known(7, kOld, begin));
+}
+
 TEST_F(PartBlame, AContentThatCrashesByItselfHoldsNoPart) {
     for (uint32_t worker = 1; worker <= 4; ++worker) {
         crash(worker, {request_with(7, {10, 20})});
@@ -113,7 +149,8 @@
 // parts have all been written on since their last loss.
 RC_GTEST_PROP(PartBlameProperty, ARequestWhosePartsAreClearedIsFree, ()) {
     crash_evidence evidence;
-    const part_blame blame(evidence);
+    const sound_parts sound;
+    const part_blame blame(evidence, sound);
     MonotonicTime now{std::chrono::seconds(100)};
     const auto losses = *rc::gen::container<std::vector<std::pair<uint32_t, uint64_t>>>(
         rc::gen::pair(rc::gen::inRange<uint32_t>(1, 12), rc::gen::inRange<uint64_t>(10, 16)));
