Nodes that start do not learn of cleared losses without the proofs

A node that had just started refused sound requests for some 100 ms: it heard the repeated reports of lost runs, and not that their parts had been cleared before it started.

--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -39,6 +39,9 @@
     /** A worker that has written on an answer for this long after its first event would have
      * crashed by then if a part of the prompt crashed it. */
     Duration crash_time = std::chrono::milliseconds(300);
+    /** A sound part that is in use is cleared within this time: crash_time, and the time until the
+     * first event of an answer. */
+    Duration proof_time = std::chrono::milliseconds(700);
     /** A peer's suspicion expires after this time unless the peer confirms it. By then the peer has
      * seen whether other runs were lost at the same time, and has sent its report twice. */
     Duration suspicion_timeout = std::chrono::milliseconds(250);
@@ -152,6 +155,8 @@
     /** Whether a part was cleared at that software, and nothing has been lost there since. */
     bool proved(uint64_t digest, software_id software) const;
     bool is_part(uint64_t digest) const;
+    /** Whether that run is among the evidence. */
+    bool lost(const broken_run &run) const;
     /** Whether any run of the content or the part was lost and not cleared. */
     bool has_evidence(uint64_t digest) const;
     /** The lost runs that count, and those that peers report as suspected. */
--- a/include/chalkshed/crash_exchange.h
+++ b/include/chalkshed/crash_exchange.h
@@ -36,7 +36,6 @@
     /** Most nodes see at about the same time that a part is sound. Each waits for up to this long
      * per peer before it says so, and is silent if another has said it meanwhile. */
     Duration proof_delay_per_peer = std::chrono::milliseconds(1);
-    int proof_sends = 2;
 };
 
 class crash_exchange {
@@ -60,6 +59,9 @@
     void enqueue(crash_message message, Duration batch_delay, int sends);
     /** When this node says that a part is sound, unless a peer does before. */
     Duration proof_delay(const answered_run &run) const;
+    /** Whether it is a lost run of a part that has been cleared since: nodes that have just started
+     * would learn of the loss and not of the proof. */
+    bool is_cleared(const crash_message &message) const;
     /** A peer has said that a part is sound. */
     void drop_pending_proof(const answered_run &run);
     void flush();
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -122,6 +122,14 @@
     return known != nullptr && known->suspect == crash_suspect::kPart;
 }
 
+bool crash_evidence::lost(const broken_run &run) const {
+    const content *known = find(run.digest);
+    return known != nullptr && std::any_of(known->workers.begin(), known->workers.end(),
+                                           [&](const broken_worker &broken) {
+                                               return broken.run.worker == run.worker;
+                                           });
+}
+
 bool crash_evidence::has_evidence(uint64_t digest) const {
     const content *known = find(digest);
     return known != nullptr && !known->workers.empty();
--- a/src/quarantine/crash_exchange.cc
+++ b/src/quarantine/crash_exchange.cc
@@ -20,8 +20,7 @@
     });
     quarantine_.set_on_answered([this](const answered_run &run) {
         const bool part = run.suspect == crash_suspect::kPart;
-        enqueue({{}, {run}, {}}, part ? proof_delay(run) : knobs_.batch_delay,
-                part ? knobs_.proof_sends : knobs_.max_sends);
+        enqueue({{}, {run}, {}}, part ? proof_delay(run) : knobs_.batch_delay, knobs_.max_sends);
     });
 }
 
@@ -31,6 +30,12 @@
     return Duration(static_cast<int64_t>(drawn % static_cast<uint64_t>(longest.count())));
 }
 
+bool crash_exchange::is_cleared(const crash_message &message) const {
+    const bool part =
+        !message.broken.empty() && message.broken.front().suspect == crash_suspect::kPart;
+    return part && !quarantine_.evidence().lost(message.broken.front());
+}
+
 void crash_exchange::drop_pending_proof(const answered_run &run) {
     std::erase_if(pending_, [&](const pending_entry &entry) {
         const bool proof = !entry.message.answered.empty() && entry.times_sent == 0;
@@ -101,6 +106,10 @@
         if (entry.due > now || entries == kMaxCrashEntries) {
             continue;
         }
+        if (entry.times_sent > 0 && is_cleared(entry.message)) {
+            entry.times_sent = entry.sends;
+            continue;
+        }
         ++entries;
         const crash_message &source = entry.message;
         message.broken.insert(message.broken.end(), source.broken.begin(), source.broken.end());
--- a/src/quarantine/part_blame.cc
+++ b/src/quarantine/part_blame.cc
@@ -36,6 +36,15 @@
     if (runs.size() < kSuspectCrashes || explained_otherwise(part, runs, request, software, now)) {
         return part_verdict::kFree;
     }
+    const auto oldest =
+        std::min_element(runs.begin(), runs.end(),
+                         [](const broken_run &a, const broken_run &b) { return a.at < b.at; });
+    // If it is still sound, requests that are under way clear it.
+    const bool may_be_cleared =
+        sound_.known(part, software, now) && now - oldest->at < evidence_.knobs().proof_time;
+    if (may_be_cleared) {
+        return part_verdict::kSuspect;
+    }
     std::vector<MonotonicTime> all;
     std::vector<MonotonicTime> confirmed;
     for (const broken_run &run : runs) {
--- a/tests/quarantine/crashing_parts_test.cc
+++ b/tests/quarantine/crashing_parts_test.cc
@@ -252,6 +252,50 @@
     expect_held(load);
 }
 
+// Racks fail, connections are reset, workers are replaced and nodes are killed; no part crashes
+// any.
+TEST(CrashingParts, NoSoundPartIsHeldWhenWorkersCrashForOtherReasons) {
+    constexpr uint64_t kSeeds = 10;
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        part_load load;
+        load.nodes = 9;
+        load.workers = 24;
+        load.seed = seed;
+        crashing_fleet fleet(fleet_knobs(load));
+        std::vector<SeenAnswerPtr> answers;
+        for (size_t step = 0; step < 1200; ++step) {
+            const std::vector<std::string> shared = {"route" + std::to_string(step % 2),
+                                                     "m" + std::to_string(step % 40)};
+            answers.push_back(fleet.send(fleet.random_node(), "/stream/1",
+                                         "sound " + std::to_string(step), prompt_of(shared, step)));
+            if (step % 200 == 50) {
+                for (size_t worker = 0; worker < 5; ++worker) {
+                    fleet.stop_worker(5 * (step / 200 % 4) + worker);
+                }
+            }
+            if (step % 70 == 20) {
+                fleet.stop_random_worker();
+            }
+            if (step % 150 == 100) {
+                fleet.reset_connections(fleet.random_node());
+            }
+            if (step % 160 == 130) {
+                fleet.replace_worker(step % load.workers);
+            }
+            if (step % 400 == 300) {
+                const std::string node = fleet.random_node();
+                fleet.cluster.kill_node(node);
+                fleet.cluster.start_node(node);
+            }
+            fleet.run_for(milliseconds(10));
+        }
+        for (const SeenAnswerPtr &answer : answers) {
+            EXPECT_EQ(answer->body.find("workers crashed while running"), std::string::npos)
+                << "seed " << seed;
+        }
+    }
+}
+
 // Workers of the other version run requests with the part.
 TEST(CrashingParts, APartThatCrashesOneVersionRunsAtTheOther) {
     part_load load = small_fleet("a part that crashes one version");
--- a/tests/quarantine/part_blame_test.cc
+++ b/tests/quarantine/part_blame_test.cc
@@ -101,6 +101,8 @@
     for (uint32_t worker = 1; worker <= 4; ++worker) {
         crash(worker, {request_with(worker, {10, 20U + worker})});
     }
+    EXPECT_EQ(verdict({10, 99}), part_verdict::kSuspect) << "it may still be cleared";
+    now += std::chrono::seconds(1);
     EXPECT_EQ(verdict({10, 99}), part_verdict::kHeld);
 }
 
