--- a/tests/quarantine/crashing_parts_test.cc
+++ b/tests/quarantine/crashing_parts_test.cc
@@ -339,7 +339,7 @@
 }
 
 SeenAnswerPtr send_fatal(crashing_fleet &fleet, const std::string &node, const std::string &name) {
-    const SeenAnswerPtr seen =
+    SeenAnswerPtr seen =
         fleet.send(node, "/stream/1", "fatal " + name, prompt_of({"route", "fatal"}, name.size()));
     fleet.run_for(seconds(1));
     return seen;
