--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -239,10 +239,6 @@
     /** Whether crashes at these times suffice to quarantine a content. */
     bool proves(const std::vector<MonotonicTime> &crash_times) const;
     bool is_quarantined(const content &known) const;
-    /** Whether each counted loss was beside another content that has crashed workers elsewhere. */
-    bool explained_by_others(const content &known) const;
-    /** Whether that content lost the worker too, and several others that this one didn't lose. */
-    bool is_other_culprit(uint64_t other, const content &known, uint32_t worker) const;
     std::vector<MonotonicTime> suspect_times(const content &known, MonotonicTime now) const;
     const content *find(uint64_t digest) const;
     static size_t crashes_of(const content &known);
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -308,40 +308,7 @@
             times.push_back(broken.run.at);
         }
     }
-    return proves(times) && !explained_by_others(known);
-}
-
-// A loss beside a content that has crashed other workers as well proves nothing, and a content with
-// such losses alone is more likely a victim.
-bool crash_evidence::explained_by_others(const content &known) const {
-    return std::all_of(
-        known.workers.begin(), known.workers.end(), [&](const broken_worker &broken) {
-            if (!counts(broken)) {
-                return true;
-            }
-            const auto found = lost_at_.find(broken.run.worker);
-            return found != lost_at_.end() &&
-                   std::any_of(found->second.begin(), found->second.end(), [&](uint64_t other) {
-                       return is_other_culprit(other, known, broken.run.worker);
-                   });
-        });
-}
-
-bool crash_evidence::is_other_culprit(uint64_t other, const content &known, uint32_t worker) const {
-    constexpr size_t kOwnCrashes = 2;
-    const content *culprit = find(other);
-    if (culprit == nullptr || culprit == &known || culprit->suspect != crash_suspect::kContent) {
-        return false;
-    }
-    const auto lost = [](const content &of, uint32_t at) {
-        return std::any_of(of.workers.begin(), of.workers.end(), [&](const broken_worker &each) {
-            return counts(each) && each.run.worker == at;
-        });
-    };
-    const auto own = std::count_if(
-        culprit->workers.begin(), culprit->workers.end(),
-        [&](const broken_worker &each) { return counts(each) && !lost(known, each.run.worker); });
-    return lost(*culprit, worker) && static_cast<size_t>(own) >= kOwnCrashes;
+    return proves(times);
 }
 
 bool crash_evidence::quarantined(uint64_t digest) const {
@@ -399,7 +366,7 @@
         if (!claim.may_probe || now < next_probe(digest)) {
             return run_permit::kQuarantined;
         }
-    } else if (proves(times) && !explained_by_others(*known)) {
+    } else if (proves(times)) {
         return run_permit::kWait; // until the peers' suspicions are confirmed or expire
     }
     if (claim.lost_worker && times.size() == 1) {
