Rows of cleared parts are removed by any node that knows parts

Likely cause, by reading, not traced in the logs: the row of a part that was cleared is removed by the first node in rendezvous order alone, and a node of the production build knows no such rows; a node that starts reads the row, holds the part, and no request runs that could clear it. Now any node of this build removes such a row; its write is conditional, and drawn apart as before.

--- a/src/quarantine/quarantine_rows.cc
+++ b/src/quarantine/quarantine_rows.cc
@@ -192,7 +192,8 @@
 bool quarantine_rows::differs(const quarantine_row_key &key, const known_row &row,
                               const std::vector<broken_run> &counted) const {
     if (!wanted(key, counted)) {
-        return row.version != 0 && is_remover_(key.digest);
+        // The node that removes rows of contents may run a version that knows none of parts.
+        return row.version != 0 && (key.part || is_remover_(key.digest));
     }
     if (key.part && row.version == 0 &&
         time_source_.monotonic_now() - oldest_of(counted) < knobs_.part_write_delay) {
