A content lost only beside parts that crash workers is not held

Traced in the nodes' logs: one content lost three workers in a row within 0.4 s, each crashed by a request with fatal-part-1 that ran there, and was held as a content. A loss beside a part with enough crashes elsewhere proves nothing: such a content now runs on, alone and in turn, and is held by its first loss without that cause. Parts count alone here, so contents that crash beside other contents are judged as before.

--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -239,6 +239,11 @@
     /** Whether crashes at these times suffice to quarantine a content. */
     bool proves(const std::vector<MonotonicTime> &crash_times) const;
     bool is_quarantined(const content &known) const;
+    /** Whether the content lost each of its workers beside a part that has crashed others as well,
+     * as many as quarantine, so that its losses prove nothing. */
+    bool lost_beside_fatal_parts(const content &known) const;
+    /** Whether that is a part with enough crashes at workers where the content lost nothing. */
+    bool crashes_elsewhere(uint64_t part, const content &known) const;
     std::vector<MonotonicTime> suspect_times(const content &known, MonotonicTime now) const;
     const content *find(uint64_t digest) const;
     static size_t crashes_of(const content &known);
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -308,7 +308,39 @@
             times.push_back(broken.run.at);
         }
     }
-    return proves(times);
+    return proves(times) && !lost_beside_fatal_parts(known);
+}
+
+bool crash_evidence::lost_beside_fatal_parts(const content &known) const {
+    if (crashes_of(known) < knobs_.quarantine_threshold) {
+        return false;
+    }
+    return std::all_of(
+        known.workers.begin(), known.workers.end(), [&](const broken_worker &broken) {
+            const auto found = lost_at_.find(broken.run.worker);
+            return !counts(broken) ||
+                   (found != lost_at_.end() &&
+                    std::any_of(found->second.begin(), found->second.end(),
+                                [&](uint64_t digest) { return crashes_elsewhere(digest, known); }));
+        });
+}
+
+bool crash_evidence::crashes_elsewhere(uint64_t part, const content &known) const {
+    const content *fatal = find(part);
+    if (fatal == nullptr || fatal->suspect != crash_suspect::kPart) {
+        return false;
+    }
+    std::vector<MonotonicTime> elsewhere;
+    for (const broken_worker &broken : fatal->workers) {
+        const bool shared =
+            std::any_of(known.workers.begin(), known.workers.end(), [&](const broken_worker &own) {
+                return own.run.worker == broken.run.worker;
+            });
+        if (counts(broken) && !shared) {
+            elsewhere.push_back(broken.run.at);
+        }
+    }
+    return suffices(std::move(elsewhere));
 }
 
 bool crash_evidence::quarantined(uint64_t digest) const {
@@ -366,7 +398,7 @@
         if (!claim.may_probe || now < next_probe(digest)) {
             return run_permit::kQuarantined;
         }
-    } else if (proves(times)) {
+    } else if (proves(times) && !lost_beside_fatal_parts(*known)) {
         return run_permit::kWait; // until the peers' suspicions are confirmed or expire
     }
     if (claim.lost_worker && times.size() == 1) {
--- a/tests/quarantine/crash_evidence_test.cc
+++ b/tests/quarantine/crash_evidence_test.cc
@@ -41,6 +41,33 @@
     EXPECT_EQ(evidence.permit(kContent, {}, at(seconds(3))), run_permit::kQuarantined);
 }
 
+void lose_part(crash_evidence &evidence, uint32_t worker, Duration passed) {
+    broken_run run{99, worker, at(passed)};
+    run.suspect = crash_suspect::kPart;
+    evidence.note_broken(run);
+}
+
+TEST(CrashEvidence, HoldsNoContentThatWasLostOnlyBesideAPartThatCrashesWorkers) {
+    crash_evidence evidence;
+    lose_runs(evidence, 3);
+    for (uint32_t worker = 1; worker <= 6; ++worker) {
+        lose_part(evidence, worker, seconds(worker));
+    }
+    EXPECT_FALSE(evidence.quarantined(kContent));
+    EXPECT_EQ(evidence.permit(kContent, {}, at(seconds(7))), run_permit::kExclusive);
+    evidence.note_broken({kContent, 7, at(seconds(7)), false});
+    EXPECT_TRUE(evidence.quarantined(kContent)) << "its last loss has no other cause";
+}
+
+TEST(CrashEvidence, HoldsAContentWhosePartsWereLostNowhereElse) {
+    crash_evidence evidence;
+    lose_runs(evidence, 3);
+    for (uint32_t worker = 1; worker <= 4; ++worker) {
+        lose_part(evidence, worker, seconds(worker));
+    }
+    EXPECT_TRUE(evidence.quarantined(kContent));
+}
+
 TEST(CrashEvidence, CountsAWorkerOnce) {
     crash_evidence evidence;
     lose_runs(evidence, 1);
