--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -148,7 +148,7 @@
     /** Workers of that software have written on answers to requests with the part for longer than a
      * crash takes, so that earlier crashes of that software have another cause.
      * \param up_to When such an answer began.
-     * \return Whether this is news: evidence was cleared, or that software was not known to be
+     * \return Whether the state changed: evidence was cleared, or that software was not known to be
      * sound.
      */
     bool clear_part(uint64_t digest, software_id software, MonotonicTime up_to);
--- a/include/chalkshed/part_blame.h
+++ b/include/chalkshed/part_blame.h
@@ -6,7 +6,7 @@
  * with it, so every part of theirs has lost that worker, and the part that most requests share has
  * lost the most. A part is therefore blamed in a request only if the request holds everything that
  * may explain its crashes as well: requests with the fatal part do, and sound ones lack it. A
- * request that holds only some of the suspects runs, and clears them or tells them apart.
+ * request that holds only some of the suspects runs: its result clears these or confirms them.
  *
  * Performs no I/O and takes the time as a parameter. */
 
