Sound parts of prompts run again after workers crashed for other reasons

Callers saw: after two or more crashes within a second, items that share a part of their prompts with the lost runs were never run again, nor items accepted later; online requests with the part were refused.

Cause: crashes alone hold a part, and only a run that begins later clears it, but no run with a held part may begin (there was no trial as for contents), and items waited from the second crash on. Runs that had gone on far longer than a fatal part takes counted against their parts as well.

A blamed part is tried half a second after the newest crash, one run at a time over all nodes by the turns that contents use, as an item or as an online request. Two failed trials at a software version that no other crashes explain end the trials. The schedule follows from the evidence alone, so that restarted nodes decide alike.

--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -165,6 +165,9 @@
     std::vector<uint64_t> lost_at(uint32_t worker, MonotonicTime now) const;
     /** Whether any run was lost at the worker after that time. */
     bool lost_any(uint32_t worker, MonotonicTime after) const;
+    /** Number of workers that crashed within that time before or after `at` and did not lose a run
+     * that counts against the part. */
+    size_t crashes_without(uint64_t part, MonotonicTime at, Duration within) const;
     /** Parts with that many crashed workers at several moments. */
     std::vector<uint64_t> parts_with_crashes() const;
     /** Whether crashes at these times are as many as quarantine, and not one common loss. */
@@ -253,6 +256,9 @@
     size_t failed_probes(const content &known) const;
     Duration probe_delay(size_t failed) const;
     void evict_if_full();
+    /** Whether a run of the content or the part was lost in that time because the worker crashed.
+     */
+    bool crashed(uint64_t digest, uint32_t worker, MonotonicTime from, MonotonicTime until) const;
     static MonotonicTime proved_at(const content &known, software_id software);
     void index(const broken_run &run);
 
--- a/include/chalkshed/part_blame.h
+++ b/include/chalkshed/part_blame.h
@@ -45,6 +45,10 @@
 
     /** Whether the request may run at workers of that software. */
     blamed_part blame(const ServingRequest &request, software_id software, MonotonicTime now) const;
+    /** \return The parts of the request that may crash workers of that software, in ascending
+     * order. */
+    std::vector<uint64_t> blamed_parts(const ServingRequest &request, software_id software,
+                                       MonotonicTime now) const;
 
 private:
     /** All contents and parts that lost a run at one worker. */
--- /dev/null
+++ b/include/chalkshed/part_trial_schedule.h
@@ -0,0 +1,70 @@
+#ifndef CHALKSHED_PART_TRIAL_SCHEDULE_H
+#define CHALKSHED_PART_TRIAL_SCHEDULE_H
+
+/** \file
+ * Decides when a part of prompts under which workers crashed is tried again. Workers also crash for
+ * other reasons, and then every part that was running on them looks like the cause; since requests
+ * with a held part don't run, nothing else would ever clear it.
+ *
+ * A trial is a single run in the whole fleet, some time after the newest crash. A part that crashes
+ * workers ends a few trials and is then tried no more. The schedule depends on the evidence alone,
+ * so that all nodes agree on it, also those that learned the evidence from the store.
+ *
+ * Performs no I/O and takes the time as a parameter. */
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "chalkshed/crash_evidence.h"
+#include "chalkshed/software_id.h"
+#include "src/core/time.h"
+
+namespace chalkshed {
+
+struct part_trial_knobs {
+    /** From the newest crash under a part to its next trial. */
+    Duration trial_delay = std::chrono::milliseconds(500);
+    /** A part is tried no more at a software version after so many trials that crashed a worker
+     * there, ... */
+    size_t max_failed_trials = 2;
+    /** ... or after a single one, once so many workers have crashed under it. */
+    size_t max_crashes = 6;
+    /** A failed trial proves nothing if at least this share of the workers crashed for other
+     * reasons ... */
+    double storm_share = 0.25;
+    /** ... within this time before or after it. */
+    Duration storm_window = std::chrono::seconds(1);
+};
+
+class part_trial_schedule {
+public:
+    /** \param evidence Outlives this. */
+    explicit part_trial_schedule(const crash_evidence &evidence, const part_trial_knobs &knobs = {})
+        : evidence_(evidence), knobs_(knobs) {}
+
+    /** \param workers Number of workers of the service, of all versions.
+     * \return The earliest time of the next trial at workers of that software; nothing: the part
+     * is not tried there any more. */
+    std::optional<MonotonicTime> next_trial(uint64_t part, software_id software, size_t workers,
+                                            MonotonicTime now) const;
+    /** Number of trials that crashed a worker of that software and that nothing else explains. */
+    size_t failed_trials(uint64_t part, software_id software, size_t workers,
+                         MonotonicTime now) const;
+
+private:
+    /** The lost runs with the part that may count, oldest first. */
+    std::vector<broken_run> runs_by_time(uint64_t part, MonotonicTime now) const;
+    /** Whether so many workers crashed around that time that the run proves nothing. */
+    bool within_storm(const broken_run &run, size_t workers) const;
+    size_t failed_trials(const std::vector<broken_run> &runs, software_id software,
+                         size_t workers) const;
+
+    const crash_evidence &evidence_;
+    const part_trial_knobs knobs_;
+};
+
+} // namespace chalkshed
+
+#endif
--- a/include/chalkshed/request_quarantine.h
+++ b/include/chalkshed/request_quarantine.h
@@ -7,12 +7,16 @@
 
 #include <deque>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "chalkshed/crash_evidence.h"
 #include "chalkshed/crash_message.h"
 #include "chalkshed/part_blame.h"
+#include "chalkshed/part_trial_schedule.h"
+#include "chalkshed/part_trials.h"
+#include "chalkshed/turn_functions.h"
 #include "src/core/dispatcher.h"
 #include "src/core/error.h"
 #include "src/core/lifetime.h"
@@ -25,6 +29,7 @@
 
 struct quarantine_knobs {
     crash_knobs evidence;
+    part_trial_knobs trials;
     /** Interval between reviews of the workers' states while there is any evidence. */
     Duration review_interval = std::chrono::milliseconds(250);
     /** A worker whose entry is unchanged this long after losing a run has not crashed: at most
@@ -50,14 +55,14 @@
     Duration claim_retry_interval = std::chrono::milliseconds(5);
 };
 
-/** How a node acquires the turn to run a suspect content. By default, each node always has it. */
-struct turn_functions {
-    /** \return Whether this node may start a run now. */
-    std::function<bool(uint64_t digest, MonotonicTime not_before)> take =
-        [](uint64_t, MonotonicTime) { return true; };
-    std::function<void(uint64_t digest)> note_running = [](uint64_t) {};
-    std::function<void(uint64_t digest, MonotonicTime not_before)> note_finished =
-        [](uint64_t, MonotonicTime) {};
+/** A run whose connection to the worker failed. */
+struct lost_run {
+    MonotonicTime sent{}; // to the worker
+    /** When the worker began to write its answer; nothing: it didn't. */
+    std::optional<MonotonicTime> begun;
+    /** The worker stopped responding while its connection stayed open: most such workers are
+     * busy. */
+    bool silent = false;
 };
 
 class request_quarantine {
@@ -90,19 +95,25 @@
     /** \return The error with which a quarantined request is refused. The request has not run. */
     Error refusal(const ServingRequest &request, const std::string &service);
 
-    /** Records the start of a run. \return A callback to invoke once the run has finished, whatever
-     * its result. It may be invoked after this object is destroyed, since runs are destroyed in a
-     * later iteration of the event loop. */
-    std::function<void()> note_started(uint64_t digest);
+    /** Whether a part of the request's prompt may crash workers at every version of the service. */
+    bool part_is_suspect(const ServingRequest &request, const std::string &service) const {
+        return blame(request, service).verdict != part_verdict::kFree;
+    }
+
+    /** \return When a part with lost runs is tried next, at the software version that is tried first;
+     * nothing: it is not tried any more. */
+    std::optional<MonotonicTime> next_trial(uint64_t part) const;
+
+    /** Records the start of a run at a worker of that service. \return A callback to invoke once
+     * the run has finished, whatever its result. It may be invoked after this object is destroyed,
+     * since runs are destroyed in a later iteration of the event loop. */
+    std::function<void()> note_started(const ServingRequest &request, const std::string &service);
     /** A worker refused a run that was noted as started. */
     void note_refused(uint64_t digest) {
         evidence_.note_refused(digest);
     }
-    /** \param sent When the run was sent to the worker.
-     * \param silent The worker stopped responding while its connection stayed open: most such
-     * workers are busy. */
-    void note_broken(const ServingRequest &request, const ServingWorker &worker, MonotonicTime sent,
-                     bool silent);
+    void note_broken(const ServingRequest &request, const ServingWorker &worker,
+                     const lost_run &run);
     /** The worker has begun to write a successful answer. If it goes on working for
      * crash_knobs::crash_time, the shared parts of the prompt are sound at its software. */
     void note_answer_begun(const ServingRequest &request, const ServingWorker &worker);
@@ -169,6 +180,29 @@
     /** The strongest evidence against a part of the request, at the software with the least. */
     blamed_part blame(const ServingRequest &request, const std::string &service) const;
     bool any_evidence(const ServingRequest &request) const;
+    /** A run that would show whether parts of a request crash workers. */
+    struct trial_offer {
+        std::vector<uint64_t> parts;
+        software_id software = software_id::kUnknown; // of the workers
+        MonotonicTime due{};
+    };
+    /** \return The earliest trial that the request may be, at the versions with the least
+     * evidence; nothing: there is none. */
+    std::optional<trial_offer> earliest_trial(const ServingRequest &request,
+                                              const std::string &service, MonotonicTime now) const;
+    /** Whether the request may soon be the trial of its held parts. */
+    bool may_be_trial(const ServingRequest &request, const std::string &service,
+                      MonotonicTime now) const;
+    /** \return kExclusive if the request is to run as a trial of its blamed parts, kWait if it may
+     * do so soon, else `otherwise`. */
+    run_permit claim_trial(const ServingRequest &request, const std::string &service,
+                           run_permit otherwise, MonotonicTime now);
+    /** A run of this node that may have been a trial of these parts is over. */
+    void finish_trials(const std::vector<uint64_t> &parts);
+    /** Whether the run had gone on for so long that none of its parts can have crashed its worker.
+     */
+    bool outlived_parts(const lost_run &run) const;
+    size_t workers_of(const std::string &service) const;
     /** Clears the parts of answers that have been written on for long enough. */
     void clear_proved_parts();
     bool has_common_cause(const broken_run &run) const;
@@ -212,6 +246,7 @@
     crash_evidence evidence_;
     sound_parts sound_parts_;
     const part_blame part_blame_;
+    const part_trial_schedule trial_schedule_;
     std::set<uint64_t> quarantined_;
     /** Runs that this node lost recently, oldest first. */
     std::vector<recent_run> recent_;
@@ -227,6 +262,7 @@
     std::vector<broken_run> suspected_;     // not reported yet
     std::set<uint64_t> contents_with_turn_; // contents with a run that holds this node's turn
     turn_functions turns_;
+    part_trials trials_;
     std::function<void(const broken_run &)> on_suspected_;
     std::function<void(const broken_run &)> on_broken_;
     std::function<void(const answered_run &)> on_answered_;
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -98,10 +98,11 @@
 
 // Such an item runs where few other requests do. After the first lost worker nearly all items are
 // innocent; placed like the suspect ones, they would lose their next worker to one of these.
-bool OwnedJob::may_crash_worker(const Item& item) const {
+bool OwnedJob::may_crash_worker(const Item& item, const std::string& service) const {
   constexpr size_t kSuspect = 2;
-  return environment_.serving.quarantine.evidence().possible_crashes(item.request.digest) >=
-         kSuspect;
+  const request_quarantine& quarantine = environment_.serving.quarantine;
+  return quarantine.evidence().possible_crashes(item.request.digest) >= kSuspect ||
+         quarantine.part_is_suspect(item.request, service);
 }
 
 std::optional<size_t> OwnedJob::next_waiting() const {
@@ -214,7 +215,7 @@
   const std::vector<software_id> crashing =
       environment_.serving.quarantine.crashing_software(item.request, service);
   wanted.excluded_software = &crashing;
-  wanted.alone = may_crash_worker(item);
+  wanted.alone = may_crash_worker(item, service);
   return environment_.serving.workers.acquire_slot(wanted);
 }
 
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -145,7 +145,7 @@
   Duration slack_of(const Item& item) const;
   batch_urgency urgency_of(const Item& item) const;
   bool is_held(const Item& item) const;
-  bool may_crash_worker(const Item& item) const;
+  bool may_crash_worker(const Item& item, const std::string& service) const;
   // @return the index of the waiting item that is to start next, or nothing.
   std::optional<size_t> next_waiting() const;
   const Route* route_of(const RouteTable& table, const Item& item) const;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -182,6 +182,28 @@
            });
 }
 
+size_t crash_evidence::crashes_without(uint64_t part, MonotonicTime at, Duration within) const {
+    size_t workers = 0;
+    for (const auto &[worker, digests] : lost_at_) {
+        const bool explained = std::find(digests.begin(), digests.end(), part) != digests.end();
+        workers += !explained && std::any_of(digests.begin(), digests.end(), [&](uint64_t digest) {
+            return crashed(digest, worker, at - within, at + within);
+        });
+    }
+    return workers;
+}
+
+bool crash_evidence::crashed(uint64_t digest, uint32_t worker, MonotonicTime from,
+                             MonotonicTime until) const {
+    const content *known = find(digest);
+    return known != nullptr && std::any_of(known->workers.begin(), known->workers.end(),
+                                           [&](const broken_worker &broken) {
+                                               return broken.run.worker == worker &&
+                                                      counts(broken) && broken.run.at >= from &&
+                                                      broken.run.at <= until;
+                                           });
+}
+
 bool crash_evidence::suffices(std::vector<MonotonicTime> crash_times) const {
     std::sort(crash_times.begin(), crash_times.end());
     size_t moments = 0;
--- a/src/quarantine/part_blame.cc
+++ b/src/quarantine/part_blame.cc
@@ -27,6 +27,18 @@
     return worst;
 }
 
+std::vector<uint64_t> part_blame::blamed_parts(const ServingRequest &request, software_id software,
+                                               MonotonicTime now) const {
+    std::vector<uint64_t> parts;
+    for (const uint64_t part : request.shared_parts) {
+        if (judge(part, request, software, now) != part_verdict::kFree) {
+            parts.push_back(part);
+        }
+    }
+    std::sort(parts.begin(), parts.end());
+    return parts;
+}
+
 part_verdict part_blame::judge(uint64_t part, const ServingRequest &request, software_id software,
                                MonotonicTime now) const {
     if (!evidence_.has_evidence(part) || evidence_.proved(part, software)) {
--- a/src/quarantine/quarantine_api.cc
+++ b/src/quarantine/quarantine_api.cc
@@ -84,10 +84,15 @@
     constexpr size_t kNotableCrashes = 2;
     const std::vector<uint64_t> held = evidence.parts_with_crashes();
     for (const uint64_t digest : evidence.all_with_crashes(kNotableCrashes, crash_suspect::kPart)) {
-        contents.push_back({{"content", digest_text(digest)},
-                            {"workers_ended", evidence.crash_count(digest)},
-                            {"held", std::binary_search(held.begin(), held.end(), digest)},
-                            {"kind", "part"}});
+        nlohmann::json entry = {{"content", digest_text(digest)},
+                                {"workers_ended", evidence.crash_count(digest)},
+                                {"held", std::binary_search(held.begin(), held.end(), digest)},
+                                {"kind", "part"}};
+        if (const std::optional<MonotonicTime> due = quarantine_.next_trial(digest)) {
+            const Duration wait = std::max(*due - now, Duration(0));
+            entry["next_trial_ms"] = wait / std::chrono::milliseconds(1);
+        }
+        contents.push_back(std::move(entry));
     }
     return nlohmann::json{{"contents", contents}}.dump();
 }
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -20,6 +20,8 @@
                                        MetricsRegistry &metrics, const quarantine_knobs &knobs)
     : time_source_(time_source), workers_(workers), logger_(logger), metrics_(metrics),
       knobs_(knobs), evidence_(knobs.evidence), part_blame_(evidence_, sound_parts_),
+      trial_schedule_(evidence_, knobs.trials),
+      trials_(time_source, dispatcher, logger, metrics, turns_),
       timer_(dispatcher.create_timer([this] { review(); })),
       recent_timer_(dispatcher.create_timer([this] { report_recent(); })),
       suspected_timer_(dispatcher.create_timer([this] { report_suspected(); })),
@@ -27,10 +29,13 @@
       proof_timer_(dispatcher.create_timer([this] { clear_proved_parts(); })) {}
 
 bool request_quarantine::refuses(const ServingRequest &request, const std::string &service) const {
+    const MonotonicTime now = time_source_.monotonic_now();
     const run_claim claim{.may_probe = may_probe(request.digest)};
-    return evidence_.permit(request.digest, claim, time_source_.monotonic_now()) ==
-               run_permit::kQuarantined ||
-           blame(request, service).verdict == part_verdict::kHeld;
+    if (evidence_.permit(request.digest, claim, now) == run_permit::kQuarantined) {
+        return true;
+    }
+    return blame(request, service).verdict == part_verdict::kHeld &&
+           !may_be_trial(request, service, now);
 }
 
 run_permit request_quarantine::claim_run(const ServingRequest &request, const std::string &service,
@@ -38,15 +43,14 @@
     const uint64_t digest = request.digest;
     const MonotonicTime now = time_source_.monotonic_now();
     const part_verdict verdict = blame(request, service).verdict;
-    if (verdict == part_verdict::kHeld) {
-        return run_permit::kQuarantined;
-    }
     const run_claim claim{.may_probe = may_probe(digest), .lost_worker = lost_worker};
     run_permit permit = evidence_.permit(digest, claim, now);
     const bool waits =
         verdict == part_verdict::kUnconfirmed || (lost_worker && verdict == part_verdict::kSuspect);
-    if (permit != run_permit::kQuarantined && waits) {
-        permit = run_permit::kWait;
+    if (permit != run_permit::kQuarantined && verdict == part_verdict::kHeld) {
+        permit = claim_trial(request, service, run_permit::kQuarantined, now);
+    } else if (permit != run_permit::kQuarantined && waits) {
+        permit = claim_trial(request, service, run_permit::kWait, now);
     } else {
         permit = take_turn(digest, permit, now);
     }
@@ -60,14 +64,16 @@
 run_permit request_quarantine::claim_owned_run(const ServingRequest &item,
                                                const std::string &service) {
     const MonotonicTime now = time_source_.monotonic_now();
-    const part_verdict verdict = blame(item, service).verdict;
-    if (verdict == part_verdict::kHeld) {
-        return run_permit::kQuarantined;
-    }
-    if (verdict != part_verdict::kFree || evidence_.awaits_fate(item.digest, now)) {
+    if (evidence_.awaits_fate(item.digest, now)) {
         return run_permit::kWait;
     }
-    return take_turn(item.digest, evidence_.permit(item.digest, {.may_probe = true}, now), now);
+    const run_permit permit = evidence_.permit(item.digest, {.may_probe = true}, now);
+    const part_verdict verdict = blame(item, service).verdict;
+    if (verdict == part_verdict::kFree || permit == run_permit::kQuarantined) {
+        return take_turn(item.digest, permit, now);
+    }
+    const bool held = verdict == part_verdict::kHeld;
+    return claim_trial(item, service, held ? run_permit::kQuarantined : run_permit::kWait, now);
 }
 
 software_id request_quarantine::software_of_worker(const ServingWorker &worker) {
@@ -105,15 +111,85 @@
     }
     const part_verdict best = blame(request, service).verdict;
     const MonotonicTime now = time_source_.monotonic_now();
+    const std::optional<trial_offer> trial =
+        best == part_verdict::kHeld ? earliest_trial(request, service, now) : std::nullopt;
     for (const auto &[version, workers] : workers_.workers_by_version(service)) {
         const software_id software = software_of(service, version, "");
-        if (part_blame_.blame(request, software, now).verdict > best) {
+        const bool tried_elsewhere = trial && trial->software != software;
+        if (tried_elsewhere || part_blame_.blame(request, software, now).verdict > best) {
             crashing.push_back(software);
         }
     }
     return crashing;
 }
 
+size_t request_quarantine::workers_of(const std::string &service) const {
+    size_t sum = 0;
+    for (const auto &[version, workers] : workers_.workers_by_version(service)) {
+        sum += workers;
+    }
+    return sum;
+}
+
+std::optional<request_quarantine::trial_offer>
+request_quarantine::earliest_trial(const ServingRequest &request, const std::string &service,
+                                   MonotonicTime now) const {
+    const part_verdict best = blame(request, service).verdict;
+    const size_t all_workers = workers_of(service);
+    std::optional<trial_offer> earliest;
+    for (const auto &[version, workers] : workers_.workers_by_version(service)) {
+        trial_offer offer{{}, software_of(service, version, ""), {}};
+        if (workers == 0 || part_blame_.blame(request, offer.software, now).verdict != best) {
+            continue;
+        }
+        bool tried = true;
+        for (const uint64_t part : part_blame_.blamed_parts(request, offer.software, now)) {
+            const std::optional<MonotonicTime> due =
+                trial_schedule_.next_trial(part, offer.software, all_workers, now);
+            tried = tried && due;
+            offer.due = std::max(offer.due, due.value_or(MonotonicTime{}));
+            offer.parts.push_back(part);
+        }
+        if (tried && !offer.parts.empty() && (!earliest || offer.due < earliest->due)) {
+            earliest = std::move(offer);
+        }
+    }
+    return earliest;
+}
+
+std::optional<MonotonicTime> request_quarantine::next_trial(uint64_t part) const {
+    const MonotonicTime now = time_source_.monotonic_now();
+    std::optional<MonotonicTime> earliest;
+    for (const broken_run &run : evidence_.suspect_runs(part, now)) {
+        const std::optional<MonotonicTime> due =
+            trial_schedule_.next_trial(part, run.software, workers_.workers().size(), now);
+        if (due && (!earliest || *due < *earliest)) {
+            earliest = due;
+        }
+    }
+    return earliest;
+}
+
+bool request_quarantine::may_be_trial(const ServingRequest &request, const std::string &service,
+                                      MonotonicTime now) const {
+    const std::optional<trial_offer> offer = earliest_trial(request, service, now);
+    return offer && now >= offer->due && trials_.open(offer->parts);
+}
+
+run_permit request_quarantine::claim_trial(const ServingRequest &request,
+                                           const std::string &service, run_permit otherwise,
+                                           MonotonicTime now) {
+    const std::optional<trial_offer> offer = earliest_trial(request, service, now);
+    if (!offer || now < offer->due || !trials_.open(offer->parts)) {
+        return otherwise;
+    }
+    if (trials_.take(offer->parts)) {
+        return run_permit::kExclusive;
+    }
+    retry_claims();
+    return run_permit::kWait;
+}
+
 run_permit request_quarantine::take_turn(uint64_t digest, run_permit permit, MonotonicTime now) {
     const bool may_run = permit == run_permit::kExclusive || permit == run_permit::kWait;
     if (!may_run || !evidence_.needs_turn(digest, now) || evidence_.under_way(digest)) {
@@ -144,8 +220,11 @@
     constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
     constexpr Duration kMaxRetryAfter = std::chrono::minutes(1);
     const size_t crashes = evidence_.crash_count(digest);
-    const Duration wait =
-        by_part ? kMaxRetryAfter : evidence_.next_probe(digest) - time_source_.monotonic_now();
+    const MonotonicTime now = time_source_.monotonic_now();
+    const std::optional<trial_offer> trial = earliest_trial(request, service, now);
+    const Duration wait = !by_part ? evidence_.next_probe(digest) - now
+                          : trial  ? trial->due - now
+                                   : kMaxRetryAfter;
     Error error = not_run(ErrorKind::kUnavailable,
                           std::to_string(crashes) + " workers crashed while running " +
                               (by_part ? "requests with a part of this prompt" : "this request"),
@@ -163,13 +242,21 @@
     return error;
 }
 
-std::function<void()> request_quarantine::note_started(uint64_t digest) {
+std::function<void()> request_quarantine::note_started(const ServingRequest &request,
+                                                       const std::string &service) {
+    const uint64_t digest = request.digest;
     const MonotonicTime now = time_source_.monotonic_now();
     evidence_.note_started(digest, now);
     if (evidence_.needs_turn(digest, now)) {
         contents_with_turn_.insert(digest);
     }
-    return lifetime_.guard([this, digest] {
+    std::vector<uint64_t> tried;
+    if (trials_.granted(request.shared_parts)) {
+        tried = earliest_trial(request, service, now).value_or(trial_offer{}).parts;
+        trials_.note_started(tried, request.id);
+    }
+    return lifetime_.guard([this, digest, tried] {
+        finish_trials(tried);
         evidence_.note_finished(digest);
         if (!evidence_.under_way(digest) && contents_with_turn_.erase(digest) > 0) {
             turns_.note_finished(digest, evidence_.settled_at(digest));
@@ -177,11 +264,31 @@
     });
 }
 
+// While the answer of a trial goes on, clear_proved_parts decides.
+void request_quarantine::finish_trials(const std::vector<uint64_t> &parts) {
+    for (const uint64_t part : parts) {
+        const bool answered =
+            std::any_of(begun_answers_.begin(), begun_answers_.end(), [&](const auto &begun) {
+                return std::find(begun.parts.begin(), begun.parts.end(), part) != begun.parts.end();
+            });
+        if (!answered) {
+            trials_.note_finished(part, time_source_.monotonic_now());
+        }
+    }
+}
+
+bool request_quarantine::outlived_parts(const lost_run &run) const {
+    return run.begun && time_source_.monotonic_now() - *run.begun >= knobs_.evidence.crash_time;
+}
+
 void request_quarantine::note_broken(const ServingRequest &request, const ServingWorker &worker,
-                                     MonotonicTime sent, bool silent) {
+                                     const lost_run &lost) {
     broken_run run{request.digest, static_cast<uint32_t>(worker.hash), time_source_.monotonic_now(),
-                   silent, sent};
+                   lost.silent, lost.sent};
     note_lost(run);
+    if (outlived_parts(lost)) {
+        return;
+    }
     run.suspect = crash_suspect::kPart;
     run.software = software_of_worker(worker);
     for (const uint64_t part : request.shared_parts) {
@@ -224,14 +331,15 @@
            now - begun_answers_.front().at >= knobs_.evidence.crash_time) {
         const begun_answer begun = std::move(begun_answers_.front());
         begun_answers_.pop_front();
-        if (evidence_.lost_any(begun.worker, begun.at)) {
-            continue;
-        }
+        const bool proved = !evidence_.lost_any(begun.worker, begun.at);
         for (const uint64_t part : begun.parts) {
-            sound_parts_.note(part, begun.software, now);
-            if (evidence_.clear_part(part, begun.software, begun.at) && on_answered_) {
-                on_answered_({part, begun.at, crash_suspect::kPart, begun.software});
+            if (proved) {
+                sound_parts_.note(part, begun.software, now);
+                if (evidence_.clear_part(part, begun.software, begun.at) && on_answered_) {
+                    on_answered_({part, begun.at, crash_suspect::kPart, begun.software});
+                }
             }
+            trials_.note_finished(part, now);
         }
     }
     update_held_parts();
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -317,7 +317,7 @@
     return;  // no retry is left, and the answer may still arrive
   }
   environment_.workers.note_failure(attempt_->worker(), attempt_->sent());
-  environment_.quarantine.note_broken(request_, attempt_->worker(), attempt_->sent(), true);
+  attempt_->note_lost(/*silent=*/true);
   attempt_.reset();
   AttemptEnd end;
   end.reason = "the worker sent nothing for " + milliseconds_text(silence) + " ms";
@@ -454,7 +454,7 @@
   }
   const bool sent = attempt_ != nullptr || runs_ > 0;
   if (attempt_) {
-    environment_.quarantine.note_broken(request_, attempt_->worker(), attempt_->sent(), true);
+    attempt_->note_lost(/*silent=*/true);
   }
   attempt_.reset();
   if (sent) {
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -29,7 +29,7 @@
       observer_(observer),
       sent_(time_source.monotonic_now()),
       last_activity_(sent_),
-      on_run_over_(quarantine.note_started(request_.digest)) {
+      on_run_over_(quarantine.note_started(request_, slot_->worker().record.service)) {
   const ServingWorker& worker = slot_->worker();
   silence_counts_ = workers.load_of(worker) <= worker.record.slots;
   HttpCallOptions call_options;
@@ -104,6 +104,7 @@
   if (std::exchange(has_event_, true)) {
     return;
   }
+  first_event_at_ = time_source_.monotonic_now();
   workers_.note_answer_begun(slot_->worker(), request_.digest, sent_);
   quarantine_.note_answer_begun(request_, slot_->worker());
   if (slot_->worker_was_idle) {
@@ -199,7 +200,11 @@
 
 void WorkerAttempt::note_broken() {
   const Duration silence = time_source_.monotonic_now() - last_activity_;
-  quarantine_.note_broken(request_, slot_->worker(), sent_, silence >= silence_timeout_);
+  note_lost(silence >= silence_timeout_);
+}
+
+void WorkerAttempt::note_lost(bool silent) {
+  quarantine_.note_broken(request_, slot_->worker(), {sent_, first_event_at_, silent});
 }
 
 void WorkerAttempt::abandon(std::string reason) {
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -63,6 +63,9 @@
   MonotonicTime sent() const { return sent_; }
   // The worker has sent nothing within the time that is expected of a healthy one.
   void note_silent();
+  // The run is given up. Tells the quarantine so; the worker may have crashed.
+  // @param silent the worker stopped responding while its connection stayed open.
+  void note_lost(bool silent);
 
  private:
   void on_headers(int status, const HttpHeaders& headers) override;
@@ -96,6 +99,7 @@
   const MonotonicTime sent_;
   MonotonicTime last_activity_;        // of the worker
   std::function<void()> on_run_over_;  // null after the call
+  std::optional<MonotonicTime> first_event_at_;
   std::optional<Duration> first_event_after_;
   event_gaps gaps_;
   bool has_event_ = false;
