Batch items that cannot start delay no others

Callers saw: while a service had no workers, jobs of another service whose workers were idle were not begun as long as jobs of the lost one came in.

Cause: the scheduler tried the item with the least slack of all jobs and ended the round when it found no slot, whatever service the others needed; the next round tried the same item. The same held for the items of one job.

Change: waiting items are kept in an index by the services that they need. A service without room is passed over for the round; what keeps back a single item (a held part, a turn, a software version, a stale view) puts off that item only. The tests of OwnedJob call start_item(0) and slack(0) in place of start_item() and next_slack(), with the same checks.

--- a/include/chalkshed/item_scheduler.h
+++ b/include/chalkshed/item_scheduler.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "src/jobs/job_environment.h"
@@ -35,6 +36,16 @@
     void preempt_items(size_t count);
 
 private:
+    /** Groups of items that were found to have no room. */
+    struct full_groups {
+        std::map<std::string, size_t> refusals;
+        std::set<std::string> names;
+    };
+    void begin_burst();
+    /** After a change of the configuration, waiting items may need other services. */
+    void update_places();
+    /** Tries to start the item that is to start first. \return Whether there was one. */
+    bool start_first(full_groups &full);
     /** Whether this node's view of the job is recent enough to start a run. */
     bool may_run(const OwnedJob &job) const;
     /** Preempts this node's share of the runs that leave online work too few slots, then waits
@@ -53,6 +64,7 @@
     bool stopped_ = false;
     MonotonicTime burst_began_{};
     size_t items_in_burst_ = 0;
+    uint64_t configuration_ = 0; // for which the places of the waiting items are known
     std::map<std::string, MonotonicTime> next_preemption_; // by service
     TimerPtr items_timer_;
     TimerPtr preemption_timer_;
--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -23,33 +23,63 @@
   if (stopped_) {
     return;
   }
+  // Items that cannot start are put off one by one.
+  constexpr size_t kMostTried = 2000;
+  begin_burst();
+  update_places();
+  waiting_items& waiting = environment_.waiting;
+  waiting.advance(environment_.serving.time_source.monotonic_now());
+  full_groups full;
+  for (size_t tried = 0; tried < kMostTried && may_start_(); ++tried) {
+    if (items_in_burst_ >= environment_.knobs.max_items_per_burst || !start_first(full)) {
+      break;
+    }
+  }
+  constexpr Duration kPollInterval = std::chrono::milliseconds(50);
+  if (waiting.size() > 0 && !items_timer_->enabled()) {
+    items_timer_->enable(kPollInterval);
+  }
+}
+
+void item_scheduler::begin_burst() {
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
   if (now - burst_began_ >= environment_.knobs.item_burst_interval) {
     burst_began_ = now;
     items_in_burst_ = 0;
   }
-  bool waiting = false;
-  while (may_start_()) {
-    OwnedJob* next = nullptr;
-    std::optional<Duration> first;
-    for (const auto& [id, owned] : owned_) {
-      const std::optional<Duration> slack = owned.job->next_slack();
-      waiting = waiting || slack;
-      if (slack && (!first || starts_before(*slack, *first)) && may_run(*owned.job)) {
-        next = owned.job.get();
-        first = slack;
-      }
-    }
-    const bool burst_over = items_in_burst_ >= environment_.knobs.max_items_per_burst;
-    if (next == nullptr || burst_over || !next->start_item()) {
-      break;
-    }
-    ++items_in_burst_;
+}
+
+void item_scheduler::update_places() {
+  const RouteTablePtr table = environment_.routes.current();
+  const uint64_t version = table ? table->version() : 0;
+  if (std::exchange(configuration_, version) == version) {
+    return;
   }
-  constexpr Duration kPollInterval = std::chrono::milliseconds(50);
-  if (waiting && !items_timer_->enabled()) {
-    items_timer_->enable(kPollInterval);
+  for (const auto& [id, owned] : owned_) {
+    owned.job->update_places();
+  }
+}
+
+bool item_scheduler::start_first(full_groups& full) {
+  const Duration late_before = environment_.clock.now() + environment_.pace.estimate();
+  const auto next = environment_.waiting.first(late_before, full.names);
+  if (!next) {
+    return false;
+  }
+  const auto& [item, place] = *next;
+  if (!may_run(*item.job)) {
+    item.job->delay_item(item.item, environment_.knobs.stale_view_delay);
+    return true;
+  }
+  const std::string group = place->group;
+  const size_t services = place->services;
+  const item_start start = item.job->start_item(item.item);
+  items_in_burst_ += start == item_start::kStarted || start == item_start::kEnded ? 1 : 0;
+  // Each try of an item that may run at several services draws one of them.
+  if (start == item_start::kNoRoom && ++full.refusals[group] >= services) {
+    full.names.insert(group);
   }
+  return true;
 }
 
 // The node that writes the end of a job acknowledges it, even if the owner has not been notified.
--- a/src/jobs/job_environment.h
+++ b/src/jobs/job_environment.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "chalkshed/waiting_items.h"
 #include "src/jobs/item_duration.h"
 #include "src/jobs/job.h"
 #include "src/jobs/job_knobs.h"
@@ -26,6 +27,8 @@
   ServiceDraw& draw;
   JobKnobs knobs;
   ItemDurationEstimator pace = {};
+  // The items that wait, of all jobs that this node owns.
+  waiting_items waiting = {};
   // Upper bound of the age of this node's view of the jobs of all nodes.
   std::function<Duration()> view_age = [] { return Duration(0); };
 };
--- a/src/jobs/job_knobs.h
+++ b/src/jobs/job_knobs.h
@@ -45,6 +45,8 @@
   // the acknowledged end of a job an item may still start at a worker, usually to 3 s; the
   // difference covers connecting to a worker and delays on an overloaded machine.
   Duration max_view_age = std::chrono::milliseconds(2000);
+  // An item that may not start from such a view is checked again after this time.
+  Duration stale_view_delay = std::chrono::milliseconds(100);
   // How long the caller that ends a job waits at most for the owner to confirm the notice: a few
   // round trips between nodes, and too short to be noticed.
   Duration owner_notice_timeout = std::chrono::milliseconds(300);
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -51,6 +51,7 @@
       item->origin = origin;
     }
   }
+  update_places();
 }
 
 const Route* OwnedJob::route_of(const RouteTable& table, const Item& item) const {
@@ -87,13 +88,24 @@
 
 // A quarantined item waits until its next probe or until its retention has passed: no other result
 // may be listed for it. Only the owner of its job runs it, so the owner also runs the probe.
-bool OwnedJob::is_held(const Item& item) const {
+std::optional<Duration> OwnedJob::held_for(const Item& item) const {
+  // An item that has asked for a turn must use it while it is granted.
+  constexpr Duration kTurnInterval = std::chrono::milliseconds(20);
+  constexpr Duration kHeldInterval = std::chrono::milliseconds(100);
   const RouteTablePtr table = environment_.routes.current();
   const Route* route = table ? route_of(*table, item) : nullptr;
   const bool named = route != nullptr && !route->services.empty();
   const std::string service = named ? route->services.front().service : "";
-  const run_permit permit = environment_.serving.quarantine.claim_owned_run(item.request, service);
-  return permit == run_permit::kQuarantined || permit == run_permit::kWait;
+  switch (environment_.serving.quarantine.claim_owned_run(item.request, service)) {
+    case run_permit::kWait:
+      return kTurnInterval;
+    case run_permit::kQuarantined:
+      return kHeldInterval;
+    case run_permit::kFree:
+    case run_permit::kExclusive:
+      break;
+  }
+  return std::nullopt;
 }
 
 // Such an item runs where few other requests do. After the first lost worker nearly all items are
@@ -105,28 +117,44 @@
          quarantine.part_is_suspect(item.request, service);
 }
 
-std::optional<size_t> OwnedJob::next_waiting() const {
-  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
-  std::optional<size_t> next;
-  for (size_t index = 0; index < items_.size(); ++index) {
-    const Item& item = items_[index];
-    if (item.phase != Phase::kWaiting || item.not_before > now || is_held(item)) {
-      continue;
-    }
-    if (!next || starts_before(slack_of(item), slack_of(items_[*next]))) {
-      next = index;
+waiting_place OwnedJob::place_of(const RouteTable& table, const Item& item) const {
+  waiting_place place;
+  const Route* route = route_of(table, item);
+  if (route != nullptr) {
+    place.services = std::max<size_t>(route->services.size(), 1);
+    for (const WeightedService& service : route->services) {
+      place.group += service.service + "\n";
     }
   }
-  return next;
+  // As in slack_of().
+  constexpr int kMinRemainingDivisor = 8;
+  const Duration pace = environment_.pace.estimate();
+  place.due = due() + std::min(item.ran, pace - pace / kMinRemainingDivisor);
+  return place;
 }
 
-std::optional<Duration> OwnedJob::next_slack() const {
-  const std::optional<size_t> next = ownership_lost_ ? std::nullopt : next_waiting();
-  return next ? std::optional(slack_of(items_[*next])) : std::nullopt;
+void OwnedJob::wait(Item& item, Duration delay) {
+  const RouteTablePtr table = environment_.routes.current();
+  waiting_place place = table ? place_of(*table, item) : waiting_place{};
+  place.not_before = environment_.serving.time_source.monotonic_now() + delay;
+  item.phase = Phase::kWaiting;
+  const auto index = static_cast<size_t>(&item - items_.data());
+  item.waiting = environment_.waiting.add({this, index}, std::move(place));
+}
+
+void OwnedJob::update_places() {
+  for (Item& item : items_) {
+    if (item.phase == Phase::kWaiting && !ownership_lost_) {
+      wait(item, Duration(0));
+    }
+  }
 }
 
 std::optional<OwnedJob::Preemptible> OwnedJob::first_to_preempt(const AtWorker& at) const {
   std::optional<Preemptible> first;
+  if (!has_running()) {
+    return first;
+  }
   for (size_t index = 0; index < items_.size(); ++index) {
     const Item& item = items_[index];
     if (item.phase != Phase::kRunning) {
@@ -146,9 +174,8 @@
   const MonotonicTime now = environment_.serving.time_source.monotonic_now();
   item.run.reset();
   --running_;
-  item.phase = Phase::kWaiting;
   item.ran += now - item.started;
-  item.not_before = now + environment_.knobs.preempted_item_delay;
+  wait(item, environment_.knobs.preempted_item_delay);
   environment_.serving.logger.write(
       LogLevel::kInfo, "item_preempted",
       {{"job", caller_job_id(record_.id)},
@@ -156,42 +183,57 @@
        {"slack_ms", std::to_string(run.slack / std::chrono::milliseconds(1))}});
 }
 
-bool OwnedJob::start_item() {
+item_start OwnedJob::start_item(size_t index) {
+  constexpr Duration kUnroutedInterval = std::chrono::milliseconds(400);
+  Item& item = items_[index];
   const RouteTablePtr table = environment_.routes.current();
-  const std::optional<size_t> next = ownership_lost_ || !table ? std::nullopt : next_waiting();
-  Item* item = next ? &items_[*next] : nullptr;
-  const Route* route = item == nullptr ? nullptr : route_of(*table, *item);
+  const Route* route = table ? route_of(*table, item) : nullptr;
   if (route == nullptr) {
-    return false;
+    wait(item, kUnroutedInterval);
+    return item_start::kDelayed;
+  }
+  if (const std::optional<Duration> held = held_for(item)) {
+    wait(item, *held);
+    return item_start::kDelayed;
   }
-  if (item->failures.used_up(max_attempts_of(*item))) {
-    end_item(*item, ItemState::kErrored);
-    return true;
+  if (item.failures.used_up(max_attempts_of(item))) {
+    end_item(item, ItemState::kErrored);
+    return item_start::kEnded;
   }
-  const std::string service = service_for(*route, *item);
-  const item_continuation step = next_step(*item, service);
+  const std::string service = service_for(*route, item);
+  WorkerSlotPtr slot = acquire_next(item, service);
+  // Items that may run at any worker may have room.
+  if (!slot && (item.progress.last_event || avoids_software(item, service))) {
+    defer(item);
+    return item_start::kDelayed;
+  }
+  if (!slot) {
+    return item_start::kNoRoom;
+  }
+  start_run(index, std::move(slot), table->version());
+  return item_start::kStarted;
+}
+
+WorkerSlotPtr OwnedJob::acquire_next(Item& item, const std::string& service) {
+  const item_continuation step = next_step(item, service);
   if (step.step == item_step::kStartOver) {
-    drop_text(*item);
+    drop_text(item);
   }
   WorkerSlotPtr slot;
   if (step.step != item_step::kWait) {
-    slot = acquire_slot(*item, service, step.software);
+    slot = acquire_slot(item, service, step.software);
   }
   if (!slot && step.may_start_over) {
-    slot = acquire_slot(*item, service, software_id::kUnknown);
+    slot = acquire_slot(item, service, software_id::kUnknown);
     if (slot) {
-      drop_text(*item);
+      drop_text(item);
     }
   }
-  if (!slot && item->progress.last_event) {
-    defer(*item);  // items that may run at any worker may have room
-    return true;
-  }
-  if (!slot) {
-    return false;
-  }
-  start_run(*next, std::move(slot), table->version());
-  return true;
+  return slot;
+}
+
+bool OwnedJob::avoids_software(const Item& item, const std::string& service) const {
+  return !environment_.serving.quarantine.crashing_software(item.request, service).empty();
 }
 
 std::string OwnedJob::service_for(const Route& route, const Item& item) {
@@ -241,9 +283,11 @@
 
 void OwnedJob::defer(Item& item) {
   constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
-  const MonotonicTime now = environment_.serving.time_source.monotonic_now();
-  item.waits_for_version = item.waits_for_version.value_or(now);
-  item.not_before = now + kRetryInterval;
+  if (item.progress.last_event) {
+    const MonotonicTime now = environment_.serving.time_source.monotonic_now();
+    item.waits_for_version = item.waits_for_version.value_or(now);
+  }
+  wait(item, kRetryInterval);
 }
 
 void OwnedJob::note_continuation(const Item& item, const WorkerRecord* at) const {
@@ -271,6 +315,7 @@
   item->waits_for_version.reset();
   checkpoint_later();
   item->phase = Phase::kRunning;
+  item->waiting = {};
   item->started = environment_.serving.time_source.monotonic_now();
   ++running_;
   item->run =
@@ -333,11 +378,7 @@
   return route == nullptr ? 1 : std::max(route->attempts, 1U);
 }
 
-void OwnedJob::requeue_item(Item& item) {
-  item.phase = Phase::kWaiting;
-  item.not_before =
-      environment_.serving.time_source.monotonic_now() + environment_.knobs.item_retry_delay;
-}
+void OwnedJob::requeue_item(Item& item) { wait(item, environment_.knobs.item_retry_delay); }
 
 void OwnedJob::record_failed_run(size_t index, run_failure failure) {
   Item& item = items_[index];
@@ -377,6 +418,7 @@
 
 void OwnedJob::end_item(Item& item, ItemState state) {
   item.phase = Phase::kEnded;
+  item.waiting = {};
   JobResult result;
   result.item = item.request.id;
   result.state = state;
@@ -704,6 +746,7 @@
   checkpoint_timer_->disable();
   for (Item& item : items_) {
     item.run.reset();
+    item.waiting = {};
   }
   running_ = 0;
   const std::vector<std::function<void()>> callbacks = std::exchange(on_commit_, {});
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -19,6 +19,17 @@
 
 namespace chalkshed {
 
+// What became of an item that was to start.
+enum class item_start : uint8_t {
+  kStarted,
+  // It ended without a run.
+  kEnded,
+  // Only this item cannot start now; it waits for a while.
+  kDelayed,
+  // No item that needs the same services can start now.
+  kNoRoom,
+};
+
 class OwnedJob {
  public:
   // Called when this node no longer owns the job, or the job was ended.
@@ -38,9 +49,8 @@
   MonotonicTime confirmed() const { return confirmed_; }
   // The time by which all results are due, by the store's clock.
   Duration due() const;
-  // The slack of the waiting item that starts next: how long it may still wait and meet its target.
-  // Negative when it cannot meet the target, nothing when no item waits.
-  std::optional<Duration> next_slack() const;
+  // How long the item may still wait and meet its target; negative when it cannot meet it.
+  Duration slack(size_t item) const { return slack_of(items_[item]); }
 
   // A run that may be preempted for online work.
   struct Preemptible {
@@ -53,8 +63,12 @@
   // Stops the run; its item is requeued and resumes later.
   void preempt(const Preemptible& run);
   bool has_running() const { return running_ > 0; }
-  // Starts the next waiting item. @return false when no worker has a free slot for it.
-  bool start_item();
+  // Starts a waiting item if a worker has a free slot for it.
+  item_start start_item(size_t index);
+  // Lets a waiting item wait for at least that long.
+  void delay_item(size_t index, Duration delay) { wait(items_[index], delay); }
+  // The configuration has changed: the waiting items may need other services.
+  void update_places();
   // Ends waiting items as errored whose retention has passed, whose route was removed or whose
   // attempts are exhausted.
   void fail_unrunnable_items();
@@ -91,7 +105,7 @@
     Phase phase = Phase::kWaiting;
     ItemProgress progress;
     item_failures failures;
-    MonotonicTime not_before{};
+    waiting_items::entry waiting;  // while the item waits
     MonotonicTime started{};
     Duration ran{0};  // total duration of the runs that have ended
     std::unique_ptr<JobItemRun> run;
@@ -108,8 +122,16 @@
   item_continuation next_step(const Item& item, const std::string& service) const;
   // The item starts over.
   void drop_text(Item& item);
+  // Puts the item among those that wait. @param delay until it may start at the earliest.
+  void wait(Item& item, Duration delay);
+  // @return the services that the item needs, and its place in the order of starting.
+  waiting_place place_of(const RouteTable& table, const Item& item) const;
   // Lets the item wait a little for a worker of the version that wrote its text.
   void defer(Item& item);
+  // Acquires a slot for the item's next run. @return null: there is none, or the item should wait.
+  WorkerSlotPtr acquire_next(Item& item, const std::string& service);
+  // Whether a part of the item's prompt keeps it from workers of some version.
+  bool avoids_software(const Item& item, const std::string& service) const;
   void start_run(size_t index, WorkerSlotPtr slot, uint64_t configuration);
   // Logs and counts how an item with a partial text goes on.
   // @param at null: it starts over.
@@ -144,10 +166,10 @@
   void lose_ownership(Ownership ownership);
   Duration slack_of(const Item& item) const;
   batch_urgency urgency_of(const Item& item) const;
-  bool is_held(const Item& item) const;
+  // @return how long the item waits before it is tried again, because it may crash its worker;
+  // nothing: it may run.
+  std::optional<Duration> held_for(const Item& item) const;
   bool may_crash_worker(const Item& item, const std::string& service) const;
-  // @return the index of the waiting item that is to start next, or nothing.
-  std::optional<size_t> next_waiting() const;
   const Route* route_of(const RouteTable& table, const Item& item) const;
 
   JobEnvironment& environment_;
--- a/tests/jobs/owned_job_test.cc
+++ b/tests/jobs/owned_job_test.cc
@@ -3,75 +3,17 @@
 #include <gtest/gtest.h>
 
 #include "src/jobs/job_rows.h"
-#include "tests/serving/serving_cluster.h"
+#include "tests/jobs/owned_job_fixture.h"
 
 namespace chalkshed {
 namespace {
 
-// An owned job, and a store that the test also writes to directly.
-class OwnedJobTest : public testing::Test {
- protected:
-  OwnedJobTest() {
-    StoredRow configuration;
-    configuration.key = {platform::kOperatorTable, "", platform::kConfigurationKey};
-    configuration.version = 1;
-    configuration.value = R"({"version": 1, "services": [{"name": "engines"}], "routes": [
-        {"name": "batch", "host": "a.example", "path_prefix": "/batch/", "kind": "batch",
-         "service": "engines", "attempts": 3, "run_target_ms": 20000}]})";
-    routes.on_row(configuration);
-    WorkerRecord worker;
-    worker.incarnation = "i-1";
-    worker.service = "engines";
-    worker.slots = 8;
-    workers.update(worker);
-    record.id = "j1";
-    record.host = "a.example";
-    record.path = "/batch/j";
-    record.items = 2;
-    record.owner = "n0#1";
-    record.epoch = 3;
-  }
-  StoreVersion write(const StoredRowKey& key, const std::string& value) {
-    StoreTransaction transaction;
-    transaction.writes.push_back({key, value});
-    return shared.rows.commit(transaction).stamp.version;
-  }
-  std::vector<ServingRequest> items() {
-    return *job_wire().decode_items("a.example", R"({"requests": [
-        {"id": "a", "path": "/batch/x", "body": ""}, {"id": "b", "path": "/batch/x", "body": ""}]})");
-  }
-  void complete(ScriptedCall& call) {
-    call.begin();
-    call.event(1);
-    call.end();
-  }
-
-  VirtualClock clock;
-  VirtualDispatcher dispatcher{clock};
-  SeededRandomGenerator random{1};
-  NullLogger logger;
-  NullMetricsRegistry metrics;
-  SharedStore shared;
-  MemoryWatchedStore store{shared, clock, dispatcher};
-  ScriptedWorkers calls;
-  WorkerSet workers{clock, random, "zone-a"};
-  request_quarantine quarantine{clock, dispatcher, workers, logger, metrics};
-  ServingEnvironment serving{clock,   dispatcher, random,  calls, request_wire(),
-                             workers, logger,     metrics, {},    quarantine};
-  RouteWatch routes{logger, platform::kConfigurationKey, &platform::decode_routes};
-  StoreClock store_clock{clock};
-  ServiceDraw draw{random};
-  JobEnvironment environment{serving, routes, store, store, store_clock, job_wire(), draw, {}, {}};
-  failure_recorder recorder{store, dispatcher, logger, environment.knobs.store_retry_delay};
-  StoredJob record;
-};
-
 TEST_F(OwnedJobTest, AnAppendThatWasAppliedThoughItsAnswerWasLostIsRecognised) {
   const StoreVersion version = write(stored_job_key("j1"), encode_job_record(record));
   std::string lost;
   OwnedJob job(environment, recorder, record, version, clock.monotonic_now(), {items(), {}, {}, {}},
                [&](const std::string& reason) { lost = reason; });
-  ASSERT_TRUE(job.start_item());
+  ASSERT_EQ(job.start_item(0), item_start::kStarted);
   shared.trouble.lose_commits = true;
   complete(calls.calls.back());
   clock.run_for(milliseconds(500));
@@ -92,7 +34,7 @@
   std::string lost;
   OwnedJob job(environment, recorder, record, version, clock.monotonic_now(), {items(), {}, {}, {}},
                [&](const std::string& reason) { lost = reason; });
-  ASSERT_TRUE(job.start_item());
+  ASSERT_EQ(job.start_item(0), item_start::kStarted);
   write(job_result_key("j1", 0), encode_job_result(other));
   complete(calls.calls.back());
   clock.run_for(seconds(1));
@@ -105,7 +47,7 @@
   std::string lost;
   OwnedJob job(environment, recorder, record, version, clock.monotonic_now(), {items(), {}, {}, {}},
                [&](const std::string& reason) { lost = reason; });
-  ASSERT_TRUE(job.start_item());
+  ASSERT_EQ(job.start_item(0), item_start::kStarted);
   StoredJob taken = record;
   taken.owner = "n1#1";
   ++taken.epoch;
@@ -151,9 +93,9 @@
                     [](const std::string&) {});
   OwnedJob timely_job(environment, recorder, timely, 1, clock.monotonic_now(),
                       {items(), {}, {}, {}}, [](const std::string&) {});
-  ASSERT_LT(*late_job.next_slack(), Duration(0));
-  ASSERT_GT(*timely_job.next_slack(), Duration(0));
-  EXPECT_TRUE(starts_before(*timely_job.next_slack(), *late_job.next_slack()));
+  ASSERT_LT(late_job.slack(0), Duration(0));
+  ASSERT_GT(timely_job.slack(0), Duration(0));
+  EXPECT_TRUE(starts_before(timely_job.slack(0), late_job.slack(0)));
 }
 
 TEST(StartsBeforeTest, TheMostUrgentItemOnTimeComesFirstThenTheLeastLate) {
