Online requests that wait at one service hold batch items of that service only

Related to the items behind a lost service: what cannot start kept back what can.

Cause: the scheduler asked whether any online request waits at all, and the shortage of slots was counted over all services and met at any worker.

Change: both are asked for each service. At one service batch items still start and stay behind online requests as before.

--- a/include/chalkshed/item_scheduler.h
+++ b/include/chalkshed/item_scheduler.h
@@ -20,7 +20,7 @@
 
 class item_scheduler {
 public:
-    /** \param may_start Whether batch items may take slots: no online request is waiting for one.
+    /** \param may_start Whether batch items may take slots: the loads of the workers are known.
      * All references must outlive the scheduler. */
     item_scheduler(JobEnvironment &environment, SessionView &sessions, const owned_job_map &owned,
                    std::function<bool()> may_start);
@@ -32,8 +32,8 @@
     }
     /** Starts waiting items while workers have free slots. */
     void start_items();
-    /** Preempts up to `count` runs for online requests that wait for their slots. */
-    void preempt_items(size_t count);
+    /** Preempts up to `count` runs for online requests that wait for slots of the service. */
+    void preempt_items(const std::string &service, size_t count);
 
 private:
     /** Groups of items that were found to have no room. */
--- a/src/jobs/item_scheduler.cc
+++ b/src/jobs/item_scheduler.cc
@@ -107,8 +107,11 @@
 }
 
 // Online requests never wait behind batch items: urgent runs are preempted too, after all others.
-void item_scheduler::preempt_items(size_t count) {
-  while (count > 0 && preempt_one([](const ServingWorker&) { return true; })) {
+void item_scheduler::preempt_items(const std::string& service, size_t count) {
+  const auto of_service = [&](const ServingWorker& worker) {
+    return worker.record.service == service;
+  };
+  while (count > 0 && preempt_one(of_service)) {
     --count;
   }
 }
--- a/src/jobs/job_environment.h
+++ b/src/jobs/job_environment.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <string>
 
 #include "chalkshed/waiting_items.h"
 #include "src/jobs/item_duration.h"
@@ -29,6 +30,10 @@
   ItemDurationEstimator pace = {};
   // The items that wait, of all jobs that this node owns.
   waiting_items waiting = {};
+  // Whether online requests wait for a slot of the service; batch items then take none there.
+  std::function<bool(const std::string& service)> online_waits = [](const std::string&) {
+    return false;
+  };
   // Upper bound of the age of this node's view of the jobs of all nodes.
   std::function<Duration()> view_age = [] { return Duration(0); };
 };
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -28,7 +28,7 @@
 
 class JobService : public TableObserver {
  public:
-  // @param may_start whether batch items may take slots now: no online request is waiting for one.
+  // @param may_start whether batch items may take slots now: the loads of the workers are known.
   JobService(JobEnvironment& environment, SessionView& sessions, std::function<bool()> may_start);
 
   void start();
@@ -59,8 +59,10 @@
 
   // Starts waiting items while workers have free slots.
   void start_items() { scheduler_.start_items(); }
-  // Preempts up to `count` runs for online requests that wait for their slots.
-  void preempt_items(size_t count) { scheduler_.preempt_items(count); }
+  // Preempts up to `count` runs for online requests that wait for slots of the service.
+  void preempt_items(const std::string& service, size_t count) {
+    scheduler_.preempt_items(service, count);
+  }
   // Planned stop: starts no further items, lets running items end, releases the jobs to other
   // nodes, then calls `done` once.
   void drain(std::function<void()> done);
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -215,11 +215,14 @@
 }
 
 WorkerSlotPtr OwnedJob::acquire_next(Item& item, const std::string& service) {
+  WorkerSlotPtr slot;
+  if (environment_.online_waits(service)) {
+    return slot;
+  }
   const item_continuation step = next_step(item, service);
   if (step.step == item_step::kStartOver) {
     drop_text(item);
   }
-  WorkerSlotPtr slot;
   if (step.step != item_step::kWait) {
     slot = acquire_slot(item, service, step.software);
   }
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -121,7 +121,11 @@
           [this] { return peers_.zone_peers(); }, knobs.workers_copy) {
   job_environment_.view_age = [this] { return job_table_.age(); };
   workers_.set_on_slot_freed([this] { schedule_placement(); });
-  gateway_.set_on_slot_shortage([this](size_t count) { jobs_.preempt_items(count); });
+  gateway_.set_on_slot_shortage(
+      [this](const std::string& service, size_t count) { jobs_.preempt_items(service, count); });
+  job_environment_.online_waits = [this](const std::string& service) {
+    return gateway_.waiting(service) > 0;
+  };
   workers_.set_on_load_changed([this] { peers_.load_changed(); });
   jobs_.set_on_queue_changed([this] { peers_.load_changed(); });
   jobs_.set_on_ownership_changed([this] { update_job_pace(); });
@@ -467,8 +471,7 @@
 // Until the loads of the other nodes are known, all workers look idle, and batch items would take
 // the slots that the first requests of callers need.
 bool ServingNode::may_start_batch() {
-  return !gateway_.any_waiting() &&
-         (peers_.loads_known() || start_steps_.elapsed() >= knobs_.start.loads_at_latest);
+  return peers_.loads_known() || start_steps_.elapsed() >= knobs_.start.loads_at_latest;
 }
 
 void ServingNode::check_loads_known() {
--- a/src/serving/serving_gateway.cc
+++ b/src/serving/serving_gateway.cc
@@ -91,9 +91,9 @@
     note_dispatched(relays_.at(id));
   }
   const size_t slots = environment_.workers.free_slots(started.service());
-  const size_t short_of = waiting();
+  const size_t short_of = waiting(started.service());
   if (started.waiting() && !held && short_of > slots && on_slot_shortage_) {
-    on_slot_shortage_(short_of - slots);
+    on_slot_shortage_(started.service(), short_of - slots);
   } else if (started.waiting()) {
     environment_.dispatcher.post(lifetime_.guard([this] { dispatch_waiting(); }));
   }
@@ -198,9 +198,15 @@
   environment_.dispatcher.post(lifetime_.guard([this, id] { relays_.erase(id); }));
 }
 
-size_t ServingGateway::waiting() const {
-  return static_cast<size_t>(std::count_if(relays_.begin(), relays_.end(), [](const auto& entry) {
-    return entry.second.relay->waits_for_slot();
+bool ServingGateway::any_waiting() const {
+  return std::any_of(relays_.begin(), relays_.end(),
+                     [](const auto& entry) { return entry.second.relay->waits_for_slot(); });
+}
+
+size_t ServingGateway::waiting(const std::string& service) const {
+  return static_cast<size_t>(std::count_if(relays_.begin(), relays_.end(), [&](const auto& entry) {
+    const RequestRelay& relay = *entry.second.relay;
+    return relay.waits_for_slot() && relay.service() == service;
   }));
 }
 
--- a/src/serving/serving_gateway.h
+++ b/src/serving/serving_gateway.h
@@ -31,11 +31,13 @@
   // outlives the gateway. Without it, a request that has waited for long is sent to a full worker.
   void set_admission(shared_admission* admission);
   size_t requests_in_progress() const { return relays_.size() + lookups_.size(); }
-  // Whether any online request waits for a slot; batch work then takes none.
-  bool any_waiting() const { return waiting() > 0; }
-  size_t waiting() const;
-  // Called with the number of missing slots when more requests wait than slots are free.
-  void set_on_slot_shortage(std::function<void(size_t)> callback) {
+  // Whether any online request waits for a slot.
+  bool any_waiting() const;
+  // Number of online requests that wait for a slot of the service; batch work then takes none
+  // there.
+  size_t waiting(const std::string& service) const;
+  // Called with the number of missing slots when more requests wait for a service than it has free.
+  void set_on_slot_shortage(std::function<void(const std::string& service, size_t)> callback) {
     on_slot_shortage_ = std::move(callback);
   }
   // Called when a slot may have become free.
@@ -77,7 +79,7 @@
   uint64_t next_id_ = 0;
   bool dispatching_ = false;
   StreamLookups lookups_;
-  std::function<void(size_t)> on_slot_shortage_;
+  std::function<void(const std::string&, size_t)> on_slot_shortage_;
   Lifetime lifetime_;
 };
 
--- a/tests/jobs/unstartable_items_test.cc
+++ b/tests/jobs/unstartable_items_test.cc
@@ -123,6 +123,53 @@
   EXPECT_EQ(listed("lost"), 2U);
 }
 
+// Online requests wait for a worker of their service, which has none.
+TEST_F(UnstartableItemsTest, OnlineRequestsOfAServiceWithoutWorkersDelayNoItemOfAnother) {
+  cluster.write_configuration(3, [](nlohmann::json& configuration) {
+    configuration["services"].push_back({{"name", "small"}});
+    nlohmann::json route = configuration["routes"].front();
+    route["name"] = "small";
+    route["path_prefix"] = "/small/";
+    route["target_ms"] = 5000;
+    route["service"] = "small";
+    configuration["routes"].push_back(route);
+  });
+  cluster.clock.run_for(milliseconds(500));
+  submit("sound", {kSound, kSound, kSound, kSound});
+  for (int number = 0; number < 20; ++number) {
+    cluster.request(kLost, "online" + std::to_string(number));
+    cluster.clock.run_for(milliseconds(100));
+  }
+  EXPECT_EQ(listed("sound"), 4U);
+}
+
+// Items run for long at the one service; the slots of the other are missing for online requests.
+TEST_F(UnstartableItemsTest, OnlineRequestsPreemptNoItemOfAnotherService) {
+  cluster.write_configuration(3, [](nlohmann::json& configuration) {
+    configuration["services"].push_back({{"name", "small"}});
+    nlohmann::json route = configuration["routes"].front();
+    route["name"] = "small";
+    route["path_prefix"] = "/small/";
+    route["target_ms"] = 5000;
+    route["service"] = "small";
+    configuration["routes"].push_back(route);
+  });
+  cluster.workers.on_call = [](ScriptedCall&) {};
+  cluster.clock.run_for(milliseconds(500));
+  submit("sound", {kSound, kSound});
+  cluster.clock.run_for(seconds(1));
+  const auto open_calls = [this] {
+    return std::count_if(cluster.workers.calls.begin(), cluster.workers.calls.end(),
+                         [](const ScriptedCall& call) { return call.open(); });
+  };
+  ASSERT_EQ(open_calls(), 2);
+  for (int number = 0; number < 4; ++number) {
+    cluster.request(kLost, "online" + std::to_string(number));
+  }
+  cluster.clock.run_for(milliseconds(100));
+  EXPECT_EQ(open_calls(), 2);
+}
+
 // The configuration moves the route to a service that has workers.
 TEST_F(UnstartableItemsTest, ItemsFollowTheirRouteToAnotherService) {
   submit("lost", {kLost, kLost});
