A node whose announcement is replaced by a late write announces itself again

Callers saw: after all nodes were killed while the store lost answers, no batch job ended; nodes took the jobs from each other every half second.

Cause: the announcement is written without a condition and once. That of a killed process, carried out late, replaces its successor's; the node ignored its own row, and the others took its session for gone although it was heard.

Change: a node whose row names another session after its own announcement was acknowledged announces itself again, conditional on that row, at most each 500 ms. A session whose heartbeats arrive counts as alive.

--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -67,8 +67,12 @@
       {"session", identity_.session},         {"zone", identity_.zone},
       {"ip", identity_.address.ip},           {"port", identity_.address.port},
       {"caller_port", identity_.caller_port}, {"capacity", identity_.capacity}};
+  const StoredRowKey own = {kNodeTable, "", identity_.node};
   StoreTransaction announcement;
-  announcement.writes.push_back({{kNodeTable, "", identity_.node}, value.dump()});
+  announcement.writes.push_back({own, value.dump()});
+  if (own_announced_) {
+    announcement.conditions.push_back({own, own_announcement_});
+  }
   ++announce_attempts_;
   store_.commit(
       std::move(announcement), lifetime_.guard([this](const Expected<StoreCommit>& commit) {
@@ -76,7 +80,11 @@
           announce_timer_->enable(announce_delay());
           return;
         }
-        own_announced_ = time_source_.monotonic_now();
+        if (!commit->committed) {
+          return;  // the row has changed again, which on_row() learns
+        }
+        own_announced_ = own_announced_.value_or(time_source_.monotonic_now());
+        acknowledged_announcement_ = commit->stamp.version;
         logger_.write(
             LogLevel::kInfo, "node_announced",
             {{"session", identity_.session}, {"attempts", std::to_string(announce_attempts_)}});
@@ -98,15 +106,41 @@
   return std::max(kLeast, std::chrono::duration_cast<Duration>(window * share));
 }
 
+std::string PeerExchange::session_of(const StoredRow& row) {
+  const nlohmann::json fields =
+      row.removed ? nlohmann::json() : nlohmann::json::parse(row.value, nullptr, false);
+  return fields.is_object() ? fields.value("session", "") : "";
+}
+
+// A write whose answer was lost may be done late: the announcement of an earlier process of this
+// node then replaces that of this one. The pause bounds the writes if two processes claim the name
+// of one node.
+void PeerExchange::announce_again_if_replaced(const StoredRow& row) {
+  const bool replaced = own_announced_ && row.version > acknowledged_announcement_ &&
+                        session_of(row) != identity_.session;
+  if (!replaced || draining_ || announce_timer_->enabled()) {
+    return;
+  }
+  logger_.write(LogLevel::kWarning, "announcement_replaced",
+                {{"session", identity_.session},
+                 {"by", session_of(row)},
+                 {"store_version", std::to_string(row.version)},
+                 {"remedy", "none needed: the node is announced again"}});
+  const Duration since = time_source_.monotonic_now() - announced_again_;
+  announced_again_ = time_source_.monotonic_now();
+  announce_timer_->enable(since < knobs_.announce_retry ? knobs_.announce_retry : Duration(0));
+}
+
 void PeerExchange::on_row(const StoredRow& row) {
   if (row.key.key == identity_.node) {
     own_announcement_ = row.version;
+    announce_again_if_replaced(row);
     return;
   }
   Peer& peer = peers_[row.key.key];
   const nlohmann::json fields =
       row.removed ? nlohmann::json() : nlohmann::json::parse(row.value, nullptr, false);
-  const std::string session = fields.is_object() ? fields.value("session", "") : "";
+  const std::string session = session_of(row);
   if (session == peer.session) {
     return;
   }
@@ -499,6 +533,12 @@
     on_unknown_session_();
   }
   const MonotonicTime now = time_source_.monotonic_now();
+  constexpr size_t kMaxUnknown = 1024;
+  std::erase_if(unknown_heard_,
+                [&](const auto& entry) { return now - entry.second > knobs_.lapse_after; });
+  if (unknown_heard_.size() < kMaxUnknown) {
+    unknown_heard_[heartbeat.session] = now;
+  }
   constexpr Duration kLogInterval = std::chrono::seconds(5);
   if (now - unknown_logged_ >= kLogInterval) {
     unknown_logged_ = now;
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -197,6 +197,10 @@
   };
 
   void announce();
+  // @param row of this node.
+  void announce_again_if_replaced(const StoredRow& row);
+  // @return the session that the row of a node names; empty: none.
+  static std::string session_of(const StoredRow& row);
   // Delay until the announcement is sent again; differs between nodes.
   Duration announce_delay() const;
   void tick();
@@ -262,7 +266,11 @@
   std::function<bool(std::string_view)> other_reader_;
   std::function<void()> on_unknown_session_;
   bool listed_ = false;
-  StoreVersion own_announcement_ = 0;
+  StoreVersion own_announcement_ = 0;           // the newest row of this node
+  StoreVersion acknowledged_announcement_ = 0;  // the newest one that this process wrote
+  MonotonicTime announced_again_{};
+  // Sessions whose heartbeats arrive although the store doesn't announce them, and when last.
+  std::map<std::string, MonotonicTime> unknown_heard_;
   uint64_t announce_attempts_ = 0;
   std::optional<MonotonicTime> own_announced_;  // when the store confirmed it
   bool loads_known_ = false;
--- a/src/peers/peer_queries.cc
+++ b/src/peers/peer_queries.cc
@@ -161,11 +161,16 @@
   if (peer != peers_.end() && peer->second.session == session) {
     return !lapsed(peer->second);
   }
+  const MonotonicTime now = time_source_.monotonic_now();
+  // A process that sends heartbeats runs, whatever the store announces for its node.
+  const auto heard = unknown_heard_.find(session);
+  if (heard != unknown_heard_.end() && now - heard->second <= knobs_.lapse_after) {
+    return true;
+  }
   if (peer != peers_.end() && seen < peer->second.announcement) {
     return false;
   }
   // Its announcement may not have arrived yet.
-  const MonotonicTime now = time_source_.monotonic_now();
   const auto [entry, is_new] = unannounced_.try_emplace(session, now);
   return now - entry->second <= knobs_.lapse_after;
 }
--- a/tests/peers/peer_exchange_test.cc
+++ b/tests/peers/peer_exchange_test.cc
@@ -47,6 +47,52 @@
   EXPECT_TRUE(alive("n0", session("n1")));
 }
 
+// Guards against nodes that take each other for gone for good: the store carries out the
+// announcement of a killed process after that of its successor.
+TEST_F(PeerExchangeTest, AnAnnouncementOfAnEarlierProcessThatIsDoneLateIsReplaced) {
+  const auto row_of = [this](const std::string& node) {
+    return cluster.shared.rows.read({kNodeTable, "", node, node + "~", 1}).rows.at(0).value;
+  };
+  std::map<std::string, std::string> earlier;
+  const std::string killed = session("n1");
+  const StoreVersion seen = cluster.shared.rows.version();
+  for (const char* node : {"n0", "n1", "n2"}) {
+    earlier[node] = row_of(node);
+    cluster.kill_node(node);
+    cluster.start_node(node);
+  }
+  cluster.clock.run_for(seconds(2));
+  for (int times = 0; times < 2; ++times) {
+    for (const auto& [node, row] : earlier) {
+      cluster.put(kNodeTable, node, row);
+    }
+    cluster.clock.run_for(milliseconds(100));
+  }
+  for (int step = 0; step < 60; ++step) {
+    cluster.clock.run_for(milliseconds(100));
+    ASSERT_TRUE(alive("n0", session("n1")));
+    ASSERT_TRUE(alive("n1", session("n2")));
+    ASSERT_TRUE(alive("n2", session("n0")));
+  }
+  EXPECT_NE(row_of("n1"), earlier["n1"]);
+  EXPECT_FALSE(view("n0").alive(killed, seen));
+}
+
+// The process sends heartbeats; a build that doesn't announce itself again is not gone either.
+TEST_F(PeerExchangeTest, ANodeThatIsHeardIsAliveWhateverTheStoreAnnounces) {
+  cluster.nodes.at("n1")->store.set_cut(true);
+  cluster.clock.run_for(milliseconds(100));
+  cluster.put(kNodeTable, "n1", R"({"session": "n1#0", "ip": "n1", "port": 7660})");
+  for (int step = 0; step < 30; ++step) {
+    cluster.clock.run_for(milliseconds(100));
+    ASSERT_TRUE(alive("n0", session("n1")));
+  }
+  const std::string dead = session("n1");
+  cluster.kill_node("n1");
+  cluster.clock.run_for(seconds(6));
+  EXPECT_FALSE(alive("n0", dead));
+}
+
 TEST_F(PeerExchangeTest, ANodeThatLostTheStoreLapsesForNodesThatReachIt) {
   cluster.nodes.at("n1")->store.set_cut(true);
   cluster.clock.run_for(seconds(6));
