A condition that a caller sets says nothing of the worker that refuses it

Callers saw: two or three requests with Chalkshed-Expect-Version of another version than the workers' made a node refuse all requests for the service.

Change: a refusal of a request that carries a condition of its caller (the version of the weights, the source of a copy) is not evidence on the worker.

--- a/src/serving/serving_protocol.h
+++ b/src/serving/serving_protocol.h
@@ -33,6 +33,9 @@
 struct WorkerVerdict {
   bool not_run = false;            // the worker states that it did not run the request
   bool other_incarnation = false;  // another worker has the address now
+  // The request was not run, perhaps because of a condition that its caller set: this says nothing
+  // of the worker.
+  bool unmet_condition = false;
   bool authentic = false;          // carries the worker's proof of origin
   bool other_request = false;      // belongs to another request
   bool encoded = false;            // the body has a content encoding that was not requested
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -150,7 +150,7 @@
   if (verdict_.not_run) {
     if (verdict_.other_incarnation) {
       workers_.note_replaced(worker);
-    } else {
+    } else if (!verdict_.unmet_condition) {
       workers_.note_refusal(worker);
     }
     end(AttemptResult::kNotRun, "the worker refused with status " + std::to_string(end_.status));
