A probe that is lost in a storm of crashes is no failed probe

Callers saw: an innocent item that had lost three workers was held; its one probe met a second series of crashes, and the next came two minutes later.

Cause: each worker that ended 15 s after the third counted as a failed probe, whatever else crashed at that time.

Change: if a quarter of the workers or more crash within a second for other reasons, the loss of the probe proves nothing, as for trials of parts. Entries that are removed without an announced leave show the crashes of idle workers. Workers that lost a run of a quarantined content explain themselves.

--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -51,6 +51,16 @@
      * multiplies the delay by probe_backoff_factor. */
     Duration first_probe_delay = std::chrono::seconds(15);
     int64_t probe_backoff_factor = 8;
+    /** A run that was lost proves nothing if at least this share of the workers crashed for other
+     * reasons ... */
+    double storm_share = 0.25;
+    /** ... within this time before or after it. */
+    Duration storm_window = std::chrono::seconds(1);
+    /** The entry of a crashed worker is removed this long after the crash: after three heartbeats
+     * of up to 1.2 s, the first of which may have been under way, ... */
+    Duration entry_removal_delay = std::chrono::seconds(3);
+    /** ... give or take this much. */
+    Duration entry_removal_spread = std::chrono::milliseconds(600);
     /** The store's worker list shows within this time whether a worker has crashed: its entry is
      * removed after three missed heartbeats, 3.6 s at the slowest heartbeat in use, and all nodes
      * see this a second later. */
@@ -165,9 +175,16 @@
     std::vector<uint64_t> lost_at(uint32_t worker, MonotonicTime now) const;
     /** Whether any run was lost at the worker after that time. */
     bool lost_any(uint32_t worker, MonotonicTime after) const;
-    /** Number of workers that crashed within that time before or after `at` and did not lose a run
-     * that counts against the part. */
-    size_t crashes_without(uint64_t part, MonotonicTime at, Duration within) const;
+    /** Whether so many of the workers crashed around that time without the content or the part that
+     * the loss proves nothing. \param workers Number of all workers. */
+    bool within_storm(const broken_run &run, size_t workers) const;
+    /** The entry of a worker that had not announced that it would leave has been removed: it
+     * crashed some seconds ago, also if it was idle. */
+    void note_removed(uint32_t worker, MonotonicTime now);
+    /** Sets the number of workers that are listed. */
+    void note_workers(size_t workers) {
+        workers_ = workers;
+    }
     /** Parts with that many crashed workers at several moments. */
     std::vector<uint64_t> parts_with_crashes() const;
     /** Whether crashes at these times are as many as quarantine, and not one common loss. */
@@ -251,8 +268,17 @@
     const content *find(uint64_t digest) const;
     static size_t crashes_of(const content &known);
     static MonotonicTime newest_crash(const content &known);
+    /** Number of workers that crashed in the storm window around `at` and lost no run that counts
+     * against the content or the part. */
+    size_t crashes_without(uint64_t digest, MonotonicTime at) const;
+    /** Whether the worker lost a run of the content or with the part. */
+    bool lost_by(uint32_t worker, uint64_t digest) const;
+    bool crashed_in(uint32_t worker, MonotonicTime from, MonotonicTime until) const;
+    /** Whether the worker lost a run of the content or with the part, or of a quarantined content,
+     * which explains the crash. */
+    bool crash_explained(uint32_t worker, uint64_t digest) const;
     /** Number of crashes so long after the content was quarantined that only probes can have caused
-     * them. */
+     * them, but for those within a storm. */
     size_t failed_probes(const content &known) const;
     Duration probe_delay(size_t failed) const;
     void evict_if_full();
@@ -265,6 +291,9 @@
     const crash_knobs knobs_;
     std::unordered_map<uint64_t, content> contents_;
     std::unordered_map<uint64_t, uint32_t> under_way_;
+    size_t workers_ = 0;
+    /** When workers crashed whose entries were removed, about. */
+    std::unordered_map<uint32_t, MonotonicTime> removed_;
     /** Contents and parts by the workers that lost runs of them; may name some that are cleared. */
     std::unordered_map<uint32_t, std::vector<uint64_t>> lost_at_;
 };
--- a/include/chalkshed/request_quarantine.h
+++ b/include/chalkshed/request_quarantine.h
@@ -100,8 +100,8 @@
         return blame(request, service).verdict != part_verdict::kFree;
     }
 
-    /** \return When a part with lost runs is tried next, at the software version that is tried first;
-     * nothing: it is not tried any more. */
+    /** \return When a part with lost runs is tried next, at the software version that is tried
+     * first; nothing: it is not tried any more. */
     std::optional<MonotonicTime> next_trial(uint64_t part) const;
 
     /** Records the start of a run at a worker of that service. \return A callback to invoke once
@@ -203,6 +203,8 @@
      */
     bool outlived_parts(const lost_run &run) const;
     size_t workers_of(const std::string &service) const;
+    /** Tells the evidence how many workers are listed, and which ones are no more. */
+    void note_listed_workers(MonotonicTime now);
     /** Clears the parts of answers that have been written on for long enough. */
     void clear_proved_parts();
     bool has_common_cause(const broken_run &run) const;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -182,15 +182,56 @@
            });
 }
 
-size_t crash_evidence::crashes_without(uint64_t part, MonotonicTime at, Duration within) const {
-    size_t workers = 0;
-    for (const auto &[worker, digests] : lost_at_) {
-        const bool explained = std::find(digests.begin(), digests.end(), part) != digests.end();
-        workers += !explained && std::any_of(digests.begin(), digests.end(), [&](uint64_t digest) {
-            return crashed(digest, worker, at - within, at + within);
-        });
+size_t crash_evidence::crashes_without(uint64_t digest, MonotonicTime at) const {
+    const MonotonicTime from = at - knobs_.storm_window;
+    const MonotonicTime until = at + knobs_.storm_window;
+    const auto by_runs = std::count_if(lost_at_.begin(), lost_at_.end(), [&](const auto &entry) {
+        return !crash_explained(entry.first, digest) && crashed_in(entry.first, from, until);
+    });
+    const Duration spread = knobs_.entry_removal_spread;
+    const auto by_entries = std::count_if(removed_.begin(), removed_.end(), [&](const auto &entry) {
+        const auto &[worker, crashed_at] = entry;
+        return crashed_at >= from - spread && crashed_at <= until + spread &&
+               !crash_explained(worker, digest) && !crashed_in(worker, from, until);
+    });
+    return static_cast<size_t>(by_runs + by_entries);
+}
+
+bool crash_evidence::lost_by(uint32_t worker, uint64_t digest) const {
+    const auto found = lost_at_.find(worker);
+    return found != lost_at_.end() &&
+           std::find(found->second.begin(), found->second.end(), digest) != found->second.end();
+}
+
+bool crash_evidence::crash_explained(uint32_t worker, uint64_t digest) const {
+    const auto found = lost_at_.find(worker);
+    return lost_by(worker, digest) ||
+           (found != lost_at_.end() &&
+            std::any_of(found->second.begin(), found->second.end(),
+                        [this](uint64_t lost) { return quarantined(lost); }));
+}
+
+bool crash_evidence::crashed_in(uint32_t worker, MonotonicTime from, MonotonicTime until) const {
+    const auto found = lost_at_.find(worker);
+    return found != lost_at_.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [&](uint64_t lost) { return crashed(lost, worker, from, until); });
+}
+
+void crash_evidence::note_removed(uint32_t worker, MonotonicTime now) {
+    std::erase_if(removed_,
+                  [&](const auto &entry) { return now - entry.second > knobs_.evidence_lifetime; });
+    if (removed_.size() < knobs_.max_contents) {
+        removed_.try_emplace(worker, now - knobs_.entry_removal_delay);
     }
-    return workers;
+}
+
+bool crash_evidence::within_storm(const broken_run &run, size_t workers) const {
+    if (workers == 0) {
+        return false;
+    }
+    const size_t others = crashes_without(run.digest, run.at);
+    return static_cast<double>(others) >= knobs_.storm_share * static_cast<double>(workers);
 }
 
 bool crash_evidence::crashed(uint64_t digest, uint32_t worker, MonotonicTime from,
@@ -257,21 +298,22 @@
 }
 
 size_t crash_evidence::failed_probes(const content &known) const {
-    std::vector<MonotonicTime> times;
+    std::vector<broken_run> runs;
     for (const broken_worker &broken : known.workers) {
         if (counts(broken)) {
-            times.push_back(broken.run.at);
+            runs.push_back(broken.run);
         }
     }
-    if (times.size() <= knobs_.quarantine_threshold) {
+    if (runs.size() <= knobs_.quarantine_threshold) {
         return 0;
     }
-    std::sort(times.begin(), times.end());
+    std::sort(runs.begin(), runs.end(),
+              [](const broken_run &a, const broken_run &b) { return a.at < b.at; });
     // Crashes under copies in progress and crashes that are confirmed late follow soon after the
     // threshold is reached.
-    const MonotonicTime quarantined_at = times[knobs_.quarantine_threshold - 1];
-    return static_cast<size_t>(std::count_if(times.begin(), times.end(), [&](MonotonicTime time) {
-        return time - quarantined_at >= knobs_.first_probe_delay;
+    const MonotonicTime quarantined_at = runs[knobs_.quarantine_threshold - 1].at;
+    return static_cast<size_t>(std::count_if(runs.begin(), runs.end(), [&](const broken_run &run) {
+        return run.at - quarantined_at >= knobs_.first_probe_delay && !within_storm(run, workers_);
     }));
 }
 
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -505,6 +505,17 @@
     }
 }
 
+void request_quarantine::note_listed_workers(MonotonicTime now) {
+    size_t listed = 0;
+    for (const auto &[incarnation, worker] : workers_.workers()) {
+        listed += worker->listed ? 1 : 0;
+        if (!worker->listed && !worker->record.leaving) {
+            evidence_.note_removed(static_cast<uint32_t>(worker->hash), now);
+        }
+    }
+    evidence_.note_workers(listed);
+}
+
 void request_quarantine::review_soon(uint64_t digest) {
     update_quarantined(digest);
     if (!timer_->enabled()) {
@@ -514,6 +525,7 @@
 
 void request_quarantine::review() {
     const MonotonicTime now = time_source_.monotonic_now();
+    note_listed_workers(now);
     const std::vector<broken_run> ended =
         evidence_.review([this](const broken_run &run) { return fate_of(run); }, now);
     for (const broken_run &run : ended) {
--- a/tests/quarantine/crash_evidence_test.cc
+++ b/tests/quarantine/crash_evidence_test.cc
@@ -186,6 +186,67 @@
               first + milliseconds(60) + knobs.probe_backoff_factor * knobs.first_probe_delay);
 }
 
+// Guards against an innocent item that waits two minutes because its one probe met a fourth crash:
+// in a storm of crashes a lost probe proves nothing.
+TEST(CrashEvidence, AProbeThatIsLostAmongManyCrashesIsNoFailedProbe) {
+    constexpr size_t kWorkers = 20;
+    for (const uint32_t others : {2U, 5U}) {
+        const crash_knobs knobs;
+        crash_evidence evidence(knobs);
+        evidence.note_workers(kWorkers);
+        lose_runs(evidence, 3);
+        const MonotonicTime probed = evidence.next_probe(kContent);
+        evidence.note_started(kContent, probed);
+        const MonotonicTime lost = probed + milliseconds(60);
+        evidence.note_broken({kContent, 4, lost, false});
+        for (uint32_t worker = 100; worker < 100 + others; ++worker) {
+            evidence.note_broken({worker, worker, lost + milliseconds(10 * (worker - 100)), false});
+        }
+        const bool storm = others * 4 >= kWorkers;
+        EXPECT_EQ(evidence.next_probe(kContent),
+                  lost + (storm ? 1 : knobs.probe_backoff_factor) * knobs.first_probe_delay);
+    }
+}
+
+// Idle workers lose no run; that they crashed shows from their entries, some seconds later.
+TEST(CrashEvidence, AProbeThatIsLostWhileIdleWorkersCrashIsNoFailedProbe) {
+    const crash_knobs knobs;
+    crash_evidence evidence(knobs);
+    evidence.note_workers(20);
+    lose_runs(evidence, 3);
+    const MonotonicTime probed = evidence.next_probe(kContent);
+    evidence.note_started(kContent, probed);
+    evidence.note_broken({kContent, 4, probed, false});
+    EXPECT_EQ(evidence.next_probe(kContent),
+              probed + knobs.probe_backoff_factor * knobs.first_probe_delay);
+    for (uint32_t worker = 100; worker < 106; ++worker) {
+        evidence.note_removed(worker, probed + knobs.entry_removal_delay);
+    }
+    evidence.note_removed(4, probed + knobs.entry_removal_delay);
+    EXPECT_EQ(evidence.next_probe(kContent), probed + knobs.first_probe_delay);
+}
+
+// The other side: contents that crash workers are probed at the same time, and none excuses
+// another.
+TEST(CrashEvidence, ProbesOfSeveralFatalContentsDoNotExcuseEachOther) {
+    const crash_knobs knobs;
+    crash_evidence evidence(knobs);
+    evidence.note_workers(20);
+    constexpr uint64_t kContents = 10;
+    uint32_t worker = 0;
+    for (uint64_t content = 1; content <= kContents; ++content) {
+        for (int crash = 0; crash < 3; ++crash) {
+            evidence.note_broken({content, ++worker, at(seconds(crash)), false});
+        }
+    }
+    const MonotonicTime probed = evidence.next_probe(1);
+    for (uint64_t content = 1; content <= kContents; ++content) {
+        evidence.note_broken({content, ++worker, probed, false});
+    }
+    EXPECT_EQ(evidence.next_probe(1),
+              probed + knobs.probe_backoff_factor * knobs.first_probe_delay);
+}
+
 // Regression test: an item lost four workers, one of them confirmed late, to crashes that other
 // requests caused, and was probed again only after two minutes, because each crash beyond the third
 // counted as a failed probe.
