Workers whose entries went are used no more while the store is sound

Callers saw: when all workers of a service had left without saying so, nodes sent to them for 10 s more, and requests that may run once were lost.

Cause: if no worker of a service is listed, those removed within 10 s are a last resort, because entries lapse while the store is down; whether it had been down was not asked.

Change: a worker is a last resort only if the store had failed, been slow or silent when its entry was removed.

--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -178,6 +178,7 @@
   if (knobs_.shared_admission) {
     connect_admission();
   }
+  workers_.set_removals_doubtful([this] { return peers_.entries_may_have_lapsed(); });
   workers_.set_own_rank(
       [this](const std::string& worker) { return peers_.announced_rank(worker); });
   route_table_.set_on_missed(
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -644,6 +644,13 @@
          own_longest_silence_.longest(time_source_.monotonic_now()) > knobs_.healthy_store_silence;
 }
 
+bool PeerExchange::entries_may_have_lapsed() const {
+  const MonotonicTime failed = clock_.last_failure();
+  const bool failed_lately =
+      failed != MonotonicTime{} && time_source_.monotonic_now() - failed <= knobs_.entry_lapse;
+  return failed_lately || store_slow() || own_store_silence() > knobs_.healthy_store_silence;
+}
+
 void PeerExchange::log_lapse_change(const std::string& node, const Peer& peer,
                                     LapseReason reason) const {
   const bool now_lapsed = reason != LapseReason::kNone;
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -69,6 +69,9 @@
   // node makes no calls.
   Duration healthy_store_silence = std::chrono::milliseconds(1600);
   Duration healthy_store_call = std::chrono::milliseconds(500);
+  // An entry that its owner renews in the store may be missing this long after the store failed: it
+  // lapses after three heartbeats of up to 1.2 s, and is back two seconds after the store's return.
+  Duration entry_lapse = std::chrono::seconds(8);
   // With a slow store, a peer's work is taken over only after two consecutive calls of 2.5 s each
   // have failed, plus the delay between them. In simulations of 32 bursts on an overloaded store (6
   // and 20 nodes, 64 minutes) this reduced the jobs taken from connected nodes from 125 to none.
@@ -175,6 +178,9 @@
   void begin_drain() override;
   Duration view_lag() const override;
   size_t announced_nodes() const override { return peers_.size() + 1; }
+  // Whether the store has failed or been slow lately, so that entries may have lapsed whose owners
+  // live.
+  bool entries_may_have_lapsed() const;
   bool loads_known() override;
 
  private:
--- a/src/serving/serving_worker.h
+++ b/src/serving/serving_worker.h
@@ -49,6 +49,7 @@
   double order_offset = 0;  // in [0, 1): this node's fixed pseudo-random offset for it
   bool listed = false;      // false: the record was removed
   MonotonicTime unlisted_since{};
+  bool removal_doubtful = false;  // the record may have lapsed because the store failed
   bool evacuated = false;  // the worker's zone is evacuated
   cold_state cold;
   uint32_t online_in_flight = 0;  // of this node
--- a/src/serving/worker_knobs.h
+++ b/src/serving/worker_knobs.h
@@ -38,8 +38,8 @@
   // A worker that refused a request gets no further one for this long.
   Duration refusal_pause = std::chrono::milliseconds(60);
   outcome_knobs outcomes;
-  // A worker whose record disappeared without draining first is used as a last resort for this
-  // long: records also disappear while the store is down.
+  // A worker whose record disappeared without draining first, while the store may have had a fault,
+  // is used as a last resort for this long.
   Duration unlisted_grace = std::chrono::seconds(10);
   // Share of a service's slots that batch work may use.
   batch_room_knobs batch_room;
--- a/src/serving/worker_selection.cc
+++ b/src/serving/worker_selection.cc
@@ -257,14 +257,14 @@
 
 WorkerPtr WorkerSelection::choose(const Choice& choice, bool ignore_failures) {
   const std::vector<WorkerPtr>& workers = choice.service.workers;
-  // The records of a service all disappear together only when the store has a fault.
+  // When the records of a service all disappear together, the store may have a fault.
   const bool use_unlisted =
       ignore_failures && std::none_of(workers.begin(), workers.end(),
                                       [](const WorkerPtr& worker) { return worker->in_service(); });
   WorkerPtr best;
   double least_rank = 0;
   for (const WorkerPtr& worker : workers) {
-    const bool known = worker->listed || use_unlisted;
+    const bool known = worker->listed || (use_unlisted && worker->removal_doubtful);
     const bool good = ignore_failures || healthy(*worker, choice);
     if (!known || !good || excluded(*worker, choice.request) || !usable(*worker, choice)) {
       continue;
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -137,6 +137,7 @@
   const auto found = workers_.find(incarnation);
   if (found != workers_.end() && found->second->listed) {
     set_listed(*found->second, false);
+    found->second->removal_doubtful = removals_doubtful_();
     found->second->unlisted_since = time_source_.monotonic_now();
     unlisted_.push_back({found->second, found->second->unlisted_since});
   }
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -93,6 +93,11 @@
   // From the source of truth.
   void update(const WorkerRecord& record);
   void remove(const std::string& incarnation);
+  // @param may_have_lapsed whether records that are removed now may belong to workers that live,
+  // because the store has failed. Only such workers are used as a last resort.
+  void set_removals_doubtful(std::function<bool()> may_have_lapsed) {
+    removals_doubtful_ = std::move(may_have_lapsed);
+  }
   // The worker's record is invalid: it gets no requests, not even as a last resort, until a valid
   // record replaces it.
   void reject(const std::string& incarnation);
@@ -306,6 +311,7 @@
   uint64_t notable_changes_ = 0;
   uint64_t outcome_changes_ = 0;
   uint64_t slots_acquired_ = 0;
+  std::function<bool()> removals_doubtful_ = [] { return true; };
   std::function<void()> on_slot_freed_;
   std::function<void()> on_load_changed_;
   worker_failures* failures_ = nullptr;
--- a/src/watch/observed_store.cc
+++ b/src/watch/observed_store.cc
@@ -3,6 +3,9 @@
 namespace chalkshed {
 
 void ObservedStore::count(const char* call, bool succeeded) {
+  if (!succeeded) {
+    clock_.note_failed_call();
+  }
   metrics_
       .counter("chalkshed_store_calls_total", "Calls to the platform's store.",
                {{"call", call}, {"result", succeeded ? "answered" : "failed"}})
--- a/src/watch/store_clock.h
+++ b/src/watch/store_clock.h
@@ -30,6 +30,9 @@
   MonotonicTime local_now() const { return time_source_.monotonic_now(); }
   // Records the duration of a call that the store answers without waiting, or that failed.
   void note_call_since(MonotonicTime asked) { calls_.note(local_now(), local_now() - asked); }
+  void note_failed_call() { last_failure_ = local_now(); }
+  // When the store last failed to answer a call, or refused it; epoch: never.
+  MonotonicTime last_failure() const { return last_failure_; }
   // The longest recent duration of such a call.
   Duration longest_call() const { return calls_.longest(local_now()); }
   // When the store last answered this node.
@@ -43,6 +46,7 @@
   TimeSource& time_source_;
   StoreVersion newest_ = 0;
   MonotonicTime last_heard_;
+  MonotonicTime last_failure_{};
   RecentLongest calls_;
   Duration offset_{0};
   bool known_ = false;
