--- a/tests/compatibility/production/crash_message_generated.h
+++ b/tests/compatibility/production/crash_message_generated.h
@@ -20,6 +20,10 @@
 
 struct AnsweredRun;
 
+struct BrokenPart;
+
+struct ProvedPart;
+
 struct CrashMessage;
 struct CrashMessageBuilder;
 
@@ -80,12 +84,84 @@
 };
 FLATBUFFERS_STRUCT_END(AnsweredRun, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) BrokenPart FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t digest_;
+  uint64_t software_;
+  uint32_t worker_;
+  uint32_t milliseconds_ago_;
+
+ public:
+  BrokenPart()
+      : digest_(0),
+        software_(0),
+        worker_(0),
+        milliseconds_ago_(0) {
+  }
+  BrokenPart(uint64_t _digest, uint64_t _software, uint32_t _worker, uint32_t _milliseconds_ago)
+      : digest_(flatbuffers::EndianScalar(_digest)),
+        software_(flatbuffers::EndianScalar(_software)),
+        worker_(flatbuffers::EndianScalar(_worker)),
+        milliseconds_ago_(flatbuffers::EndianScalar(_milliseconds_ago)) {
+  }
+  uint64_t digest() const {
+    return flatbuffers::EndianScalar(digest_);
+  }
+  uint64_t software() const {
+    return flatbuffers::EndianScalar(software_);
+  }
+  uint32_t worker() const {
+    return flatbuffers::EndianScalar(worker_);
+  }
+  uint32_t milliseconds_ago() const {
+    return flatbuffers::EndianScalar(milliseconds_ago_);
+  }
+};
+FLATBUFFERS_STRUCT_END(BrokenPart, 24);
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) ProvedPart FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t digest_;
+  uint64_t software_;
+  uint32_t milliseconds_ago_;
+  int32_t padding0__;
+
+ public:
+  ProvedPart()
+      : digest_(0),
+        software_(0),
+        milliseconds_ago_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  ProvedPart(uint64_t _digest, uint64_t _software, uint32_t _milliseconds_ago)
+      : digest_(flatbuffers::EndianScalar(_digest)),
+        software_(flatbuffers::EndianScalar(_software)),
+        milliseconds_ago_(flatbuffers::EndianScalar(_milliseconds_ago)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t digest() const {
+    return flatbuffers::EndianScalar(digest_);
+  }
+  uint64_t software() const {
+    return flatbuffers::EndianScalar(software_);
+  }
+  uint32_t milliseconds_ago() const {
+    return flatbuffers::EndianScalar(milliseconds_ago_);
+  }
+};
+FLATBUFFERS_STRUCT_END(ProvedPart, 24);
+
 struct CrashMessage FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashMessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BROKEN = 4,
     VT_ANSWERED = 6,
-    VT_SUSPECTED = 8
+    VT_SUSPECTED = 8,
+    VT_BROKEN_PARTS = 10,
+    VT_PROVED_PARTS = 12,
+    VT_SUSPECTED_PARTS = 14
   };
   const flatbuffers::Vector<const chalkshed::production_wire::BrokenRun *> *broken() const {
     return GetPointer<const flatbuffers::Vector<const chalkshed::production_wire::BrokenRun *> *>(VT_BROKEN);
@@ -96,6 +172,15 @@
   const flatbuffers::Vector<const chalkshed::production_wire::BrokenRun *> *suspected() const {
     return GetPointer<const flatbuffers::Vector<const chalkshed::production_wire::BrokenRun *> *>(VT_SUSPECTED);
   }
+  const flatbuffers::Vector<const chalkshed::production_wire::BrokenPart *> *broken_parts() const {
+    return GetPointer<const flatbuffers::Vector<const chalkshed::production_wire::BrokenPart *> *>(VT_BROKEN_PARTS);
+  }
+  const flatbuffers::Vector<const chalkshed::production_wire::ProvedPart *> *proved_parts() const {
+    return GetPointer<const flatbuffers::Vector<const chalkshed::production_wire::ProvedPart *> *>(VT_PROVED_PARTS);
+  }
+  const flatbuffers::Vector<const chalkshed::production_wire::BrokenPart *> *suspected_parts() const {
+    return GetPointer<const flatbuffers::Vector<const chalkshed::production_wire::BrokenPart *> *>(VT_SUSPECTED_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_BROKEN) &&
@@ -104,6 +189,12 @@
            verifier.VerifyVector(answered()) &&
            VerifyOffset(verifier, VT_SUSPECTED) &&
            verifier.VerifyVector(suspected()) &&
+           VerifyOffset(verifier, VT_BROKEN_PARTS) &&
+           verifier.VerifyVector(broken_parts()) &&
+           VerifyOffset(verifier, VT_PROVED_PARTS) &&
+           verifier.VerifyVector(proved_parts()) &&
+           VerifyOffset(verifier, VT_SUSPECTED_PARTS) &&
+           verifier.VerifyVector(suspected_parts()) &&
            verifier.EndTable();
   }
 };
@@ -121,6 +212,15 @@
   void add_suspected(flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::BrokenRun *>> suspected) {
     fbb_.AddOffset(CrashMessage::VT_SUSPECTED, suspected);
   }
+  void add_broken_parts(flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::BrokenPart *>> broken_parts) {
+    fbb_.AddOffset(CrashMessage::VT_BROKEN_PARTS, broken_parts);
+  }
+  void add_proved_parts(flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::ProvedPart *>> proved_parts) {
+    fbb_.AddOffset(CrashMessage::VT_PROVED_PARTS, proved_parts);
+  }
+  void add_suspected_parts(flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::BrokenPart *>> suspected_parts) {
+    fbb_.AddOffset(CrashMessage::VT_SUSPECTED_PARTS, suspected_parts);
+  }
   explicit CrashMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -136,8 +236,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::BrokenRun *>> broken = 0,
     flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::AnsweredRun *>> answered = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::BrokenRun *>> suspected = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::BrokenRun *>> suspected = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::BrokenPart *>> broken_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::ProvedPart *>> proved_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::production_wire::BrokenPart *>> suspected_parts = 0) {
   CrashMessageBuilder builder_(_fbb);
+  builder_.add_suspected_parts(suspected_parts);
+  builder_.add_proved_parts(proved_parts);
+  builder_.add_broken_parts(broken_parts);
   builder_.add_suspected(suspected);
   builder_.add_answered(answered);
   builder_.add_broken(broken);
@@ -148,15 +254,24 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<chalkshed::production_wire::BrokenRun> *broken = nullptr,
     const std::vector<chalkshed::production_wire::AnsweredRun> *answered = nullptr,
-    const std::vector<chalkshed::production_wire::BrokenRun> *suspected = nullptr) {
+    const std::vector<chalkshed::production_wire::BrokenRun> *suspected = nullptr,
+    const std::vector<chalkshed::production_wire::BrokenPart> *broken_parts = nullptr,
+    const std::vector<chalkshed::production_wire::ProvedPart> *proved_parts = nullptr,
+    const std::vector<chalkshed::production_wire::BrokenPart> *suspected_parts = nullptr) {
   auto broken__ = broken ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::BrokenRun>(*broken) : 0;
   auto answered__ = answered ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::AnsweredRun>(*answered) : 0;
   auto suspected__ = suspected ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::BrokenRun>(*suspected) : 0;
+  auto broken_parts__ = broken_parts ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::BrokenPart>(*broken_parts) : 0;
+  auto proved_parts__ = proved_parts ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::ProvedPart>(*proved_parts) : 0;
+  auto suspected_parts__ = suspected_parts ? _fbb.CreateVectorOfStructs<chalkshed::production_wire::BrokenPart>(*suspected_parts) : 0;
   return chalkshed::production_wire::CreateCrashMessage(
       _fbb,
       broken__,
       answered__,
-      suspected__);
+      suspected__,
+      broken_parts__,
+      proved_parts__,
+      suspected_parts__);
 }
 
 inline const chalkshed::production_wire::CrashMessage *GetCrashMessage(const void *buf) {
