Trials of a part go to other contents first

Cause: once a trial also took the turn of its content, one item took trial after trial; its content then had lost more than half of the part's workers, explained the crashes, and every other request with the part ran at once: 16 workers in CrashingPart.OfJobsAtAllNodesCrashesSixWorkersAtMost, where six are allowed.

Change: a request whose content would have lost most of the workers waits 1.5 s longer for the trial, so that others go first, and a trial takes the turn of its content as well (a content that must wait could run as a trial before).

--- a/include/chalkshed/part_trial_schedule.h
+++ b/include/chalkshed/part_trial_schedule.h
@@ -26,6 +26,10 @@
 struct part_trial_knobs {
     /** From the newest crash under a part to its next trial. */
     Duration trial_delay = std::chrono::milliseconds(500);
+    /** A request whose content would have lost more than half of the part's workers with this trial
+     * waits this much longer: the crashes would look as if the content caused them, and then all
+     * other requests with the part would run. */
+    Duration same_content_delay = std::chrono::milliseconds(1500);
     /** A part is tried no more at a software version after so many trials that crashed a worker
      * there, ... */
     size_t max_failed_trials = 2;
@@ -39,11 +43,12 @@
     explicit part_trial_schedule(const crash_evidence &evidence, const part_trial_knobs &knobs = {})
         : evidence_(evidence), knobs_(knobs) {}
 
-    /** \param workers Number of workers of the service, of all versions.
+    /** \param content The digest of the request that would be the trial.
+     * \param workers Number of workers of the service, of all versions.
      * \return The earliest time of the next trial at workers of that software; nothing: the part
      * is not tried there any more. */
-    std::optional<MonotonicTime> next_trial(uint64_t part, software_id software, size_t workers,
-                                            MonotonicTime now) const;
+    std::optional<MonotonicTime> next_trial(uint64_t part, uint64_t content, software_id software,
+                                            size_t workers, MonotonicTime now) const;
     /** Number of trials that crashed a worker of that software and that nothing else explains. */
     size_t failed_trials(uint64_t part, software_id software, size_t workers,
                          MonotonicTime now) const;
--- a/include/chalkshed/request_quarantine.h
+++ b/include/chalkshed/request_quarantine.h
@@ -193,10 +193,14 @@
     /** Whether the request may soon be the trial of its held parts. */
     bool may_be_trial(const ServingRequest &request, const std::string &service,
                       MonotonicTime now) const;
+    struct trial_claim {
+        run_permit of_content = run_permit::kFree; // but for the parts
+        run_permit otherwise = run_permit::kWait;  // while no trial is possible
+    };
     /** \return kExclusive if the request is to run as a trial of its blamed parts, kWait if it may
      * do so soon, else `otherwise`. */
     run_permit claim_trial(const ServingRequest &request, const std::string &service,
-                           run_permit otherwise, MonotonicTime now);
+                           const trial_claim &claim, MonotonicTime now);
     /** A run of this node that may have been a trial of these parts is over. */
     void finish_trials(const std::vector<uint64_t> &parts);
     /** Whether the run had gone on for so long that none of its parts can have crashed its worker.
--- a/src/quarantine/part_trial_schedule.cc
+++ b/src/quarantine/part_trial_schedule.cc
@@ -31,8 +31,8 @@
     return failed_trials(runs_by_time(part, now), software, workers);
 }
 
-std::optional<MonotonicTime> part_trial_schedule::next_trial(uint64_t part, software_id software,
-                                                             size_t workers,
+std::optional<MonotonicTime> part_trial_schedule::next_trial(uint64_t part, uint64_t content,
+                                                             software_id software, size_t workers,
                                                              MonotonicTime now) const {
     const std::vector<broken_run> runs = runs_by_time(part, now);
     if (runs.empty()) {
@@ -44,7 +44,10 @@
     if (proved) {
         return std::nullopt;
     }
-    return runs.back().at + knobs_.trial_delay;
+    const size_t crashes_of_content = evidence_.possible_crashes(content) + 1;
+    const bool explains = 2 * crashes_of_content > runs.size() + 1;
+    return runs.back().at + knobs_.trial_delay +
+           (explains ? knobs_.same_content_delay : Duration(0));
 }
 
 } // namespace chalkshed
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -48,9 +48,9 @@
     const bool waits =
         verdict == part_verdict::kUnconfirmed || (lost_worker && verdict == part_verdict::kSuspect);
     if (permit != run_permit::kQuarantined && verdict == part_verdict::kHeld) {
-        permit = claim_trial(request, service, run_permit::kQuarantined, now);
+        permit = claim_trial(request, service, {permit, run_permit::kQuarantined}, now);
     } else if (permit != run_permit::kQuarantined && waits) {
-        permit = claim_trial(request, service, run_permit::kWait, now);
+        permit = claim_trial(request, service, {permit, run_permit::kWait}, now);
     } else {
         permit = take_turn(digest, permit, now);
     }
@@ -73,7 +73,8 @@
         return take_turn(item.digest, permit, now);
     }
     const bool held = verdict == part_verdict::kHeld;
-    return claim_trial(item, service, held ? run_permit::kQuarantined : run_permit::kWait, now);
+    return claim_trial(item, service, {permit, held ? run_permit::kQuarantined : run_permit::kWait},
+                       now);
 }
 
 software_id request_quarantine::software_of_worker(const ServingWorker &worker) {
@@ -103,93 +104,6 @@
     return least.value_or(blamed_part{});
 }
 
-std::vector<software_id> request_quarantine::crashing_software(const ServingRequest &request,
-                                                               const std::string &service) const {
-    std::vector<software_id> crashing;
-    if (!any_evidence(request)) {
-        return crashing;
-    }
-    const part_verdict best = blame(request, service).verdict;
-    const MonotonicTime now = time_source_.monotonic_now();
-    const std::optional<trial_offer> trial =
-        best == part_verdict::kHeld ? earliest_trial(request, service, now) : std::nullopt;
-    for (const auto &[version, workers] : workers_.workers_by_version(service)) {
-        const software_id software = software_of(service, version, "");
-        const bool tried_elsewhere = trial && trial->software != software;
-        if (tried_elsewhere || part_blame_.blame(request, software, now).verdict > best) {
-            crashing.push_back(software);
-        }
-    }
-    return crashing;
-}
-
-size_t request_quarantine::workers_of(const std::string &service) const {
-    size_t sum = 0;
-    for (const auto &[version, workers] : workers_.workers_by_version(service)) {
-        sum += workers;
-    }
-    return sum;
-}
-
-std::optional<request_quarantine::trial_offer>
-request_quarantine::earliest_trial(const ServingRequest &request, const std::string &service,
-                                   MonotonicTime now) const {
-    const part_verdict best = blame(request, service).verdict;
-    const size_t all_workers = workers_of(service);
-    std::optional<trial_offer> earliest;
-    for (const auto &[version, workers] : workers_.workers_by_version(service)) {
-        trial_offer offer{{}, software_of(service, version, ""), {}};
-        if (workers == 0 || part_blame_.blame(request, offer.software, now).verdict != best) {
-            continue;
-        }
-        bool tried = true;
-        for (const uint64_t part : part_blame_.blamed_parts(request, offer.software, now)) {
-            const std::optional<MonotonicTime> due =
-                trial_schedule_.next_trial(part, offer.software, all_workers, now);
-            tried = tried && due;
-            offer.due = std::max(offer.due, due.value_or(MonotonicTime{}));
-            offer.parts.push_back(part);
-        }
-        if (tried && !offer.parts.empty() && (!earliest || offer.due < earliest->due)) {
-            earliest = std::move(offer);
-        }
-    }
-    return earliest;
-}
-
-std::optional<MonotonicTime> request_quarantine::next_trial(uint64_t part) const {
-    const MonotonicTime now = time_source_.monotonic_now();
-    std::optional<MonotonicTime> earliest;
-    for (const broken_run &run : evidence_.suspect_runs(part, now)) {
-        const std::optional<MonotonicTime> due =
-            trial_schedule_.next_trial(part, run.software, workers_.workers().size(), now);
-        if (due && (!earliest || *due < *earliest)) {
-            earliest = due;
-        }
-    }
-    return earliest;
-}
-
-bool request_quarantine::may_be_trial(const ServingRequest &request, const std::string &service,
-                                      MonotonicTime now) const {
-    const std::optional<trial_offer> offer = earliest_trial(request, service, now);
-    return offer && now >= offer->due && trials_.open(offer->parts);
-}
-
-run_permit request_quarantine::claim_trial(const ServingRequest &request,
-                                           const std::string &service, run_permit otherwise,
-                                           MonotonicTime now) {
-    const std::optional<trial_offer> offer = earliest_trial(request, service, now);
-    if (!offer || now < offer->due || !trials_.open(offer->parts)) {
-        return otherwise;
-    }
-    if (trials_.take(offer->parts)) {
-        return run_permit::kExclusive;
-    }
-    retry_claims();
-    return run_permit::kWait;
-}
-
 run_permit request_quarantine::take_turn(uint64_t digest, run_permit permit, MonotonicTime now) {
     const bool may_run = permit == run_permit::kExclusive || permit == run_permit::kWait;
     if (!may_run || !evidence_.needs_turn(digest, now) || evidence_.under_way(digest)) {
@@ -264,23 +178,6 @@
     });
 }
 
-// While the answer of a trial goes on, clear_proved_parts decides.
-void request_quarantine::finish_trials(const std::vector<uint64_t> &parts) {
-    for (const uint64_t part : parts) {
-        const bool answered =
-            std::any_of(begun_answers_.begin(), begun_answers_.end(), [&](const auto &begun) {
-                return std::find(begun.parts.begin(), begun.parts.end(), part) != begun.parts.end();
-            });
-        if (!answered) {
-            trials_.note_finished(part, time_source_.monotonic_now());
-        }
-    }
-}
-
-bool request_quarantine::outlived_parts(const lost_run &run) const {
-    return run.begun && time_source_.monotonic_now() - *run.begun >= knobs_.evidence.crash_time;
-}
-
 void request_quarantine::note_broken(const ServingRequest &request, const ServingWorker &worker,
                                      const lost_run &lost) {
     broken_run run{request.digest, static_cast<uint32_t>(worker.hash), time_source_.monotonic_now(),
--- a/tests/jobs/unstartable_items_test.cc
+++ b/tests/jobs/unstartable_items_test.cc
@@ -39,6 +39,18 @@
   size_t listed(const std::string& id) const {
     return cluster.shared.rows.read(job_result_range(id, 0, 100)).rows.size();
   }
+  // An online route to the service without workers, whose requests wait for long.
+  void add_online_route() {
+    cluster.write_configuration(3, [](nlohmann::json& configuration) {
+      configuration["services"].push_back({{"name", "small"}});
+      nlohmann::json route = configuration["routes"].front();
+      route["name"] = "small";
+      route["path_prefix"] = "/small/";
+      route["target_ms"] = 5000;
+      route["service"] = "small";
+      configuration["routes"].push_back(route);
+    });
+  }
   // All slots of the service's only worker are held by runs that don't end.
   void fill_small() {
     cluster.put("servers", "i-small",
@@ -125,15 +137,7 @@
 
 // Online requests wait for a worker of their service, which has none.
 TEST_F(UnstartableItemsTest, OnlineRequestsOfAServiceWithoutWorkersDelayNoItemOfAnother) {
-  cluster.write_configuration(3, [](nlohmann::json& configuration) {
-    configuration["services"].push_back({{"name", "small"}});
-    nlohmann::json route = configuration["routes"].front();
-    route["name"] = "small";
-    route["path_prefix"] = "/small/";
-    route["target_ms"] = 5000;
-    route["service"] = "small";
-    configuration["routes"].push_back(route);
-  });
+  add_online_route();
   cluster.clock.run_for(milliseconds(500));
   submit("sound", {kSound, kSound, kSound, kSound});
   for (int number = 0; number < 20; ++number) {
@@ -145,15 +149,7 @@
 
 // Items run for long at the one service; the slots of the other are missing for online requests.
 TEST_F(UnstartableItemsTest, OnlineRequestsPreemptNoItemOfAnotherService) {
-  cluster.write_configuration(3, [](nlohmann::json& configuration) {
-    configuration["services"].push_back({{"name", "small"}});
-    nlohmann::json route = configuration["routes"].front();
-    route["name"] = "small";
-    route["path_prefix"] = "/small/";
-    route["target_ms"] = 5000;
-    route["service"] = "small";
-    configuration["routes"].push_back(route);
-  });
+  add_online_route();
   cluster.workers.on_call = [](ScriptedCall&) {};
   cluster.clock.run_for(milliseconds(500));
   submit("sound", {kSound, kSound});
--- a/tests/quarantine/part_trials_test.cc
+++ b/tests/quarantine/part_trials_test.cc
@@ -173,19 +173,26 @@
 
 // The other side: owners that try a part which does crash workers do so in turn, and soon stop.
 TEST(CrashingPart, OfJobsAtAllNodesCrashesSixWorkersAtMost) {
-    sound_part_fleet crashing;
-    crashing.fleet.fatal_parts = {"fatal"};
-    for (const char *node : {"n0", "n1", "n2"}) {
-        crashing.submit(node, std::string("job at ") + node, 1, "fatal");
-        crashing.fleet.run_for(milliseconds(100));
-    }
-    for (const char *node : {"n0", "n1", "n2"}) {
-        crashing.submit(node, std::string("large job at ") + node, 20, "fatal");
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        crashing_fleet::knobs knobs;
+        knobs.seed = seed;
+        knobs.crash_after = milliseconds(10);
+        knobs.crash_by = milliseconds(100);
+        sound_part_fleet crashing(knobs);
+        crashing.fleet.fatal_parts = {"fatal"};
+        for (const char *node : {"n0", "n1", "n2"}) {
+            crashing.submit(node, std::string("job at ") + node, 1, "fatal");
+            crashing.fleet.run_for(milliseconds(100));
+        }
+        for (const char *node : {"n0", "n1", "n2"}) {
+            crashing.submit(node, std::string("large job at ") + node, 20, "fatal");
+        }
+        crashing.fleet.run_for(seconds(30));
+        EXPECT_GE(crashing.fleet.crashes["fatal"].size(), 3U);
+        EXPECT_LE(crashing.fleet.crashes["fatal"].size(), 6U);
+        EXPECT_EQ(crashing.fleet.runs_after_crash("fatal", 5, seconds(3)), 0U);
     }
-    crashing.fleet.run_for(seconds(30));
-    EXPECT_GE(crashing.fleet.crashes["fatal"].size(), 3U);
-    EXPECT_LE(crashing.fleet.crashes["fatal"].size(), 6U);
-    EXPECT_EQ(crashing.fleet.runs_after_crash("fatal", 5, seconds(3)), 0U);
 }
 
 // The turn of a trial is a lease: another node tries the part if the one that had it is lost.
