--- a/src/serving/serving_protocol.h
+++ b/src/serving/serving_protocol.h
@@ -36,10 +36,10 @@
   // The request was not run, perhaps because of a condition that its caller set: this says nothing
   // of the worker.
   bool unmet_condition = false;
-  bool authentic = false;          // carries the worker's proof of origin
-  bool other_request = false;      // belongs to another request
-  bool encoded = false;            // the body has a content encoding that was not requested
-  bool leaving = false;            // the worker closes the connection because it is draining
+  bool authentic = false;      // carries the worker's proof of origin
+  bool other_request = false;  // belongs to another request
+  bool encoded = false;        // the body has a content encoding that was not requested
+  bool leaving = false;        // the worker closes the connection because it is draining
   std::optional<WorkerLoadReport> load;
 };
 
--- a/src/serving/serving_worker.h
+++ b/src/serving/serving_worker.h
@@ -50,7 +50,7 @@
   bool listed = false;      // false: the record was removed
   MonotonicTime unlisted_since{};
   bool removal_doubtful = false;  // the record may have lapsed because the store failed
-  bool evacuated = false;  // the worker's zone is evacuated
+  bool evacuated = false;         // the worker's zone is evacuated
   cold_state cold;
   uint32_t online_in_flight = 0;  // of this node
   uint32_t batch_in_flight = 0;
--- a/tests/jobs/unstartable_items_test.cc
+++ b/tests/jobs/unstartable_items_test.cc
@@ -63,7 +63,7 @@
                     .dump());
     cluster.workers.on_call = [this](ScriptedCall& call) {
       if (call.request.path != kLost) {
-        call_after(cluster.loop, milliseconds(10), [this, &call] { finish(call); });
+        call_after(cluster.loop, milliseconds(10), [&call] { finish(call); });
       }
     };
   }
--- a/tests/soak/fleet/deployment.h
+++ b/tests/soak/fleet/deployment.h
@@ -103,6 +103,8 @@
     /** Items whose content terminates every worker that starts it; each has a content of its own.
      */
     uint64_t fatal_items_percent = 0;
+    /** Batch items that begin with one and the same part of a prompt, which is sound. */
+    uint64_t shared_items_percent = 0;
     /** Parts of prompts that crash every worker that begins an answer on one. The callers begin to
      * send requests with them one after the other; how many with each, per second. */
     uint64_t fatal_parts = 0;
--- a/tests/soak/fleet/job_load.cc
+++ b/tests/soak/fleet/job_load.cc
@@ -97,9 +97,12 @@
         request.method = "POST";
         request.path = "/" + route.name + "/item" + std::to_string(number);
         request.query = number % 4 == 1 ? "n=" + std::to_string(number) : "";
+        const bool shares = process_.chance(process_.options.plan.callers.shared_items_percent);
         request.headers = {{"Chalkshed-Model", "m"},
                            {platform::kTokenUsage, "350,1500"},
-                           {platform::kPromptPrefix, "d" + std::to_string(number % 3) + ":100"},
+                           {platform::kPromptPrefix, (shares ? "shared:200," : "") +
+                                                         std::string("d") +
+                                                         std::to_string(number % 3) + ":100"},
                            {"Content-Type", "application/octet-stream"},
                            {"X-Soak-Note", id}};
         request.body = request_body(id, draw_length(process_.random, route.body));
--- a/tests/soak/fleet/worker_role.cc
+++ b/tests/soak/fleet/worker_role.cc
@@ -44,6 +44,7 @@
             {"worker_leave", [&] { drain_and_stop(); }},
             {"worker_kill", [&] { crash(); }},
             {"worker_rack", [&] { crash_rack(); }},
+            {"worker_series", [&] { crash_series(); }},
             {"worker_release", [&] { release(); }},
             {"worker_rollback", [&] { roll_back(); }},
         };
@@ -295,6 +296,16 @@
     process_.run_after(kAddressReuseDelay, [this, worker] { start_replacement(*worker); });
 }
 
+/** Crashes several workers, one shortly after the other, for reasons that lie in no request. */
+void worker_role::crash_series() {
+    const uint64_t count = 3 + process_.random.below(3);
+    Duration at{0};
+    for (uint64_t number = 0; number < count; ++number) {
+        process_.run_after(at, [this] { crash(); });
+        at += process_.random_duration(milliseconds(30), milliseconds(150));
+    }
+}
+
 /** Crashes a fifth of the workers within about 30 ms, as when a rack loses power. */
 void worker_role::crash_rack() {
     constexpr uint64_t kRackDivisor = 5;
--- a/tests/soak/fleet/worker_role.h
+++ b/tests/soak/fleet/worker_role.h
@@ -56,6 +56,7 @@
     void record_version(const fleet_worker &worker, bool serving);
     void crash();
     void crash_rack();
+    void crash_series();
     /** Crashes the worker; it restarts some seconds later, half of the time with the same id. */
     void crash_by_request(fleet_worker &worker, const std::string &id, const std::string &content);
     void start_replacement(const fleet_worker &ended);
