--- a/src/quarantine/crash_storms.cc
+++ b/src/quarantine/crash_storms.cc
@@ -1,5 +1,5 @@
 /** \file
- * The part of crash_evidence that tells whether so many workers crashed at a time that the loss of
+ * The part of crash_evidence that decides whether so many workers crashed at a time that the loss of
  * one run proves nothing. */
 
 #include <algorithm>
