--- a/src/quarantine/crash_storms.cc
+++ b/src/quarantine/crash_storms.cc
@@ -1,6 +1,6 @@
 /** \file
- * The part of crash_evidence that decides whether so many workers crashed at a time that the loss of
- * one run proves nothing. */
+ * The part of crash_evidence that decides whether so many workers crashed at a time that the loss
+ * of one run proves nothing. */
 
 #include <algorithm>
 
