Sight: on what 'not run' rests, and answers that nobody waits for

A send_refused line did not tell whether the connection had failed, the worker had refused or another worker had the address, nor which use of its connection it was: connection_use was empty there. Answers that name another request, or none, left no trace.

The line has both now (proof, connection_use). surplus_answers counts such answers by what they name, with one line in 5 s, and knows the latest sends that were taken as not run: an answer that shows that one of them ran is an error with a metric of its own. No decision changes.

--- a/src/jobs/job_item_run.cc
+++ b/src/jobs/job_item_run.cc
@@ -63,10 +63,8 @@
   options.connect_timeout = environment.serving.knobs.connect_timeout;
   options.silence_timeout = environment.knobs.item_silence_timeout;
   options.streaming = true;
-  attempt_ = std::make_unique<WorkerAttempt>(
-      environment.serving.time_source, environment.serving.worker_client,
-      environment.serving.protocol, environment.serving.workers, environment.serving.quarantine,
-      std::move(slot), send, options, *this);
+  attempt_ =
+      std::make_unique<WorkerAttempt>(environment.serving, std::move(slot), send, options, *this);
 }
 
 void JobItemRun::on_events(std::string_view events) {
--- a/src/jobs/job_item_run.h
+++ b/src/jobs/job_item_run.h
@@ -36,7 +36,7 @@
   // sent. May call the callback.
   void end_if_stalled(Duration longest);
   // Number of requests that the connection has carried, including this run.
-  uint64_t connection_use() const { return attempt_->call().connection_use(); }
+  uint64_t connection_use() const { return attempt_->connection_use(); }
 
  private:
   void on_stream_begun(const HttpHeaders& /*headers*/) override {}
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -22,6 +22,7 @@
 #include "chalkshed/start_order.h"
 #include "chalkshed/start_timeline.h"
 #include "chalkshed/stream_origins.h"
+#include "chalkshed/surplus_answers.h"
 #include "chalkshed/tenant_quota.h"
 #include "src/core/lifetime.h"
 #include "src/http/http_router.h"
@@ -209,6 +210,7 @@
   ObservedStore fresh_store_;    // for responses to callers
   WorkerSet workers_;
   request_quarantine quarantine_;
+  surplus_answers surplus_answers_;
   ServingEnvironment serving_;
   RouteWatch route_watch_;
   evacuated_zones evacuated_zones_;
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -137,10 +137,11 @@
   options.connect_timeout = std::min(environment_.knobs.connect_timeout,
                                      std::max(time_left(), Duration(std::chrono::milliseconds(1))));
   options.streaming = route_.kind == RouteKind::kStreaming;
-  attempt_ = std::make_unique<WorkerAttempt>(
-      environment_.time_source, environment_.worker_client, environment_.protocol,
-      environment_.workers, environment_.quarantine, std::move(slot), worker_send, options, *this);
+  attempt_ =
+      std::make_unique<WorkerAttempt>(environment_, std::move(slot), worker_send, options, *this);
+  connection_use_ = attempt_->connection_use();
   watch_silence();
+  proof_ = NotRunProof::kNone;
   log(LogLevel::kInfo, "request_sent", if_full == IfFull::kWait ? "" : "no slot was free");
   return true;
 }
@@ -329,6 +330,7 @@
     return;
   }
   silence_timer_->disable();
+  proof_ = end.proof;
   // This runs inside a callback of the attempt, which must therefore be destroyed later.
   environment_.dispatcher.post([attempt = std::shared_ptr<WorkerAttempt>(std::move(attempt_))] {});
   switch (end.result) {
@@ -526,7 +528,8 @@
        {"status", status_ == 0 ? "" : std::to_string(status_)},
        {"runs", std::to_string(runs_)},
        {"refusals", std::to_string(refusals_)},
-       {"connection_use", attempt_ ? std::to_string(attempt_->call().connection_use()) : ""},
+       {"connection_use", connection_use_ == 0 ? "" : std::to_string(connection_use_)},
+       {"proof", std::string(not_run_proof_name(proof_))},
        {"free_places", std::to_string(environment_.workers.free_slots(service_))},
        {"elapsed_ms", milliseconds_text(elapsed())},
        {"left_ms", milliseconds_text(time_left())},
--- a/src/serving/request_relay.h
+++ b/src/serving/request_relay.h
@@ -164,10 +164,12 @@
   TimerPtr deadline_timer_;
   TimerPtr wait_timer_;
   TimerPtr silence_timer_;
-  MonotonicTime last_activity_{};  // of the most recent worker
-  bool may_leave_silent_ = false;  // a retry is available after the current run
-  int status_ = 0;                 // of the most recent complete answer of a worker
-  Duration expected_prefill_{0};   // that worker's prefill backlog at the send
+  MonotonicTime last_activity_{};           // of the most recent worker
+  bool may_leave_silent_ = false;           // a retry is available after the current run
+  uint64_t connection_use_ = 0;             // of the most recent send
+  NotRunProof proof_ = NotRunProof::kNone;  // that it did not run
+  int status_ = 0;                          // of the most recent complete answer of a worker
+  Duration expected_prefill_{0};            // that worker's prefill backlog at the send
   Lifetime lifetime_;
 };
 
--- a/src/serving/serving_environment.h
+++ b/src/serving/serving_environment.h
@@ -16,6 +16,7 @@
 namespace chalkshed {
 
 class stream_origins;
+class surplus_answers;
 
 struct ServingKnobs {
   // Maximum number of sends of one request that workers refuse without running it.
@@ -45,6 +46,8 @@
   request_quarantine& quarantine;
   // Null: callers cannot take streams up again.
   stream_origins* origins = nullptr;
+  // Null: surplus answers are not recorded.
+  surplus_answers* surplus = nullptr;
 };
 
 }  // namespace chalkshed
--- a/src/serving/serving_protocol.h
+++ b/src/serving/serving_protocol.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "chalkshed/surplus_answers.h"
 #include "src/core/error.h"
 #include "src/core/http_message.h"
 #include "src/serving/serving_request.h"
@@ -36,10 +37,11 @@
   // The request was not run, perhaps because of a condition that its caller set: this says nothing
   // of the worker.
   bool unmet_condition = false;
-  bool authentic = false;      // carries the worker's proof of origin
-  bool other_request = false;  // belongs to another request
-  bool encoded = false;        // the body has a content encoding that was not requested
-  bool leaving = false;        // the worker closes the connection because it is draining
+  bool authentic = false;  // carries the worker's proof of origin
+  answer_naming names = answer_naming::kNone;
+  std::string named;     // the request that it names
+  bool encoded = false;  // the body has a content encoding that was not requested
+  bool leaving = false;  // the worker closes the connection because it is draining
   std::optional<WorkerLoadReport> load;
 };
 
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -21,31 +21,46 @@
 
 }  // namespace
 
-WorkerAttempt::WorkerAttempt(TimeSource& time_source, HttpClient& client,
-                             const ServingProtocol& protocol, WorkerSet& workers,
-                             request_quarantine& quarantine, WorkerSlotPtr slot,
+std::string_view not_run_proof_name(NotRunProof proof) {
+  switch (proof) {
+    case NotRunProof::kNone:
+      return "";
+    case NotRunProof::kNotConnected:
+      return "not_connected";
+    case NotRunProof::kRefused:
+      return "refused";
+    case NotRunProof::kReplaced:
+      return "replaced";
+  }
+  return "";
+}
+
+WorkerAttempt::WorkerAttempt(ServingEnvironment& environment, WorkerSlotPtr slot,
                              const WorkerSend& send, const AttemptOptions& options,
                              AttemptObserver& observer)
-    : time_source_(time_source),
-      protocol_(protocol),
-      workers_(workers),
-      quarantine_(quarantine),
+    : time_source_(environment.time_source),
+      protocol_(environment.protocol),
+      workers_(environment.workers),
+      quarantine_(environment.quarantine),
+      surplus_(environment.surplus),
       slot_(std::move(slot)),
       request_(*send.request),
       streaming_(options.streaming),
       silence_timeout_(options.silence_timeout),
       observer_(observer),
-      sent_(time_source.monotonic_now()),
+      sent_(time_source_.monotonic_now()),
       last_activity_(sent_),
-      on_run_over_(quarantine.note_started(request_, slot_->worker().record.service)) {
+      on_run_over_(quarantine_.note_started(request_, slot_->worker().record.service)) {
   const ServingWorker& worker = slot_->worker();
-  silence_counts_ = workers.load_of(worker) <= worker.record.slots;
+  silence_counts_ = workers_.load_of(worker) <= worker.record.slots;
   HttpCallOptions call_options;
   call_options.pool = options.pool;
   call_options.connect_timeout = options.connect_timeout;
   call_options.idle_timeout = options.silence_timeout;
   call_options.host = request_.host;
-  call_ = client.send(slot_->worker().record.address, protocol_.encode(send), call_options, *this);
+  call_ = environment.worker_client.send(slot_->worker().record.address, protocol_.encode(send),
+                                         call_options, *this);
+  connection_use_ = call_->connection_use();
 }
 
 WorkerAttempt::~WorkerAttempt() { end_run(); }
@@ -65,7 +80,10 @@
   if (verdict_.load) {
     workers_.note_report(worker, *verdict_.load);
   }
-  if (verdict_.other_request) {
+  if (verdict_.names != answer_naming::kThis) {
+    note_surplus(status);
+  }
+  if (verdict_.names == answer_naming::kOther) {
     workers_.note_failure(worker, sent_);
     note_answer(answer_fault::kWrong);
     abandon("the worker's answer belongs to another request");
@@ -134,7 +152,7 @@
   refusal_bytes_ += data.size();
   if (refusal_bytes_ > kMaxRefusalBytes) {
     call_.reset();
-    end(AttemptResult::kNotRun, "the worker refused with status " + std::to_string(end_.status));
+    end_refused();
   }
 }
 
@@ -197,7 +215,7 @@
     } else if (!verdict_.unmet_condition) {
       workers_.note_refusal(worker);
     }
-    end(AttemptResult::kNotRun, "the worker refused with status " + std::to_string(end_.status));
+    end_refused();
     return;
   }
   if (relays_events_ && splitter_.inside_event()) {
@@ -224,11 +242,11 @@
 void WorkerAttempt::on_error(const Error& error) {
   workers_.note_failure(slot_->worker(), sent_);
   if (verdict_.not_run) {
-    end(AttemptResult::kNotRun, "the worker refused with status " + std::to_string(end_.status));
+    end_refused();
     return;
   }
   if (error.ran == Ran::kNo) {
-    end(AttemptResult::kNotRun, error.message);
+    end_not_run(NotRunProof::kNotConnected, error.message);
     return;
   }
   if (end_.status != 0) {
@@ -256,6 +274,26 @@
   end(AttemptResult::kBroken, std::move(reason));
 }
 
+void WorkerAttempt::note_surplus(int status) {
+  if (surplus_ != nullptr) {
+    surplus_->note({verdict_.names, slot_->worker().record.incarnation, request_.id, verdict_.named,
+                    status, verdict_.authentic, connection_use_});
+  }
+}
+
+void WorkerAttempt::end_refused() {
+  end_not_run(verdict_.other_incarnation ? NotRunProof::kReplaced : NotRunProof::kRefused,
+              "the worker refused with status " + std::to_string(end_.status));
+}
+
+void WorkerAttempt::end_not_run(NotRunProof proof, std::string reason) {
+  end_.proof = proof;
+  if (surplus_ != nullptr && proof != NotRunProof::kNotConnected) {
+    surplus_->note_not_run(request_.id, slot_->worker().record.incarnation);
+  }
+  end(AttemptResult::kNotRun, std::move(reason));
+}
+
 void WorkerAttempt::end(AttemptResult result, std::string reason) {
   if (std::exchange(ended_, true)) {
     return;
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -7,11 +7,8 @@
 #include <string>
 #include <string_view>
 
-#include "chalkshed/request_quarantine.h"
 #include "src/serving/event_stream.h"
-#include "src/serving/serving_protocol.h"
-#include "src/serving/worker_set.h"
-#include "src/transport/http_client.h"
+#include "src/serving/serving_environment.h"
 
 namespace chalkshed {
 
@@ -21,8 +18,20 @@
   kBroken,  // it may have run; no complete answer
 };
 
+// On what it rests that a request did not run.
+enum class NotRunProof {
+  kNone,
+  kNotConnected,  // no byte of it left this node
+  kRefused,       // the worker says so
+  kReplaced,      // another worker answers at the address, and says so
+};
+
+// @return the stable name used in logs; empty for kNone.
+std::string_view not_run_proof_name(NotRunProof proof);
+
 struct AttemptEnd {
   AttemptResult result = AttemptResult::kBroken;
+  NotRunProof proof = NotRunProof::kNone;  // kNotRun only
   int status = 0;
   HttpHeaders headers;  // kWhole only
   std::string body;     // kWhole only; empty if the answer was streamed to the observer
@@ -50,16 +59,16 @@
 
 class WorkerAttempt : private HttpCallCallbacks {
  public:
-  WorkerAttempt(TimeSource& time_source, HttpClient& client, const ServingProtocol& protocol,
-                WorkerSet& workers, request_quarantine& quarantine, WorkerSlotPtr slot,
-                const WorkerSend& send, const AttemptOptions& options, AttemptObserver& observer);
+  WorkerAttempt(ServingEnvironment& environment, WorkerSlotPtr slot, const WorkerSend& send,
+                const AttemptOptions& options, AttemptObserver& observer);
   // Closes the connection unless the answer has ended, which makes the worker cancel the request.
   ~WorkerAttempt() override;
   WorkerAttempt(const WorkerAttempt&) = delete;
   WorkerAttempt& operator=(const WorkerAttempt&) = delete;
 
   ServingWorker& worker() const { return slot_->worker(); }
-  HttpCall& call() { return *call_; }
+  // Number of requests sent over its connection, this one included.
+  uint64_t connection_use() const { return connection_use_; }
   MonotonicTime sent() const { return sent_; }
   // The worker has sent nothing within the time that is expected of a healthy one.
   void note_silent();
@@ -75,6 +84,11 @@
   void on_end() override;
   void on_error(const Error& error) override;
   void end(AttemptResult result, std::string reason);
+  void end_not_run(NotRunProof proof, std::string reason);
+  // By the worker's refusal.
+  void end_refused();
+  // The answer is not the one to this request.
+  void note_surplus(int status);
   // Closes the connection before the end of the answer.
   void abandon(std::string reason);
 
@@ -94,6 +108,7 @@
   const ServingProtocol& protocol_;
   WorkerSet& workers_;
   request_quarantine& quarantine_;
+  surplus_answers* const surplus_;
   WorkerSlotPtr slot_;
   const ServingRequest& request_;
   const bool streaming_;
@@ -106,6 +121,7 @@
   std::optional<MonotonicTime> first_event_at_;
   std::optional<Duration> first_event_after_;
   event_gaps gaps_;
+  uint64_t connection_use_ = 0;
   size_t refusal_bytes_ = 0;
   size_t empty_bytes_ = 0;  // of comments and blank lines since the last event
   bool has_event_ = false;
