Only a refusal that names its request proves that it did not run

Callers' requests that may run once ran twice, and streams went on at a second worker while the first one wrote them: RequestWire::judge compared the id of an answer only if there was one, so a refusal without an id, late on a kept connection or ahead of the answer that is due, was taken for the word on the request that was sent. An unnamed 421 also made its worker count as replaced.

An answer belongs to the request if it bears its id, once. A caller's request without an id travels on a connection opened for it, where the first answer is its own. Any other answer proves nothing: the connection is closed, which ends the run, and the worker's failures count it.

--- a/src/core/http_message.cc
+++ b/src/core/http_message.cc
@@ -34,4 +34,10 @@
   return std::nullopt;
 }
 
+size_t count_headers(const HttpHeaders& headers, std::string_view name) {
+  return static_cast<size_t>(std::count_if(
+      headers.begin(), headers.end(),
+      [&](const HttpHeader& header) { return equal_ignoring_case(header.name, name); }));
+}
+
 }  // namespace chalkshed
--- a/src/core/http_message.h
+++ b/src/core/http_message.h
@@ -22,6 +22,9 @@
 // @return the value of the first header of that name (case-insensitive), if any.
 std::optional<std::string_view> find_header(const HttpHeaders& headers, std::string_view name);
 
+// @return the number of headers of that name (case-insensitive).
+size_t count_headers(const HttpHeaders& headers, std::string_view name);
+
 // Whether `name` is a valid header name: a token as defined by RFC 9110, section 5.6.2. Other names
 // are parsed differently by different servers.
 bool is_header_name(std::string_view name);
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -58,6 +58,7 @@
   call_options.connect_timeout = options.connect_timeout;
   call_options.idle_timeout = options.silence_timeout;
   call_options.host = request_.host;
+  call_options.fresh_connection = request_.id.empty();
   call_ = environment.worker_client.send(slot_->worker().record.address, protocol_.encode(send),
                                          call_options, *this);
   connection_use_ = call_->connection_use();
@@ -74,21 +75,16 @@
 void WorkerAttempt::on_headers(int status, const HttpHeaders& headers) {
   last_activity_ = time_source_.monotonic_now();
   verdict_ = protocol_.judge(request_, status, headers);
+  if (!answers_this_request()) {
+    handle_surplus(status);
+    return;
+  }
   end_.status = status;
   end_.headers = headers;
   ServingWorker& worker = slot_->worker();
   if (verdict_.load) {
     workers_.note_report(worker, *verdict_.load);
   }
-  if (verdict_.names != answer_naming::kThis) {
-    note_surplus(status);
-  }
-  if (verdict_.names == answer_naming::kOther) {
-    workers_.note_failure(worker, sent_);
-    note_answer(answer_fault::kWrong);
-    abandon("the worker's answer belongs to another request");
-    return;
-  }
   if (verdict_.not_run) {
     return;  // the rest is not needed, but reading it to the end lets the connection be reused
   }
@@ -274,11 +270,21 @@
   end(AttemptResult::kBroken, std::move(reason));
 }
 
-void WorkerAttempt::note_surplus(int status) {
+bool WorkerAttempt::answers_this_request() const {
+  const bool sole = request_.id.empty() && connection_use_ == 1;
+  return verdict_.names == answer_naming::kThis || (verdict_.names == answer_naming::kNone && sole);
+}
+
+void WorkerAttempt::handle_surplus(int status) {
   if (surplus_ != nullptr) {
     surplus_->note({verdict_.names, slot_->worker().record.incarnation, request_.id, verdict_.named,
                     status, verdict_.authentic, connection_use_});
   }
+  verdict_ = {};
+  workers_.note_failure(slot_->worker(), sent_);
+  note_answer(answer_fault::kWrong);
+  abandon("the worker's answer with status " + std::to_string(status) +
+          " does not name the request");
 }
 
 void WorkerAttempt::end_refused() {
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -87,8 +87,11 @@
   void end_not_run(NotRunProof proof, std::string reason);
   // By the worker's refusal.
   void end_refused();
-  // The answer is not the one to this request.
-  void note_surplus(int status);
+  // Whether the answer is the one to this request: it names it, or, if the request has no id, the
+  // connection has carried nothing else.
+  bool answers_this_request() const;
+  // Handles an answer that is not the one to this request, and proves nothing about it.
+  void handle_surplus(int status);
   // Closes the connection before the end of the answer.
   void abandon(std::string reason);
 
