HTTP client: a call may skip an answer; a connection carries a named request once

For answers that come in another's place on a kept connection. skip_answer reads the current answer to its end, up to 256 KB in one exchange, and expects the next one; the connection is not reused then. A call with a name gets a connection that has not carried that name, so that a second copy of an earlier answer to the same request can't be taken for a new one.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "chalkshed/socket_liveness.h"
+#include "src/core/digest.h"
 #include "src/event/socket_address.h"
 #include "src/event/timeval.h"
 #include "src/http/socket_write.h"
@@ -22,6 +23,11 @@
 namespace chalkshed {
 namespace {
 
+// A connection is not reused beyond this many named requests.
+constexpr size_t kMaxNames = 512;
+// A worker in trouble may send answers without end.
+constexpr size_t kMaxSkippedBytes = size_t{256} * 1024;
+
 // A line read from a buffer, without its line terminator.
 class Line {
  public:
@@ -55,8 +61,13 @@
   ++exchange_number_;
   reading_paused_ = false;
   idle_timeout_ = options.idle_timeout;
-  parser_ = ResponseHeadParser(head_only);
-  head_bytes_ = 0;
+  head_only_ = head_only;
+  has_skipped_ = false;
+  skipped_bytes_ = 0;
+  if (!options.name.empty()) {
+    carried_.push_back(content_hash(options.name));
+  }
+  expect_answer();
   if (state_ == State::kIdle) {
     begin_exchange();
     return;
@@ -64,6 +75,36 @@
   connect(options.connect_timeout);
 }
 
+void ClientConnection::expect_answer() {
+  parser_ = ResponseHeadParser(head_only_);
+  head_bytes_ = 0;
+  skipping_ = false;
+}
+
+bool ClientConnection::has_carried(std::string_view name) const {
+  return !name.empty() &&
+         std::find(carried_.begin(), carried_.end(), content_hash(name)) != carried_.end();
+}
+
+bool ClientConnection::skip_answer() {
+  const ResponseHead& head = parser_.head();
+  if (!head.keep_alive || head.framing == BodyFraming::kUntilClose) {
+    return false;
+  }
+  skipping_ = true;
+  has_skipped_ = true;
+  return true;
+}
+
+bool ClientConnection::exceeds_skipped(size_t bytes) {
+  skipped_bytes_ += bytes;
+  if (skipped_bytes_ <= kMaxSkippedBytes) {
+    return false;
+  }
+  fail(ErrorKind::kUpstreamFailed, Ran::kUnknown, "answers to other requests exceed the limit");
+  return true;
+}
+
 void ClientConnection::connect(Duration timeout) {
   state_ = State::kConnecting;
   const std::optional<SocketAddress> address = to_socket_address(key_.server);
@@ -233,18 +274,17 @@
   awaiting_chunk_end_ = false;
   in_trailer_ = false;
   callbacks_->on_headers(head.status, head.headers);
-  return state_ == State::kBody;
+  // The callback may have abandoned the call, which closes the connection.
+  return state_ == State::kBody && !(skipping_ && exceeds_skipped(head_bytes_));
 }
 
 bool ClientConnection::read_body(evbuffer* input) {
   switch (parser_.head().framing) {
     case BodyFraming::kNone:
-      complete();
-      return false;
+      return complete();
     case BodyFraming::kLength:
       if (remaining_ == 0) {
-        complete();
-        return false;
+        return complete();
       }
       return deliver(input, remaining_) > 0;
     case BodyFraming::kUntilClose:
@@ -297,11 +337,7 @@
   if (!line) {
     return false;
   }
-  if (line.text().empty()) {
-    complete();
-    return false;
-  }
-  return true;
+  return line.text().empty() ? complete() : true;
 }
 
 size_t ClientConnection::deliver(evbuffer* input, uint64_t limit) {
@@ -311,6 +347,10 @@
   }
   const size_t size = std::min<uint64_t>(segment.iov_len, limit);
   remaining_ -= size;
+  if (skipping_) {
+    evbuffer_drain(input, size);
+    return exceeds_skipped(size) ? 0 : size;
+  }
   callbacks_->on_body({static_cast<const char*>(segment.iov_base), size});
   // The callback may have abandoned the call, which closes the connection.
   if (state_ == State::kBody) {
@@ -319,18 +359,25 @@
   return size;
 }
 
-void ClientConnection::complete() {
+bool ClientConnection::complete() {
+  if (skipping_) {
+    expect_answer();
+    state_ = State::kHead;
+    return true;
+  }
   HttpCallCallbacks* callbacks = std::exchange(callbacks_, nullptr);
   const bool is_silent = evbuffer_get_length(bufferevent_get_input(socket_)) == 0 &&
                          evbuffer_get_length(bufferevent_get_output(socket_)) == 0;
   const auto self = shared_from_this();
-  if (parser_.head().keep_alive && is_silent) {
+  const bool in_order = is_silent && !has_skipped_ && carried_.size() < kMaxNames;
+  if (parser_.head().keep_alive && in_order) {
     observer_.on_reusable(*this);
   } else {
     close();
     observer_.on_finished(*this);
   }
   callbacks->on_end();
+  return false;
 }
 
 void ClientConnection::fail(ErrorKind kind, Ran ran, const std::string& what) {
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -4,6 +4,8 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "src/core/address.h"
 #include "src/event/event_dispatcher.h"
@@ -56,6 +58,11 @@
   bool in_exchange(uint64_t number) const {
     return callbacks_ != nullptr && exchange_number_ == number;
   }
+  // Whether it has carried a request of that name.
+  bool has_carried(std::string_view name) const;
+  // Reads the rest of the current answer without events, then expects the next one. Only inside
+  // on_headers. @return false if the connection ends with the answer.
+  bool skip_answer();
   // No events are delivered while reading is paused.
   void pause_reading();
   void resume_reading();
@@ -80,7 +87,12 @@
   // Passes up to `limit` bytes to the callbacks. @return the number of bytes passed.
   size_t deliver(evbuffer* input, uint64_t limit);
   void handle_end_of_connection(const std::string& cause);
-  void complete();
+  // The answer has ended. @return whether to read on.
+  bool complete();
+  // Prepares for the head of an answer.
+  void expect_answer();
+  // Counts bytes of a skipped answer. @return whether there are too many.
+  bool exceeds_skipped(size_t bytes);
   void fail(ErrorKind kind, Ran ran, const std::string& what);
 
   EventDispatcher& dispatcher_;
@@ -96,6 +108,11 @@
   bool reading_paused_ = false;
   ResponseHeadParser parser_{false};
   size_t head_bytes_ = 0;
+  std::vector<uint64_t> carried_;  // hashes of the names of its requests
+  bool head_only_ = false;
+  bool skipping_ = false;            // the current answer is not the one to the request
+  bool has_skipped_ = false;         // in this exchange
+  size_t skipped_bytes_ = 0;         // in this exchange
   uint64_t remaining_ = 0;           // bytes left of the body or the current chunk
   bool awaiting_chunk_end_ = false;  // expects the line terminator after a chunk's data
   bool in_trailer_ = false;
--- a/src/http/event_http_client.cc
+++ b/src/http/event_http_client.cc
@@ -96,6 +96,10 @@
       connection->resume_reading();
     }
   }
+  bool skip_answer() override {
+    const auto connection = open_connection();
+    return connection && connection->skip_answer();
+  }
   uint64_t connection_use() const override { return std::max<uint64_t>(exchange_, 1); }
 
  private:
@@ -174,7 +178,8 @@
  private:
   using ConnectionPtr = std::shared_ptr<ClientConnection>;
 
-  ConnectionPtr reuse_idle(const ConnectionKey& key);
+  // @return an idle connection that has not carried a request of that name; null if there is none.
+  ConnectionPtr reuse_idle(const ConnectionKey& key, std::string_view name);
   void drop(ClientConnection& connection);
   HttpCallPtr refuse(const Address& server, HttpCallCallbacks& callbacks);
   std::shared_ptr<Collector> release(const Collector* collector);
@@ -196,7 +201,7 @@
     return refuse(server, callbacks);
   }
   ConnectionKey key{server, options.pool};
-  ConnectionPtr connection = options.fresh_connection ? nullptr : reuse_idle(key);
+  ConnectionPtr connection = options.fresh_connection ? nullptr : reuse_idle(key, options.name);
   if (!connection) {
     connection = std::make_shared<ClientConnection>(dispatcher_, std::move(key),
                                                     knobs_.max_header_bytes, *this);
@@ -236,25 +241,30 @@
 }
 
 EventHttpClient::Implementation::ConnectionPtr EventHttpClient::Implementation::reuse_idle(
-    const ConnectionKey& key) {
+    const ConnectionKey& key, std::string_view name) {
   const auto found = idle_.find(key);
   if (found == idle_.end()) {
     return nullptr;
   }
   std::vector<ClientConnection*> idle = std::move(found->second);
   idle_.erase(found);
-  while (!idle.empty()) {
-    ConnectionPtr connection = connections_.at(idle.back());
-    idle.pop_back();
+  ConnectionPtr reused;
+  for (size_t index = idle.size(); !reused && index-- > 0;) {
+    const ConnectionPtr connection = connections_.at(idle[index]);
+    if (connection->has_carried(name)) {
+      continue;
+    }
+    idle.erase(idle.begin() + static_cast<ptrdiff_t>(index));
     if (connection->is_silent()) {
-      if (!idle.empty()) {
-        idle_.emplace(key, std::move(idle));
-      }
-      return connection;
+      reused = connection;
+    } else {
+      drop(*connection);
     }
-    drop(*connection);
   }
-  return nullptr;
+  if (!idle.empty()) {
+    idle_.emplace(key, std::move(idle));
+  }
+  return reused;
 }
 
 void EventHttpClient::Implementation::drop(ClientConnection& connection) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -19,6 +19,9 @@
   Duration idle_timeout = std::chrono::seconds(10);
   // Value of the Host header; the server's address if empty.
   std::string host = {};
+  // Names the request in its answers; empty if they do not name it. A connection carries a name
+  // once, so that an answer to an earlier send of the request is not taken for one to this send.
+  std::string name = {};
 };
 
 // Events of one call, in order; exactly one of on_end and on_error comes last.
@@ -41,6 +44,10 @@
   // until resume_reading(). The idle timeout is suspended as well. May be called inside an event.
   virtual void pause_reading() {}
   virtual void resume_reading() {}
+  // Called inside on_headers if the answer is not the one to this request: its rest is read without
+  // events, and on_headers is called again for the next answer on the connection, which is closed
+  // after that one. @return false if no answer can follow; then the call goes on as before.
+  virtual bool skip_answer() { return false; }
   // Number of requests sent over its connection, this one included: 1 on a new connection.
   virtual uint64_t connection_use() const { return 1; }
 };
