The answer that is due is awaited behind a surplus one

Such an answer is set aside, bounded in number and bytes, and counted against the worker; the answer to the request is taken when it comes. One that names no request may be all that the worker sends: a request that may run again leaves it at once for another worker, one that may run once waits, since its run may be under way. The limits are those of a silent worker.

TheAnswerToAnotherRequestIsNotForwarded expected the 502 at once. It now asks that nothing is forwarded while the call is open, and for the 502 when the connection breaks; that the answer which follows is taken is a test of its own.

--- a/src/jobs/job_item_run.cc
+++ b/src/jobs/job_item_run.cc
@@ -63,6 +63,7 @@
   options.connect_timeout = environment.serving.knobs.connect_timeout;
   options.silence_timeout = environment.knobs.item_silence_timeout;
   options.streaming = true;
+  options.repeatable = true;
   attempt_ =
       std::make_unique<WorkerAttempt>(environment.serving, std::move(slot), send, options, *this);
 }
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -137,6 +137,7 @@
   options.connect_timeout = std::min(environment_.knobs.connect_timeout,
                                      std::max(time_left(), Duration(std::chrono::milliseconds(1))));
   options.streaming = route_.kind == RouteKind::kStreaming;
+  options.repeatable = wanted.repeatable;
   attempt_ =
       std::make_unique<WorkerAttempt>(environment_, std::move(slot), worker_send, options, *this);
   connection_use_ = attempt_->connection_use();
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -17,6 +17,9 @@
 // ... and of a refusal, which is only read so that its connection can be used again.
 constexpr size_t kMaxRefusalBytes = size_t{64} * 1024;
 
+// A worker that sends more of them before the answer to the request is not going to send that.
+constexpr uint32_t kMaxSurplusAnswers = 4;
+
 bool is_success(int status) { return status >= kOk && status < kFirstFailure; }
 
 }  // namespace
@@ -46,6 +49,7 @@
       slot_(std::move(slot)),
       request_(*send.request),
       streaming_(options.streaming),
+      repeatable_(options.repeatable),
       silence_timeout_(options.silence_timeout),
       observer_(observer),
       sent_(time_source_.monotonic_now()),
@@ -275,14 +279,27 @@
   return verdict_.names == answer_naming::kThis || (verdict_.names == answer_naming::kNone && sole);
 }
 
+// An answer to another request is followed by the one to this request. An answer that names none
+// may be all that the worker sends; that is worth waiting for only if the request cannot run
+// elsewhere.
+bool WorkerAttempt::waits_on() const {
+  const bool named = verdict_.names == answer_naming::kOther;
+  return (named || !repeatable_) && surplus_count_ <= kMaxSurplusAnswers;
+}
+
 void WorkerAttempt::handle_surplus(int status) {
+  ++surplus_count_;
   if (surplus_ != nullptr) {
     surplus_->note({verdict_.names, slot_->worker().record.incarnation, request_.id, verdict_.named,
                     status, verdict_.authentic, connection_use_});
   }
+  const bool waits = waits_on();
   verdict_ = {};
   workers_.note_failure(slot_->worker(), sent_);
   note_answer(answer_fault::kWrong);
+  if (waits && call_->skip_answer()) {
+    return;
+  }
   abandon("the worker's answer with status " + std::to_string(status) +
           " does not name the request");
 }
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -55,6 +55,8 @@
   // Maximum time without data from the worker.
   Duration silence_timeout = std::chrono::seconds(30);
   bool streaming = false;
+  // Another worker may run the request even if this one has begun.
+  bool repeatable = false;
 };
 
 class WorkerAttempt : private HttpCallCallbacks {
@@ -90,8 +92,11 @@
   // Whether the answer is the one to this request: it names it, or, if the request has no id, the
   // connection has carried nothing else.
   bool answers_this_request() const;
-  // Handles an answer that is not the one to this request, and proves nothing about it.
+  // Sets an answer aside that is not the one to this request and proves nothing about it, or gives
+  // the run up.
   void handle_surplus(int status);
+  // Whether to wait for the answer to this request after a surplus one.
+  bool waits_on() const;
   // Closes the connection before the end of the answer.
   void abandon(std::string reason);
 
@@ -115,6 +120,7 @@
   WorkerSlotPtr slot_;
   const ServingRequest& request_;
   const bool streaming_;
+  const bool repeatable_;
   const Duration silence_timeout_;
   AttemptObserver& observer_;
   WorkerVerdict verdict_;
@@ -125,6 +131,7 @@
   std::optional<Duration> first_event_after_;
   event_gaps gaps_;
   uint64_t connection_use_ = 0;
+  uint32_t surplus_count_ = 0;
   size_t refusal_bytes_ = 0;
   size_t empty_bytes_ = 0;  // of comments and blank lines since the last event
   bool has_event_ = false;
--- a/tests/serving/request_relay_test.cc
+++ b/tests/serving/request_relay_test.cc
@@ -145,6 +145,10 @@
   const SeenAnswerPtr seen = cluster.request("/once/x");
   last().callbacks->on_headers(
       200, {{platform::kRequestId, "another"}, {platform::kSignature, "signed"}});
+  last().end();
+  settle();
+  EXPECT_EQ(seen->status, 0);
+  last().fail(Ran::kUnknown);
   settle();
   EXPECT_EQ(seen->status, 502);
   EXPECT_TRUE(seen->header(platform::kSignature).empty());
--- a/tests/serving/unnamed_refusal_test.cc
+++ b/tests/serving/unnamed_refusal_test.cc
@@ -47,6 +47,51 @@
   EXPECT_EQ(seen->status, 502);
 }
 
+TEST_F(UnnamedRefusalTest, IsSetAsideAheadOfTheAnswerToARequestThatMayRunOnce) {
+  const SeenAnswerPtr seen = cluster.request("/once/x");
+  refuse_unnamed(last(), 503);
+  cluster.clock.run_for(seconds(2));
+  last().begin();
+  last().callbacks->on_body("whole");
+  last().end();
+  EXPECT_EQ(seen->status, 200);
+  EXPECT_EQ(seen->body, "whole");
+  EXPECT_EQ(sends(), 1U);
+}
+
+TEST_F(UnnamedRefusalTest, ThatIsAllThatAWorkerSendsEndsARequestThatMayRunOnceAtItsDeadline) {
+  const SeenAnswerPtr seen = cluster.request("/once/x");
+  refuse_unnamed(last(), 503);
+  cluster.clock.run_for(milliseconds(4010));
+  EXPECT_EQ(seen->status, 504);
+}
+
+TEST_F(UnnamedRefusalTest, RepeatedWithoutEndIsGivenUp) {
+  const SeenAnswerPtr seen = cluster.request("/once/x");
+  for (int number = 0; number < 10 && last().open(); ++number) {
+    refuse_unnamed(last(), 503);
+  }
+  cluster.clock.run_for(milliseconds(5));
+  EXPECT_EQ(seen->status, 502);
+}
+
+TEST_F(UnnamedRefusalTest, AnAnswerToAnotherRequestIsSetAsideForAllRequests) {
+  for (const std::string path : {"/once/x", "/plain/x", "/stream/x", "/fixed/x"}) {
+    SCOPED_TRACE(path);
+    const size_t before = sends();
+    const SeenAnswerPtr seen = cluster.request(path, "r" + path);
+    answer(last(), 200, {{platform::kRequestId, "another"}, {platform::kSignature, "signed"}});
+    answer(last(), 503, {{platform::kRequestId, "third"}, {platform::kNotExecuted, "1"}});
+    ASSERT_TRUE(last().open());
+    last().begin();
+    last().event(1);
+    last().end();
+    EXPECT_EQ(sends(), before + 1);
+    EXPECT_EQ(seen->status, 200);
+    EXPECT_EQ(seen->body, "id: 1\ndata: d1\n\n");
+  }
+}
+
 TEST_F(UnnamedRefusalTest, DoesNotTakeItsWorkerForReplaced) {
   for (int number = 0; number < 2; ++number) {
     cluster.request("/once/x", "r" + std::to_string(number));
