Online path property: refusals without a name, and second copies of refusals

Its workers put a refusal that names no request ahead of the answer that is due or in place of the next one, and send their refusals again in place of the next answer. The checks stay: what may run once runs once, what was refused never ran.

--- a/tests/online_path/raw_worker.h
+++ b/tests/online_path/raw_worker.h
@@ -1,7 +1,8 @@
 /** \file
  * A worker that records requests byte for byte and answers at random in one of these ways: before
  * it has read the body, in chunks, twice at once, again in place of the next answer, never, with a
- * refusal, or by closing or resetting the connection.
+ * refusal, behind a refusal that names no request or comes in place of the next answer, or by
+ * closing or resetting the connection.
  */
 #pragma once
 
@@ -117,7 +118,10 @@
         kAnswerTwice,
         kAnswerAgainLater,
         kRefuse,
+        kRefuseAgainLater,
         kRefuseWithoutTheMark,
+        kAnswerBehindUnnamedRefusal,
+        kUnnamedRefusalLater,
         kStaySilent,
         kClose,
         kReset,
@@ -201,16 +205,29 @@
         const std::string id = request.id();
         const std::string head = std::string("\r\n") + platform::kRequestId + ": " + id + "\r\n";
         const std::string refusal = "HTTP/1.1 503 Full" + head + "Content-Length: 4\r\n";
+        const std::string not_run = platform::kNotExecuted + std::string(": 1\r\n\r\nfull");
+        const std::string unnamed = "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n" + not_run;
         const std::string begin = "HTTP/1.1 200 OK" + head + platform::kSignature + ": signed\r\n";
         const std::string body = request.method == "HEAD" ? "" : "ran " + id;
         const std::string whole =
             begin + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-        if (one.how != behaviour::kRefuse) {
+        if (one.how != behaviour::kRefuse && one.how != behaviour::kRefuseAgainLater) {
             ++runs_[id];
         }
         switch (one.how) {
         case behaviour::kRefuse:
-            one.output += refusal + platform::kNotExecuted + ": 1\r\n\r\nfull";
+            one.output += refusal + not_run;
+            break;
+        case behaviour::kRefuseAgainLater:
+            one.output += refusal + not_run;
+            one.surplus = refusal + not_run;
+            break;
+        case behaviour::kAnswerBehindUnnamedRefusal:
+            one.output += unnamed + whole;
+            break;
+        case behaviour::kUnnamedRefusalLater:
+            one.output += whole;
+            one.surplus = unnamed;
             break;
         case behaviour::kRefuseWithoutTheMark:
             one.output += refusal + "\r\nfull";
