An item that returns to a worker takes a connection that has not carried it

Online requests leave out the workers that they were at; items go to the same worker again, under the same id, over the same kept connection. A second copy of an earlier refusal names the item, so it was taken for the answer to the new send: the item ran on unseen over an open connection and went on elsewhere at the same time, which is the second form of the users' rule. A second copy of a 500 counted as a failed attempt.

Such a send names its request to the HTTP client (HttpCallOptions::name), which gives it a connection that has not carried that name.

Found by reading; no run of ours has shown it.

--- a/src/jobs/job_item_run.cc
+++ b/src/jobs/job_item_run.cc
@@ -64,6 +64,7 @@
   options.silence_timeout = environment.knobs.item_silence_timeout;
   options.streaming = true;
   options.repeatable = true;
+  options.may_return = true;
   attempt_ =
       std::make_unique<WorkerAttempt>(environment.serving, std::move(slot), send, options, *this);
 }
--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -63,6 +63,7 @@
   call_options.idle_timeout = options.silence_timeout;
   call_options.host = request_.host;
   call_options.fresh_connection = request_.id.empty();
+  call_options.name = options.may_return ? request_.id : "";
   call_ = environment.worker_client.send(slot_->worker().record.address, protocol_.encode(send),
                                          call_options, *this);
   connection_use_ = call_->connection_use();
--- a/src/serving/worker_attempt.h
+++ b/src/serving/worker_attempt.h
@@ -57,6 +57,8 @@
   bool streaming = false;
   // Another worker may run the request even if this one has begun.
   bool repeatable = false;
+  // The same worker may have got the request before, under the same id.
+  bool may_return = false;
 };
 
 class WorkerAttempt : private HttpCallCallbacks {
--- a/tests/serving/serving_cluster.h
+++ b/tests/serving/serving_cluster.h
@@ -34,7 +34,8 @@
   HttpCallCallbacks* callbacks = nullptr;  // null once cancelled or ended
   std::string sender;                      // session of the calling node
   bool fresh_connection = false;
-  bool skipped = false;  // the answer that was begun last
+  std::string request_name;  // HttpCallOptions::name
+  bool skipped = false;      // the answer that was begun last
 
   bool open() const { return callbacks != nullptr; }
   std::string header(std::string_view name) const {
@@ -71,7 +72,7 @@
  public:
   HttpCallPtr send(const Address& server, const HttpRequest& request,
                    const HttpCallOptions& options, HttpCallCallbacks& callbacks) override {
-    calls.push_back({server, request, &callbacks, sender, options.fresh_connection});
+    calls.push_back({server, request, &callbacks, sender, options.fresh_connection, options.name});
     ScriptedCall& call = calls.back();
     if (on_call) {
       on_call(call);
@@ -403,6 +404,7 @@
     job.forwarded = forwarded.has_value();
     job.sent_as_of = forwarded ? std::stoull(std::string(*forwarded)) : 0;
     job.items = *job_wire().decode_items(job.host, job.content);
+    const std::string id = job.id;
     auto answered = std::make_shared<bool>(false);
     // A peer that is killed before it answers looks like a timeout to the sender.
     call_after(loop, forward_knobs().answer_timeout, [callback, answered] {
@@ -411,7 +413,7 @@
       }
     });
     found->second->node.jobs().submit(
-        std::move(job), [callback, answered](const Expected<std::monostate>& accepted) {
+        std::move(job), [callback, answered, id](const Expected<std::monostate>& accepted) {
           if (std::exchange(*answered, true)) {
             return;
           }
@@ -419,7 +421,11 @@
           constexpr int kAccepted = 202;
           constexpr int kRefused = 503;
           constexpr int kUnknown = 500;
-          callback(HttpResponse{accepted ? kAccepted : refused ? kRefused : kUnknown, {}, ""});
+          callback(HttpResponse{accepted  ? kAccepted
+                                : refused ? kRefused
+                                          : kUnknown,
+                                {{platform::kRequestId, id}},
+                                ""});
         });
   }
   uint64_t starts_ = 0;
