A peer's answer to a forwarded job must name the job

A job was refused to its caller with 429 or 503, or taken as accepted, by the status of whatever answered at the peer's address: another process there, or an answer to another call. Then it may have been accepted and run all the same.

Found by reading; no run of ours has shown it.

--- a/src/forwarding/job_forwarder.cc
+++ b/src/forwarding/job_forwarder.cc
@@ -11,13 +11,17 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 
-/** Only the listed statuses guarantee that the peer did not accept the job. 401 is one of them,
- * because the peer may have another configuration, without the caller's key. */
-forward_outcome classify_answer(const Expected<HttpResponse> &answer) {
+/** Only the listed statuses, in an answer that names the job, guarantee that the peer did not
+ * accept it. 401 is one of them, because the peer may have another configuration, without the
+ * caller's key. */
+forward_outcome classify_answer(const Expected<HttpResponse> &answer, bool names_job) {
     if (!answer) {
         return answer.error().ran == Ran::kNo ? forward_outcome::kNotAccepted
                                               : forward_outcome::kUnknown;
     }
+    if (!names_job) {
+        return forward_outcome::kUnknown;
+    }
     switch (answer->status) {
     case kAccepted:
         return forward_outcome::kAccepted;
@@ -63,12 +67,15 @@
     options.idle_timeout = knobs_.answer_timeout;
     options.host = job.host;
     client_.fetch(*peer, codec_.encode_submission(job), options,
-                  lifetime_.guard([this, id = caller_job_id(job.id), to = to_string(*peer),
+                  lifetime_.guard([this, id = job.id, to = to_string(*peer),
                                    done = std::move(done)](const Expected<HttpResponse> &answer) {
-                      const forward_outcome outcome = classify_answer(answer);
-                      logger_.write(
-                          LogLevel::kInfo, "job_forwarded",
-                          {{"job", id}, {"peer", to}, {"outcome", forward_outcome_name(outcome)}});
+                      const bool names_job =
+                          answer && codec_.answers_submission(id, answer->headers);
+                      const forward_outcome outcome = classify_answer(answer, names_job);
+                      logger_.write(LogLevel::kInfo, "job_forwarded",
+                                    {{"job", caller_job_id(id)},
+                                     {"peer", to},
+                                     {"outcome", forward_outcome_name(outcome)}});
                       done(outcome);
                   }));
 }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -88,6 +88,10 @@
                                                              std::string_view content) const = 0;
   // The request by which one node forwards the job to another.
   virtual HttpRequest encode_submission(const RequestJob& job) const = 0;
+  // Whether an answer with these headers is to the submission of that job, and not to another call
+  // or of another server.
+  // @param id of RequestJob.
+  virtual bool answers_submission(const std::string& id, const HttpHeaders& headers) const = 0;
 };
 
 }  // namespace chalkshed
