--- a/tests/soak/fleet/checks.cc
+++ b/tests/soak/fleet/checks.cc
@@ -44,6 +44,7 @@
     named_check{check_kind::kTakenUp, "taken_up"},
     named_check{check_kind::kFatalPart, "fatal_part"},
     named_check{check_kind::kPartRequests, "part_requests"},
+    named_check{check_kind::kOneRun, "one_run"},
     named_check{check_kind::kSoundPart, "sound_part"},
 };
 
@@ -124,6 +125,9 @@
     /** Whether the item's service lacked all its workers at some time. */
     bool lost_service(const sent_item &item, interval when) const;
     void check_leaving_workers();
+    /** Runs that go on with an earlier one of the same request or item. */
+    void check_continued_runs();
+    void check_continued_run(const run_begin &earlier, const run_begin &later);
     void check_fatal_contents();
     void check_ends_of_contents();
     /** Items that crash workers are owed, and pause between their runs. */
@@ -169,6 +173,7 @@
         check_job(id, job);
     }
     check_leaving_workers();
+    check_continued_runs();
     check_fatal_contents();
     check_ends_of_contents();
     check_pauses_of_items();
@@ -614,6 +619,40 @@
     report_.checks[check_kind::kLeavingWorker].tested = used.size();
 }
 
+void checker::check_continued_runs() {
+    std::unordered_map<std::string, std::vector<const run_begin *>> runs_of;
+    for (const run_begin *run : history_.runs) {
+        std::vector<const run_begin *> &earlier = runs_of[run->id];
+        if (run->resume_after > 0) {
+            for (const run_begin *each : earlier) {
+                check_continued_run(*each, *run);
+            }
+        }
+        earlier.push_back(run);
+    }
+}
+
+/** The node of the earlier run has to close its connection, or is disturbed. */
+void checker::check_continued_run(const run_begin &earlier, const run_begin &later) {
+    check_result &result = report_.checks[check_kind::kOneRun];
+    ++result.tested;
+    const run_end *end = history_.end_of(earlier);
+    const MonotonicTime until = later.at + bounds_.overlap;
+    if (end == nullptr || end->at <= until) {
+        return;
+    }
+    const interval around = {later.at - bounds_.contact, until};
+    const std::string node = history_.node_of(earlier);
+    const std::string what = where(later) + " and goes on with a run at worker " + earlier.worker +
+                             " that lasted " + format_ms(end->at - later.at) + " longer";
+    const bool excused = history_.disturbed.node_disturbed(node, around);
+    if (excused) {
+        excuse(check_kind::kOneRun, later.at, what);
+    } else {
+        violate(check_kind::kOneRun, later.at, what);
+    }
+}
+
 void checker::judge_mixed(check_kind kind, const std::vector<mixed_text> &mixed) {
     for (const mixed_text &each : mixed) {
         if (each.excused) {
--- a/tests/soak/fleet/checks.h
+++ b/tests/soak/fleet/checks.h
@@ -40,6 +40,7 @@
     kTakenUp,        /**< streams that callers take up go on, against those that begin */
     kFatalPart,      /**< requests with a part that crashes workers are kept from them */
     kPartRequests,   /**< counts the requests with such a part */
+    kOneRun,         /**< a run that goes on with another ends it within the bound */
     kSoundPart,      /**< sound requests with the same first part begin as before */
 };
 
--- a/tests/soak/fleet/deployment.cc
+++ b/tests/soak/fleet/deployment.cc
@@ -574,6 +574,7 @@
     fields.time("ended_job_ms", bounds.ended_job, ms, 1, kMaxMs);
     fields.time("acknowledgement_ms", bounds.acknowledgement, ms, 1, kMaxMs);
     fields.time("leaving_ms", bounds.leaving, ms, 1, kMaxMs);
+    fields.time("overlap_ms", bounds.overlap, ms, 1, kMaxMs);
     fields.time("contact_ms", bounds.contact, ms, 1, kMaxMs);
     fields.time("finish_ms", bounds.finish, ms, 1, kMaxMs);
     fields.time("lag_ms", bounds.lag, ms, 1, kMaxMs);
@@ -623,14 +624,14 @@
 
 const std::vector<std::string> &fault_kinds() {
     static const std::vector<std::string> kKinds = {
-        "node_kill",       "node_kill_all",  "node_freeze",   "node_stop",
-        "node_reload",     "node_replace",   "node_upgrade",  "node_upgrade_all",
-        "store_refuse",    "store_slow",     "store_cut",     "store_lose_answers",
-        "store_late",      "store_forget",   "worker_kill",   "worker_rack",
-        "worker_series",   "worker_leave",   "worker_break",  "worker_mute",
-        "worker_unlucky",  "worker_endless", "worker_refuse", "worker_fail",
-        "worker_wrong",    "worker_flap",    "route_move",    "worker_release",
-        "worker_rollback", "service_loss"};
+        "node_kill",      "node_kill_all",   "node_freeze",    "node_stop",
+        "node_reload",    "node_replace",    "node_upgrade",   "node_upgrade_all",
+        "store_refuse",   "store_slow",      "store_cut",      "store_lose_answers",
+        "store_late",     "store_forget",    "worker_kill",    "worker_rack",
+        "worker_series",  "worker_leave",    "worker_break",   "worker_mute",
+        "worker_unlucky", "worker_endless",  "worker_surplus", "worker_refuse",
+        "worker_fail",    "worker_wrong",    "worker_flap",    "route_move",
+        "worker_release", "worker_rollback", "service_loss"};
     return kKinds;
 }
 
--- a/tests/soak/fleet/deployment.h
+++ b/tests/soak/fleet/deployment.h
@@ -137,6 +137,8 @@
     /** Requests with a part that crashes workers reach none later than this after its fifth crash.
      */
     Duration part_lateness = std::chrono::seconds(3);
+    /** A run that another one goes on with ends within this. */
+    Duration overlap = std::chrono::milliseconds(400);
     /** An accepted job that was not ended lists all items this long after its 202. */
     Duration finish = std::chrono::seconds(60);
     /** A run is invalid if the 99th percentile of the timer lag of a test process exceeds this. */
--- a/tests/soak/fleet/fleet_worker.cc
+++ b/tests/soak/fleet/fleet_worker.cc
@@ -1,6 +1,7 @@
 #include "tests/soak/fleet/fleet_worker.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 #include "platform/header_names.h"
@@ -78,7 +79,11 @@
 
 void fleet_worker::handle(HttpRequest request, wire_answer_ptr answer) {
     if (const std::optional<HttpResponse> response = refusal(request)) {
+        const auto send_surplus = answer->surplus_sender();
         answer->respond(*response);
+        if (process_.chance(faults.surplus)) {
+            send_later(send_surplus, *response);
+        }
         return;
     }
     auto added = std::make_shared<run>();
@@ -213,7 +218,41 @@
     return true;
 }
 
+HttpResponse fleet_worker::surplus_response() {
+    constexpr std::array kRefusals = {400, 408, 421, 429, 503};
+    HttpResponse response{kRefusals.at(process_.random.below(kRefusals.size())), {}, "surplus"};
+    if (process_.chance(30)) {
+        response.headers.push_back({platform::kRequestId, "another"});
+    }
+    if (process_.chance(20)) {
+        response.status = 200;
+        response.headers.push_back({platform::kSignature, incarnation_ + ".another"});
+    } else {
+        response.headers.push_back({platform::kNotExecuted, "1"});
+    }
+    return response;
+}
+
+void fleet_worker::send_later(const std::function<void(const HttpResponse &)> &sender,
+                              HttpResponse response) {
+    const Duration longest = milliseconds(50);
+    process_.run_after(process_.random_duration(Duration(0), longest),
+                       [sender, response = std::move(response)] { sender(response); });
+}
+
+void fleet_worker::send_surplus(const run &current) {
+    const auto sender = current.answer->surplus_sender();
+    if (process_.chance(50)) {
+        sender(surplus_response());
+    } else {
+        send_later(sender, surplus_response());
+    }
+}
+
 void fleet_worker::begin_answer(const run_ptr &current) {
+    if (process_.chance(faults.surplus)) {
+        send_surplus(*current);
+    }
     const std::string part = fatal_part_of(header(current->request, platform::kPromptPrefix));
     if (!part.empty()) {
         schedule_crash_by(*current, part);
--- a/tests/soak/fleet/fleet_worker.h
+++ b/tests/soak/fleet/fleet_worker.h
@@ -29,6 +29,8 @@
     uint64_t wrong = 0;
     /** Answered by bytes without end that are no answer. */
     uint64_t endless = 0;
+    /** Answered with one answer more, which is not the one to the request. */
+    uint64_t surplus = 0;
 };
 
 class fleet_worker : private wire_handler {
@@ -96,6 +98,11 @@
     /** The response if the request is refused; decided from the head alone. */
     std::optional<HttpResponse> refusal(const HttpRequest &head);
     HttpResponse not_run_response(int status, const std::string &id) const;
+    /** Sends a surplus answer ahead of the answer to this run, or shortly after it. */
+    void send_surplus(const run &current);
+    void send_later(const std::function<void(const HttpResponse &)> &sender, HttpResponse response);
+    /** A surplus answer; most name no request, others another one. */
+    HttpResponse surplus_response();
     void begin(const run_ptr &added);
     void schedule_crash_by(const run &fatal, const std::string &cause);
     void begin_queued();
--- a/tests/soak/fleet/wire_server.cc
+++ b/tests/soak/fleet/wire_server.cc
@@ -67,6 +67,7 @@
     wire_connection &operator=(const wire_connection &) = delete;
 
     void start(int status, const HttpHeaders &headers) {
+        inside_answer_ = true;
         send(status_line(status) + header_lines(headers) + closing_line() +
              "Transfer-Encoding: chunked\r\n\r\n");
     }
@@ -80,11 +81,14 @@
         end_answer();
     }
     void respond(const HttpResponse &response) {
-        send(status_line(response.status) + header_lines(response.headers) + closing_line() +
-             "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n" +
-             response.body);
+        send_whole(response);
         end_answer();
     }
+    void send_surplus(const HttpResponse &response) {
+        if (!inside_answer_ && !closes_when_written_) {
+            send_whole(response);
+        }
+    }
     void abort() {
         close();
     }
@@ -124,6 +128,11 @@
     std::string closing_line() const {
         return closes_after_answer_ ? "Connection: close\r\n" : "";
     }
+    void send_whole(const HttpResponse &response) {
+        send(status_line(response.status) + header_lines(response.headers) + closing_line() +
+             "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n" +
+             response.body);
+    }
     void send(const std::string &bytes) {
         if (!closed_) {
             bufferevent_write(socket_, bytes.data(), bytes.size());
@@ -183,6 +192,7 @@
     void end_answer() {
         on_closed_ = nullptr;
         answering_ = false;
+        inside_answer_ = false;
         if (closes_after_answer_) {
             closes_when_written_ = true;
             if (evbuffer_get_length(bufferevent_get_output(socket_)) == 0) {
@@ -219,6 +229,7 @@
     std::string body_;
     std::function<void()> on_closed_;
     bool answering_ = false;
+    bool inside_answer_ = false;
     bool dropping_body_ = false;
     bool closes_after_answer_ = false;
     bool closes_when_written_ = false;
@@ -270,6 +281,14 @@
     }
 }
 
+std::function<void(const HttpResponse &)> wire_answer::surplus_sender() const {
+    return [weak = connection_](const HttpResponse &response) {
+        if (const auto connection = weak.lock()) {
+            connection->send_surplus(response);
+        }
+    };
+}
+
 wire_server::wire_server(EventDispatcher &dispatcher, const Address &local, wire_handler &handler)
     : dispatcher_(dispatcher), handler_(handler) {
     const std::optional<SocketAddress> address = to_socket_address(local);
--- a/tests/soak/fleet/wire_server.h
+++ b/tests/soak/fleet/wire_server.h
@@ -38,6 +38,10 @@
     /** Closes the connection after the answer. Must be called before the answer starts. */
     void close_after_answer();
     void set_on_closed(std::function<void()> callback);
+    /** \return Sends further answers on the connection, which are not the one to this request:
+     * ahead of the answer, or after it in the place of the next one. Has no effect inside an
+     * answer. */
+    std::function<void(const HttpResponse &)> surplus_sender() const;
 
 private:
     std::weak_ptr<wire_connection> connection_;
--- a/tests/soak/fleet/worker_role.cc
+++ b/tests/soak/fleet/worker_role.cc
@@ -42,6 +42,7 @@
             {"worker_fail", [&] { fail_answers(length); }},
             {"worker_wrong", [&] { answer_wrongly(length); }},
             {"worker_flap", [&] { fail_by_turns(length); }},
+            {"worker_surplus", [&] { send_surplus_answers(length); }},
             {"worker_endless", [&] { send_without_end(length); }},
             {"worker_unlucky", [&] { crash_under_one_item(); }},
             {"worker_leave", [&] { drain_and_stop(); }},
@@ -302,6 +303,14 @@
     process_.run_after(kAddressReuseDelay, [this, &worker] { start_replacement(worker); });
 }
 
+void worker_role::send_surplus_answers(Duration length) {
+    if (fleet_worker *worker = pick_serving_worker()) {
+        record_disturbance(*worker, "worker_surplus", length);
+        worker->faults.surplus = 30;
+        process_.run_after(length, [worker] { worker->faults.surplus = 0; });
+    }
+}
+
 void worker_role::send_without_end(Duration length) {
     if (fleet_worker *worker = pick_serving_worker()) {
         record_disturbance(*worker, "worker_endless", length + kDrainTime);
--- a/tests/soak/fleet/worker_role.h
+++ b/tests/soak/fleet/worker_role.h
@@ -56,6 +56,8 @@
     void record_version(const fleet_worker &worker, bool serving);
     void crash();
     void crash(fleet_worker &worker);
+    /** Sends surplus answers with 30 of 100. */
+    void send_surplus_answers(Duration length);
     void send_without_end(Duration length);
     /** Crashes the worker of a batch item, and then those that run it again. */
     /** All workers of the last service crash and are back after that time. */
--- a/tests/soak_fleet/checks_test.cc
+++ b/tests/soak_fleet/checks_test.cc
@@ -41,6 +41,7 @@
         add_fatal_content();
         add_versions();
         add_fatal_part();
+        add_continued_run();
         add(process_lag{at(100'000), "caller-1", 100, milliseconds(1), milliseconds(5),
                         milliseconds(80)});
     }
@@ -151,6 +152,16 @@
         add(online_answer{at(when + 100), id, status, true, true});
     }
 
+    /** A stream that goes on at a second worker after event 3; the first run ends 100 ms later. */
+    void add_continued_run() {
+        add(online_send{at(96'000), "c-1", "n-1", message("/stream/c"), false, false});
+        begin(96'010, "c-1", message("/stream/c"), "w-20");
+        add(run_end{at(96'600), runs_, "w-20", "c-1", run_outcome::kLeft});
+        begin(96'500, "c-1", message("/stream/c"), "w-21");
+        std::get<run_begin>(records_.back()).resume_after = 3;
+        add(online_answer{at(97'000), "c-1", 200, true, true});
+    }
+
     static std::vector<sent_item> items_of(const std::string &job) {
         return {{job + "-0", message("/list/" + job + "-0")},
                 {job + "-1", message("/list/" + job + "-1")}};
@@ -240,8 +251,8 @@
         EXPECT_GE(report.checks.at(kind).tested, 1U) << check_name(kind);
     }
     EXPECT_TRUE(report.passed());
-    EXPECT_EQ(report.runs, 16U);
-    EXPECT_EQ(report.checks.at(check_kind::kSent).tested, 16U);
+    EXPECT_EQ(report.runs, 18U);
+    EXPECT_EQ(report.checks.at(check_kind::kSent).tested, 18U);
     EXPECT_EQ(report.checks.at(check_kind::kListing).tested, 2U);
 }
 
@@ -817,5 +828,16 @@
     expect_found(check_kind::kInnocent, 1);
 }
 
+TEST_F(fleet_checks, a_run_that_lasts_while_another_one_goes_on_with_it_is_found) {
+    find<run_end>([](const run_end &end) { return end.id == "c-1"; }).at = at(96'901);
+    expect_found(check_kind::kOneRun, 1);
+}
+
+TEST_F(fleet_checks, a_run_that_lasts_beside_another_one_is_excused_if_its_node_was_disturbed) {
+    find<run_end>([](const run_end &end) { return end.id == "c-1"; }).at = at(96'901);
+    disturb(96'400, 96'500, disturbed_part::kNode, "n-1");
+    expect_found(check_kind::kOneRun, 0, 1);
+}
+
 } // namespace
 } // namespace chalkshed::soak
