An engine's refusal on a kept connection must name its attempt

A completion's caller could be told that nothing ran, since any error with "ran":"no" counted, also one that belonged to an earlier attempt of the kept connection. Requests that may run once were safe: they have a connection of their own.

Errors of engines carry attempt_id; on a connection that has carried other attempts "ran":"no" counts only with it, else the outcome is unknown.

Result: HttpEngineClientTest.OnAKeptConnectionARejectionMustNameItsAttempt; fails with the body alone (by the code).

--- a/emulator/engine_handler.cc
+++ b/emulator/engine_handler.cc
@@ -135,9 +135,10 @@
   }
   const std::string attempt_id = generate->attempt_id;
   if (streams_.contains(attempt_id)) {
-    writer->respond(encode_error(maybe_run(ErrorKind::kConflict,
-                                           "attempt " + attempt_id + " is already running",
-                                           "give every attempt its own id")));
+    writer->respond(encode_error(
+        maybe_run(ErrorKind::kConflict, "attempt " + attempt_id + " is already running",
+                  "give every attempt its own id"),
+        attempt_id));
     return;
   }
   ResponseWriter& connection = *writer;
@@ -147,7 +148,7 @@
   const std::optional<Error> refusal = engine_.submit(std::move(*generate), *stream);
   if (refusal) {
     record_end(attempt_id, RunOutcome::kRefused);
-    connection.respond(encode_error(*refusal));
+    connection.respond(encode_error(*refusal, attempt_id));
     return;
   }
   connection.set_on_closed(lifetime_.guard([this, attempt_id] {
--- a/src/adapters/error_codec.cc
+++ b/src/adapters/error_codec.cc
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-HttpResponse encode_error(const Error& error) {
+HttpResponse encode_error(const Error& error, std::string_view attempt_id) {
   json fields = {{"kind", error_kind_name(error.kind)},
                  {"message", error.message},
                  {"remedy", error.remedy},
@@ -36,6 +36,9 @@
   if (error.retry_after) {
     fields["retry_after_ms"] = static_cast<double>(error.retry_after->count()) / 1000;
   }
+  if (!attempt_id.empty()) {
+    fields["attempt_id"] = attempt_id;
+  }
   HttpResponse response;
   response.status = http_status_of(error);
   response.headers.push_back({"Content-Type", "application/json"});
@@ -69,4 +72,10 @@
   return error;
 }
 
+bool names_attempt(std::string_view body, std::string_view attempt_id) {
+  const json parsed = json::parse(body, nullptr, false);
+  return !attempt_id.empty() && parsed.is_object() && parsed.contains("error") &&
+         text_field(parsed["error"], "attempt_id") == attempt_id;
+}
+
 }  // namespace chalkshed
--- a/src/adapters/http_engine_client.cc
+++ b/src/adapters/http_engine_client.cc
@@ -31,7 +31,7 @@
  public:
   HttpGenerateStream(HttpClient& client, const Address& worker, const GenerateRequest& request,
                      GenerateCallbacks& callbacks, size_t max_line_bytes)
-      : callbacks_(callbacks), max_line_bytes_(max_line_bytes) {
+      : callbacks_(callbacks), max_line_bytes_(max_line_bytes), attempt_id_(request.attempt_id) {
     call_ = client.send(worker, generate_request(request), generate_options(request), *this);
   }
   ~HttpGenerateStream() override {
@@ -61,7 +61,7 @@
       return;
     }
     if (status_ != kStatusOk) {
-      fail(decode_error(status_, buffer_));
+      fail(refusal());
     } else if (result_) {
       ended_ = true;
       callbacks_.on_complete(*result_);
@@ -83,6 +83,16 @@
   }
 
  private:
+  // That the attempt did not run is shown by an error that names it, or by the first answer of a
+  // connection: one on a kept connection may belong to an earlier attempt.
+  Error refusal() const {
+    Error error = decode_error(status_, buffer_);
+    if (call_->connection_use() > 1 && !names_attempt(buffer_, attempt_id_)) {
+      error.ran = Ran::kUnknown;
+    }
+    return error;
+  }
+
   static Error broken(std::string message) {
     return maybe_run(ErrorKind::kUpstreamFailed, std::move(message),
                      "resume or retry on another worker");
@@ -137,6 +147,7 @@
 
   GenerateCallbacks& callbacks_;
   size_t max_line_bytes_;
+  const std::string attempt_id_;
   int status_ = 0;
   bool ended_ = false;
   bool* destroyed_ = nullptr;  // set while lines are handled
--- a/tests/adapters/http_engine_client_test.cc
+++ b/tests/adapters/http_engine_client_test.cc
@@ -15,13 +15,24 @@
                    HttpCallCallbacks& callbacks) override {
     last_request = request;
     server = &callbacks;
-    return std::make_unique<HttpCall>();
+    return std::make_unique<KeptCall>(connection_use);
   }
   void fetch(const Address&, const HttpRequest&, const HttpCallOptions&,
              Callback<HttpResponse> callback) override {
     fetched = std::move(callback);
   }
 
+  // A call on a connection that has carried others, unless its use is 1.
+  class KeptCall : public HttpCall {
+   public:
+    explicit KeptCall(uint64_t use) : use_(use) {}
+    uint64_t connection_use() const override { return use_; }
+
+   private:
+    uint64_t use_;
+  };
+
+  uint64_t connection_use = 1;
   HttpRequest last_request;
   HttpCallCallbacks* server = nullptr;
   Callback<HttpResponse> fetched;
@@ -96,6 +107,26 @@
   EXPECT_EQ(receiver_.error->ran, Ran::kNo);
 }
 
+// Guards against a caller that is told "not run" though the engine runs its completion.
+TEST_F(HttpEngineClientTest, OnAKeptConnectionARejectionMustNameItsAttempt) {
+  const Error full = not_run(ErrorKind::kOverloaded, "full", "retry");
+  const auto ran_by = [&](const std::string& named) {
+    http_.connection_use = 2;
+    receiver_.error.reset();
+    GenerateRequest request;
+    request.attempt_id = "a-1";
+    receiver_.stream = client_.generate({}, request, receiver_);
+    const HttpResponse response = encode_error(full, named);
+    http_.server->on_headers(response.status, response.headers);
+    http_.server->on_body(response.body);
+    http_.server->on_end();
+    return receiver_.error->ran;
+  };
+  EXPECT_EQ(ran_by("a-1"), Ran::kNo);
+  EXPECT_EQ(ran_by("a-2"), Ran::kUnknown);
+  EXPECT_EQ(ran_by(""), Ran::kUnknown);
+}
+
 TEST_F(HttpEngineClientTest, MalformedErrorMayHaveRun) {
   http_.server->on_headers(503, {});
   http_.server->on_body("<html>");
