--- a/tests/quarantine/crashing_fleet.h
+++ b/tests/quarantine/crashing_fleet.h
@@ -337,7 +337,7 @@
                 return;
             }
             if (!expected) {
-                call.callbacks->on_headers(421, {});
+                call.callbacks->on_headers(421, call.refusal_head());
                 call.end();
             } else if (const auto cause = cause_of(call, number)) {
                 start_fatal_run(call, number, id, *cause);
