A reported send is remembered as long as others when it is sent again

Cause: surplus_answers removed a send that it had reported from its table but not from the order of ages. Sent again, it stood there twice and was forgotten with its first, older place, so that a second untrue refusal could go unreported.

Change: the entry stays, marked as reported; a second copy of the same answer is not reported again.

--- a/src/surplus_answers/surplus_answers.cc
+++ b/src/surplus_answers/surplus_answers.cc
@@ -55,7 +55,7 @@
         .add(1);
     logger_.write(LogLevel::kError, "send_ran_after_all",
                   {{"request", answer.named}, {"worker", answer.worker}});
-    not_run_.erase(found);
+    found->second.clear(); // reported once
 }
 
 void surplus_answers::note_not_run(const std::string &request, const std::string &worker) {
--- a/tests/surplus_answers/surplus_answers_test.cc
+++ b/tests/surplus_answers/surplus_answers_test.cc
@@ -49,6 +49,20 @@
     answers.note(answer_of("r-old", true));
     EXPECT_EQ(logger.lines_of("send_ran_after_all").size(), 1U);
     EXPECT_TRUE(exposes("chalkshed_sends_run_after_all_total 1"));
+    answers.note(answer_of("r-old", true));
+    EXPECT_EQ(logger.lines_of("send_ran_after_all").size(), 1U) << "a second copy of the answer";
+}
+
+TEST_F(SurplusAnswersTest, ASendThatWasReportedAndSentAgainIsRememberedAsLongAsOthers) {
+    constexpr int kSends = 1024;
+    answers.note_not_run("r-old", "i-1");
+    answers.note(answer_of("r-old", true));
+    for (int number = 0; number < kSends - 1; ++number) {
+        answers.note_not_run("r" + std::to_string(number), "i-2");
+    }
+    answers.note_not_run("r-old", "i-1");
+    answers.note(answer_of("r-old", true));
+    EXPECT_EQ(logger.lines_of("send_ran_after_all").size(), 2U);
 }
 
 } // namespace
