--- a/src/serving/worker_attempt.cc
+++ b/src/serving/worker_attempt.cc
@@ -281,8 +281,7 @@
 }
 
 // An answer to another request is followed by the one to this request. An answer that names none
-// may be all that the worker sends; that is worth waiting for only if the request cannot run
-// elsewhere.
+// may be all that the worker sends: a request that can run elsewhere leaves the worker.
 bool WorkerAttempt::waits_on() const {
   const bool named = verdict_.names == answer_naming::kOther;
   return (named || !repeatable_) && surplus_count_ <= kMaxSurplusAnswers;
