A turn is granted for the question that asked for it

Cause: nodes that want to run a suspect content ask another node by datagram. A grant named the content alone: a second copy of it, one that came after its lease had ended, or one of a node that was not asked was taken for a new grant, and a second copy of "my run is over" ended a later turn. Then two runs of one content go on at once.

Change: messages have the asker's time, which answers repeat. A grant counts from its question on, so that a late one has lapsed; it comes from the node that was asked; an end leaves turns that were asked for later. Builds that repeat no time are taken at their word as before.

--- a/include/chalkshed/run_turns.h
+++ b/include/chalkshed/run_turns.h
@@ -29,8 +29,9 @@
     /** Without an answer for this long, this node grants itself the turn: the granting node is
      * gone, runs an older version or is far away. */
     Duration answer_timeout = std::chrono::milliseconds(45);
-    /** A granted turn that is unused for this long is requested again. */
-    Duration grant_lifetime = std::chrono::milliseconds(100);
+    /** A turn that is unused for this long after the question that was granted is requested again:
+     * the lease ends turn_timeout after the question arrived. */
+    Duration grant_lifetime = std::chrono::milliseconds(150);
 };
 
 class run_turns {
@@ -74,18 +75,26 @@
         /** When the first question since the last answer was sent; nothing: none is open. A caller
          * that asks rarely must not mistake the time between its questions for silence. */
         std::optional<MonotonicTime> open_since;
+        /** When the question that was granted was sent. */
         MonotonicTime granted{};
+        /** Session of the node that was asked last. */
+        std::string keeper;
     };
     /** \return The node that grants turns for the content; null: this node. */
     const peer *keeper_of(uint64_t digest) const;
     turn_request &request_for(uint64_t digest, MonotonicTime now);
     /** Whether the request has timed out, so that this node grants itself the turn. */
     bool timed_out(uint64_t digest, turn_request &asked, MonotonicTime now);
-    void send_entry(const peer &to, const turn_entry &entry);
+    /** \param asked See turn_message. */
+    void send_entry(const peer &to, const turn_entry &entry, MonotonicTime asked);
     /** The later of the times known to this node and to the peer. */
     MonotonicTime not_before(const turn_entry &entry, MonotonicTime now) const;
-    void handle_entry(const peer &from, const turn_entry &entry);
-    void handle_answer(const turn_entry &entry, MonotonicTime now);
+    void handle_entry(const peer &from, const turn_entry &entry, MonotonicTime asked);
+    void handle_answer(const peer &from, const turn_entry &entry, MonotonicTime asked);
+    /** \return When the open question to which the answer belongs was sent; nothing: it belongs to
+     * none. */
+    std::optional<MonotonicTime> question_of(const peer &from, const turn_request &request,
+                                             MonotonicTime asked) const;
 
     TimeSource &time_source_;
     DatagramTransport &datagrams_;
--- a/include/chalkshed/turn_keeper.h
+++ b/include/chalkshed/turn_keeper.h
@@ -33,13 +33,18 @@
     explicit turn_keeper(const turn_knobs &knobs = {}) : knobs_(knobs) {}
 
     /** \param not_before No node may start a run of the content until then, whichever asks.
+     * \param asked When the node asked, by its own clock; epoch: not known.
      * \return Whether the node may start one now. A node that asks again while it holds the turn
      * is granted it again, since the answer may have been lost. */
-    bool ask(uint64_t digest, const std::string &node, MonotonicTime not_before, MonotonicTime now);
-    /** The node has runs of the content that started without a turn. */
-    void note_running(uint64_t digest, const std::string &node, MonotonicTime now);
-    /** The node's runs have finished. \param not_before See ask. */
-    void note_finished(uint64_t digest, const std::string &node, MonotonicTime not_before);
+    bool ask(uint64_t digest, const std::string &node, MonotonicTime not_before, MonotonicTime now,
+             MonotonicTime asked = {});
+    /** The node has runs of the content that started without a turn. \param asked See ask. */
+    void note_running(uint64_t digest, const std::string &node, MonotonicTime now,
+                      MonotonicTime asked = {});
+    /** The node's runs have finished. \param not_before See ask. \param finished When, by the
+     * node's own clock: turns that it asked for later remain; epoch: not known, all end. */
+    void note_finished(uint64_t digest, const std::string &node, MonotonicTime not_before,
+                       MonotonicTime finished = {});
     size_t size() const {
         return contents_.size();
     }
@@ -48,6 +53,7 @@
     struct turn {
         std::string node;
         MonotonicTime since{};
+        MonotonicTime asked{}; // by the node's own clock
     };
     struct content {
         std::vector<turn> turns; // more than one only after note_running
--- a/include/chalkshed/turn_message.h
+++ b/include/chalkshed/turn_message.h
@@ -37,6 +37,9 @@
     /** Session id of the sender. */
     std::string session;
     std::vector<turn_entry> entries;
+    /** When the asking node sent it, by its own clock; an answer repeats the time of its question.
+     * Epoch: the sender's build has none. */
+    MonotonicTime asked{};
 };
 
 std::string encode_turn_message(const turn_message &message);
--- a/src/quarantine/run_turns.cc
+++ b/src/quarantine/run_turns.cc
@@ -59,7 +59,7 @@
     const MonotonicTime now = time_source_.monotonic_now();
     const peer *keeper = keeper_of(digest);
     if (keeper == nullptr) {
-        return keeper_.ask(digest, session_, not_before, now);
+        return keeper_.ask(digest, session_, not_before, now, now);
     }
     turn_request &asked = request_for(digest, now);
     if (asked.granted != MonotonicTime{} && now - asked.granted < knobs_.grant_lifetime) {
@@ -70,9 +70,10 @@
     }
     if (asked.asked == MonotonicTime{} || now - asked.asked >= knobs_.request_interval) {
         asked.asked = now;
+        asked.keeper = keeper->session;
         asked.open_since = asked.open_since.value_or(now);
         send_entry(*keeper,
-                   {turn_entry_type::kAsk, digest, std::max(not_before - now, Duration(0))});
+                   {turn_entry_type::kAsk, digest, std::max(not_before - now, Duration(0))}, now);
     }
     return false;
 }
@@ -91,20 +92,22 @@
 }
 
 void run_turns::note_running(uint64_t digest) {
+    const MonotonicTime now = time_source_.monotonic_now();
     if (const peer *keeper = keeper_of(digest)) {
-        send_entry(*keeper, {turn_entry_type::kRunning, digest, Duration(0)});
+        send_entry(*keeper, {turn_entry_type::kRunning, digest, Duration(0)}, now);
     } else {
-        keeper_.note_running(digest, session_, time_source_.monotonic_now());
+        keeper_.note_running(digest, session_, now, now);
     }
 }
 
 void run_turns::note_finished(uint64_t digest, MonotonicTime not_before) {
     requests_.erase(digest);
+    const MonotonicTime now = time_source_.monotonic_now();
     if (const peer *keeper = keeper_of(digest)) {
-        const Duration wait = not_before - time_source_.monotonic_now();
-        send_entry(*keeper, {turn_entry_type::kOver, digest, std::max(wait, Duration(0))});
+        const Duration wait = std::max(not_before - now, Duration(0));
+        send_entry(*keeper, {turn_entry_type::kOver, digest, wait}, now);
     } else {
-        keeper_.note_finished(digest, session_, not_before);
+        keeper_.note_finished(digest, session_, not_before, now);
     }
 }
 
@@ -112,8 +115,8 @@
     return std::max(now + std::min(entry.wait, kMaxWait), not_before_(entry.digest));
 }
 
-void run_turns::send_entry(const peer &to, const turn_entry &entry) {
-    datagrams_.send(to.address, encode_turn_message({session_, {entry}}));
+void run_turns::send_entry(const peer &to, const turn_entry &entry, MonotonicTime asked) {
+    datagrams_.send(to.address, encode_turn_message({session_, {entry}, asked}));
 }
 
 bool run_turns::receive(std::string_view datagram) {
@@ -124,42 +127,61 @@
     const auto known = sessions_.find(message->session);
     if (known != sessions_.end()) {
         for (const turn_entry &entry : message->entries) {
-            handle_entry(peers_[known->second], entry);
+            handle_entry(peers_[known->second], entry, message->asked);
         }
     }
     return true;
 }
 
-void run_turns::handle_entry(const peer &from, const turn_entry &entry) {
+void run_turns::handle_entry(const peer &from, const turn_entry &entry, MonotonicTime asked) {
     const MonotonicTime now = time_source_.monotonic_now();
     switch (entry.type) {
     case turn_entry_type::kAsk: {
-        const bool granted = keeper_.ask(entry.digest, from.session, not_before(entry, now), now);
-        send_entry(from, {granted ? turn_entry_type::kGranted : turn_entry_type::kBusy,
-                          entry.digest, Duration(0)});
+        const bool granted =
+            keeper_.ask(entry.digest, from.session, not_before(entry, now), now, asked);
+        send_entry(from,
+                   {granted ? turn_entry_type::kGranted : turn_entry_type::kBusy, entry.digest,
+                    Duration(0)},
+                   asked);
         return;
     }
     case turn_entry_type::kRunning:
-        keeper_.note_running(entry.digest, from.session, now);
+        keeper_.note_running(entry.digest, from.session, now, asked);
         return;
     case turn_entry_type::kOver:
-        keeper_.note_finished(entry.digest, from.session, not_before(entry, now));
+        keeper_.note_finished(entry.digest, from.session, not_before(entry, now), asked);
         return;
     case turn_entry_type::kGranted:
     case turn_entry_type::kBusy:
-        handle_answer(entry, now);
+        handle_answer(from, entry, asked);
         return;
     }
 }
 
-void run_turns::handle_answer(const turn_entry &entry, MonotonicTime now) {
+std::optional<MonotonicTime> run_turns::question_of(const peer &from, const turn_request &request,
+                                                    MonotonicTime asked) const {
+    if (from.session != request.keeper) {
+        return std::nullopt;
+    }
+    // Older builds don't repeat the time of the question.
+    const MonotonicTime question = asked == MonotonicTime{} ? request.asked : asked;
+    const bool is_own = question >= request.first && question <= request.asked;
+    return is_own ? std::optional(question) : std::nullopt;
+}
+
+void run_turns::handle_answer(const peer &from, const turn_entry &entry, MonotonicTime asked) {
     const auto found = requests_.find(entry.digest);
     if (found == requests_.end()) {
         return; // the request has finished meanwhile; the turn expires
     }
-    found->second.open_since.reset();
+    turn_request &request = found->second;
+    const std::optional<MonotonicTime> question = question_of(from, request, asked);
+    if (!question) {
+        return;
+    }
+    request.open_since.reset();
     if (entry.type == turn_entry_type::kGranted) {
-        found->second.granted = now;
+        request.granted = std::max(request.granted, *question);
         on_granted_();
     }
 }
--- a/src/quarantine/turn_keeper.cc
+++ b/src/quarantine/turn_keeper.cc
@@ -21,7 +21,7 @@
 }
 
 bool turn_keeper::ask(uint64_t digest, const std::string &node, MonotonicTime not_before,
-                      MonotonicTime now) {
+                      MonotonicTime now, MonotonicTime asked) {
     content *known = current(digest, now);
     if (known == nullptr) {
         return false;
@@ -32,26 +32,29 @@
     if (others || now < known->not_before) {
         return false;
     }
-    known->turns = {{node, now}};
+    known->turns = {{node, now, asked}};
     return true;
 }
 
-void turn_keeper::note_running(uint64_t digest, const std::string &node, MonotonicTime now) {
+void turn_keeper::note_running(uint64_t digest, const std::string &node, MonotonicTime now,
+                               MonotonicTime asked) {
     if (content *known = current(digest, now)) {
         std::erase_if(known->turns, [&](const turn &held) { return held.node == node; });
-        known->turns.push_back({node, now});
+        known->turns.push_back({node, now, asked});
     }
 }
 
-void turn_keeper::note_finished(uint64_t digest, const std::string &node,
-                                MonotonicTime not_before) {
+void turn_keeper::note_finished(uint64_t digest, const std::string &node, MonotonicTime not_before,
+                                MonotonicTime finished) {
     const auto found = contents_.find(digest);
     if (found == contents_.end()) {
         return;
     }
     content &known = found->second;
     known.not_before = std::max(known.not_before, not_before);
-    std::erase_if(known.turns, [&](const turn &held) { return held.node == node; });
+    std::erase_if(known.turns, [&](const turn &held) {
+        return held.node == node && (finished == MonotonicTime{} || held.asked <= finished);
+    });
 }
 
 void turn_keeper::drop_idle(MonotonicTime now) {
--- a/src/quarantine/turn_message.cc
+++ b/src/quarantine/turn_message.cc
@@ -42,7 +42,8 @@
     flatbuffers::FlatBufferBuilder builder;
     const auto session = builder.CreateString(message.session);
     const auto packed = builder.CreateVectorOfStructs(entries);
-    builder.Finish(wire::CreateTurnMessage(builder, session, packed),
+    const auto asked = static_cast<uint64_t>(message.asked.time_since_epoch().count());
+    builder.Finish(wire::CreateTurnMessage(builder, session, packed, asked),
                    wire::TurnMessageIdentifier());
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
@@ -56,6 +57,7 @@
     const wire::TurnMessage *received = wire::GetTurnMessage(bytes);
     turn_message message;
     message.session = received->session()->str();
+    message.asked = MonotonicTime(Duration(static_cast<int64_t>(received->asked_us())));
     if (received->entries() != nullptr) {
         for (const wire::TurnEntry *entry : *received->entries()) {
             if (const auto type = from_wire_type(entry->word())) {
--- a/src/quarantine/turn_message_generated.h
+++ b/src/quarantine/turn_message_generated.h
@@ -105,7 +105,8 @@
   typedef TurnMessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SESSION = 4,
-    VT_ENTRIES = 6
+    VT_ENTRIES = 6,
+    VT_ASKED_US = 8
   };
   const flatbuffers::String *session() const {
     return GetPointer<const flatbuffers::String *>(VT_SESSION);
@@ -113,12 +114,16 @@
   const flatbuffers::Vector<const chalkshed::wire::TurnEntry *> *entries() const {
     return GetPointer<const flatbuffers::Vector<const chalkshed::wire::TurnEntry *> *>(VT_ENTRIES);
   }
+  uint64_t asked_us() const {
+    return GetField<uint64_t>(VT_ASKED_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_SESSION) &&
            verifier.VerifyString(session()) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_ASKED_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -133,6 +138,9 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::TurnEntry *>> entries) {
     fbb_.AddOffset(TurnMessage::VT_ENTRIES, entries);
   }
+  void add_asked_us(uint64_t asked_us) {
+    fbb_.AddElement<uint64_t>(TurnMessage::VT_ASKED_US, asked_us, 0);
+  }
   explicit TurnMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -148,8 +156,10 @@
 inline flatbuffers::Offset<TurnMessage> CreateTurnMessage(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> session = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::TurnEntry *>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const chalkshed::wire::TurnEntry *>> entries = 0,
+    uint64_t asked_us = 0) {
   TurnMessageBuilder builder_(_fbb);
+  builder_.add_asked_us(asked_us);
   builder_.add_entries(entries);
   builder_.add_session(session);
   return builder_.Finish();
@@ -158,13 +168,15 @@
 inline flatbuffers::Offset<TurnMessage> CreateTurnMessageDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *session = nullptr,
-    const std::vector<chalkshed::wire::TurnEntry> *entries = nullptr) {
+    const std::vector<chalkshed::wire::TurnEntry> *entries = nullptr,
+    uint64_t asked_us = 0) {
   auto session__ = session ? _fbb.CreateString(session) : 0;
   auto entries__ = entries ? _fbb.CreateVectorOfStructs<chalkshed::wire::TurnEntry>(*entries) : 0;
   return chalkshed::wire::CreateTurnMessage(
       _fbb,
       session__,
-      entries__);
+      entries__,
+      asked_us);
 }
 
 inline const chalkshed::wire::TurnMessage *GetTurnMessage(const void *buf) {
--- a/tests/quarantine/run_turns_test.cc
+++ b/tests/quarantine/run_turns_test.cc
@@ -55,6 +55,37 @@
         return may;
     }
 
+    /** \return The node that grants the turns, and the first of the others. */
+    std::pair<std::string, std::string> keeper_and_asker() {
+        std::string keeper;
+        std::string asker;
+        for (const auto &[name, node] : nodes) {
+            const bool grants = node->take(kContent, {});
+            (grants ? keeper : asker) = name;
+            node->note_finished(kContent, {});
+            clock.run_for(milliseconds(5));
+        }
+        return {keeper, asker};
+    }
+    /** Keeps copies of the datagrams that the node receives. */
+    void record(const std::string &name, std::vector<std::string> &copies) {
+        transports_.at(name)->set_receiver(
+            [this, name, &copies](const Address &, std::string_view bytes) {
+                copies.emplace_back(bytes);
+                nodes.at(name)->receive(bytes);
+            });
+    }
+    /** The node asks until it may run or the time is over. */
+    bool ask(const std::string &name, Duration length = milliseconds(30)) {
+        for (Duration passed{0}; passed < length; passed += milliseconds(1)) {
+            if (nodes.at(name)->take(kContent, {})) {
+                return true;
+            }
+            clock.run_for(milliseconds(1));
+        }
+        return false;
+    }
+
     VirtualClock clock;
     VirtualDispatcher loop{clock};
     DatagramHub hub{loop};
@@ -130,6 +161,73 @@
     EXPECT_EQ(read->entries.front().wait, milliseconds(7));
 }
 
+TEST(RunTurns, AGrantThatComesTwiceGivesOneTurn) {
+    turn_fleet fleet(2);
+    const auto [keeper, asker] = fleet.keeper_and_asker();
+    std::vector<std::string> answers;
+    fleet.record(asker, answers);
+    ASSERT_TRUE(fleet.ask(asker));
+    const std::string grant = answers.back();
+    fleet.nodes[asker]->note_finished(kContent, {});
+    fleet.clock.run_for(milliseconds(5));
+    ASSERT_TRUE(fleet.ask(keeper));
+    EXPECT_FALSE(fleet.nodes[asker]->take(kContent, {}));
+    fleet.nodes[asker]->receive(grant);
+    EXPECT_FALSE(fleet.nodes[asker]->take(kContent, {}));
+}
+
+TEST(RunTurns, AGrantThatComesAfterItsLeaseHasEndedGivesNoTurn) {
+    turn_fleet fleet(2);
+    const auto [keeper, asker] = fleet.keeper_and_asker();
+    std::vector<std::string> answers;
+    fleet.record(asker, answers);
+    ASSERT_TRUE(fleet.ask(asker));
+    const std::string grant = answers.back();
+    fleet.clock.run_for(milliseconds(300));
+    ASSERT_TRUE(fleet.ask(keeper));
+    EXPECT_FALSE(fleet.nodes[asker]->take(kContent, {}));
+    fleet.nodes[asker]->receive(grant);
+    EXPECT_FALSE(fleet.nodes[asker]->take(kContent, {}));
+}
+
+TEST(RunTurns, AnEndThatIsReportedTwiceEndsNoLaterTurn) {
+    turn_fleet fleet(2);
+    const auto [keeper, asker] = fleet.keeper_and_asker();
+    std::vector<std::string> reports;
+    fleet.record(keeper, reports);
+    ASSERT_TRUE(fleet.ask(asker));
+    fleet.nodes[asker]->note_finished(kContent, {});
+    fleet.clock.run_for(milliseconds(5));
+    const std::string end = reports.back();
+    ASSERT_TRUE(fleet.ask(asker));
+    fleet.nodes[keeper]->receive(end);
+    EXPECT_FALSE(fleet.ask(keeper));
+}
+
+TEST(RunTurns, AGrantOfANodeThatWasNotAskedGivesNoTurn) {
+    turn_fleet fleet(3);
+    const auto [keeper, asker] = fleet.keeper_and_asker();
+    fleet.hub.cut.insert({keeper, 7660});
+    EXPECT_FALSE(fleet.nodes[asker]->take(kContent, {}));
+    for (const auto &[name, node] : fleet.nodes) {
+        if (name != keeper && name != asker) {
+            fleet.nodes[asker]->receive(
+                encode_turn_message({name + "#1", {{turn_entry_type::kGranted, kContent, {}}}}));
+        }
+    }
+    EXPECT_FALSE(fleet.nodes[asker]->take(kContent, {}));
+}
+
+TEST(RunTurns, AGrantOfABuildThatDoesNotRepeatTheQuestionIsTaken) {
+    turn_fleet fleet(2);
+    const auto [keeper, asker] = fleet.keeper_and_asker();
+    fleet.hub.cut.insert({keeper, 7660});
+    EXPECT_FALSE(fleet.nodes[asker]->take(kContent, {}));
+    fleet.nodes[asker]->receive(
+        encode_turn_message({keeper + "#1", {{turn_entry_type::kGranted, kContent, {}}}}));
+    EXPECT_TRUE(fleet.nodes[asker]->take(kContent, {}));
+}
+
 TEST(RunTurns, AnUnknownSessionGetsNoTurn) {
     turn_fleet fleet(2);
     fleet.nodes["n0"]->receive(
