What the store did is concluded from answers that belong to the call

Cause: the store's answers name no call, and each was taken for the one to the call that its connection carried. A second copy of an accepted write accepted another one, rows of another table answered a read, and a surplus 429 or 503 was the word for "not applied": a job could be refused to its caller and run.

Change: an accepted write must have a newer version than the store had reported when it was sent; a conflict and a read must hold rows of their own call. Other answers leave the outcome unknown, are counted and logged, and later calls use new connections. The acceptance of a job, from whose rejection a promise to the caller follows, has a connection of its own, and so have the changes of chalkshedd's table store, where the second copy of a claim would have let a second node run it; a rejection on a kept connection says nothing.

--- a/src/adapters/http_platform.cc
+++ b/src/adapters/http_platform.cc
@@ -42,6 +42,8 @@
   options.pool = "platform";
   options.connect_timeout = knobs.connect_timeout;
   options.idle_timeout = knobs.answer_timeout;
+  // Nodes act on what is concluded from the answer to a change.
+  options.own_connection = effect == Effect::kChanges;
   client.fetch(server, request, options,
                [effect, decode, callback = std::move(callback)](Expected<HttpResponse> response) {
                  if (!response) {
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -62,6 +62,7 @@
   reading_paused_ = false;
   idle_timeout_ = options.idle_timeout;
   head_only_ = head_only;
+  single_use_ = options.own_connection;
   has_skipped_ = false;
   skipped_bytes_ = 0;
   if (!options.name.empty()) {
@@ -370,7 +371,7 @@
                          evbuffer_get_length(bufferevent_get_output(socket_)) == 0;
   const auto self = shared_from_this();
   const bool in_order = is_silent && !has_skipped_ && carried_.size() < kMaxNames;
-  if (parser_.head().keep_alive && in_order) {
+  if (parser_.head().keep_alive && in_order && !single_use_) {
     observer_.on_reusable(*this);
   } else {
     close();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -108,6 +108,7 @@
   bool reading_paused_ = false;
   ResponseHeadParser parser_{false};
   size_t head_bytes_ = 0;
+  bool single_use_ = false;
   std::vector<uint64_t> carried_;  // hashes of the names of its requests
   bool head_only_ = false;
   bool skipping_ = false;            // the current answer is not the one to the request
--- a/src/http/event_http_client.cc
+++ b/src/http/event_http_client.cc
@@ -201,7 +201,8 @@
     return refuse(server, callbacks);
   }
   ConnectionKey key{server, options.pool};
-  ConnectionPtr connection = options.fresh_connection ? nullptr : reuse_idle(key, options.name);
+  const bool may_reuse = !options.fresh_connection && !options.own_connection;
+  ConnectionPtr connection = may_reuse ? reuse_idle(key, options.name) : nullptr;
   if (!connection) {
     connection = std::make_shared<ClientConnection>(dispatcher_, std::move(key),
                                                     knobs_.max_header_bytes, *this);
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -201,6 +201,8 @@
   if (!record_.content_in_object) {
     add_content(transaction);
   }
+  // What is concluded from a rejection is promised to the caller.
+  transaction.own_connection = true;
   write_sent_ = environment_.serving.time_source.monotonic_now();
   environment_.store.commit(
       std::move(transaction),
--- a/src/platform/watched_store.h
+++ b/src/platform/watched_store.h
@@ -78,6 +78,9 @@
 struct StoreTransaction {
   std::vector<StoreCondition> conditions;
   std::vector<StoreWrite> writes;
+  // Sent over a connection of its own, so that a rejection proves that it was not applied: the
+  // store's answers do not name their calls.
+  bool own_connection = false;
 };
 
 struct StoreCommit {
@@ -97,8 +100,11 @@
   virtual void read_changes(std::string table, StoreVersion since, Duration wait,
                             Callback<TableChanges> callback) = 0;
   // Errors: kStoreUnavailable with Ran::kNo when it was not applied; kOutcomeUnknown when the
-  // answer was lost. Such a transaction may still be applied later while its conditions hold.
+  // answer was lost, or is a rejection that may belong to another call. Such a transaction may
+  // still be applied later while its conditions hold.
   virtual void commit(StoreTransaction transaction, Callback<StoreCommit> callback) = 0;
+  // An answer was not the one to its call: later calls use connections that are opened after this.
+  virtual void renew_connections() {}
 };
 
 }  // namespace chalkshed
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -16,6 +16,9 @@
   std::string pool = "default";
   bool fresh_connection = false;
   Duration connect_timeout = std::chrono::seconds(1);
+  // Use a new connection and close it after the response, so that its answer cannot be one to
+  // another call. For servers whose answers do not name their calls.
+  bool own_connection = false;
   Duration idle_timeout = std::chrono::seconds(10);
   // Value of the Host header; the server's address if empty.
   std::string host = {};
--- a/src/watch/observed_store.cc
+++ b/src/watch/observed_store.cc
@@ -1,6 +1,18 @@
 #include "src/watch/observed_store.h"
 
+#include <memory>
+
+#include "src/watch/store_answers.h"
+
 namespace chalkshed {
+namespace {
+
+Error read_of_another_call() {
+  return not_run(ErrorKind::kStoreUnavailable, "the store's answer belongs to another call",
+                 "retry after a moment");
+}
+
+}  // namespace
 
 void ObservedStore::count(const char* call, bool succeeded) {
   if (!succeeded) {
@@ -12,12 +24,35 @@
       .add(1);
 }
 
+void ObservedStore::note_wrong_answer(const char* call, StoreVersion version) {
+  inner_.renew_connections();
+  metrics_
+      .counter("chalkshed_store_wrong_answers_total",
+               "Answers of the store that belong to another call.", {{"call", call}})
+      .add(1);
+  if (const auto events = wrong_answers_.admit(clock_.local_now())) {
+    logger_.write(LogLevel::kWarning, "store_wrong_answer",
+                  {{"call", call},
+                   {"version", std::to_string(version)},
+                   {"known_version", std::to_string(clock_.answered())},
+                   {"count", std::to_string(*events)}});
+  }
+}
+
 void ObservedStore::read_range(RangeRead range, Callback<RangePage> callback) {
+  RangeRead sent = range;
   inner_.read_range(
-      std::move(range), lifetime_.guard([this, known = clock_.newest(), asked = clock_.local_now(),
-                                         callback = std::move(callback)](Expected<RangePage> page) {
+      std::move(sent), lifetime_.guard([this, range = std::move(range), known = clock_.newest(),
+                                        asked = clock_.local_now(),
+                                        callback = std::move(callback)](Expected<RangePage> page) {
         clock_.note_call_since(asked);
-        count("read_range", page.has_value());
+        const bool wrong = page && !can_answer(range, *page);
+        count("read_range", page.has_value() && !wrong);
+        if (wrong) {
+          note_wrong_answer("read_range", page->stamp.version);
+          callback(tl::unexpected(read_of_another_call()));
+          return;
+        }
         if (page && page->stamp.version < known && stale_reads_ == StaleReads::kRefuse) {
           callback(tl::unexpected(not_run(ErrorKind::kStoreUnavailable,
                                           "the store's answer is older than data read before",
@@ -33,10 +68,18 @@
 
 void ObservedStore::read_changes(std::string table, StoreVersion since, Duration wait,
                                  Callback<TableChanges> callback) {
+  std::string sent = table;
   inner_.read_changes(
-      std::move(table), since, wait,
-      lifetime_.guard([this, callback = std::move(callback)](Expected<TableChanges> changes) {
-        count("read_changes", changes.has_value());
+      std::move(sent), since, wait,
+      lifetime_.guard([this, table = std::move(table), since,
+                       callback = std::move(callback)](Expected<TableChanges> changes) {
+        const bool wrong = changes && !can_answer(table, since, *changes);
+        count("read_changes", changes.has_value() && !wrong);
+        if (wrong) {
+          note_wrong_answer("read_changes", changes->stamp.version);
+          callback(tl::unexpected(read_of_another_call()));
+          return;
+        }
         if (changes) {
           clock_.observe(changes->stamp);
         }
@@ -45,11 +88,25 @@
 }
 
 void ObservedStore::commit(StoreTransaction transaction, Callback<StoreCommit> callback) {
+  // Without the values, which are large and play no part in the answer.
+  StoreTransaction keys{transaction.conditions, {}};
+  for (const StoreWrite& write : transaction.writes) {
+    keys.writes.push_back({write.key, std::nullopt});
+  }
   inner_.commit(std::move(transaction),
-                lifetime_.guard([this, asked = clock_.local_now(),
+                lifetime_.guard([this, keys = std::move(keys), known = clock_.answered(),
+                                 asked = clock_.local_now(),
                                  callback = std::move(callback)](Expected<StoreCommit> commit) {
                   clock_.note_call_since(asked);
-                  count("commit", commit.has_value());
+                  const bool wrong = commit && !can_answer(keys, *commit, known);
+                  count("commit", commit.has_value() && !wrong);
+                  if (wrong) {
+                    note_wrong_answer("commit", commit->stamp.version);
+                    callback(tl::unexpected(maybe_run(
+                        ErrorKind::kOutcomeUnknown, "the store's answer belongs to another call",
+                        "read back, or send the same conditional change again")));
+                    return;
+                  }
                   if (commit) {
                     clock_.observe(commit->stamp);
                   }
--- a/src/watch/store_clock.h
+++ b/src/watch/store_clock.h
@@ -16,6 +16,7 @@
 
   void observe(const StoreStamp& stamp) {
     observe_version(stamp.version);
+    answered_ = std::max(answered_, stamp.version);
     last_heard_ = time_source_.monotonic_now();
     // The answer with the shortest delay gives the most accurate offset.
     const Duration offset = stamp.steady_clock - time_source_.monotonic_now().time_since_epoch();
@@ -37,6 +38,8 @@
   Duration longest_call() const { return calls_.longest(local_now()); }
   // When the store last answered this node.
   MonotonicTime last_heard() const { return last_heard_; }
+  // Newest version that the store itself has reported to this node.
+  StoreVersion answered() const { return answered_; }
   // Newest version of the store that this node knows of.
   StoreVersion newest() const { return newest_; }
   // Estimate of the current time of the store's clock.
@@ -45,6 +48,7 @@
  private:
   TimeSource& time_source_;
   StoreVersion newest_ = 0;
+  StoreVersion answered_ = 0;
   MonotonicTime last_heard_;
   MonotonicTime last_failure_{};
   RecentLongest calls_;
