Answers on connections without a request are counted

Cause: a surplus answer that arrives while its connection is idle closed it without a trace, so that an operator saw only part of what a worker sends beside its answers.

Change: the HTTP client reports such bytes; unsolicited_answer is one line in a few seconds, chalkshed_unsolicited_answers_total counts them.

--- a/include/chalkshed/surplus_answers.h
+++ b/include/chalkshed/surplus_answers.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "chalkshed/log_limit.h"
+#include "src/core/address.h"
 #include "src/core/time.h"
 #include "src/logging/logger.h"
 #include "src/metrics/metrics.h"
@@ -52,6 +53,8 @@
     surplus_answers(TimeSource &time_source, Logger &logger, MetricsRegistry &metrics);
 
     void note(const surplus_answer &answer);
+    /** Bytes have arrived on a connection to a worker that carried no request. */
+    void note_unsolicited(const Address &worker);
     /** The send of that request to that worker was taken as not run. */
     void note_not_run(const std::string &request, const std::string &worker);
 
@@ -62,6 +65,7 @@
     Logger &logger_;
     MetricsRegistry &metrics_;
     log_limit limit_;
+    log_limit unsolicited_limit_;
     /** Worker by request, for the latest sends that were taken as not run, and their order. */
     std::unordered_map<std::string, std::string> not_run_;
     std::deque<std::string> oldest_first_;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -168,6 +168,9 @@
   char byte = 0;
   const ssize_t size =
       recv(bufferevent_getfd(socket_), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  if (size > 0) {
+    observer_.on_unsolicited(*this);
+  }
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -239,6 +242,7 @@
 
 void ClientConnection::read() {
   if (state_ == State::kIdle) {
+    observer_.on_unsolicited(*this);
     handle_end_of_connection("sent unsolicited data");
     return;
   }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -35,6 +35,8 @@
     virtual void on_reusable(ClientConnection& connection) = 0;
     // The connection is closed and will not be used again.
     virtual void on_finished(ClientConnection& connection) = 0;
+    // The server has sent bytes while no request was in progress. on_finished follows.
+    virtual void on_unsolicited(const ClientConnection& connection) = 0;
   };
 
   ClientConnection(EventDispatcher& dispatcher, ConnectionKey key, size_t max_header_bytes,
@@ -106,9 +108,9 @@
   HttpCallCallbacks* callbacks_ = nullptr;  // null between exchanges
   uint64_t exchange_number_ = 0;
   bool reading_paused_ = false;
+  bool single_use_ = false;
   ResponseHeadParser parser_{false};
   size_t head_bytes_ = 0;
-  bool single_use_ = false;
   std::vector<uint64_t> carried_;  // hashes of the names of its requests
   bool head_only_ = false;
   bool skipping_ = false;            // the current answer is not the one to the request
--- a/src/http/event_http_client.cc
+++ b/src/http/event_http_client.cc
@@ -171,9 +171,15 @@
              Callback<HttpResponse> callback);
   void close_all();
   size_t open_connections() const { return connections_.size(); }
+  void set_on_unsolicited(std::function<void(const Address&)> callback) {
+    on_unsolicited_ = std::move(callback);
+  }
 
   void on_reusable(ClientConnection& connection) override;
   void on_finished(ClientConnection& connection) override;
+  void on_unsolicited(const ClientConnection& connection) override {
+    on_unsolicited_(connection.key().server);
+  }
 
  private:
   using ConnectionPtr = std::shared_ptr<ClientConnection>;
@@ -192,6 +198,7 @@
   std::map<ConnectionKey, std::vector<ClientConnection*>> idle_;
   // Collectors of the fetches in progress, by identity.
   std::unordered_map<const Collector*, std::shared_ptr<Collector>> collectors_;
+  std::function<void(const Address&)> on_unsolicited_ = [](const Address&) {};
 };
 
 HttpCallPtr EventHttpClient::Implementation::send(const Address& server, const HttpRequest& request,
@@ -337,6 +344,10 @@
   implementation_->fetch(server, request, options, std::move(callback));
 }
 
+void EventHttpClient::set_on_unsolicited(std::function<void(const Address& server)> callback) {
+  implementation_->set_on_unsolicited(std::move(callback));
+}
+
 size_t EventHttpClient::open_connections() const { return implementation_->open_connections(); }
 
 }  // namespace chalkshed
--- a/src/http/event_http_client.h
+++ b/src/http/event_http_client.h
@@ -30,6 +30,7 @@
                    const HttpCallOptions& options, HttpCallCallbacks& callbacks) override;
   void fetch(const Address& server, const HttpRequest& request, const HttpCallOptions& options,
              Callback<HttpResponse> callback) override;
+  void set_on_unsolicited(std::function<void(const Address& server)> callback) override;
 
   // Number of open connections, in use or idle.
   size_t open_connections() const;
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -409,6 +409,7 @@
 // Requests that end during destruction free their slots, which must not be assigned to other
 // requests any more.
 ServingNode::~ServingNode() {
+  dependencies_.worker_client.set_on_unsolicited([](const Address&) {});
   workers_.set_on_slot_freed(nullptr);
   workers_.set_on_load_changed(nullptr);
   workers_.set_failures(nullptr);  // destroyed before the requests that would report to it
@@ -421,6 +422,8 @@
 void ServingNode::start() {
   started_ = dependencies_.time_source.monotonic_now();
   start_steps_.start();
+  dependencies_.worker_client.set_on_unsolicited(
+      [this](const Address& worker) { surplus_answers_.note_unsolicited(worker); });
   call_after(dependencies_.dispatcher, knobs_.watch.relayed_workers.batch_delay,
              lifetime_.guard([this] { update_watch_paces(); }));
   route_table_.start();
--- a/src/surplus_answers/surplus_answers.cc
+++ b/src/surplus_answers/surplus_answers.cc
@@ -44,6 +44,19 @@
     }
 }
 
+void surplus_answers::note_unsolicited(const Address &worker) {
+    metrics_
+        .counter("chalkshed_unsolicited_answers_total",
+                 "Connections to workers that were closed because bytes arrived on them while they "
+                 "carried no request.",
+                 {})
+        .add(1);
+    if (const auto events = unsolicited_limit_.admit(time_source_.monotonic_now())) {
+        logger_.write(LogLevel::kWarning, "unsolicited_answer",
+                      {{"address", to_string(worker)}, {"count", std::to_string(*events)}});
+    }
+}
+
 void surplus_answers::note_ran_after_all(const surplus_answer &answer) {
     const auto found = not_run_.find(answer.named);
     if (found == not_run_.end() || found->second != answer.worker) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string_view>
 
@@ -15,10 +16,10 @@
   // Online and batch never share a pool, so neither waits for the other's connections.
   std::string pool = "default";
   bool fresh_connection = false;
-  Duration connect_timeout = std::chrono::seconds(1);
   // Use a new connection and close it after the response, so that its answer cannot be one to
   // another call. For servers whose answers do not name their calls.
   bool own_connection = false;
+  Duration connect_timeout = std::chrono::seconds(1);
   Duration idle_timeout = std::chrono::seconds(10);
   // Value of the Host header; the server's address if empty.
   std::string host = {};
@@ -65,6 +66,9 @@
   // the timeouts.
   virtual void fetch(const Address& server, const HttpRequest& request,
                      const HttpCallOptions& options, Callback<HttpResponse> callback) = 0;
+  // Sets a callback for bytes that arrive on a connection without a request; the connection is
+  // closed then.
+  virtual void set_on_unsolicited(std::function<void(const Address& server)> /*callback*/) {}
 };
 
 }  // namespace chalkshed
--- a/tests/http/skipped_answers_test.cc
+++ b/tests/http/skipped_answers_test.cc
@@ -62,6 +62,45 @@
   }
 }
 
+TEST_F(SkippedAnswersTest, OneThatComesWithoutARequestIsReportedAndClosesItsConnection) {
+  size_t reports = 0;
+  client_.set_on_unsolicited([&](const Address& server) {
+    EXPECT_EQ(server, server_->local());
+    ++reports;
+  });
+  call_server(kDue, false);
+  EXPECT_EQ(client_.open_connections(), 1U);
+  server_->send_unsolicited(kSurplus);
+  ASSERT_TRUE(run_until(dispatcher_, [&] { return client_.open_connections() == 0; }));
+  EXPECT_EQ(reports, 1U);
+}
+
+TEST_F(SkippedAnswersTest, OneThatIsFoundWhenItsConnectionIsToBeUsedIsReported) {
+  size_t reports = 0;
+  client_.set_on_unsolicited([&](const Address&) { ++reports; });
+  call_server(kDue, false);
+  server_->send_unsolicited(kSurplus);
+  RecordedCall next;
+  const HttpCallPtr call = client_.send(server_->local(), get("/"), {}, next);
+  EXPECT_EQ(reports, 1U);
+  ASSERT_TRUE(run_until(dispatcher_, [&] { return next.done(); }));
+  EXPECT_EQ(next.body, "mine");
+}
+
+TEST_F(SkippedAnswersTest, OneOnItsOwnConnectionCannotReachAnotherCall) {
+  HttpCallOptions options;
+  options.own_connection = true;
+  server_ = std::make_unique<RawServer>(dispatcher_, joined({kDue}), false);
+  for (size_t calls = 1; calls <= 3; ++calls) {
+    RecordedCall seen;
+    const HttpCallPtr call = client_.send(server_->local(), get("/"), options, seen);
+    ASSERT_TRUE(run_until(dispatcher_, [&] { return seen.done(); }));
+    EXPECT_EQ(seen.body, "mine");
+    EXPECT_EQ(server_->accepted(), calls);
+    EXPECT_EQ(client_.open_connections(), 0U);
+  }
+}
+
 TEST_F(SkippedAnswersTest, TheirConnectionIsNotReused) {
   call_server(joined({kSurplus, kDue}), false);
   EXPECT_EQ(client_.open_connections(), 0U);
--- a/tests/surplus_answers/surplus_answers_test.cc
+++ b/tests/surplus_answers/surplus_answers_test.cc
@@ -40,6 +40,14 @@
     EXPECT_EQ(logger.lines_of("surplus_answer").size(), 1U);
 }
 
+TEST_F(SurplusAnswersTest, ThoseOnConnectionsWithoutARequestShareOneLineToo) {
+    for (int number = 0; number < 3; ++number) {
+        answers.note_unsolicited({"10.0.0.1", 80});
+    }
+    EXPECT_TRUE(exposes("chalkshed_unsolicited_answers_total 3"));
+    EXPECT_EQ(logger.lines_of("unsolicited_answer").size(), 1U);
+}
+
 TEST_F(SurplusAnswersTest, AnAnswerToASendThatWasTakenAsNotRunIsAnErrorOfItsOwn) {
     answers.note_not_run("r-old", "i-1");
     answers.note_not_run("r-elsewhere", "i-2");
