An item waits a second for another run of its content, not for the whole run

Cause, traced: two items with one content that had lost three workers between them took turns; the second waited 24 s for the first one's whole run while slots were free.

Change: a run that has lasted a second has most likely survived the point at which it would crash its worker, as the 250 ms lease of a turn says between nodes. It keeps no other item with the content waiting at its node; the other run asks for the turn of its own.

--- a/include/chalkshed/crash_evidence.h
+++ b/include/chalkshed/crash_evidence.h
@@ -60,6 +60,10 @@
     /** ... and for this long after more crashes in a row than chance explains. */
     size_t many_item_crashes = 8;
     Duration long_item_pause = std::chrono::seconds(15);
+    /** A run of a suspect content that has gone on for this long keeps no other batch item with the
+     * content waiting: it has most likely survived the point at which it would have crashed its
+     * worker. */
+    Duration item_turn = std::chrono::seconds(1);
     /** A run that was lost proves nothing if at least this share of the workers crashed for other
      * reasons ... */
     double storm_share = 0.25;
@@ -214,7 +218,8 @@
      */
     size_t possible_crashes(uint64_t digest) const;
     /** Whether a batch item with that content may run. It is never quarantined: after crashes, its
-     * runs begin one at a time, with pauses between them. \return kFree, kExclusive or kWait. */
+     * runs begin one at a time, with pauses between them, and at least item_turn apart.
+     * \return kFree, kExclusive or kWait. */
     run_permit item_permit(uint64_t digest, MonotonicTime now) const;
     /** When an item with that content may run again after the newest crash. Crashes whose workers
      * may turn out to be alive postpone it too. */
@@ -306,10 +311,17 @@
     bool crashed(uint64_t digest, uint32_t worker, MonotonicTime from, MonotonicTime until) const;
     static MonotonicTime proved_at(const content &known, software_id software);
     void index(const broken_run &run);
+    /** Whether a run of the content has begun within item_turn and is in progress. */
+    bool in_item_turn(uint64_t digest, MonotonicTime now) const;
 
     const crash_knobs knobs_;
     std::unordered_map<uint64_t, content> contents_;
-    std::unordered_map<uint64_t, uint32_t> under_way_;
+    /** Runs of one content that are in progress at this node. */
+    struct runs_under_way {
+        uint32_t count = 0;
+        MonotonicTime newest{}; // start
+    };
+    std::unordered_map<uint64_t, runs_under_way> under_way_;
     size_t workers_ = 0;
     /** When workers crashed whose entries were removed, about. */
     std::unordered_map<uint32_t, MonotonicTime> removed_;
--- a/src/quarantine/crash_evidence.cc
+++ b/src/quarantine/crash_evidence.cc
@@ -26,7 +26,9 @@
 }
 
 void crash_evidence::note_started(uint64_t digest, MonotonicTime now) {
-    ++under_way_[digest];
+    runs_under_way &runs = under_way_[digest];
+    ++runs.count;
+    runs.newest = now;
     const auto found = contents_.find(digest);
     if (found != contents_.end() && is_quarantined(found->second)) {
         found->second.last_probe = now;
@@ -35,7 +37,7 @@
 
 void crash_evidence::note_finished(uint64_t digest) {
     const auto found = under_way_.find(digest);
-    if (found != under_way_.end() && --found->second == 0) {
+    if (found != under_way_.end() && --found->second.count == 0) {
         under_way_.erase(found);
     }
 }
@@ -421,10 +423,15 @@
     if (suspect_times(*known, now).empty()) {
         return run_permit::kFree;
     }
-    const bool waits = under_way_.contains(digest) || now < settled_at(digest);
+    const bool waits = in_item_turn(digest, now) || now < settled_at(digest);
     return waits ? run_permit::kWait : run_permit::kExclusive;
 }
 
+bool crash_evidence::in_item_turn(uint64_t digest, MonotonicTime now) const {
+    const auto found = under_way_.find(digest);
+    return found != under_way_.end() && now - found->second.newest < knobs_.item_turn;
+}
+
 run_permit crash_evidence::permit(uint64_t digest, const run_claim &claim,
                                   MonotonicTime now) const {
     const content *known = find(digest);
--- a/src/quarantine/request_quarantine.cc
+++ b/src/quarantine/request_quarantine.cc
@@ -113,8 +113,9 @@
 }
 
 run_permit request_quarantine::take_turn(uint64_t digest, run_permit permit, MonotonicTime now) {
+    const bool waits_here = permit == run_permit::kWait && evidence_.under_way(digest);
     const bool may_run = permit == run_permit::kExclusive || permit == run_permit::kWait;
-    if (!may_run || !evidence_.needs_turn(digest, now) || evidence_.under_way(digest)) {
+    if (!may_run || waits_here || !evidence_.needs_turn(digest, now)) {
         return permit;
     }
     // Asking before the evidence has settled hides the latency of the turn request.
--- a/tests/quarantine/sound_items_test.cc
+++ b/tests/quarantine/sound_items_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdio>
 
 #include "src/jobs/job_rows.h"
@@ -58,6 +59,12 @@
         }
         return std::nullopt;
     }
+    /** \return How many runs of the item are in progress. */
+    size_t runs() const {
+        return static_cast<size_t>(std::count_if(
+            fleet.cluster.workers.calls.begin(), fleet.cluster.workers.calls.end(),
+            [](const ScriptedCall &call) { return call.open() && call.request.body == kItem; }));
+    }
     /** \return How long it took until the item ran; `limit` if it didn't until then. */
     Duration wait_for_run(Duration limit) {
         const MonotonicTime from = fleet.cluster.clock.monotonic_now();
@@ -145,6 +152,23 @@
 
 INSTANTIATE_TEST_SUITE_P(Crashes, SoundItem, testing::Range<size_t>(1, 9));
 
+class CopiesOfASoundItem : public testing::TestWithParam<const char *> {};
+
+// Of two jobs, at one node or at two.
+TEST_P(CopiesOfASoundItem, DoNotWaitForTheWholeRunOfOneAnother) {
+    item_fleet sound;
+    sound.submit("n0", "a");
+    sound.submit(GetParam(), "b");
+    sound.crash_in_a_row(4);
+    const MonotonicTime from = sound.fleet.cluster.clock.monotonic_now();
+    while (sound.runs() < 2 && sound.fleet.cluster.clock.monotonic_now() - from < seconds(20)) {
+        sound.fleet.run_for(milliseconds(10));
+    }
+    EXPECT_LE(sound.fleet.cluster.clock.monotonic_now() - from, seconds(5));
+}
+
+INSTANTIATE_TEST_SUITE_P(Nodes, CopiesOfASoundItem, testing::Values("n0", "n1"));
+
 // The workers are lost together with those of other items, as if their connections had one cause.
 TEST(SoundItems, RunAgainSoonWhileTheFateOfTheirWorkersIsUnknown) {
     item_fleet sound;
