--- a/apps/chalkshed_explain_main.cc
+++ b/apps/chalkshed_explain_main.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <iostream>
 
+#include "chalkshed/request_runs.h"
 #include "src/explain/timeline.h"
 
 namespace chalkshed {
@@ -17,15 +18,19 @@
 given). Prints, in order of time, the lines that contain the id (marked *) and the surrounding log
 lines of the same nodes about the store, the configuration, other nodes and the workers involved.
 The first line names the sender of the request that a back end received under the id.
+With --runs: each send of the request or item to a worker instead, with what its node concluded of
+it (answered, not run and on what proof, may have run), and how many may have run.
 See docs/OPERATIONS.md.
 
 Usage:
   chalkshed-explain [--json] <id> [<log>...]
+  chalkshed-explain --runs <id> [<log>...]
   chalkshed-explain --help
   chalkshed-explain --version
 
 Options:
   --json     Print one JSON object per line.
+  --runs     Print the runs of a request or item.
   --version  Show the version.
   --help     Show this text.
 )";
@@ -57,6 +62,12 @@
     read_lines(std::cin, lines);
   }
   const std::string id = arguments.at("<id>").asString();
+  if (arguments.at("--runs").asBool()) {
+    std::cout << describe_origin(lines, id) << '\n';
+    const std::vector<request_run> runs = find_runs(std::move(lines), id);
+    print_runs(runs, std::cout);
+    return runs.empty() ? kExitNothingFound : 0;
+  }
   const std::vector<LogLine> timeline = make_timeline(lines, id);
   if (timeline.empty()) {
     std::cerr << "chalkshed-explain: " << describe_origin(lines, id)
--- a/src/jobs/job_item_run.cc
+++ b/src/jobs/job_item_run.cc
@@ -108,6 +108,7 @@
 
 void JobItemRun::on_attempt_ended(const AttemptEnd& end) {
   const OnEnd on_end = std::move(on_end_);
+  proof_ = end.proof;
   on_end(judge(end), reason_of(end));
 }
 
--- a/src/jobs/job_item_run.h
+++ b/src/jobs/job_item_run.h
@@ -35,6 +35,8 @@
   // Ends the run if its worker has sent no further event for longer than that, whatever else it has
   // sent. May call the callback.
   void end_if_stalled(Duration longest);
+  // On what it rests that the run was not started; kNone unless the run has ended so.
+  NotRunProof proof() const { return proof_; }
   // Number of requests that the connection has carried, including this run.
   uint64_t connection_use() const { return attempt_->connection_use(); }
 
@@ -48,6 +50,7 @@
 
   TimeSource& time_source_;
   ItemProgress& progress_;
+  NotRunProof proof_ = NotRunProof::kNone;
   OnEnd on_end_;
   std::string worker_;
   const software_id software_;   // of the worker
--- a/src/jobs/owned_job.cc
+++ b/src/jobs/owned_job.cc
@@ -379,9 +379,9 @@
 
 void OwnedJob::handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason) {
   Item& item = items_[index];
-  const std::string worker = item.run->worker();
   // The run must outlive its own callback.
-  environment_.serving.dispatcher.post([run = std::shared_ptr<JobItemRun>(std::move(item.run))] {});
+  const std::shared_ptr<JobItemRun> run(std::move(item.run));
+  environment_.serving.dispatcher.post([run] {});
   --running_;
   item.ran += environment_.serving.time_source.monotonic_now() - item.started;
   if (ownership_lost_) {
@@ -392,7 +392,7 @@
     end_item(item, ItemState::kCompleted);
     return;
   }
-  log_failed_run(item, worker, end, reason);
+  log_failed_run(item, *run, end, reason);
   if (end == JobItemRunEnd::kBroken) {
     requeue_item(item);
   } else {
@@ -431,15 +431,16 @@
                    }));
 }
 
-void OwnedJob::log_failed_run(const Item& item, const std::string& worker, JobItemRunEnd end,
+void OwnedJob::log_failed_run(const Item& item, const JobItemRun& run, JobItemRunEnd end,
                               const std::string& reason) const {
   environment_.serving.logger.write(LogLevel::kInfo, "item_run_failed",
                                     {{"job", caller_job_id(record_.id)},
                                      {"request", item.request.id},
                                      {"content", digest_text(item.request.digest)},
                                      {"epoch", std::to_string(record_.epoch)},
-                                     {"worker", worker},
+                                     {"worker", run.worker()},
                                      {"end", job_item_run_end_name(end)},
+                                     {"proof", std::string(not_run_proof_name(run.proof()))},
                                      {"failures", std::to_string(item.failures.failed())},
                                      {"reason", reason}});
   environment_.serving.metrics
--- a/src/jobs/owned_job.h
+++ b/src/jobs/owned_job.h
@@ -155,7 +155,7 @@
 
   void log_start(const Item& item, uint64_t configuration) const;
   void handle_run_end(size_t index, JobItemRunEnd end, const std::string& reason);
-  void log_failed_run(const Item& item, const std::string& worker, JobItemRunEnd end,
+  void log_failed_run(const Item& item, const JobItemRun& run, JobItemRunEnd end,
                       const std::string& reason) const;
   void record_failed_run(size_t index, run_failure failure);
   uint32_t max_attempts_of(const Item& item) const;
