Ends and refusals of jobs are written over connections of their own

Cause: a node tells its caller 200 for an end and 429 for a refusal once their row is written, and 503 if it is not.

Change: both have a connection of their own, as the acceptance has.

--- a/emulator/memory_watched_store.cc
+++ b/emulator/memory_watched_store.cc
@@ -316,6 +316,9 @@
     refuse(std::move(callback));
     return;
   }
+  if (transaction.own_connection) {
+    ++shared_.own_connections[first.table];
+  }
   const bool lost = shared_.trouble.lose_commits && !partitioned_;
   if (lost) {
     ++shared_.calls;
--- a/emulator/memory_watched_store.h
+++ b/emulator/memory_watched_store.h
@@ -82,8 +82,9 @@
   std::map<std::string, std::shared_ptr<const std::string>> objects;
   StoreTrouble trouble;
   uint64_t calls = 0;
-  uint64_t refused_transactions = 0;              // over the store's limit on entries or bytes
-  std::map<std::string, uint64_t> rows_followed;  // rows sent to followers, by table
+  uint64_t refused_transactions = 0;                // over the store's limit on entries or bytes
+  std::map<std::string, uint64_t> rows_followed;    // rows sent to followers, by table
+  std::map<std::string, uint64_t> own_connections;  // commits with one, by table of the first write
 
   void add_follower(std::function<void()> wake) { followers_.push_back(std::move(wake)); }
   void wake_followers();
--- a/src/jobs/job_ender.cc
+++ b/src/jobs/job_ender.cc
@@ -56,6 +56,7 @@
   StoreTransaction transaction;
   transaction.conditions.push_back({stored_job_key(request->job), known.version});
   transaction.writes.push_back({stored_job_key(request->job), encode_job_record(ended.record)});
+  transaction.own_connection = true;  // its answer is promised to the caller
   environment_.store.commit(
       std::move(transaction),
       lifetime_.guard([this, request, ended](const Expected<StoreCommit>& commit) mutable {
@@ -79,6 +80,7 @@
   transaction.conditions.push_back({stored_job_key(request->job), 0});
   transaction.writes.push_back(
       {job_refusal_key(request->job), encode_job_refusal(environment_.clock.now())});
+  transaction.own_connection = true;  // its answer is promised to the caller
   environment_.store.commit(
       std::move(transaction), lifetime_.guard([this, request](const Expected<StoreCommit>& commit) {
         if (!commit) {
--- a/src/jobs/job_submit.cc
+++ b/src/jobs/job_submit.cc
@@ -81,6 +81,7 @@
   transaction.conditions.push_back({job_refusal_key(record_.id), refusal_version_});
   transaction.writes.push_back(
       {job_refusal_key(record_.id), encode_job_refusal(environment_.clock.now())});
+  transaction.own_connection = true;  // its answer is promised to the caller
   write_sent_ = environment_.serving.time_source.monotonic_now();
   environment_.store.commit(std::move(transaction),
                             lifetime_.guard([this, verdict](const Expected<StoreCommit>& commit) {
@@ -201,8 +202,7 @@
   if (!record_.content_in_object) {
     add_content(transaction);
   }
-  // What is concluded from a rejection is promised to the caller.
-  transaction.own_connection = true;
+  transaction.own_connection = true;  // its answer is promised to the caller
   write_sent_ = environment_.serving.time_source.monotonic_now();
   environment_.store.commit(
       std::move(transaction),
--- a/tests/job_queue/queue_admission_test.cc
+++ b/tests/job_queue/queue_admission_test.cc
@@ -76,6 +76,7 @@
   const AnswerPtr refused = send("n1", "j2", 6);
   cluster.clock.run_for(milliseconds(400));
   EXPECT_TRUE(refused->over_limit());
+  EXPECT_EQ(cluster.shared.own_connections.at("job_refusal"), 1U);
   cluster.clock.run_for(seconds(5));
   for (const ScriptedCall& call : cluster.workers.calls) {
     EXPECT_FALSE(call.header(platform::kRequestId).starts_with("j2")) << calls;
