--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -15,6 +15,7 @@
 struct HttpCallOptions {
   // Online and batch never share a pool, so neither waits for the other's connections.
   std::string pool = "default";
+  // Use a new connection, which later calls may use.
   bool fresh_connection = false;
   // Use a new connection and close it after the response, so that its answer cannot be one to
   // another call. For servers whose answers do not name their calls.
