A stream's only version is concluded from a read begun after its attempt came

Seen by callers: a stream that had begun at a worker of v2 went on at one of v1 (ORDER), when it was taken up at a node that had been cut off for seconds while v2 joined.

Cause: decide_origin() took the only version of the node's own view for the origin if no peer said otherwise, also if none answered, and worker_view_is_current() accepted a view that the store had confirmed within 4 s. What joined within these 4 s, and began the stream elsewhere, was not in it. The age of a view says nothing of what has happened since.

Change: a sole version counts only if workers and configuration were read from the store after the attempt came, over a connection opened for the read (view_confirmation; attempts that come together share a read, and reads keep an interval that grows with the fleet). While the store fails or is slow, nodes place copies of the origins of their open and new streams at peers, so that streams go on by records. stream_taken_up names what the origin rests on: peers asked and answered, versions known, the view's age and whether it was read anew.

--- a/include/chalkshed/origin_decision.h
+++ b/include/chalkshed/origin_decision.h
@@ -22,7 +22,9 @@
     software_id recorded = software_id::kUnknown;
     /** The versions of the service over the longest time that the stream may have lasted. */
     version_span versions;
-    /** Whether the node's view of the workers is recent enough for `versions` to count. */
+    /** Whether the node's view of workers and routes is recent enough to count. Of the deciding node:
+     * whether it was read from the store after the attempt had come, because any version may have
+     * joined, and begun the stream, since an earlier read. */
     bool current = true;
 };
 
@@ -31,7 +33,8 @@
     kOwnRecord,
     /** A peer has. */
     kPeerRecord,
-    /** Only one version has served for longer than the stream can have lasted. */
+    /** Only one version has served for longer than the stream can have lasted, as read after the
+     * attempt had come. */
     kSoleVersion,
     /** The version is not known. */
     kUnknown,
@@ -40,11 +43,27 @@
 /** \return The stable name used in logs. */
 std::string_view origin_source_name(origin_source source);
 
+/** What a decision rests on, for operators. */
+struct origin_basis {
+    /** Peers that were asked, and those that answered in time. */
+    size_t asked = 0;
+    size_t answered = 0;
+    /** What this node knew of the service's versions, and how old its view of the workers was. */
+    version_span::kind versions = version_span::kind::kUncovered;
+    Duration view_age{0};
+    /** Whether workers and routes were read from the store after the attempt had come. */
+    bool confirmed = false;
+};
+
 struct stream_origin {
     software_id software = software_id::kUnknown;
     origin_source source = origin_source::kUnknown;
+    origin_basis basis;
 };
 
+/** \return Whether some node knows of more than one version that may have begun it. */
+bool several_versions(const origin_evidence &own, const std::vector<origin_evidence> &peers);
+
 /** \param peers Of all peers that have answered. */
 stream_origin decide_origin(const origin_evidence &own, const std::vector<origin_evidence> &peers);
 
--- a/include/chalkshed/origin_exchange.h
+++ b/include/chalkshed/origin_exchange.h
@@ -38,6 +38,13 @@
     Duration give_up_after = std::chrono::milliseconds(110);
 };
 
+/** What peers have said of a stream. */
+struct peer_evidence {
+    std::vector<origin_evidence> answers;
+    /** Number of peers that were asked. */
+    size_t asked = 0;
+};
+
 /** \param candidates All nodes that may hold a copy.
  * \return The `count` first holders in order of rank; as many zones as possible come first. */
 std::vector<const relay_candidate *>
@@ -45,7 +52,7 @@
 
 class origin_exchange {
 public:
-    using on_evidence = std::function<void(const std::vector<origin_evidence> &)>;
+    using on_evidence = std::function<void(const peer_evidence &)>;
 
     /** \param own This node. All references outlive this. */
     origin_exchange(TimeSource &time_source, Dispatcher &dispatcher, DatagramTransport &datagrams,
--- a/include/chalkshed/service_versions.h
+++ b/include/chalkshed/service_versions.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 
 #include "chalkshed/software_id.h"
 #include "src/core/time.h"
@@ -30,6 +31,9 @@
     software_id software = software_id::kUnknown;
 };
 
+/** \return The stable name used in logs. */
+std::string_view version_span_name(version_span::kind kind);
+
 class service_versions {
 public:
     /** Versions that were not listed for this long are forgotten: longer than any stream lasts. */
--- a/include/chalkshed/stream_origins.h
+++ b/include/chalkshed/stream_origins.h
@@ -5,12 +5,14 @@
  * Remembers which software version began each stream that a caller may take up again, and finds the
  * origin of one that a caller takes up at this node.
  *
- * While only one version of a service has served for longer than a stream lasts, its name is known
- * from the service and nothing is sent. As soon as a second one is listed, copies of the origins of
- * all open streams, and of each new one as it begins, go to a few peers. */
+ * While only one version can have begun a route's streams, and the store is there to confirm it,
+ * nothing is sent. Otherwise copies of the origins of all open streams, and of each new one as it
+ * begins, go to a few peers. */
 
 #include <deque>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 
 #include "chalkshed/origin_exchange.h"
@@ -26,14 +28,27 @@
 class stream_origins {
 public:
     using on_origin = std::function<void(const stream_origin &)>;
+    /** Called with whether workers and routes were read from the store after the call. */
+    using on_confirmed = std::function<void(bool)>;
+
+    /** This node's views of the store. */
+    struct views {
+        /** Whether those of workers and routes are as recent as those of any other node. */
+        std::function<bool()> current = [] { return true; };
+        /** The age of that of the workers. */
+        std::function<Duration()> age = [] { return Duration(0); };
+        /** Reads workers and routes from the store. */
+        std::function<void(on_confirmed)> confirm = [](const on_confirmed &done) { done(true); };
+        /** Whether the store may not answer when a stream is taken up. */
+        std::function<bool()> store_doubtful = [] { return false; };
+    };
 
     /** All references outlive this. */
     stream_origins(TimeSource &time_source, WorkerSet &workers, origin_exchange &exchange,
                    const origin_table::limits &limits = {});
 
-    /** Sets whether this node's view of the workers is as recent as that of any other node. */
-    void set_view_is_current(std::function<bool()> current) {
-        view_is_current_ = std::move(current);
+    void set_views(views own) {
+        views_ = std::move(own);
     }
 
     /** The caller of this attempt is about to get the first event.
@@ -41,9 +56,15 @@
      * event if the attempt takes the stream up. */
     void note_begun(const ServingRequest &request, const Route &route, const std::string &service,
                     software_id software);
+    /** Sends copies of the origins of all open streams that were not sent yet. */
+    void place_all();
     /** \param request Takes up the stream that the attempt ServingRequest::resumes began.
      * \param done Called once, perhaps before this returns. */
     void find(const ServingRequest &request, const Route &route, on_origin done);
+    /** Brings the views of workers and routes up to this moment. */
+    void confirm_views(on_confirmed done) {
+        views_.confirm(std::move(done));
+    }
 
 private:
     struct own_stream {
@@ -52,17 +73,34 @@
         /** A caller may take it up until then. */
         MonotonicTime until{};
     };
+    /** A stream whose origin is being looked for. */
+    struct lookup {
+        origin_question question;
+        on_origin done;
+        std::optional<peer_evidence> peers;
+        std::optional<bool> confirmed;
+    };
+    using lookup_ptr = std::shared_ptr<lookup>;
+
+    static origin_question question_for(const ServingRequest &request, const Route &route);
     origin_evidence evidence_for(const origin_question &question) const;
-    void place_unplaced(const std::string &service);
+    /** Ends the lookup if what has been learned so far decides it. */
+    void settle(const lookup_ptr &open) const;
+    stream_origin decide(const origin_question &question, const peer_evidence &peers,
+                         bool confirmed) const;
+    /** Whether any node can tell from the store alone which version began such a stream. */
+    bool known_from_store(const std::string &service, Duration longest) const;
+    void place_unplaced(const std::function<bool(const own_stream &)> &chosen);
 
     TimeSource &time_source_;
     WorkerSet &workers_;
     origin_exchange &exchange_;
     const origin_table::limits limits_;
     origin_table table_;
-    /** Streams of this node, oldest first, that began while their service had one version. */
+    /** Streams of this node, oldest first, that began while their version was known from the
+     * store. */
     std::deque<own_stream> unplaced_;
-    std::function<bool()> view_is_current_;
+    views views_;
 };
 
 } // namespace chalkshed
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -124,7 +124,9 @@
           {dependencies.time_source, dependencies.dispatcher, dependencies.random,
            dependencies.worker_client, dependencies.logger},
           tables.worker_table, worker_table_, [this] { return worker_copy_source(); },
-          [this] { return peers_.zone_peers(); }, knobs.workers_copy) {
+          [this] { return peers_.zone_peers(); }, knobs.workers_copy),
+      view_confirmation_(dependencies.time_source, dependencies.dispatcher, watched_store_,
+                         {&worker_table_, &route_table_}) {
   job_environment_.view_age = [this] { return job_table_.age(); };
   workers_.set_on_slot_freed([this] { schedule_placement(); });
   gateway_.set_on_slot_shortage(
@@ -235,11 +237,29 @@
 
 void ServingNode::connect_stream_origins() {
   serving_.origins = &stream_origins_;
-  stream_origins_.set_view_is_current([this] { return worker_view_is_current(); });
+  stream_origins::views views;
+  views.current = [this] { return worker_view_is_current() && !route_table_.behind(); };
+  views.age = [this] { return worker_table_.age(); };
+  views.confirm = [this](view_confirmation::on_confirmed done) {
+    view_confirmation_.confirm(std::move(done));
+  };
+  views.store_doubtful = [this] { return peers_.entries_may_have_lapsed(); };
+  stream_origins_.set_views(std::move(views));
+  view_confirmation_.set_nodes([this] { return peers_.announced_nodes(); });
   workers_.set_on_listing_changed(
       [this](const std::string& service) { update_version_gauges_soon(service); });
 }
 
+// While the store may not tell later which version began a stream, the peers must know.
+void ServingNode::place_origins_in_doubt() {
+  constexpr Duration kPollInterval = std::chrono::milliseconds(250);
+  if (peers_.entries_may_have_lapsed()) {
+    stream_origins_.place_all();
+  }
+  call_after(dependencies_.dispatcher, kPollInterval,
+             lifetime_.guard([this] { place_origins_in_doubt(); }));
+}
+
 void ServingNode::update_version_gauges_soon(const std::string& service) {
   constexpr Duration kGaugeInterval = std::chrono::seconds(1);
   if (services_with_new_workers_.empty()) {
@@ -433,6 +453,7 @@
     call_after(dependencies_.dispatcher, latest, lifetime_.guard([this] { list_next_tables(); }));
   }
   peers_.start();
+  place_origins_in_doubt();
   jobs_.start();
 }
 
--- a/src/node/serving_node.h
+++ b/src/node/serving_node.h
@@ -24,6 +24,7 @@
 #include "chalkshed/stream_origins.h"
 #include "chalkshed/surplus_answers.h"
 #include "chalkshed/tenant_quota.h"
+#include "chalkshed/view_confirmation.h"
 #include "src/core/lifetime.h"
 #include "src/http/http_router.h"
 #include "src/jobs/job_service.h"
@@ -189,6 +190,8 @@
   void connect_admission();
   // Lets callers take up streams that began at any node.
   void connect_stream_origins();
+  // Polls until the node stops.
+  void place_origins_in_doubt();
   // Updates the numbers of workers by service and version, at most once per second.
   void update_version_gauges_soon(const std::string& service);
   void update_version_gauges();
@@ -252,6 +255,7 @@
   row_handover configuration_handover_;
   row_handover worker_handover_;
   first_copy workers_copy_;
+  view_confirmation view_confirmation_;
   MonotonicTime started_{};
   bool lists_nodes_ = false;
   bool lists_others_ = false;
--- a/src/platform/watched_store.h
+++ b/src/platform/watched_store.h
@@ -99,6 +99,12 @@
   // Errors: kStoreUnavailable; kNotFound when the history after `since` is gone.
   virtual void read_changes(std::string table, StoreVersion since, Duration wait,
                             Callback<TableChanges> callback) = 0;
+  // Answers at once, over a connection opened for this call: the answer shows the table as it was
+  // after the call began, and cannot be that to an earlier one. Errors as for read_changes().
+  virtual void read_changes_anew(std::string table, StoreVersion since,
+                                 Callback<TableChanges> callback) {
+    read_changes(std::move(table), since, Duration(0), std::move(callback));
+  }
   // Errors: kStoreUnavailable with Ran::kNo when it was not applied; kOutcomeUnknown when the
   // answer was lost, or is a rejection that may belong to another call. Such a transaction may
   // still be applied later while its conditions hold.
--- a/src/serving/stream_lookups.cc
+++ b/src/serving/stream_lookups.cc
@@ -4,6 +4,18 @@
 #include "src/core/number_text.h"
 
 namespace chalkshed {
+namespace {
+
+// The services to which a route leads, separated by commas.
+std::string services_text(const Route& route) {
+  std::string text;
+  for (const WeightedService& candidate : route.services) {
+    text += (text.empty() ? "" : ",") + candidate.service;
+  }
+  return text;
+}
+
+}  // namespace
 
 StreamLookups::StreamLookups(ServingEnvironment& environment, OnKnown on_known, OnEnded on_ended)
     : environment_(environment), on_known_(std::move(on_known)), on_ended_(std::move(on_ended)) {}
@@ -98,6 +110,12 @@
        {"resume_after", std::to_string(*request.resume_after)},
        {"software", software_text(origin.software)},
        {"origin", std::string(origin_source_name(origin.source))},
+       {"services", services_text(*pending.received.route)},
+       {"versions", std::string(version_span_name(origin.basis.versions))},
+       {"view_confirmed", origin.basis.confirmed ? "yes" : "no"},
+       {"view_age_ms", milliseconds_text(origin.basis.view_age)},
+       {"peers_asked", std::to_string(origin.basis.asked)},
+       {"peers_answered", std::to_string(origin.basis.answered)},
        {"outcome", std::string(outcome)},
        {"took_ms", milliseconds_text(environment_.time_source.monotonic_now() - pending.since)}});
 }
--- a/src/stream_origin/origin_decision.cc
+++ b/src/stream_origin/origin_decision.cc
@@ -5,9 +5,26 @@
 
 using kind = version_span::kind;
 
-/** The evidence of a node without a record, merged over all nodes. */
+/** The evidence of all nodes, if none has a record. */
 class version_evidence {
 public:
+    version_evidence(const origin_evidence &own, const std::vector<origin_evidence> &peers)
+        : current_(own.current) {
+        add(own);
+        for (const origin_evidence &peer : peers) {
+            add(peer);
+        }
+    }
+    bool several() const {
+        return several_;
+    }
+    stream_origin origin() const {
+        return several_ || !covered_ || !current_
+                   ? stream_origin{}
+                   : stream_origin{one_, origin_source::kSoleVersion, {}};
+    }
+
+private:
     void add(const origin_evidence &evidence) {
         const version_span &versions = evidence.versions;
         several_ = several_ || versions.known == kind::kSeveral;
@@ -17,15 +34,11 @@
             one_ = versions.software;
         }
     }
-    stream_origin origin() const {
-        return several_ || !covered_ ? stream_origin{}
-                                     : stream_origin{one_, origin_source::kSoleVersion};
-    }
 
-private:
     software_id one_ = software_id::kUnknown;
     bool several_ = false;
     bool covered_ = false;
+    const bool current_;
 };
 
 /** \return The recorded version; kUnknown without a record, or if records contradict each other. */
@@ -70,20 +83,19 @@
 
 stream_origin decide_origin(const origin_evidence &own, const std::vector<origin_evidence> &peers) {
     if (own.recorded != software_id::kUnknown) {
-        return {own.recorded, origin_source::kOwnRecord};
+        return {own.recorded, origin_source::kOwnRecord, {}};
     }
     if (any_record(peers)) {
         const software_id recorded = recorded_by(peers);
         return recorded == software_id::kUnknown
                    ? stream_origin{}
-                   : stream_origin{recorded, origin_source::kPeerRecord};
+                   : stream_origin{recorded, origin_source::kPeerRecord, {}};
     }
-    version_evidence evidence;
-    evidence.add(own);
-    for (const origin_evidence &peer : peers) {
-        evidence.add(peer);
-    }
-    return evidence.origin();
+    return version_evidence(own, peers).origin();
+}
+
+bool several_versions(const origin_evidence &own, const std::vector<origin_evidence> &peers) {
+    return version_evidence(own, peers).several();
 }
 
 } // namespace chalkshed
--- a/src/stream_origin/origin_exchange.cc
+++ b/src/stream_origin/origin_exchange.cc
@@ -175,7 +175,7 @@
     }
     const open_question ended = std::move(found->second);
     open_.erase(found);
-    ended.done(ended.evidence);
+    ended.done({ended.evidence, ended.asked.size()});
 }
 
 } // namespace chalkshed
--- a/src/stream_origin/service_versions.cc
+++ b/src/stream_origin/service_versions.cc
@@ -4,6 +4,18 @@
 
 namespace chalkshed {
 
+std::string_view version_span_name(version_span::kind kind) {
+    switch (kind) {
+    case version_span::kind::kUncovered:
+        return "uncovered";
+    case version_span::kind::kSole:
+        return "sole";
+    case version_span::kind::kSeveral:
+        return "several";
+    }
+    return "uncovered";
+}
+
 void service_versions::note_listed(software_id software, MonotonicTime now) {
     known_since_ = known_since_.value_or(now);
     listed_ += listings_[software].workers++ == 0 ? 1 : 0;
--- a/src/stream_origin/stream_origins.cc
+++ b/src/stream_origin/stream_origins.cc
@@ -1,6 +1,7 @@
 #include "chalkshed/stream_origins.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chalkshed {
 
@@ -12,13 +13,20 @@
 stream_origins::stream_origins(TimeSource &time_source, WorkerSet &workers,
                                origin_exchange &exchange, const origin_table::limits &limits)
     : time_source_(time_source), workers_(workers), exchange_(exchange), limits_(limits),
-      table_(limits), view_is_current_([] { return true; }) {
+      table_(limits) {
     exchange_.set_evidence(
         [this](const origin_question &question) { return evidence_for(question); });
     exchange_.set_on_placed([this](const placed_origin &origin) {
         table_.add(origin.stream, origin.software, time_source_.monotonic_now());
     });
-    workers_.set_on_second_version([this](const std::string &service) { place_unplaced(service); });
+    workers_.set_on_second_version([this](const std::string &service) {
+        place_unplaced([&](const own_stream &stream) { return stream.service == service; });
+    });
+}
+
+bool stream_origins::known_from_store(const std::string &service, Duration longest) const {
+    return !views_.store_doubtful() &&
+           workers_.versions(service, longest).known == version_span::kind::kSole;
 }
 
 void stream_origins::note_begun(const ServingRequest &request, const Route &route,
@@ -26,7 +34,7 @@
     const MonotonicTime now = time_source_.monotonic_now();
     const placed_origin origin{key_of_stream(request, request.id), software};
     table_.add(origin.stream, software, now);
-    if (workers_.versions(service, longest_stream(route)).known != version_span::kind::kSole) {
+    if (!known_from_store(service, longest_stream(route))) {
         exchange_.place({origin});
         return;
     }
@@ -37,44 +45,84 @@
     unplaced_.push_back({origin, service, now + longest_stream(route)});
 }
 
-void stream_origins::place_unplaced(const std::string &service) {
+void stream_origins::place_all() {
+    place_unplaced([](const own_stream & /*stream*/) { return true; });
+}
+
+void stream_origins::place_unplaced(const std::function<bool(const own_stream &)> &chosen) {
     std::vector<placed_origin> origins;
     const MonotonicTime now = time_source_.monotonic_now();
     for (const own_stream &stream : unplaced_) {
-        if (stream.service == service && now <= stream.until) {
+        if (chosen(stream) && now <= stream.until) {
             origins.push_back(stream.origin);
         }
     }
-    std::erase_if(unplaced_, [&](const own_stream &stream) { return stream.service == service; });
+    std::erase_if(unplaced_, chosen);
     exchange_.place(origins);
 }
 
+origin_question stream_origins::question_for(const ServingRequest &request, const Route &route) {
+    origin_question question;
+    question.stream = key_of_stream(request, request.resumes);
+    question.longest = longest_stream(route);
+    if (route.services.size() == 1) {
+        question.service = route.services.front().service;
+    }
+    return question;
+}
+
 origin_evidence stream_origins::evidence_for(const origin_question &question) const {
     origin_evidence evidence;
     evidence.recorded = table_.find(question.stream);
     if (!question.service.empty()) {
         evidence.versions = workers_.versions(question.service, question.longest);
     }
-    evidence.current = view_is_current_();
+    evidence.current = views_.current();
     return evidence;
 }
 
 void stream_origins::find(const ServingRequest &request, const Route &route, on_origin done) {
-    origin_question question;
-    question.stream = key_of_stream(request, request.resumes);
-    question.longest = longest_stream(route);
-    if (route.services.size() == 1) {
-        question.service = route.services.front().service;
-    }
-    if (table_.find(question.stream) != software_id::kUnknown) {
-        done(decide_origin(evidence_for(question), {}));
+    const auto open = std::make_shared<lookup>();
+    open->question = question_for(request, route);
+    open->done = std::move(done);
+    if (table_.find(open->question.stream) != software_id::kUnknown) {
+        open->done(decide(open->question, {}, false));
         return;
     }
-    // Also while this node knows of one version only: its view may lack a newer one.
-    exchange_.ask(question, [this, question,
-                             done = std::move(done)](const std::vector<origin_evidence> &peers) {
-        done(decide_origin(evidence_for(question), peers));
+    if (open->question.service.empty()) {
+        open->confirmed = false;  // several services come into question: only a record tells
+    } else {
+        views_.confirm([this, open](bool confirmed) {
+            open->confirmed = confirmed;
+            settle(open);
+        });
+    }
+    exchange_.ask(open->question, [this, open](const peer_evidence &peers) {
+        open->peers = peers;
+        settle(open);
     });
 }
 
+void stream_origins::settle(const lookup_ptr &open) const {
+    if (!open->done || !open->peers) {
+        return;
+    }
+    const stream_origin origin =
+        decide(open->question, *open->peers, open->confirmed.value_or(false));
+    const bool undecidable =
+        several_versions(evidence_for(open->question), open->peers->answers);
+    if (origin.source != origin_source::kUnknown || undecidable || open->confirmed) {
+        std::exchange(open->done, nullptr)(origin);
+    }
+}
+
+stream_origin stream_origins::decide(const origin_question &question, const peer_evidence &peers,
+                                     bool confirmed) const {
+    origin_evidence own = evidence_for(question);
+    own.current = confirmed;
+    stream_origin origin = decide_origin(own, peers.answers);
+    origin.basis = {peers.asked, peers.answers.size(), own.versions.known, views_.age(), confirmed};
+    return origin;
+}
+
 } // namespace chalkshed
--- a/src/watch/observed_store.cc
+++ b/src/watch/observed_store.cc
@@ -68,23 +68,30 @@
 
 void ObservedStore::read_changes(std::string table, StoreVersion since, Duration wait,
                                  Callback<TableChanges> callback) {
-  std::string sent = table;
-  inner_.read_changes(
-      std::move(sent), since, wait,
-      lifetime_.guard([this, table = std::move(table), since,
-                       callback = std::move(callback)](Expected<TableChanges> changes) {
-        const bool wrong = changes && !can_answer(table, since, *changes);
-        count("read_changes", changes.has_value() && !wrong);
-        if (wrong) {
-          note_wrong_answer("read_changes", changes->stamp.version);
-          callback(tl::unexpected(read_of_another_call()));
-          return;
-        }
-        if (changes) {
-          clock_.observe(changes->stamp);
-        }
-        callback(std::move(changes));
-      }));
+  inner_.read_changes(table, since, wait, check_changes(table, since, std::move(callback)));
+}
+
+void ObservedStore::read_changes_anew(std::string table, StoreVersion since,
+                                      Callback<TableChanges> callback) {
+  inner_.read_changes_anew(table, since, check_changes(table, since, std::move(callback)));
+}
+
+Callback<TableChanges> ObservedStore::check_changes(std::string table, StoreVersion since,
+                                                    Callback<TableChanges> callback) {
+  return lifetime_.guard([this, table = std::move(table), since,
+                          callback = std::move(callback)](Expected<TableChanges> changes) {
+    const bool wrong = changes && !can_answer(table, since, *changes);
+    count("read_changes", changes.has_value() && !wrong);
+    if (wrong) {
+      note_wrong_answer("read_changes", changes->stamp.version);
+      callback(tl::unexpected(read_of_another_call()));
+      return;
+    }
+    if (changes) {
+      clock_.observe(changes->stamp);
+    }
+    callback(std::move(changes));
+  });
 }
 
 void ObservedStore::commit(StoreTransaction transaction, Callback<StoreCommit> callback) {
--- a/src/watch/observed_store.h
+++ b/src/watch/observed_store.h
@@ -30,10 +30,15 @@
   void read_range(RangeRead range, Callback<RangePage> callback) override;
   void read_changes(std::string table, StoreVersion since, Duration wait,
                     Callback<TableChanges> callback) override;
+  void read_changes_anew(std::string table, StoreVersion since,
+                         Callback<TableChanges> callback) override;
   void commit(StoreTransaction transaction, Callback<StoreCommit> callback) override;
 
  private:
   void count(const char* call, bool succeeded);
+  // @return what checks the answer to a read of changes before it calls `callback`.
+  Callback<TableChanges> check_changes(std::string table, StoreVersion since,
+                                       Callback<TableChanges> callback);
   // Records an answer that is not the one to its call.
   void note_wrong_answer(const char* call, StoreVersion version);
 
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -225,12 +225,20 @@
     return;
   }
   note_answer();
-  as_of_ = std::max(as_of_, follow_asked_);
-  for (const StoredRow& row : changes->rows) {
+  apply(*changes, follow_asked_);
+  follow_later(!changes->rows.empty());
+}
+
+void TableWatcher::apply(const TableChanges& changes, MonotonicTime asked) {
+  if (!listed_) {
+    return;  // its rows lack those from before the table was listed
+  }
+  last_heard_ = time_source_.monotonic_now();
+  as_of_ = std::max(as_of_, asked);
+  for (const StoredRow& row : changes.rows) {
     notify(row);
   }
-  followed_ = std::max(followed_, changes->stamp.version);
-  follow_later(!changes->rows.empty());
+  followed_ = std::max(followed_, changes.stamp.version);
 }
 
 void TableWatcher::index(const std::pair<const StoredRowKey, Known>& entry, StoreVersion before,
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -117,6 +117,10 @@
   bool behind() const { return newest_hint_ > std::max(newest_row_, followed_); }
   // Applies a row that another node has read from the store.
   void learn(const StoredRow& row) { notify(row); }
+  // Applies the answer to a read of the changes after known_through() or earlier.
+  // @param asked when the read was sent.
+  void apply(const TableChanges& changes, MonotonicTime asked);
+  const std::string& name() const { return table_; }
   // All changes up to here are known.
   StoreVersion known_through() const { return followed_; }
   // @return the changes after that version, or the whole table if this node does not know which
--- a/tests/stream_origin/origin_exchange_test.cc
+++ b/tests/stream_origin/origin_exchange_test.cc
@@ -67,9 +67,9 @@
   void ask() {
     origin_question question;
     question.stream = stream_key{5};
-    exchange.ask(question, [this](const std::vector<origin_evidence>& found) {
+    exchange.ask(question, [this](const peer_evidence& found) {
       ++done;
-      evidence = found;
+      evidence = found.answers;
     });
   }
   void answer(size_t question, const origin_evidence& found) {
