A stream's origin belongs to the service that began it, wherever its route leads

Cause: the version that alone serves the route's present service was taken for the origin, though the route had led to another service when the stream began.

A sole version counts only if one service alone can have begun the stream; peers are asked about the route as well (host and path in the question, route_span in the answer; builds without them cover nothing). When a configuration comes into force, the origins of all open streams are placed at peers, and those of changed routes as they begin.

--- a/include/chalkshed/origin_decision.h
+++ b/include/chalkshed/origin_decision.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "chalkshed/route_history.h"
 #include "chalkshed/service_versions.h"
 #include "chalkshed/software_id.h"
 
@@ -26,6 +27,8 @@
      * whether it was read from the store after the attempt had come, because any version may have
      * joined, and begun the stream, since an earlier read. */
     bool current = true;
+    /** Whether the request's route has led to that service alone, over the same time. */
+    route_span route = route_span::kUncovered;
 };
 
 enum class origin_source : uint8_t {
@@ -33,8 +36,8 @@
     kOwnRecord,
     /** A peer has. */
     kPeerRecord,
-    /** Only one version has served for longer than the stream can have lasted, as read after the
-     * attempt had come. */
+    /** Only one version can have begun the stream: it alone has served the only service of the route
+     * for longer than the stream can have lasted, as read after the attempt had come. */
     kSoleVersion,
     /** The version is not known. */
     kUnknown,
@@ -51,6 +54,7 @@
     /** What this node knew of the service's versions, and how old its view of the workers was. */
     version_span::kind versions = version_span::kind::kUncovered;
     Duration view_age{0};
+    route_span route = route_span::kUncovered;
     /** Whether workers and routes were read from the store after the attempt had come. */
     bool confirmed = false;
 };
@@ -61,7 +65,7 @@
     origin_basis basis;
 };
 
-/** \return Whether some node knows of more than one version that may have begun it. */
+/** \return Whether some node knows of more than one version, or service, that may have begun it. */
 bool several_versions(const origin_evidence &own, const std::vector<origin_evidence> &peers);
 
 /** \param peers Of all peers that have answered. */
--- a/include/chalkshed/origin_message.h
+++ b/include/chalkshed/origin_message.h
@@ -29,6 +29,9 @@
     /** How far back the stream may have begun. */
     Duration longest{0};
     Address reply_to;
+    /** Of the request, for its route; empty if older builds ask. */
+    std::string host;
+    std::string path;
 };
 
 struct origin_answer {
@@ -43,6 +46,9 @@
     std::optional<origin_answer> answer;
 };
 
+/** A question with a longer host and path does not fit into a datagram. */
+inline constexpr size_t kMaxRouteBytes = 800;
+
 /** Placed origins that fit into one datagram. */
 inline constexpr size_t kMaxPlacedOrigins = 64;
 
--- a/include/chalkshed/stream_origins.h
+++ b/include/chalkshed/stream_origins.h
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "chalkshed/origin_exchange.h"
+#include "chalkshed/route_history.h"
 #include "src/serving/route_table.h"
 #include "src/serving/worker_set.h"
 
@@ -50,6 +51,9 @@
     void set_views(views own) {
         views_ = std::move(own);
     }
+    /** A configuration has come into force.
+     * \param missed As for route_history::note(). */
+    void note_routes(const RouteTablePtr &table, bool missed);
 
     /** The caller of this attempt is about to get the first event.
      * \param software Of the worker that began the stream, which is another one than that of the
@@ -89,7 +93,8 @@
     stream_origin decide(const origin_question &question, const peer_evidence &peers,
                          bool confirmed) const;
     /** Whether any node can tell from the store alone which version began such a stream. */
-    bool known_from_store(const std::string &service, Duration longest) const;
+    bool known_from_store(const ServingRequest &request, const std::string &service,
+                          Duration longest, MonotonicTime now) const;
     void place_unplaced(const std::function<bool(const own_stream &)> &chosen);
 
     TimeSource &time_source_;
@@ -97,6 +102,7 @@
     origin_exchange &exchange_;
     const origin_table::limits limits_;
     origin_table table_;
+    route_history routes_;
     /** Streams of this node, oldest first, that began while their version was known from the
      * store. */
     std::deque<own_stream> unplaced_;
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -154,6 +154,7 @@
       });
   gateway_.set_quota(&quota_);
   route_watch_.set_on_changed([this] {
+    stream_origins_.note_routes(route_watch_.current(), route_table_.may_have_missed());
     quota_exchange_.set_tenants(route_watch_.current()->tenants());
     set_cold_starts();
     note_start_step(start_step::kConfiguration);
--- a/src/stream_origin/origin_decision.cc
+++ b/src/stream_origin/origin_decision.cc
@@ -27,8 +27,10 @@
 private:
     void add(const origin_evidence &evidence) {
         const version_span &versions = evidence.versions;
-        several_ = several_ || versions.known == kind::kSeveral;
-        covered_ = covered_ || (versions.known == kind::kSole && evidence.current);
+        several_ = several_ || versions.known == kind::kSeveral ||
+                   evidence.route == route_span::kChanged;
+        covered_ = covered_ || (versions.known == kind::kSole && evidence.current &&
+                                evidence.route == route_span::kSole);
         if (versions.software != software_id::kUnknown) {
             several_ = several_ || (one_ != software_id::kUnknown && one_ != versions.software);
             one_ = versions.software;
--- a/src/stream_origin/origin_message.cc
+++ b/src/stream_origin/origin_message.cc
@@ -21,6 +21,10 @@
     if (packed.ip() != nullptr) {
         question.reply_to = {packed.ip()->str(), packed.port()};
     }
+    if (packed.host() != nullptr && packed.path() != nullptr) {
+        question.host = packed.host()->str();
+        question.path = packed.path()->str();
+    }
     return question;
 }
 
@@ -36,6 +40,9 @@
                                          ? version_span::kind::kSeveral
                                          : static_cast<version_span::kind>(known);
     answer.evidence.versions.software = static_cast<software_id>(packed.software());
+    answer.evidence.route = packed.route() > static_cast<uint8_t>(route_span::kChanged)
+                                ? route_span::kChanged
+                                : static_cast<route_span>(packed.route());
     return answer;
 }
 
@@ -44,9 +51,16 @@
     const auto longest = std::clamp<int64_t>(question.longest / milliseconds(1), 0, UINT32_MAX);
     const auto service = builder.CreateString(question.service);
     const auto ip = builder.CreateString(question.reply_to.ip);
-    return wire::CreateOriginQuestion(builder, question.number, question.asked,
-                                      question.reply_to.port, static_cast<uint32_t>(longest),
-                                      static_cast<uint64_t>(question.stream), service, ip);
+    flatbuffers::Offset<flatbuffers::String> host;
+    flatbuffers::Offset<flatbuffers::String> path;
+    if (!question.host.empty()) {
+        host = builder.CreateString(question.host);
+        path = builder.CreateString(question.path);
+    }
+    return wire::CreateOriginQuestion(
+        builder, question.number, question.asked, question.reply_to.port,
+        static_cast<uint32_t>(longest), static_cast<uint64_t>(question.stream), service, ip, host,
+        path);
 }
 
 flatbuffers::Offset<wire::OriginAnswer> pack(flatbuffers::FlatBufferBuilder &builder,
@@ -55,7 +69,8 @@
     return wire::CreateOriginAnswer(builder, answer.number, answer.asked,
                                     static_cast<uint8_t>(evidence.versions.known), evidence.current,
                                     static_cast<uint64_t>(evidence.recorded),
-                                    static_cast<uint64_t>(evidence.versions.software));
+                                    static_cast<uint64_t>(evidence.versions.software),
+                                    static_cast<uint8_t>(evidence.route));
 }
 
 } // namespace
--- a/src/stream_origin/origin_message_generated.h
+++ b/src/stream_origin/origin_message_generated.h
@@ -59,7 +59,9 @@
     VT_LONGEST_MS = 10,
     VT_STREAM = 12,
     VT_SERVICE = 14,
-    VT_IP = 16
+    VT_IP = 16,
+    VT_HOST = 18,
+    VT_PATH = 20
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -82,6 +84,12 @@
   const flatbuffers::String *ip() const {
     return GetPointer<const flatbuffers::String *>(VT_IP);
   }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::String *path() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATH);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -93,6 +101,10 @@
            verifier.VerifyString(service()) &&
            VerifyOffset(verifier, VT_IP) &&
            verifier.VerifyString(ip()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyString(path()) &&
            verifier.EndTable();
   }
 };
@@ -122,6 +134,12 @@
   void add_ip(flatbuffers::Offset<flatbuffers::String> ip) {
     fbb_.AddOffset(OriginQuestion::VT_IP, ip);
   }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(OriginQuestion::VT_HOST, host);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::String> path) {
+    fbb_.AddOffset(OriginQuestion::VT_PATH, path);
+  }
   explicit OriginQuestionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -141,10 +159,14 @@
     uint32_t longest_ms = 0,
     uint64_t stream = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
-    flatbuffers::Offset<flatbuffers::String> ip = 0) {
+    flatbuffers::Offset<flatbuffers::String> ip = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> path = 0) {
   OriginQuestionBuilder builder_(_fbb);
   builder_.add_stream(stream);
   builder_.add_number(number);
+  builder_.add_path(path);
+  builder_.add_host(host);
   builder_.add_ip(ip);
   builder_.add_service(service);
   builder_.add_longest_ms(longest_ms);
@@ -161,9 +183,13 @@
     uint32_t longest_ms = 0,
     uint64_t stream = 0,
     const char *service = nullptr,
-    const char *ip = nullptr) {
+    const char *ip = nullptr,
+    const char *host = nullptr,
+    const char *path = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto ip__ = ip ? _fbb.CreateString(ip) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto path__ = path ? _fbb.CreateString(path) : 0;
   return chalkshed::wire::CreateOriginQuestion(
       _fbb,
       number,
@@ -172,7 +198,9 @@
       longest_ms,
       stream,
       service__,
-      ip__);
+      ip__,
+      host__,
+      path__);
 }
 
 struct OriginAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -183,7 +211,8 @@
     VT_KNOWN = 8,
     VT_CURRENT = 10,
     VT_RECORDED = 12,
-    VT_SOFTWARE = 14
+    VT_SOFTWARE = 14,
+    VT_ROUTE = 16
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -203,6 +232,9 @@
   uint64_t software() const {
     return GetField<uint64_t>(VT_SOFTWARE, 0);
   }
+  uint8_t route() const {
+    return GetField<uint8_t>(VT_ROUTE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -211,6 +243,7 @@
            VerifyField<uint8_t>(verifier, VT_CURRENT, 1) &&
            VerifyField<uint64_t>(verifier, VT_RECORDED, 8) &&
            VerifyField<uint64_t>(verifier, VT_SOFTWARE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ROUTE, 1) &&
            verifier.EndTable();
   }
 };
@@ -237,6 +270,9 @@
   void add_software(uint64_t software) {
     fbb_.AddElement<uint64_t>(OriginAnswer::VT_SOFTWARE, software, 0);
   }
+  void add_route(uint8_t route) {
+    fbb_.AddElement<uint8_t>(OriginAnswer::VT_ROUTE, route, 0);
+  }
   explicit OriginAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -255,12 +291,14 @@
     uint8_t known = 0,
     bool current = false,
     uint64_t recorded = 0,
-    uint64_t software = 0) {
+    uint64_t software = 0,
+    uint8_t route = 0) {
   OriginAnswerBuilder builder_(_fbb);
   builder_.add_software(software);
   builder_.add_recorded(recorded);
   builder_.add_number(number);
   builder_.add_asked(asked);
+  builder_.add_route(route);
   builder_.add_current(current);
   builder_.add_known(known);
   return builder_.Finish();
--- a/src/stream_origin/stream_origins.cc
+++ b/src/stream_origin/stream_origins.cc
@@ -24,9 +24,18 @@
     });
 }
 
-bool stream_origins::known_from_store(const std::string &service, Duration longest) const {
+void stream_origins::note_routes(const RouteTablePtr &table, bool missed) {
+    routes_.note(table, missed, time_source_.monotonic_now());
+    // Their route may lead elsewhere now.
+    place_all();
+}
+
+bool stream_origins::known_from_store(const ServingRequest &request, const std::string &service,
+                                      Duration longest, MonotonicTime now) const {
     return !views_.store_doubtful() &&
-           workers_.versions(service, longest).known == version_span::kind::kSole;
+           workers_.versions(service, longest).known == version_span::kind::kSole &&
+           routes_.span(request.host, request.message.path, service, longest, now) ==
+               route_span::kSole;
 }
 
 void stream_origins::note_begun(const ServingRequest &request, const Route &route,
@@ -34,7 +43,7 @@
     const MonotonicTime now = time_source_.monotonic_now();
     const placed_origin origin{key_of_stream(request, request.id), software};
     table_.add(origin.stream, software, now);
-    if (!known_from_store(service, longest_stream(route))) {
+    if (!known_from_store(request, service, longest_stream(route), now)) {
         exchange_.place({origin});
         return;
     }
@@ -65,8 +74,11 @@
     origin_question question;
     question.stream = key_of_stream(request, request.resumes);
     question.longest = longest_stream(route);
-    if (route.services.size() == 1) {
+    const bool fits = request.host.size() + request.message.path.size() <= kMaxRouteBytes;
+    if (route.services.size() == 1 && fits) {
         question.service = route.services.front().service;
+        question.host = request.host;
+        question.path = request.message.path;
     }
     return question;
 }
@@ -77,6 +89,10 @@
     if (!question.service.empty()) {
         evidence.versions = workers_.versions(question.service, question.longest);
     }
+    if (!question.host.empty()) {
+        evidence.route = routes_.span(question.host, question.path, question.service,
+                                      question.longest, time_source_.monotonic_now());
+    }
     evidence.current = views_.current();
     return evidence;
 }
@@ -121,7 +137,8 @@
     origin_evidence own = evidence_for(question);
     own.current = confirmed;
     stream_origin origin = decide_origin(own, peers.answers);
-    origin.basis = {peers.asked, peers.answers.size(), own.versions.known, views_.age(), confirmed};
+    origin.basis = {peers.asked,   peers.answers.size(), own.versions.known,
+                    views_.age(), own.route,            confirmed};
     return origin;
 }
 
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -34,6 +34,7 @@
 }
 
 void TableWatcher::list() {
+  may_have_missed_ = true;
   listing_.clear();
   partition_versions_.clear();
   list_version_ = 0;
@@ -170,6 +171,7 @@
 
 void TableWatcher::refresh() {
   if (following_) {
+    may_have_missed_ = true;  // the answer to the earlier call is ignored
     follow();
   }
 }
@@ -208,6 +210,7 @@
                 {{"table", table_},
                  {"known", std::to_string(newest_row_)},
                  {"peers_know", std::to_string(newest_hint_)}});
+  may_have_missed_ = true;
   follow();
 }
 
@@ -225,14 +228,21 @@
     return;
   }
   note_answer();
-  apply(*changes, follow_asked_);
+  apply_changes(*changes, follow_asked_);
+  may_have_missed_ = false;
   follow_later(!changes->rows.empty());
 }
 
+// The answer of the pending poll, which may have the version before, comes later or never.
 void TableWatcher::apply(const TableChanges& changes, MonotonicTime asked) {
-  if (!listed_) {
-    return;  // its rows lack those from before the table was listed
+  if (listed_) {
+    const bool missed_before = std::exchange(may_have_missed_, true);
+    apply_changes(changes, asked);
+    may_have_missed_ = missed_before;
   }
+}
+
+void TableWatcher::apply_changes(const TableChanges& changes, MonotonicTime asked) {
   last_heard_ = time_source_.monotonic_now();
   as_of_ = std::max(as_of_, asked);
   for (const StoredRow& row : changes.rows) {
@@ -297,7 +307,13 @@
   return page;
 }
 
+void TableWatcher::learn(const StoredRow& row) {
+  may_have_missed_ = true;
+  notify(row);
+}
+
 void TableWatcher::learn(const table_page& page) {
+  may_have_missed_ = true;
   for (const StoredRow& row : page.rows) {
     notify(row);
   }
@@ -353,6 +369,7 @@
 }
 
 void TableWatcher::retry(const Error& error, std::function<void()> action) {
+  may_have_missed_ = true;
   if (failures_++ == 0) {
     logger_.write(LogLevel::kWarning, "store_lost", {{"table", table_}, {"reason", error.message}});
   }
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -113,10 +113,13 @@
   void note_newer(StoreVersion version);
   // The newest known version of a row.
   StoreVersion newest_row() const { return newest_row_; }
+  // While an observer is called: whether rows may have changed more than once since the answer
+  // before, so that it does not see each version.
+  bool may_have_missed() const { return may_have_missed_; }
   // Whether another node has a newer row.
   bool behind() const { return newest_hint_ > std::max(newest_row_, followed_); }
   // Applies a row that another node has read from the store.
-  void learn(const StoredRow& row) { notify(row); }
+  void learn(const StoredRow& row);
   // Applies the answer to a read of the changes after known_through() or earlier.
   // @param asked when the read was sent.
   void apply(const TableChanges& changes, MonotonicTime asked);
@@ -162,6 +165,7 @@
   void follow();
   void follow_later(bool changed);
   void handle_changes(const Expected<TableChanges>& changes);
+  void apply_changes(const TableChanges& changes, MonotonicTime asked);
   void notify(const StoredRow& row);
   // Updates by_version_. @param before the previous version of the row.
   void index(const std::pair<const StoredRowKey, Known>& entry, StoreVersion before,
@@ -193,6 +197,7 @@
   // Rows that were added and removed up to this version may be unknown.
   StoreVersion complete_since_ = 0;
   bool listed_ = false;
+  bool may_have_missed_ = true;
   uint32_t failures_ = 0;
   uint32_t misses_ = 0;             // consecutive hints without their row since the last answer
   bool following_ = false;          // an answer with changes is pending
--- a/tests/serving/out_of_step_stream_test.cc
+++ b/tests/serving/out_of_step_stream_test.cc
@@ -20,6 +20,23 @@
         [&](const ScriptedCall& call) { return call.header(platform::kRequestId) == id; });
     return !sent && answer->status == 503 && !answer->header("Retry-After").empty();
   }
+  void move_routes(uint64_t version, const nlohmann::json& services) {
+    cluster.write_configuration(version, [&](nlohmann::json& configuration) {
+      configuration["services"].push_back({{"name", "others"}, {"max_conns", 100}});
+      for (nlohmann::json& route : configuration["routes"]) {
+        route.erase("service");
+        route.update(services);
+      }
+    });
+    settle();
+  }
+  void write_other(const std::string& id, size_t number, const std::string& version) {
+    const nlohmann::json worker = {
+        {"service", "others"}, {"address", "10.2.0." + std::to_string(number) + ":80"},
+        {"zone", "zone-a"},    {"slots", 4},
+        {"state", "ready"},    {"version", version}};
+    cluster.put("servers", id, worker.dump());
+  }
 };
 
 // Guards against: a node that was cut off while a version joined took the older one for the origin.
@@ -36,6 +53,58 @@
 INSTANTIATE_TEST_SUITE_P(Milliseconds, CutOffFor,
                          testing::Values(0, 300, 1500, 2000, 2800, 3500, 6500, 9000));
 
+// Guards against: the only version of a service to which a route had moved was taken for the origin.
+TEST_F(OutOfStepNode, NoStreamGoesOnAtAnotherServiceAfterItsRouteMoved) {
+  write_other("other-0", 0, "2");
+  cluster.write_configuration(2, [](nlohmann::json& configuration) {
+    configuration["services"].push_back({{"name", "others"}, {"max_conns", 100}});
+  });
+  cluster.clock.run_for(seconds(30));
+  const std::string first = begin_at("old");
+  cluster.kill_node("n0");
+  move_routes(3, {{"service", "others"}});
+  EXPECT_TRUE(held_back(first, "n1"));
+}
+
+// Guards against: a node that had never seen the earlier route took the only version for the origin.
+TEST_F(OutOfStepNode, NoStreamGoesOnAtAnotherServiceAtANodeThatStartedAfterTheMove) {
+  write_other("other-0", 0, "2");
+  cluster.clock.run_for(seconds(30));
+  const std::string first = begin_at("old");
+  move_routes(2, {{"service", "others"}});
+  for (const char* name : {"n0", "n1", "n2"}) {
+    cluster.kill_node(name);
+  }
+  cluster.start_node("n4");
+  settle();
+  EXPECT_TRUE(held_back(first, "n4"));
+}
+
+// Guards against: of a route that leads to two services, the version of one was taken for the origin.
+TEST_F(OutOfStepNode, OfASplitRouteAStreamGoesOnAtTheServiceThatBeganIt) {
+  write_other("other-0", 0, "1");
+  const auto part = [](const char* service) { return nlohmann::json{{"service", service}}; };
+  move_routes(2, {{"split", {part("engines"), part("others")}}});
+  cluster.clock.run_for(seconds(200));
+  const std::string at_engines = begin_at("old");
+  const std::string at_others = begin_at("other");
+  cluster.kill_node("n0");
+  EXPECT_TRUE(goes_on_at("old", at_engines, "n1"));
+  EXPECT_TRUE(goes_on_at("other", at_others, "n2"));
+}
+
+// Guards against: a route that led elsewhere while the node was cut off, and leads back now.
+TEST_F(OutOfStepNode, NoStreamGoesOnAfterItsRouteMovedAndCameBackUnseen) {
+  write_other("other-0", 0, "2");
+  cluster.clock.run_for(seconds(30));
+  cut("n1");
+  move_routes(2, {{"service", "others"}});
+  const std::string first = begin_at("other");
+  move_routes(3, {{"service", "engines"}});
+  cluster.nodes.at("n1")->store.set_cut(false);
+  EXPECT_TRUE(held_back(first, "n1"));
+}
+
 TEST_F(OutOfStepNode, AStreamGoesOnAtANodeThatTheStoreAnswersSlowly) {
   const std::string first = begin_at("old");
   cluster.kill_node("n0");
--- a/tests/stream_origin/origin_decision_test.cc
+++ b/tests/stream_origin/origin_decision_test.cc
@@ -12,11 +12,11 @@
 
 origin_evidence versions(kind known, software_id software = software_id::kUnknown,
                          bool current = true) {
-  return {software_id::kUnknown, {known, software}, current};
+  return {software_id::kUnknown, {known, software}, current, route_span::kSole};
 }
 
 origin_evidence record(software_id software) {
-  return {software, {kind::kSeveral, software_id::kUnknown}, true};
+  return {software, {kind::kSeveral, software_id::kUnknown}, true, route_span::kSole};
 }
 
 TEST(OriginDecision, ARecordDecides) {
