Peers are asked again if this process stood still while their answers came

Seen by callers: a stream was refused as of unknown origin, or its only version concluded without the peers, though all peers had answered.

Cause: the question is given up 110 ms later by the clock, which also runs while the process is stopped or has no processor time. Answers in the socket came too late.

Change: a timer that fires over 50 ms late shows that the process stood still; the peers that have not answered are then asked again, four times at most.

Result: OriginExchangeTest.AsksAgainAfterItsProcessStoodStill; without the change the question ends (done is 1) as the process goes on. That was read, not run.

--- a/include/chalkshed/origin_exchange.h
+++ b/include/chalkshed/origin_exchange.h
@@ -36,6 +36,10 @@
      * after the other. Round trips take a millisecond in a zone, up to 40 between regions. */
     Duration repeat_after = std::chrono::milliseconds(45);
     Duration give_up_after = std::chrono::milliseconds(110);
+    /** A timer that is later than this shows that the process stood still meanwhile: the peers'
+     * silence then counts for nothing, and they are asked again. */
+    Duration longest_delay = std::chrono::milliseconds(50);
+    int max_rounds = 4;
 };
 
 /** What peers have said of a stream. */
@@ -83,11 +87,16 @@
         std::set<uint16_t> answered;
         std::vector<origin_evidence> evidence;
         on_evidence done;
+        MonotonicTime sent{};
+        int rounds = 0;
     };
     std::vector<Address> asked_for(stream_key stream) const;
     /** \return How many copies of the next origin the limit allows; counts their bytes. */
     size_t take_copies();
     void send_question(const open_question &open);
+    /** Sends the question, repeats it once, and ends it when its time is up. */
+    void ask_unanswered(uint64_t number);
+    void give_up(uint64_t number);
     void note_answer(const origin_answer &answer);
     void finish(uint64_t number);
 
--- a/src/stream_origin/origin_exchange.cc
+++ b/src/stream_origin/origin_exchange.cc
@@ -112,6 +112,13 @@
         finish(number);
         return;
     }
+    ask_unanswered(number);
+}
+
+void origin_exchange::ask_unanswered(uint64_t number) {
+    open_question &open = open_.at(number);
+    ++open.rounds;
+    open.sent = time_source_.monotonic_now();
     send_question(open);
     call_after(dispatcher_, knobs_.repeat_after, lifetime_.guard([this, number] {
         const auto found = open_.find(number);
@@ -120,7 +127,22 @@
         }
     }));
     call_after(dispatcher_, knobs_.give_up_after,
-               lifetime_.guard([this, number] { finish(number); }));
+               lifetime_.guard([this, number] { give_up(number); }));
+}
+
+// While this process stood still the time went on, and its peers' answers were not read.
+void origin_exchange::give_up(uint64_t number) {
+    const auto found = open_.find(number);
+    if (found == open_.end()) {
+        return;
+    }
+    const Duration late =
+        time_source_.monotonic_now() - found->second.sent - knobs_.give_up_after;
+    if (late > knobs_.longest_delay && found->second.rounds < knobs_.max_rounds) {
+        ask_unanswered(number);
+        return;
+    }
+    finish(number);
 }
 
 void origin_exchange::send_question(const open_question &open) {
--- a/tests/stream_origin/origin_exchange_test.cc
+++ b/tests/stream_origin/origin_exchange_test.cc
@@ -92,10 +92,10 @@
   ASSERT_EQ(datagrams.sent.size(), 8U);
   answer(0, {});
   EXPECT_EQ(done, 0);
-  answer(1, {software_id{9}, {}, true});
+  answer(1, {software_id{9}, {}, true, route_span::kSole});
   EXPECT_EQ(done, 1);
   ASSERT_EQ(evidence.size(), 2U);
-  answer(2, {software_id{9}, {}, true});
+  answer(2, {software_id{9}, {}, true, route_span::kSole});
   clock.run_for(milliseconds(500));
   EXPECT_EQ(done, 1);
 }
@@ -111,6 +111,29 @@
   EXPECT_EQ(evidence.size(), 1U);
 }
 
+// Guards against: a question was given up because its process, not its peers, had stood still.
+TEST_F(OriginExchangeTest, AsksAgainAfterItsProcessStoodStill) {
+  ask();
+  dispatcher.freeze();
+  clock.run_for(milliseconds(2000));
+  dispatcher.thaw();
+  clock.run_for(milliseconds(1));
+  EXPECT_EQ(done, 0);
+  answer(datagrams.sent.size() - 1, {software_id{9}, {}, true, route_span::kSole});
+  EXPECT_EQ(done, 1);
+}
+
+TEST_F(OriginExchangeTest, GivesUpThoughItsProcessStandsStillAgainAndAgain) {
+  ask();
+  for (int stop = 0; stop < 6; ++stop) {
+    dispatcher.freeze();
+    clock.run_for(milliseconds(2000));
+    dispatcher.thaw();
+    clock.run_for(milliseconds(1));
+  }
+  EXPECT_EQ(done, 1);
+}
+
 TEST_F(OriginExchangeTest, ARepeatedAnswerCountsOnce) {
   ask();
   for (int count = 0; count < 8; ++count) {
