A node that knows a stream's version reads its workers before it refuses the stream

Cause: the refusal rested on the workers of a view from before the attempt.

Result: OutOfStepNode.AStreamGoesOnOnceItsWorkersAreKnown; serving_test passes.

--- a/src/serving/stream_lookups.cc
+++ b/src/serving/stream_lookups.cc
@@ -62,12 +62,16 @@
   if (found == pending_.end()) {
     return;  // the caller has left
   }
+  const bool known = origin.source != origin_source::kUnknown;
+  const std::string* service =
+      known ? service_of(*found->second.received.route, origin.software) : nullptr;
+  if (known && service == nullptr && !std::exchange(found->second.views_read, true)) {
+    decide_with_new_views(id, origin);
+    return;
+  }
   Pending pending = std::move(found->second);
   pending_.erase(found);
   pending.received.writer->set_on_closed(nullptr);
-  const bool known = origin.source != origin_source::kUnknown;
-  const std::string* service =
-      known ? service_of(*pending.received.route, origin.software) : nullptr;
   if (service == nullptr) {
     refuse(pending, origin);
     return;
@@ -83,6 +87,11 @@
   on_known_(std::move(pending.received), *service, origin);
 }
 
+void StreamLookups::decide_with_new_views(uint64_t id, const stream_origin& origin) {
+  environment_.origins->confirm_views(
+      lifetime_.guard([this, id, origin](bool /*confirmed*/) { decide(id, origin); }));
+}
+
 void StreamLookups::refuse(const Pending& pending, const stream_origin& origin) {
   const bool known = origin.source != origin_source::kUnknown;
   const resumption_outcome outcome =
--- a/src/serving/stream_lookups.h
+++ b/src/serving/stream_lookups.h
@@ -40,8 +40,11 @@
   struct Pending {
     ReceivedRequest received;
     MonotonicTime since{};
+    bool views_read = false;  // since the attempt came
   };
   void decide(uint64_t id, const stream_origin& origin);
+  // The workers of the stream's version may have been listed since this node's last read.
+  void decide_with_new_views(uint64_t id, const stream_origin& origin);
   void refuse(const Pending& pending, const stream_origin& origin);
   // @return the service of the route whose workers run the software, or null.
   const std::string* service_of(const Route& route, software_id software) const;
--- a/tests/serving/out_of_step_stream_test.cc
+++ b/tests/serving/out_of_step_stream_test.cc
@@ -105,6 +105,15 @@
   EXPECT_TRUE(held_back(first, "n1"));
 }
 
+// Guards against: a node refused a stream whose workers it could have learned of.
+TEST_F(OutOfStepNode, AStreamGoesOnOnceItsWorkersAreKnown) {
+  cluster.nodes.at("n1")->store.set_cut(true);
+  release("2");
+  const std::string first = begin_at("v2");
+  cluster.nodes.at("n1")->store.set_cut(false);
+  EXPECT_TRUE(goes_on_at("v2", first, "n1"));
+}
+
 TEST_F(OutOfStepNode, AStreamGoesOnAtANodeThatTheStoreAnswersSlowly) {
   const std::string first = begin_at("old");
   cluster.kill_node("n0");
