A version that came and went unseen leaves a service's versions uncovered

Cause: rows that were added and removed between two reads reach a node as removals of rows that it never had, and were dropped; after the store's history was lost, not even those come. A version that served meanwhile was not in the node's versions, and the other one was taken for the only one.

Change: TableObserver::on_unseen_rows() tells of both; WorkerSet then counts the time before as not covered, and the origins of open streams go to peers.

--- a/include/chalkshed/service_versions.h
+++ b/include/chalkshed/service_versions.h
@@ -44,6 +44,10 @@
     /** One of its workers is listed no more. */
     void note_unlisted(software_id software, MonotonicTime now);
 
+    /** Workers of any version may have been listed and removed before `now`, without the calls
+     * above. */
+    void note_unseen(MonotonicTime now);
+
     /** \param longest How long before `now` the time begins; at most kMemory. */
     version_span span(Duration longest, MonotonicTime now) const;
     /** Number of versions with listed workers. */
@@ -65,7 +69,7 @@
     /** Number of entries from which on the old ones are dropped: a step for each row would walk all
      * of them, and workers that name no version have an entry each. */
     size_t forget_from_ = 8;
-    /** When the first worker was listed. */
+    /** Since when each version is known. */
     std::optional<MonotonicTime> known_since_;
 };
 
--- a/src/serving/worker_set.cc
+++ b/src/serving/worker_set.cc
@@ -152,6 +152,16 @@
   }
 }
 
+void WorkerSet::note_unseen_workers() {
+  const MonotonicTime now = time_source_.monotonic_now();
+  for (auto& [name, service] : services_) {
+    service.versions.note_unseen(now);
+    if (on_second_version_) {
+      on_second_version_(name);
+    }
+  }
+}
+
 void WorkerSet::drop_expired() {
   const MonotonicTime now = time_source_.monotonic_now();
   while (!unlisted_.empty() && now - unlisted_.front().since > knobs_.unlisted_grace) {
--- a/src/serving/worker_set.h
+++ b/src/serving/worker_set.h
@@ -103,6 +103,9 @@
   // record replaces it.
   void reject(const std::string& incarnation);
 
+  // Workers may have been listed, and removed again, without update() and remove().
+  void note_unseen_workers();
+
   // @return a slot, or null if no worker can take the request now.
   WorkerSlotPtr acquire_slot(const SlotRequest& request);
 
@@ -125,8 +128,8 @@
   void set_on_listing_changed(std::function<void(const std::string& service)> callback) {
     on_listing_changed_ = std::move(callback);
   }
-  // Called when a worker of a service's second version is listed. A stream's version is then no
-  // longer known from its service alone.
+  // Called when a worker of a service's second version is listed, or may have been. A stream's
+  // version is then no longer known from its service alone.
   void set_on_second_version(std::function<void(const std::string& service)> callback) {
     on_second_version_ = std::move(callback);
   }
--- a/src/serving/worker_watch.h
+++ b/src/serving/worker_watch.h
@@ -21,6 +21,7 @@
 
   void on_row(const StoredRow& row) override;
   void on_listed() override;
+  void on_unseen_rows() override { workers_.note_unseen_workers(); }
 
  private:
   bool listed_ = false;
--- a/src/stream_origin/service_versions.cc
+++ b/src/stream_origin/service_versions.cc
@@ -39,6 +39,12 @@
     }
 }
 
+void service_versions::note_unseen(MonotonicTime now) {
+    if (known_since_) {
+        known_since_ = now;
+    }
+}
+
 version_span service_versions::span(Duration longest, MonotonicTime now) const {
     version_span result;
     for (const auto &[software, listed] : listings_) {
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -105,6 +105,9 @@
   for (const StoredRow& row : absent) {
     notify(row);
   }
+  if (listed_) {
+    observer_.on_unseen_rows();  // since the history that was lost
+  }
   on_large_ = nullptr;
   const bool stale = version < followed_;
   as_of_ = stale ? as_of_ : std::max(as_of_, list_asked_);
@@ -269,12 +272,15 @@
   if (row.version <= known.version) {
     return;
   }
-  const bool nothing_new = row.removed && (known.removed || known.version == 0);
+  const bool unseen = row.removed && known.version == 0;
+  const bool nothing_new = row.removed && (known.removed || unseen);
   if (knobs_.keep_values) {
     index(entry, known.version, row.version);
   }
   known = {row.version, row.removed, knobs_.keep_values ? row.value : std::string()};
-  if (!nothing_new) {
+  if (unseen) {
+    observer_.on_unseen_rows();
+  } else if (!nothing_new) {
     observer_.on_row(row);
   }
 }
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -26,6 +26,8 @@
   virtual void on_row(const StoredRow& row) = 0;
   // on_row() has been called for all rows.
   virtual void on_listed() {}
+  // Rows may have been added and removed again that on_row() was never called for.
+  virtual void on_unseen_rows() {}
 };
 
 // Forwards the rows of one table to several observers, which must outlive it.
@@ -43,6 +45,11 @@
       observer->on_listed();
     }
   }
+  void on_unseen_rows() override {
+    for (TableObserver* observer : observers_) {
+      observer->on_unseen_rows();
+    }
+  }
 
  private:
   const std::vector<TableObserver*> observers_;
--- a/tests/serving/out_of_step_stream_test.cc
+++ b/tests/serving/out_of_step_stream_test.cc
@@ -105,6 +105,19 @@
   EXPECT_TRUE(held_back(first, "n1"));
 }
 
+// Guards against: a version that joined and left while the node was cut off.
+TEST_F(OutOfStepNode, NoStreamGoesOnAfterAVersionCameAndWentUnseen) {
+  cut("n1");
+  release("2");
+  const std::string first = begin_at("v2");
+  for (int number = 0; number < 3; ++number) {
+    remove("v2-" + std::to_string(number));
+  }
+  settle();
+  cluster.nodes.at("n1")->store.set_cut(false);
+  EXPECT_TRUE(held_back(first, "n1"));
+}
+
 // Guards against: a node refused a stream whose workers it could have learned of.
 TEST_F(OutOfStepNode, AStreamGoesOnOnceItsWorkersAreKnown) {
   cluster.nodes.at("n1")->store.set_cut(true);
--- a/tests/stream_origin/service_versions_test.cc
+++ b/tests/stream_origin/service_versions_test.cc
@@ -64,5 +64,13 @@
             kind::kUncovered);
 }
 
+TEST(ServiceVersions, ATimeInWhichWorkersMayHaveComeAndGoneUnseenIsNotCovered) {
+  service_versions versions;
+  versions.note_listed(kOne, kStart);
+  versions.note_unseen(kStart + seconds(60));
+  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(69)).known, kind::kUncovered);
+  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(70)).known, kind::kSole);
+}
+
 }  // namespace
 }  // namespace chalkshed
