The soak cuts nodes off from each other and the store while versions and routes change

The library that is preloaded into nodes does it as the coordinator writes one byte of a file that it maps. worker_release_all replaces all workers of a service, and versions are named by their service, so that two services with one version are told apart.

--- a/tests/soak/fleet/coordinator.cc
+++ b/tests/soak/fleet/coordinator.cc
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/record_codec.h"
+#include "tests/soak/fleet/cut_links.h"
 
 namespace chalkshed::soak {
 namespace {
@@ -70,6 +71,15 @@
     return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
 }
 
+void write_links(const std::string &file, uint8_t links) {
+    // In place: the node has mapped the file.
+    std::fstream output(file, std::ios::in | std::ios::out | std::ios::binary);
+    if (!output) {
+        output.open(file, std::ios::out | std::ios::binary);
+    }
+    output.put(static_cast<char>(links));
+}
+
 uint64_t memory_mb(pid_t process) {
     std::ifstream file("/proc/" + std::to_string(process) + "/statm");
     uint64_t total = 0;
@@ -85,6 +95,7 @@
         {"node_kill", &coordinator::kill_node},
         {"node_kill_all", &coordinator::kill_all_nodes},
         {"node_freeze", &coordinator::freeze_node},
+        {"node_cut", &coordinator::cut_nodes},
         {"node_stop", &coordinator::stop_node},
         {"node_reload", &coordinator::reload_node},
         {"node_replace", &coordinator::replace_node},
@@ -214,6 +225,8 @@
     }
     node.log_level = options_.log_level;
     node.preload = executable_folder() + "/" + kSourceLibrary;
+    node.links = node.folder + "/" + node.name + ".links";
+    write_links(node.links, kNoLinks);
     nodes_.push_back(std::make_unique<node_process>(std::move(node)));
     restart(*nodes_.back());
 }
@@ -494,6 +507,48 @@
     });
 }
 
+/** Cuts one to three nodes off from all others and the store, or some of these links alone; callers
+ * and workers are reached all the while. */
+void coordinator::cut_nodes(Duration length) {
+    constexpr uint64_t kMostNodes = 3;
+    constexpr uint64_t kAllPercent = 60;
+    for (uint64_t count = 1 + process_.random.below(kMostNodes); count > 0; --count) {
+        node_process *node = pick_undisturbed_node();
+        if (node == nullptr) {
+            continue;
+        }
+        const uint8_t links = process_.chance(kAllPercent)
+                                  ? static_cast<uint8_t>(kAllLinks)
+                                  : static_cast<uint8_t>(1 + process_.random.below(kAllLinks));
+        cut_node(*node, links, length);
+    }
+}
+
+void coordinator::cut_node(node_process &node, uint8_t links, Duration length) {
+    record_disturbance("node_cut", disturbed_part::kNode, node.name(), length);
+    write_links(node.links(), links);
+    const std::string ip = node.callers().ip;
+    const bool store = (links & kConnections) != 0;
+    if (store) {
+        store_.blocked_ips.insert(ip);
+        send_store_faults();
+    }
+    process_.run_after(length, [this, &node, ip, store] {
+        write_links(node.links(), kNoLinks);
+        if (store) {
+            unblock_at_store(ip);
+        }
+    });
+}
+
+void coordinator::unblock_at_store(const std::string &ip) {
+    const auto found = store_.blocked_ips.find(ip);
+    if (found != store_.blocked_ips.end()) {
+        store_.blocked_ips.erase(found);
+    }
+    send_store_faults();
+}
+
 /** Planned stops, sometimes of several nodes, some with reloads before and a repeated SIGTERM. */
 void coordinator::stop_node(Duration /*length*/) {
     node_process *node = pick_undisturbed_node();
@@ -617,13 +672,7 @@
         record_disturbance("store_cut", disturbed_part::kStore, node->name(), length);
         const std::string ip = node->callers().ip;
         store_.blocked_ips.insert(ip);
-        process_.run_after(length, [this, ip] {
-            const auto found = store_.blocked_ips.find(ip);
-            if (found != store_.blocked_ips.end()) {
-                store_.blocked_ips.erase(found);
-            }
-            send_store_faults();
-        });
+        process_.run_after(length, [this, ip] { unblock_at_store(ip); });
     }
     send_store_faults();
 }
--- a/tests/soak/fleet/coordinator.h
+++ b/tests/soak/fleet/coordinator.h
@@ -103,6 +103,9 @@
     void kill_node(Duration length);
     void kill_all_nodes(Duration length);
     void freeze_node(Duration length);
+    void cut_nodes(Duration length);
+    void cut_node(node_process &node, uint8_t links, Duration length);
+    void unblock_at_store(const std::string &ip);
     void stop_node(Duration length);
     void reload_node(Duration length);
     void replace_node(Duration length);
--- a/tests/soak/fleet/deployment.cc
+++ b/tests/soak/fleet/deployment.cc
@@ -631,7 +631,8 @@
         "worker_series",  "worker_leave",    "worker_break",   "worker_mute",
         "worker_unlucky", "worker_endless",  "worker_surplus", "worker_refuse",
         "worker_fail",    "worker_wrong",    "worker_flap",    "route_move",
-        "worker_release", "worker_rollback", "service_loss"};
+        "worker_release", "worker_rollback", "service_loss",   "node_cut",
+        "worker_release_all"};
     return kKinds;
 }
 
--- a/tests/soak/fleet/fleet_layout.h
+++ b/tests/soak/fleet/fleet_layout.h
@@ -12,6 +12,10 @@
 
 namespace chalkshed::soak {
 
+/** Last parts of the harness's addresses; node addresses lie below. */
+constexpr unsigned kStoreHost = 250;
+constexpr uint64_t kMaxNodes = 240;
+
 struct fleet_layout {
     /** All nodes have addresses 127.0.<network>.1 and on. */
     unsigned network = 9;
@@ -29,11 +33,11 @@
         return {node_ip(node), 18140};
     }
     Address store() const {
-        return {ip(250), 17500};
+        return {ip(kStoreHost), 17500};
     }
     /** Control addresses, at which the coordinator sends commands to the processes of a role. */
     Address store_control() const {
-        return {ip(250), 18000};
+        return {ip(kStoreHost), 18000};
     }
     Address worker_control(uint64_t process) const {
         return {ip(251), static_cast<uint16_t>(18000 + process)};
@@ -46,9 +50,6 @@
     }
 };
 
-/** Node addresses lie below those of the harness. */
-constexpr uint64_t kMaxNodes = 240;
-
 } // namespace chalkshed::soak
 
 #endif
--- a/tests/soak/fleet/worker_role.cc
+++ b/tests/soak/fleet/worker_role.cc
@@ -13,7 +13,8 @@
 using std::chrono::seconds;
 
 std::string version_name(const service_options &service, uint64_t number) {
-    return service.versions == 0 ? "" : "v" + std::to_string(number);
+    // Names the service: what two services write does not fit together either.
+    return service.versions == 0 ? "" : service.name + ".v" + std::to_string(number);
 }
 
 /** A crashed worker is removed from the worker table after three missed heartbeats. */
@@ -50,7 +51,8 @@
             {"worker_kill", [&] { crash(); }},
             {"worker_rack", [&] { crash_rack(); }},
             {"worker_series", [&] { crash_series(); }},
-            {"worker_release", [&] { release(); }},
+            {"worker_release", [&] { release(replaced_share::kHalf); }},
+            {"worker_release_all", [&] { release(replaced_share::kAll); }},
             {"worker_rollback", [&] { roll_back(); }},
         };
         kinds.at(fields.at("kind"))();
@@ -252,10 +254,10 @@
     process_.add_record(entry);
 }
 
-void worker_role::release() {
+void worker_role::release(replaced_share share) {
     for (const service_options &service : process_.options.plan.services) {
         if (service.versions > 0) {
-            replace_by(service, version_name(service, ++newest_[service.name]));
+            replace_by(service, version_name(service, ++newest_[service.name]), share);
         }
     }
 }
@@ -263,18 +265,22 @@
 void worker_role::roll_back() {
     for (const service_options &service : process_.options.plan.services) {
         if (service.versions > 0 && newest_[service.name] > 1) {
-            replace_by(service, version_name(service, --newest_[service.name]));
+            replace_by(service, version_name(service, --newest_[service.name]),
+                       replaced_share::kHalf);
         }
     }
 }
 
 /** One worker after the other; those of other versions leave first. */
-void worker_role::replace_by(const service_options &service, const std::string &version) {
+void worker_role::replace_by(const service_options &service, const std::string &version,
+                             replaced_share share) {
     constexpr Duration kStep = milliseconds(400);
     std::vector<fleet_worker *> leaving = serving(service);
     std::stable_partition(leaving.begin(), leaving.end(),
                           [&](const fleet_worker *worker) { return worker->version() != version; });
-    leaving.resize(leaving.size() / 2 + process_.random.below(2) * (leaving.size() % 2));
+    if (share == replaced_share::kHalf) {
+        leaving.resize(leaving.size() / 2 + process_.random.below(2) * (leaving.size() % 2));
+    }
     Duration wait{0};
     for (fleet_worker *worker : leaving) {
         process_.run_after(wait, [this, &service, version, worker] {
--- a/tests/soak/fleet/worker_role.h
+++ b/tests/soak/fleet/worker_role.h
@@ -45,11 +45,13 @@
     void fail_by_turns(Duration length);
     void drain_and_stop();
     void drain_and_stop(fleet_worker &worker);
-    /** Replaces a share of the workers of a service by workers of the next version. */
-    void release();
-    /** The same, by workers of the version before the newest. */
+    enum class replaced_share : uint8_t { kHalf, kAll };
+    /** Replaces a share of the workers of each service by workers of the next version. */
+    void release(replaced_share share);
+    /** Replaces half of them by workers of the version before the newest. */
     void roll_back();
-    void replace_by(const service_options &service, const std::string &version);
+    void replace_by(const service_options &service, const std::string &version,
+                    replaced_share share);
     /** The workers of the service that are neither draining nor crashed. */
     std::vector<fleet_worker *> serving(const service_options &service) const;
     /** Records that it serves, or serves no more. */
--- a/tests/soak/node_process.cc
+++ b/tests/soak/node_process.cc
@@ -9,6 +9,8 @@
 #include <cstdlib>
 #include <fstream>
 
+#include "tests/soak/fleet/cut_links.h"
+
 namespace chalkshed::soak {
 namespace {
 
@@ -63,6 +65,7 @@
     if (!options_.preload.empty()) {
         setenv("LD_PRELOAD", options_.preload.c_str(), 1);
         setenv("CHALKSHED_SOAK_SOURCE", options_.ip.c_str(), 1);
+        setenv(kCutLinksVariable, options_.links.c_str(), 1);
     }
     const std::string level = "--log-level=" + options_.log_level;
     execl(options_.program.c_str(), "chalkshed-serve", settings.c_str(), level.c_str(),
--- a/tests/soak/node_process.h
+++ b/tests/soak/node_process.h
@@ -27,6 +27,8 @@
     std::string settings = {};
     /** The LD_PRELOAD library of the process; none if empty. */
     std::string preload = {};
+    /** The file that says which links are cut (fleet/cut_links.h); none if empty. */
+    std::string links = {};
 };
 
 class node_process {
@@ -57,6 +59,10 @@
     pid_t process() const {
         return process_;
     }
+    /** The file that says which of its links are cut. */
+    const std::string &links() const {
+        return options_.links;
+    }
     const std::string &name() const {
         return options_.name;
     }
