A row of the node table that cannot be read ends no node

Seen (report of other operators, about the list of workers): one odd entry of another writer ends each machine that reads the list. In the workers' table this does not happen here; in the nodes' table it did.

Cause: PeerExchange read fields of the row with json::value(), which throws if a field has another type; the exception left the event loop and ended the process.

--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <nlohmann/json.hpp>
 
 #include "src/core/digest.h"
 #include "src/core/number_text.h"
@@ -63,13 +62,12 @@
 }
 
 void PeerExchange::announce() {
-  const nlohmann::json value = {
-      {"session", identity_.session},         {"zone", identity_.zone},
-      {"ip", identity_.address.ip},           {"port", identity_.address.port},
-      {"caller_port", identity_.caller_port}, {"capacity", identity_.capacity}};
+  const std::string value =
+      encode_node_announcement({identity_.session, identity_.zone, identity_.address,
+                                identity_.caller_port, identity_.capacity});
   const StoredRowKey own = {kNodeTable, "", identity_.node};
   StoreTransaction announcement;
-  announcement.writes.push_back({own, value.dump()});
+  announcement.writes.push_back({own, value});
   if (own_announced_) {
     announcement.conditions.push_back({own, own_announcement_});
   }
@@ -106,24 +104,41 @@
   return std::max(kLeast, std::chrono::duration_cast<Duration>(window * share));
 }
 
-std::string PeerExchange::session_of(const StoredRow& row) {
-  const nlohmann::json fields =
-      row.removed ? nlohmann::json() : nlohmann::json::parse(row.value, nullptr, false);
-  return fields.is_object() ? fields.value("session", "") : "";
+node_announcement PeerExchange::announcement_in(const StoredRow& row) {
+  if (row.removed) {
+    return {};
+  }
+  const Expected<node_announcement> read = decode_node_announcement(row.value);
+  if (read) {
+    return *read;
+  }
+  metrics_
+      .counter("chalkshed_announcements_rejected_total",
+               "Rows of the node table that cannot be read.", {})
+      .add(1);
+  if (unreadable_rows_logged_.admit(time_source_.monotonic_now())) {
+    logger_.write(LogLevel::kWarning, "announcement_rejected",
+                  {{"peer", row.key.key},
+                   {"store_version", std::to_string(row.version)},
+                   {"reason", read.error().message},
+                   {"remedy", read.error().remedy}});
+  }
+  return {};
 }
 
 // A write whose answer was lost may be done late: the announcement of an earlier process of this
 // node then replaces that of this one. The pause bounds the writes if two processes claim the name
 // of one node.
 void PeerExchange::announce_again_if_replaced(const StoredRow& row) {
+  const std::string session = announcement_in(row).session;
   const bool replaced = own_announced_ && row.version > acknowledged_announcement_ &&
-                        session_of(row) != identity_.session;
+                        session != identity_.session;
   if (!replaced || draining_ || announce_timer_->enabled()) {
     return;
   }
   logger_.write(LogLevel::kWarning, "announcement_replaced",
                 {{"session", identity_.session},
-                 {"by", session_of(row)},
+                 {"by", session},
                  {"store_version", std::to_string(row.version)},
                  {"remedy", "none needed: the node is announced again"}});
   const Duration since = time_source_.monotonic_now() - announced_again_;
@@ -138,21 +153,18 @@
     return;
   }
   Peer& peer = peers_[row.key.key];
-  const nlohmann::json fields =
-      row.removed ? nlohmann::json() : nlohmann::json::parse(row.value, nullptr, false);
-  const std::string session = session_of(row);
+  const node_announcement announced = announcement_in(row);
+  const std::string& session = announced.session;
   if (session == peer.session) {
     return;
   }
   apply_loads(peer, {});
   peer = Peer{};
   peer.session = session;
-  if (fields.is_object()) {
-    peer.address = {fields.value("ip", ""), fields.value("port", uint16_t{0})};
-    peer.zone = fields.value("zone", "");
-    peer.caller_port = fields.value("caller_port", uint16_t{0});
-    peer.capacity = fields.value("capacity", 0.0);
-  }
+  peer.address = announced.address;
+  peer.zone = announced.zone;
+  peer.caller_port = announced.caller_port;
+  peer.capacity = announced.capacity;
   ++announcements_;
   count_peers_soon();
   peer.announcement = row.version;
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -14,6 +14,7 @@
 
 #include "chalkshed/load_relay.h"
 #include "chalkshed/log_limit.h"
+#include "chalkshed/node_announcement.h"
 #include "src/core/address.h"
 #include "src/core/dispatcher.h"
 #include "src/core/lifetime.h"
@@ -206,8 +207,9 @@
   void announce();
   // @param row of this node.
   void announce_again_if_replaced(const StoredRow& row);
-  // @return the session that the row of a node names; empty: none.
-  static std::string session_of(const StoredRow& row);
+  // @return what the row of a node says; without a session if it was removed or cannot be read,
+  // which is logged.
+  node_announcement announcement_in(const StoredRow& row);
   // Delay until the announcement is sent again; differs between nodes.
   Duration announce_delay() const;
   void tick();
@@ -307,6 +309,7 @@
   MonotonicTime last_heard_any_peer_{};
   log_limit unknown_logged_;
   log_limit unreadable_logged_;
+  log_limit unreadable_rows_logged_;
   load_relay relay_;
   bool was_relayed_ = false;
   bool heard_informed_relay_ = false;
