Odd values of a configuration neither end a node nor overflow its times

Cause: the message about a limit that is no number wrote the value out with dump(), which recurses; 200,000 levels overflow the stack. Times were cast from double without a bound: 1e308 ms is undefined behaviour, and negative times were taken.

Result: OddValues, 56 cases.

--- a/tests/platform/record_codec_test.cc
+++ b/tests/platform/record_codec_test.cc
@@ -201,4 +201,85 @@
 }
 
 }  // namespace
+// Values that no operator and no worker writes, for each field of a row in turn.
+class OddValues : public testing::TestWithParam<std::string> {
+ protected:
+  static std::string with(std::string_view row, const std::string& field) {
+    nlohmann::json fields = nlohmann::json::parse(row);
+    replace(fields, field);
+    std::string text = fields.dump();
+    const std::string mark = "\"odd\"";
+    for (size_t at = text.find(mark); at != std::string::npos; at = text.find(mark, at)) {
+      text.replace(at, mark.size(), GetParam());
+      at += GetParam().size();
+    }
+    return text;
+  }
+
+ private:
+  static void replace(nlohmann::json& fields, const std::string& name) {
+    for (auto& [key, value] : fields.items()) {
+      if (key == name) {
+        value = "odd";
+      } else if (value.is_structured()) {
+        replace(value, name);
+      }
+    }
+  }
+};
+
+std::string nested(size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); }
+
+INSTANTIATE_TEST_SUITE_P(Rows, OddValues,
+                         testing::Values("1e999", "1e308", "-1e308", "18446744073709551616",
+                                         "-9223372036854775809", "65536", "-1", "null", "true",
+                                         "\"text\"", "{}", std::string(400, '9'), nested(20'000),
+                                         nested(200'000)));
+
+// Guards against: an odd field ended the node, or gave a time that overflows.
+TEST_P(OddValues, OfAConfigurationAreRejectedOrGiveUsableTimes) {
+  for (const char* field :
+       {"version", "name", "host", "path_prefix", "kind", "timeout_ms", "target_ms", "priority",
+        "service", "attempts", "resumable", "gap_target_ms", "split", "weight", "run_target_ms",
+        "retention_s", "max_conns", "engine", "kv_capacity", "limits", "idle_timeout_ms",
+        "max_body_bytes", "routes", "services"}) {
+    const Expected<RouteTable> table = decode_routes(with(kConfiguration, field));
+    if (!table) {
+      EXPECT_LT(table.error().message.size(), 1000U);
+      continue;
+    }
+    for (const Route& route : table->routes()) {
+      for (const Duration time : {route.timeout, route.target, route.longest_pause,
+                                  route.run_target, route.retention}) {
+        EXPECT_GE(time, Duration(0)) << field << " " << GetParam();
+        EXPECT_LE(time, std::chrono::hours(24 * 3660)) << field << " " << GetParam();
+      }
+    }
+  }
+}
+
+TEST_P(OddValues, OfAWorkerAreRejectedOrGiveUsableTimes) {
+  constexpr const char* kWorker = R"({"service": "s", "address": "10.1.0.1:80", "zone": "z",
+      "version": "1", "slots": 4, "state": "ready", "cold_left_ms": 5, "seq": 1, "born": 7})";
+  for (const char* field : {"service", "address", "zone", "version", "slots", "state",
+                            "cold_left_ms", "seq", "born"}) {
+    const Expected<WorkerRecord> worker = decode_worker("i-1", with(kWorker, field));
+    if (!worker) {
+      EXPECT_LT(worker.error().message.size(), 1000U);
+    } else {
+      EXPECT_GE(worker->cold_left, Duration(0));
+      EXPECT_GT(worker->slots, 0U);
+    }
+  }
+}
+
+TEST_P(OddValues, OfALimitAreRejectedOrRead) {
+  const Expected<RouteTable> table = decode_routes(with_queue_limit(GetParam()));
+  if (!table) {
+    EXPECT_LT(table.error().message.size(), 1000U);
+  }
+}
+
+TEST_P(OddValues, OfAnEvacuationAreRejected) { EXPECT_FALSE(check_evacuation(nested(200'000))); }
+
 }  // namespace chalkshed::platform
