A page of rows is as old as the request for it, not as its arrival

Cause: TableWatcher::learn() took the age that a peer gives its page as of the moment at which the page was read here. The time on the way, and that for which this node stood still with the page in its socket, was not counted, so that a view could pass for seconds younger than it was.

Change: the age counts from the time at which the page was requested.

--- a/include/chalkshed/first_copy.h
+++ b/include/chalkshed/first_copy.h
@@ -70,7 +70,8 @@
 private:
     void choose_source();
     void ask_peer();
-    void handle_answer(const Address &peer, const Expected<HttpResponse> &answer);
+    void handle_answer(const Address &peer, MonotonicTime asked,
+                       const Expected<HttpResponse> &answer);
     void read_store(const char *reason);
 
     environment environment_;
--- a/include/chalkshed/row_handover.h
+++ b/include/chalkshed/row_handover.h
@@ -98,7 +98,8 @@
     void request(StoreVersion version);
 
 private:
-    void handle_answer(const Address &peer, const Expected<HttpResponse> &answer);
+    void handle_answer(const Address &peer, MonotonicTime asked,
+                       const Expected<HttpResponse> &answer);
 
     TimeSource &time_source_;
     HttpClient &client_;
--- a/src/watch/first_copy.cc
+++ b/src/watch/first_copy.cc
@@ -76,13 +76,15 @@
   options.pool = "peers";
   options.connect_timeout = knobs_.connect_timeout;
   options.idle_timeout = knobs_.answer_timeout;
+  const MonotonicTime asked = environment_.time_source.monotonic_now();
   environment_.client.fetch(peer, query, options,
-                            lifetime_.guard([this, peer](const Expected<HttpResponse>& answer) {
-                              handle_answer(peer, answer);
+                            lifetime_.guard([this, peer, asked](const Expected<HttpResponse>& answer) {
+                              handle_answer(peer, asked, answer);
                             }));
 }
 
-void first_copy::handle_answer(const Address& peer, const Expected<HttpResponse>& answer) {
+void first_copy::handle_answer(const Address& peer, MonotonicTime asked,
+                               const Expected<HttpResponse>& answer) {
   const auto copy =
       answer && answer->status == kOk ? decode_page(table_, answer->body) : std::nullopt;
   if (!copy || !copy->whole) {
@@ -95,7 +97,7 @@
     timer_->enable(knobs_.retry_delay);
     return;
   }
-  watcher_.learn(*copy);
+  watcher_.learn(*copy, asked);
 }
 
 }  // namespace chalkshed
--- a/src/watch/row_handover.cc
+++ b/src/watch/row_handover.cc
@@ -179,13 +179,14 @@
   options.connect_timeout = knobs_.connect_timeout;
   options.idle_timeout = knobs_.answer_timeout;
   client_.fetch(*peer, query, options,
-                lifetime_.guard([this, from = *peer](const Expected<HttpResponse>& answer) {
+                lifetime_.guard([this, from = *peer, now](const Expected<HttpResponse>& answer) {
                   request_pending_ = false;
-                  handle_answer(from, answer);
+                  handle_answer(from, now, answer);
                 }));
 }
 
-void row_handover::handle_answer(const Address& peer, const Expected<HttpResponse>& answer) {
+void row_handover::handle_answer(const Address& peer, MonotonicTime asked,
+                                 const Expected<HttpResponse>& answer) {
   const auto page =
       answer && answer->status == kOk ? decode_page(name_, answer->body) : std::nullopt;
   if (!page) {
@@ -196,7 +197,7 @@
          {"reason", answer ? "status " + std::to_string(answer->status) : answer.error().message}});
     return;
   }
-  table_.learn(*page);
+  table_.learn(*page, asked);
   logger_.write(LogLevel::kInfo, "rows_handed",
                 {{"table", name_},
                  {"peer", to_string(peer)},
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -318,7 +318,7 @@
   notify(row);
 }
 
-void TableWatcher::learn(const table_page& page) {
+void TableWatcher::learn(const table_page& page, MonotonicTime asked) {
   may_have_missed_ = true;
   for (const StoredRow& row : page.rows) {
     notify(row);
@@ -336,7 +336,7 @@
   }
   followed_ = page.through;
   complete_since_ = page.whole ? page.through : complete_since_;
-  as_of_ = std::max(as_of_, time_source_.monotonic_now() - page.age);
+  as_of_ = std::max(as_of_, asked - page.age);
   if (!std::exchange(listed_, true)) {
     on_large_ = nullptr;
     retry_timer_->disable();  // it may be set for a list that the store refused
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -139,7 +139,8 @@
   // The number of rows of that page, without building it.
   size_t page_rows(StoreVersion since) const;
   // Applies a page from a peer. A whole page replaces the initial list of the table.
-  void learn(const table_page& page);
+  // @param asked when the page was requested: its age is that at its peer, some time later.
+  void learn(const table_page& page, MonotonicTime asked);
   // Called when a row that other nodes have has not arrived in time.
   void set_on_missed(std::function<void(StoreVersion)> callback) {
     on_missed_ = std::move(callback);
--- a/tests/watch/row_handover_test.cc
+++ b/tests/watch/row_handover_test.cc
@@ -118,10 +118,32 @@
   cluster.clock.run_for(milliseconds(50));
   cluster.write_worker("i-9", 9, "ready");
   cluster.clock.run_for(milliseconds(50));
-  early->learn(*late->page_after(early->known_through()));
+  early->learn(*late->page_after(early->known_through()), cluster.clock.monotonic_now());
   EXPECT_EQ(early_keys.keys, (std::set<std::string>{"i-0", "i-9"}));
 }
 
+// Guards against: a node that stood still took a page that had waited for it for as recent as it was
+// when its peer sent it.
+TEST(RowHandoverTest, APageIsAsOldAsTheRequestForIt) {
+  ServingCluster cluster(1);
+  class Nothing : public TableObserver {
+    void on_row(const StoredRow& /*row*/) override {}
+  };
+  Nothing observer;
+  NullLogger logger;
+  MemoryWatchedStore store(cluster.shared, cluster.clock, cluster.loop);
+  TableWatcher watcher(cluster.clock, cluster.loop, store, logger, "servers", {""}, observer,
+                       TableWatcherKnobs{.pace = {}, .keep_values = true});
+  const MonotonicTime asked = cluster.clock.monotonic_now();
+  table_page page;
+  page.through = cluster.shared.rows.version();
+  page.whole = true;
+  page.age = seconds(1);
+  cluster.clock.run_for(seconds(3));
+  watcher.learn(page, asked);
+  EXPECT_EQ(watcher.age(), seconds(4));
+}
+
 // In a zone with relays, members get changes of workers from peers: the store sends them no row.
 TEST(RowHandoverTest, AMemberOfAZoneWithRelaysLearnsWorkersFromPeersWithinASecond) {
   ServingCluster cluster(1);
