What a cut-off node may still begin counts against a sole version

Cause: a version that was listed no longer than a stream lasts was left out, and a node covered the time after as long: both say nothing of nodes with older views.

Change: versions and changes of routes count for five minutes after they have gone, and a node covers a service, and the routes, only once it has known them for as long. A node whose views are older than four minutes while others may reach the store begins no streams that may be taken up (503 at once, not run); streams last a minute at most, so that others remember what it may begin. While the store is away for all, streams begin as before.

Tests: ServiceVersions and RouteHistory asked that a version be sole, and a time covered, after as long as a stream lasts; that bound was the fault, and they ask for five minutes now. Fixtures that need a sole version run for as long.

--- a/include/chalkshed/route_history.h
+++ b/include/chalkshed/route_history.h
@@ -33,18 +33,17 @@
 
 class route_history {
 public:
-    /** A change counts for this long: a node that is cut off begins streams by an older
-     * configuration, and they last on. */
-    static constexpr Duration kMemory = std::chrono::minutes(2);
+    /** A change counts for this long, and each configuration must have been known for it. That is
+     * longer than streams last: a node that is cut off still begins streams by an older one. */
+    static constexpr Duration kMemory = std::chrono::minutes(5);
 
     /** The table is in force from now on.
      * \param missed Whether another one that this node never saw may have been in force since the
      * last call. */
     void note(RouteTablePtr table, bool missed, MonotonicTime now);
-    /** \param longest How far back a stream may have begun; at most kMemory.
-     * \return Whether requests for that host and path have gone to `service` alone. */
+    /** \return Whether requests for that host and path have gone to `service` alone. */
     route_span span(std::string_view host, std::string_view path, std::string_view service,
-                    Duration longest, MonotonicTime now) const;
+                    MonotonicTime now) const;
 private:
     /** Host and path prefix. */
     using route_key = std::pair<std::string, std::string>;
--- a/include/chalkshed/service_versions.h
+++ b/include/chalkshed/service_versions.h
@@ -36,7 +36,9 @@
 
 class service_versions {
 public:
-    /** Versions that were not listed for this long are forgotten: longer than any stream lasts. */
+    /** Versions that were not listed for this long are forgotten, and a service must have been known
+     * for this long. That is longer than streams last: a node that is cut off still begins streams
+     * at versions that have gone. */
     static constexpr Duration kMemory = std::chrono::minutes(5);
 
     /** A worker of that version was listed. */
@@ -48,7 +50,8 @@
      * above. */
     void note_unseen(MonotonicTime now);
 
-    /** \param longest How long before `now` the time begins; at most kMemory. */
+    /** \param longest How far back a stream may have begun; at most kMemory.
+     * \return The versions that may have begun it. */
     version_span span(Duration longest, MonotonicTime now) const;
     /** Number of versions with listed workers. */
     size_t listed() const {
--- a/include/chalkshed/stream_origins.h
+++ b/include/chalkshed/stream_origins.h
@@ -32,6 +32,12 @@
     /** Called with whether workers and routes were read from the store after the call. */
     using on_confirmed = std::function<void(bool)>;
 
+    /** A node whose views are older than this begins no streams that may be taken up: with the time
+     * that they last, others would no longer remember the versions and routes that it knows. */
+    static constexpr Duration kBeginLease =
+        service_versions::kMemory - origin_table::limits{}.lifetime;
+    static_assert(route_history::kMemory >= service_versions::kMemory);
+
     /** This node's views of the store. */
     struct views {
         /** Whether those of workers and routes are as recent as those of any other node. */
@@ -40,6 +46,9 @@
         std::function<Duration()> age = [] { return Duration(0); };
         /** Reads workers and routes from the store. */
         std::function<void(on_confirmed)> confirm = [](const on_confirmed &done) { done(true); };
+        /** Whether others may have learned from the store what this node has not, for
+         * kBeginLease. */
+        std::function<bool()> lapsed = [] { return false; };
         /** Whether the store may not answer when a stream is taken up. */
         std::function<bool()> store_doubtful = [] { return false; };
     };
@@ -55,6 +64,10 @@
      * \param missed As for route_history::note(). */
     void note_routes(const RouteTablePtr &table, bool missed);
 
+    /** Whether this node may begin streams that may be taken up elsewhere. */
+    bool may_begin() const {
+        return !views_.lapsed();
+    }
     /** The caller of this attempt is about to get the first event.
      * \param software Of the worker that began the stream, which is another one than that of the
      * event if the attempt takes the stream up. */
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -244,6 +244,10 @@
   views.confirm = [this](view_confirmation::on_confirmed done) {
     view_confirmation_.confirm(std::move(done));
   };
+  views.lapsed = [this] {
+    const Duration age = std::max(worker_table_.age(), route_table_.age());
+    return age > stream_origins::kBeginLease && peers_.others_may_reach_store();
+  };
   views.store_doubtful = [this] { return peers_.entries_may_have_lapsed(); };
   stream_origins_.set_views(std::move(views));
   view_confirmation_.set_nodes([this] { return peers_.announced_nodes(); });
--- a/src/serving/serving_gateway.cc
+++ b/src/serving/serving_gateway.cc
@@ -36,6 +36,9 @@
     lookups_.add({std::move(table), &route, std::move(request), std::move(writer)});
     return;
   }
+  if (refuse_if_lapsed(route, request, *writer)) {
+    return;
+  }
   const std::string service = draw_.draw(route);
   const auto admitted = admit(route, service, request, *writer);
   if (admitted) {
@@ -44,6 +47,21 @@
   }
 }
 
+bool ServingGateway::refuse_if_lapsed(const Route& route, const ServingRequest& request,
+                                      ResponseWriter& writer) {
+  const bool resumable = route.kind == RouteKind::kStreaming && route.resumable;
+  if (!resumable || environment_.origins == nullptr || environment_.origins->may_begin()) {
+    return false;
+  }
+  Error error = not_run(ErrorKind::kUnavailable,
+                        "this node has been cut off from the store for too long to begin streams",
+                        "send the request to another node");
+  error.retry_after = environment_.knobs.retry_after;
+  writer.respond(environment_.protocol.refusal(request.id, error));
+  end_unsent(request, route, "view_lapsed");
+  return true;
+}
+
 void ServingGateway::end_unsent(const ServingRequest& request, const Route& route,
                                 const std::string& end) {
   if (quota_ != nullptr) {
--- a/src/serving/serving_gateway.h
+++ b/src/serving/serving_gateway.h
@@ -53,6 +53,9 @@
   // @param origin of the stream that the request goes on with; kUnknown: it begins one.
   void begin(ReceivedRequest received, const std::string& service, const stream_origin& origin,
              const shared_verdict& admitted);
+  // Refuses a stream that may be taken up if this node's views are too old to begin it.
+  // @return whether it was refused.
+  bool refuse_if_lapsed(const Route& route, const ServingRequest& request, ResponseWriter& writer);
   // Ends a request that no worker has run.
   void end_unsent(const ServingRequest& request, const Route& route, const std::string& end);
   // Decides on the request; answers it if it is refused.
--- a/src/stream_origin/route_history.cc
+++ b/src/stream_origin/route_history.cc
@@ -65,8 +65,7 @@
 }
 
 route_span route_history::span(std::string_view host, std::string_view path,
-                               std::string_view service, Duration longest,
-                               MonotonicTime now) const {
+                               std::string_view service, MonotonicTime now) const {
     const Route *route = current_ ? current_->find(host, path) : nullptr;
     if (route == nullptr || route->services.size() != 1 ||
         route->services.front().service != service) {
@@ -75,7 +74,7 @@
     if (changed(host, path, now)) {
         return route_span::kChanged;
     }
-    const bool covered = longest <= kMemory && now - *covered_since_ >= longest;
+    const bool covered = now - *covered_since_ >= kMemory;
     return covered ? route_span::kSole : route_span::kUncovered;
 }
 
--- a/src/stream_origin/service_versions.cc
+++ b/src/stream_origin/service_versions.cc
@@ -48,7 +48,7 @@
 version_span service_versions::span(Duration longest, MonotonicTime now) const {
     version_span result;
     for (const auto &[software, listed] : listings_) {
-        if (listed.workers == 0 && now - listed.until > longest) {
+        if (listed.workers == 0 && now - listed.until > kMemory) {
             continue;
         }
         if (result.software != software_id::kUnknown) {
@@ -56,7 +56,7 @@
         }
         result.software = software;
     }
-    const bool covered = known_since_ && now - *known_since_ >= longest && longest <= kMemory;
+    const bool covered = known_since_ && now - *known_since_ >= kMemory && longest <= kMemory;
     if (covered && result.software != software_id::kUnknown) {
         result.known = version_span::kind::kSole;
     }
--- a/src/stream_origin/stream_origins.cc
+++ b/src/stream_origin/stream_origins.cc
@@ -34,8 +34,7 @@
                                       Duration longest, MonotonicTime now) const {
     return !views_.store_doubtful() &&
            workers_.versions(service, longest).known == version_span::kind::kSole &&
-           routes_.span(request.host, request.message.path, service, longest, now) ==
-               route_span::kSole;
+           routes_.span(request.host, request.message.path, service, now) == route_span::kSole;
 }
 
 void stream_origins::note_begun(const ServingRequest &request, const Route &route,
@@ -91,7 +90,7 @@
     }
     if (!question.host.empty()) {
         evidence.route = routes_.span(question.host, question.path, question.service,
-                                      question.longest, time_source_.monotonic_now());
+                                      time_source_.monotonic_now());
     }
     evidence.current = views_.current();
     return evidence;
--- a/tests/jobs/item_version_test.cc
+++ b/tests/jobs/item_version_test.cc
@@ -14,7 +14,7 @@
     write("old-1", 1, "1");
     cluster.start_node("n0");
     cluster.start_node("n1");
-    cluster.clock.run_for(seconds(5));
+    cluster.clock.run_for(service_versions::kMemory + seconds(5));
     cluster.node("n0").jobs().submit(cluster.job("j1", 1), [](const Expected<std::monostate>&) {});
     cluster.clock.run_for(seconds(1));
   }
--- a/tests/serving/out_of_step_stream_test.cc
+++ b/tests/serving/out_of_step_stream_test.cc
@@ -59,7 +59,7 @@
   cluster.write_configuration(2, [](nlohmann::json& configuration) {
     configuration["services"].push_back({{"name", "others"}, {"max_conns", 100}});
   });
-  cluster.clock.run_for(seconds(30));
+  run_until_covered();
   const std::string first = begin_at("old");
   cluster.kill_node("n0");
   move_routes(3, {{"service", "others"}});
@@ -69,7 +69,7 @@
 // Guards against: a node that had never seen the earlier route took the only version for the origin.
 TEST_F(OutOfStepNode, NoStreamGoesOnAtAnotherServiceAtANodeThatStartedAfterTheMove) {
   write_other("other-0", 0, "2");
-  cluster.clock.run_for(seconds(30));
+  run_until_covered();
   const std::string first = begin_at("old");
   move_routes(2, {{"service", "others"}});
   for (const char* name : {"n0", "n1", "n2"}) {
@@ -85,7 +85,7 @@
   write_other("other-0", 0, "1");
   const auto part = [](const char* service) { return nlohmann::json{{"service", service}}; };
   move_routes(2, {{"split", {part("engines"), part("others")}}});
-  cluster.clock.run_for(seconds(200));
+  run_until_covered();
   const std::string at_engines = begin_at("old");
   const std::string at_others = begin_at("other");
   cluster.kill_node("n0");
@@ -96,7 +96,7 @@
 // Guards against: a route that led elsewhere while the node was cut off, and leads back now.
 TEST_F(OutOfStepNode, NoStreamGoesOnAfterItsRouteMovedAndCameBackUnseen) {
   write_other("other-0", 0, "2");
-  cluster.clock.run_for(seconds(30));
+  run_until_covered();
   cut("n1");
   move_routes(2, {{"service", "others"}});
   const std::string first = begin_at("other");
@@ -118,6 +118,30 @@
   EXPECT_TRUE(held_back(first, "n1"));
 }
 
+// Guards against: a node that had been cut off for longer than others remember began a stream.
+TEST_F(OutOfStepNode, NoStreamBeginsAtANodeThatWasCutOffForMinutes) {
+  cut("n1");
+  cluster.clock.run_for(stream_origins::kBeginLease - seconds(10));
+  const SeenAnswerPtr before = cluster.request("/stream/x", "before", "n1");
+  EXPECT_EQ(before->status, 0) << "it is sent to a worker";
+  cluster.clock.run_for(seconds(20));
+  const SeenAnswerPtr after = cluster.request("/stream/x", "after", "n1");
+  EXPECT_EQ(after->status, 503);
+  EXPECT_EQ(cluster.request("/plain/x", "plain", "n1")->status, 0);
+  cluster.hub.cut.clear();
+  cluster.nodes.at("n1")->store.set_cut(false);
+  cluster.clock.run_for(seconds(5));
+  EXPECT_EQ(cluster.request("/stream/x", "again", "n1")->status, 0);
+}
+
+TEST_F(OutOfStepNode, StreamsBeginWhileTheStoreIsAwayForAllForMinutes) {
+  cluster.shared.trouble.down = true;
+  cluster.clock.run_for(2 * stream_origins::kBeginLease);
+  const std::string first = begin_at("old");
+  cluster.kill_node("n0");
+  EXPECT_TRUE(goes_on_at("old", first, "n1"));
+}
+
 // Guards against: a node refused a stream whose workers it could have learned of.
 TEST_F(OutOfStepNode, AStreamGoesOnOnceItsWorkersAreKnown) {
   cluster.nodes.at("n1")->store.set_cut(true);
--- a/tests/serving/taken_up_stream_fixture.h
+++ b/tests/serving/taken_up_stream_fixture.h
@@ -14,9 +14,10 @@
     for (const char* name : {"n0", "n1", "n2", "n3"}) {
       cluster.start_node(name);
     }
-    // Longer than a stream may last, so that the nodes know that no other version has served.
-    cluster.clock.run_for(seconds(30));
+    run_until_covered();
   }
+  // Until the nodes know that no other version can have begun a stream that is open.
+  void run_until_covered() { cluster.clock.run_for(service_versions::kMemory + seconds(30)); }
   void write(const std::string& id, size_t number, const std::string& version,
              const std::string& state = "ready") {
     cluster.write_worker(id, number, state, 4, version);
--- a/tests/stream_origin/route_history_test.cc
+++ b/tests/stream_origin/route_history_test.cc
@@ -8,7 +8,7 @@
 using std::chrono::seconds;
 
 constexpr MonotonicTime kStart{seconds(1000)};
-constexpr Duration kLongest = seconds(10);
+constexpr Duration kMemory = route_history::kMemory;
 
 Route route_to(const std::string& prefix, const std::vector<std::string>& services) {
   Route route;
@@ -28,51 +28,52 @@
 class RouteHistory : public testing::Test {
  protected:
   route_span span(const std::string& path, const std::string& service, Duration at) {
-    return history.span("a.example", path, service, kLongest, kStart + at);
+    return history.span("a.example", path, service, kStart + at);
   }
   route_history history;
 };
 
 TEST_F(RouteHistory, ARouteIsSoleOnlyOnceTheTimeIsCovered) {
   history.note(table({route_to("/x/", {"one"})}), true, kStart);
-  EXPECT_EQ(span("/x/y", "one", seconds(9)), route_span::kUncovered);
-  EXPECT_EQ(span("/x/y", "one", seconds(10)), route_span::kSole);
+  EXPECT_EQ(span("/x/y", "one", kMemory - seconds(1)), route_span::kUncovered);
+  EXPECT_EQ(span("/x/y", "one", kMemory), route_span::kSole);
 }
 
 TEST_F(RouteHistory, ARouteThatMovedHasChangedForAsLongAsItIsRemembered) {
+  const Duration moved = 2 * kMemory;
   history.note(table({route_to("/x/", {"one"}), route_to("/z/", {"one"})}), true, kStart);
-  history.note(table({route_to("/x/", {"two"}), route_to("/z/", {"one"})}), false,
-               kStart + seconds(60));
-  EXPECT_EQ(span("/x/y", "one", seconds(61)), route_span::kChanged);
-  EXPECT_EQ(span("/x/y", "two", seconds(61)), route_span::kChanged);
-  EXPECT_EQ(span("/x/y", "two", seconds(60) + route_history::kMemory), route_span::kChanged);
-  EXPECT_EQ(span("/x/y", "two", seconds(61) + route_history::kMemory), route_span::kSole);
-  EXPECT_EQ(span("/z/y", "one", seconds(61)), route_span::kSole);
+  history.note(table({route_to("/x/", {"two"}), route_to("/z/", {"one"})}), false, kStart + moved);
+  EXPECT_EQ(span("/x/y", "one", moved + seconds(1)), route_span::kChanged);
+  EXPECT_EQ(span("/x/y", "two", moved + seconds(1)), route_span::kChanged);
+  EXPECT_EQ(span("/x/y", "two", moved + kMemory), route_span::kChanged);
+  EXPECT_EQ(span("/x/y", "two", moved + kMemory + seconds(1)), route_span::kSole);
+  EXPECT_EQ(span("/z/y", "one", moved + seconds(1)), route_span::kSole);
 }
 
 TEST_F(RouteHistory, ARouteThatWasAddedOrRemovedChangesThatOfItsRequests) {
+  const Duration added = 2 * kMemory;
+  const Duration removed = 4 * kMemory;
   history.note(table({route_to("/", {"one"})}), true, kStart);
-  history.note(table({route_to("/", {"one"}), route_to("/x/", {"two"})}), false,
-               kStart + seconds(20));
-  EXPECT_EQ(span("/x/y", "two", seconds(40)), route_span::kChanged);
-  EXPECT_EQ(span("/z", "one", seconds(40)), route_span::kSole);
-  history.note(table({route_to("/", {"one"})}), false, kStart + seconds(50));
-  EXPECT_EQ(span("/x/y", "one", seconds(70)), route_span::kChanged);
+  history.note(table({route_to("/", {"one"}), route_to("/x/", {"two"})}), false, kStart + added);
+  EXPECT_EQ(span("/x/y", "two", added + seconds(20)), route_span::kChanged);
+  EXPECT_EQ(span("/z", "one", added + seconds(20)), route_span::kSole);
+  history.note(table({route_to("/", {"one"})}), false, kStart + removed);
+  EXPECT_EQ(span("/x/y", "one", removed + seconds(20)), route_span::kChanged);
 }
 
 TEST_F(RouteHistory, ASplitOrUnknownRouteIsNoSoleOne) {
   history.note(table({route_to("/x/", {"one", "two"})}), true, kStart);
-  EXPECT_EQ(span("/x/y", "one", seconds(60)), route_span::kChanged);
-  EXPECT_EQ(span("/other", "one", seconds(60)), route_span::kChanged);
+  EXPECT_EQ(span("/x/y", "one", kMemory), route_span::kChanged);
+  EXPECT_EQ(span("/other", "one", kMemory), route_span::kChanged);
 }
 
 TEST_F(RouteHistory, ATimeOfWhichConfigurationsMayBeUnknownIsNotCovered) {
   const RouteTablePtr same = table({route_to("/x/", {"one"})});
   history.note(same, true, kStart);
   history.note(same, false, kStart + seconds(30));
-  EXPECT_EQ(span("/x/y", "one", seconds(31)), route_span::kSole);
-  history.note(same, true, kStart + seconds(40));
-  EXPECT_EQ(span("/x/y", "one", seconds(41)), route_span::kUncovered);
+  EXPECT_EQ(span("/x/y", "one", kMemory), route_span::kSole);
+  history.note(same, true, kStart + kMemory);
+  EXPECT_EQ(span("/x/y", "one", kMemory + seconds(1)), route_span::kUncovered);
 }
 
 TEST_F(RouteHistory, WithoutAConfigurationNothingIsKnown) {
--- a/tests/stream_origin/service_versions_test.cc
+++ b/tests/stream_origin/service_versions_test.cc
@@ -15,19 +15,24 @@
 TEST(ServiceVersions, AVersionIsSoleOnlyOnceTheTimeIsCovered) {
   service_versions versions;
   versions.note_listed(kOne, kStart);
-  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(9)).known, kind::kUncovered);
-  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(9)).software, kOne);
-  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(10)).known, kind::kSole);
+  const MonotonicTime covered = kStart + service_versions::kMemory;
+  EXPECT_EQ(versions.span(seconds(10), covered - seconds(1)).known, kind::kUncovered);
+  EXPECT_EQ(versions.span(seconds(10), covered - seconds(1)).software, kOne);
+  EXPECT_EQ(versions.span(seconds(10), covered).known, kind::kSole);
 }
 
-TEST(ServiceVersions, AVersionThatIsGoneCountsForAsLongAsAStreamMayLast) {
+// Guards against: a node that was cut off began a stream at a version that had long gone.
+TEST(ServiceVersions, AVersionThatIsGoneCountsForAsLongAsItIsRemembered) {
   service_versions versions;
   versions.note_listed(kOne, kStart);
   versions.note_listed(kTwo, kStart + seconds(60));
   versions.note_unlisted(kOne, kStart + seconds(70));
   EXPECT_EQ(versions.listed(), 1U);
+  const MonotonicTime forgotten = kStart + seconds(70) + service_versions::kMemory;
   EXPECT_EQ(versions.span(seconds(10), kStart + seconds(80)).known, kind::kSeveral);
-  const version_span later = versions.span(seconds(10), kStart + seconds(81));
+  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(81)).known, kind::kSeveral);
+  EXPECT_EQ(versions.span(seconds(10), forgotten).known, kind::kSeveral);
+  const version_span later = versions.span(seconds(10), forgotten + seconds(1));
   EXPECT_EQ(later.known, kind::kSole);
   EXPECT_EQ(later.software, kTwo);
 }
@@ -54,7 +59,8 @@
     versions.note_unlisted(software_id{number}, kStart);
   }
   EXPECT_EQ(versions.listed(), 1U);
-  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(60)).known, kind::kSole);
+  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(1) + service_versions::kMemory).known,
+            kind::kSole);
 }
 
 TEST(ServiceVersions, ALongerTimeThanIsRememberedIsNotCovered) {
@@ -67,9 +73,10 @@
 TEST(ServiceVersions, ATimeInWhichWorkersMayHaveComeAndGoneUnseenIsNotCovered) {
   service_versions versions;
   versions.note_listed(kOne, kStart);
-  versions.note_unseen(kStart + seconds(60));
-  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(69)).known, kind::kUncovered);
-  EXPECT_EQ(versions.span(seconds(10), kStart + seconds(70)).known, kind::kSole);
+  const MonotonicTime unseen = kStart + 2 * service_versions::kMemory;
+  versions.note_unseen(unseen);
+  EXPECT_EQ(versions.span(seconds(10), unseen + seconds(69)).known, kind::kUncovered);
+  EXPECT_EQ(versions.span(seconds(10), unseen + service_versions::kMemory).known, kind::kSole);
 }
 
 }  // namespace
