A response confirms API keys for the time at which it was asked for

Cause: keys were taken as confirmed for max_unconfirmed_time from the moment at which a response about the configuration was read. One that had waited in the socket of a node that stood still was as good as a new one, though the key had been revoked since.

--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -151,8 +151,6 @@
   bool listed() const { return listed_; }
   // Whether the last call failed.
   bool disconnected() const { return failures_ > 0; }
-  // When the store last answered.
-  MonotonicTime last_heard() const { return last_heard_; }
   // Maximum age of this view of the table: the time since the last answered request was sent. When
   // the store generated the answer is only known by its own clock, which may drift, jump or be read
   // late. Effectively infinite until the table has been listed.
--- a/tests/serving/changes_blocked_node.h
+++ b/tests/serving/changes_blocked_node.h
@@ -1,5 +1,5 @@
-// A node of a serving cluster with a partial store fault: reads of changes fail while its other
-// store calls succeed.
+// A node of a serving cluster with a partial store fault: reads of changes fail, or are read late,
+// while its other store calls succeed.
 #pragma once
 
 #include "tests/serving/serving_cluster.h"
@@ -23,7 +23,7 @@
                 not_run(ErrorKind::kStoreUnavailable, "the answer was lost", "ask again")));
             return;
           }
-          callback(changes);
+          call_after(dispatcher_, answers_wait, [callback, changes] { callback(changes); });
         });
   }
   void commit(StoreTransaction transaction, Callback<StoreCommit> callback) override {
@@ -31,6 +31,7 @@
   }
   bool block_changes = false;
   Duration reads_take{0};
+  Duration answers_wait{0};  // until the node reads what the store has sent
 
  private:
   WatchedStore& inner_;
