--- a/include/chalkshed/origin_decision.h
+++ b/include/chalkshed/origin_decision.h
@@ -23,9 +23,9 @@
     software_id recorded = software_id::kUnknown;
     /** The versions of the service over the longest time that the stream may have lasted. */
     version_span versions;
-    /** Whether the node's view of workers and routes is recent enough to count. Of the deciding node:
-     * whether it was read from the store after the attempt had come, because any version may have
-     * joined, and begun the stream, since an earlier read. */
+    /** Whether the node's view of workers and routes is recent enough to count. Of the deciding
+     * node: whether it was read from the store after the attempt had come, because any version may
+     * have joined, and begun the stream, since an earlier read. */
     bool current = true;
     /** Whether the request's route has led to that service alone, over the same time. */
     route_span route = route_span::kUncovered;
@@ -36,8 +36,8 @@
     kOwnRecord,
     /** A peer has. */
     kPeerRecord,
-    /** Only one version can have begun the stream: it alone has served the only service of the route
-     * for longer than the stream can have lasted, as read after the attempt had come. */
+    /** Only one version can have begun the stream: it alone has served the only service of the
+     * route for longer than the stream can have lasted, as read after the attempt had come. */
     kSoleVersion,
     /** The version is not known. */
     kUnknown,
--- a/include/chalkshed/route_history.h
+++ b/include/chalkshed/route_history.h
@@ -44,14 +44,14 @@
     /** \return Whether requests for that host and path have gone to `service` alone. */
     route_span span(std::string_view host, std::string_view path, std::string_view service,
                     MonotonicTime now) const;
+
 private:
     /** Host and path prefix. */
     using route_key = std::pair<std::string, std::string>;
     using route_services = std::map<route_key, std::vector<std::string>>;
     static route_services services_of(const RouteTable &table);
     /** Records the routes of `before` whose services are not the same in `after`. */
-    void note_changes(const route_services &before, const route_services &after,
-                      MonotonicTime now);
+    void note_changes(const route_services &before, const route_services &after, MonotonicTime now);
     /** \return Whether the services of a route that matches, or has matched, have changed. */
     bool changed(std::string_view host, std::string_view path, MonotonicTime now) const;
 
--- a/include/chalkshed/service_versions.h
+++ b/include/chalkshed/service_versions.h
@@ -36,9 +36,9 @@
 
 class service_versions {
 public:
-    /** Versions that were not listed for this long are forgotten, and a service must have been known
-     * for this long. That is longer than streams last: a node that is cut off still begins streams
-     * at versions that have gone. */
+    /** Versions that were not listed for this long are forgotten, and a service must have been
+     * known for this long. That is longer than streams last: a node that is cut off still begins
+     * streams at versions that have gone. */
     static constexpr Duration kMemory = std::chrono::minutes(5);
 
     /** A worker of that version was listed. */
--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -571,8 +571,8 @@
 }
 
 // Only responses about the configuration table count: a response of the store about any other table
-// does not confirm the keys. A response confirms them for the time at which it was asked for: it may
-// have waited to be read.
+// does not confirm the keys. A response confirms them for the time at which it was asked for: it
+// may have waited to be read.
 bool ServingNode::keys_unconfirmed() const {
   return knobs_.max_unconfirmed_time && route_table_.age() > *knobs_.max_unconfirmed_time;
 }
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -131,8 +131,8 @@
 // of one node.
 void PeerExchange::announce_again_if_replaced(const StoredRow& row) {
   const std::string session = announcement_in(row).session;
-  const bool replaced = own_announced_ && row.version > acknowledged_announcement_ &&
-                        session != identity_.session;
+  const bool replaced =
+      own_announced_ && row.version > acknowledged_announcement_ && session != identity_.session;
   if (!replaced || draining_ || announce_timer_->enabled()) {
     return;
   }
--- a/src/serving/stream_lookups.h
+++ b/src/serving/stream_lookups.h
@@ -1,5 +1,6 @@
 // Requests that take up a stream of an earlier attempt, while the software version that began the
-// stream is being looked up. It takes some milliseconds; while the store does not answer, a second at most.
+// stream is being looked up. It takes some milliseconds; while the store does not answer, a second
+// at most.
 #pragma once
 
 #include <functional>
--- a/src/stream_origin/origin_decision.cc
+++ b/src/stream_origin/origin_decision.cc
@@ -27,8 +27,8 @@
 private:
     void add(const origin_evidence &evidence) {
         const version_span &versions = evidence.versions;
-        several_ = several_ || versions.known == kind::kSeveral ||
-                   evidence.route == route_span::kChanged;
+        several_ =
+            several_ || versions.known == kind::kSeveral || evidence.route == route_span::kChanged;
         covered_ = covered_ || (versions.known == kind::kSole && evidence.current &&
                                 evidence.route == route_span::kSole);
         if (versions.software != software_id::kUnknown) {
--- a/src/stream_origin/origin_exchange.cc
+++ b/src/stream_origin/origin_exchange.cc
@@ -136,8 +136,7 @@
     if (found == open_.end()) {
         return;
     }
-    const Duration late =
-        time_source_.monotonic_now() - found->second.sent - knobs_.give_up_after;
+    const Duration late = time_source_.monotonic_now() - found->second.sent - knobs_.give_up_after;
     if (late > knobs_.longest_delay && found->second.rounds < knobs_.max_rounds) {
         ask_unanswered(number);
         return;
--- a/src/stream_origin/origin_message.cc
+++ b/src/stream_origin/origin_message.cc
@@ -57,20 +57,19 @@
         host = builder.CreateString(question.host);
         path = builder.CreateString(question.path);
     }
-    return wire::CreateOriginQuestion(
-        builder, question.number, question.asked, question.reply_to.port,
-        static_cast<uint32_t>(longest), static_cast<uint64_t>(question.stream), service, ip, host,
-        path);
+    return wire::CreateOriginQuestion(builder, question.number, question.asked,
+                                      question.reply_to.port, static_cast<uint32_t>(longest),
+                                      static_cast<uint64_t>(question.stream), service, ip, host,
+                                      path);
 }
 
 flatbuffers::Offset<wire::OriginAnswer> pack(flatbuffers::FlatBufferBuilder &builder,
                                              const origin_answer &answer) {
     const origin_evidence &evidence = answer.evidence;
-    return wire::CreateOriginAnswer(builder, answer.number, answer.asked,
-                                    static_cast<uint8_t>(evidence.versions.known), evidence.current,
-                                    static_cast<uint64_t>(evidence.recorded),
-                                    static_cast<uint64_t>(evidence.versions.software),
-                                    static_cast<uint8_t>(evidence.route));
+    return wire::CreateOriginAnswer(
+        builder, answer.number, answer.asked, static_cast<uint8_t>(evidence.versions.known),
+        evidence.current, static_cast<uint64_t>(evidence.recorded),
+        static_cast<uint64_t>(evidence.versions.software), static_cast<uint8_t>(evidence.route));
 }
 
 } // namespace
--- a/src/stream_origin/route_history.cc
+++ b/src/stream_origin/route_history.cc
@@ -52,11 +52,11 @@
     }
 }
 
-bool route_history::changed(std::string_view host, std::string_view path,
-                            MonotonicTime now) const {
+bool route_history::changed(std::string_view host, std::string_view path, MonotonicTime now) const {
     for (size_t slash = path.rfind('/'); slash != std::string_view::npos;
          slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
-        const auto found = changed_.find({std::string(host), std::string(path.substr(0, slash + 1))});
+        const auto found =
+            changed_.find({std::string(host), std::string(path.substr(0, slash + 1))});
         if (found != changed_.end() && now - found->second <= kMemory) {
             return true;
         }
--- a/src/stream_origin/stream_origins.cc
+++ b/src/stream_origin/stream_origins.cc
@@ -105,7 +105,7 @@
         return;
     }
     if (open->question.service.empty()) {
-        open->confirmed = false;  // several services come into question: only a record tells
+        open->confirmed = false; // several services come into question: only a record tells
     } else {
         views_.confirm([this, open](bool confirmed) {
             open->confirmed = confirmed;
@@ -124,8 +124,7 @@
     }
     const stream_origin origin =
         decide(open->question, *open->peers, open->confirmed.value_or(false));
-    const bool undecidable =
-        several_versions(evidence_for(open->question), open->peers->answers);
+    const bool undecidable = several_versions(evidence_for(open->question), open->peers->answers);
     if (origin.source != origin_source::kUnknown || undecidable || open->confirmed) {
         std::exchange(open->done, nullptr)(origin);
     }
@@ -136,8 +135,8 @@
     origin_evidence own = evidence_for(question);
     own.current = confirmed;
     stream_origin origin = decide_origin(own, peers.answers);
-    origin.basis = {peers.asked,   peers.answers.size(), own.versions.known,
-                    views_.age(), own.route,            confirmed};
+    origin.basis = {peers.asked, peers.answers.size(), own.versions.known, views_.age(), own.route,
+                    confirmed};
     return origin;
 }
 
--- a/src/watch/first_copy.cc
+++ b/src/watch/first_copy.cc
@@ -77,10 +77,11 @@
   options.connect_timeout = knobs_.connect_timeout;
   options.idle_timeout = knobs_.answer_timeout;
   const MonotonicTime asked = environment_.time_source.monotonic_now();
-  environment_.client.fetch(peer, query, options,
-                            lifetime_.guard([this, peer, asked](const Expected<HttpResponse>& answer) {
-                              handle_answer(peer, asked, answer);
-                            }));
+  environment_.client.fetch(
+      peer, query, options,
+      lifetime_.guard([this, peer, asked](const Expected<HttpResponse>& answer) {
+        handle_answer(peer, asked, answer);
+      }));
 }
 
 void first_copy::handle_answer(const Address& peer, MonotonicTime asked,
--- a/tests/compatibility/origin_datagram_test.cc
+++ b/tests/compatibility/origin_datagram_test.cc
@@ -29,12 +29,18 @@
   origin_message message;
   message.placed = {{stream_key{0x1122334455667788}, software_id{5}},
                     {stream_key{9}, software_id{6}}};
-  message.question =
-      origin_question{0x0102030405060708,        3, stream_key{77}, "engines", milliseconds(18'000),
-                      Address{"10.1.0.35", 7660}, "", ""};
-  message.answer =
-      origin_answer{44, 2, {software_id{8}, {version_span::kind::kSole, software_id{8}}, true,
-                         route_span::kUncovered}};
+  message.question = origin_question{0x0102030405060708,
+                                     3,
+                                     stream_key{77},
+                                     "engines",
+                                     milliseconds(18'000),
+                                     Address{"10.1.0.35", 7660},
+                                     "",
+                                     ""};
+  message.answer = origin_answer{
+      44,
+      2,
+      {software_id{8}, {version_span::kind::kSole, software_id{8}}, true, route_span::kUncovered}};
   return message;
 }
 
--- a/tests/node/key_age_test.cc
+++ b/tests/node/key_age_test.cc
@@ -27,8 +27,7 @@
   }
   bool allowed(const std::string& key) {
     const RouteTablePtr table = node->node.routes();
-    return node->node
-        .identify(*table, table->find("a.example", "/plain/x"), "r1", "Bearer " + key)
+    return node->node.identify(*table, table->find("a.example", "/plain/x"), "r1", "Bearer " + key)
         .has_value();
   }
 
--- a/tests/peers/unreadable_rows_test.cc
+++ b/tests/peers/unreadable_rows_test.cc
@@ -12,17 +12,17 @@
 
 std::vector<std::string> odd_values() {
   constexpr size_t kDeep = 100'000;
-  const std::vector<std::string> fields = {"session", "zone", "ip", "port", "caller_port",
-                                           "capacity"};
+  const std::vector<std::string> fields = {"session", "zone",        "ip",
+                                           "port",    "caller_port", "capacity"};
   const std::vector<std::string> values = {
-      "5", "-1", "65536", "1e999", "1e308", "null", "true", "[]", "{}",
-      std::string(kDeep, '[') + std::string(kDeep, ']')};
+      "5",    "-1",   "65536", "1e999", "1e308",
+      "null", "true", "[]",    "{}",    std::string(kDeep, '[') + std::string(kDeep, ']')};
   std::vector<std::string> rows = {"", "5", "[]", "{}", "null", "{\"session\":", "\xff\xfe"};
   for (const std::string& field : fields) {
+    const std::string before = field == "session" ? "{" : R"({"session":"odd#1",)";
     for (const std::string& value : values) {
-      const bool names_session = field == "session";
-      rows.push_back("{" + std::string(names_session ? "" : R"("session":"odd#1",)") + "\"" +
-                     field + "\":" + value + "}");
+      std::string& row = rows.emplace_back(before);
+      row.append("\"").append(field).append("\":").append(value).append("}");
     }
   }
   return rows;
@@ -40,13 +40,11 @@
     own.exchange.on_row({{kNodeTable, "", "own"}, value, ++version, false});
   }
   const node_announcement sound = {"n1#1", "zone-b", {"10.1.0.1", 7660}, 8144, 1};
-  own.exchange.on_row(
-      {{kNodeTable, "", "n1"}, encode_node_announcement(sound), ++version, false});
+  own.exchange.on_row({{kNodeTable, "", "n1"}, encode_node_announcement(sound), ++version, false});
   own.exchange.on_listed();
   EXPECT_EQ(own.exchange.address_of("n1#1"), (Address{"10.1.0.1", 7660}));
   EXPECT_EQ(logger.lines_of("announcement_rejected").size(), 1U);
-  EXPECT_NE(metrics.exposition().find("chalkshed_announcements_rejected_total"),
-            std::string::npos);
+  EXPECT_NE(metrics.exposition().find("chalkshed_announcements_rejected_total"), std::string::npos);
 }
 
 TEST(NodeAnnouncement, IsReadAsItWasWritten) {
--- a/tests/platform/record_codec_test.cc
+++ b/tests/platform/record_codec_test.cc
@@ -239,18 +239,19 @@
 // Guards against: an odd field ended the node, or gave a time that overflows.
 TEST_P(OddValues, OfAConfigurationAreRejectedOrGiveUsableTimes) {
   for (const char* field :
-       {"version", "name", "host", "path_prefix", "kind", "timeout_ms", "target_ms", "priority",
-        "service", "attempts", "resumable", "gap_target_ms", "split", "weight", "run_target_ms",
-        "retention_s", "max_conns", "engine", "kv_capacity", "limits", "idle_timeout_ms",
-        "max_body_bytes", "routes", "services"}) {
+       {"version",         "name",           "host",     "path_prefix", "kind",
+        "timeout_ms",      "target_ms",      "priority", "service",     "attempts",
+        "resumable",       "gap_target_ms",  "split",    "weight",      "run_target_ms",
+        "retention_s",     "max_conns",      "engine",   "kv_capacity", "limits",
+        "idle_timeout_ms", "max_body_bytes", "routes",   "services"}) {
     const Expected<RouteTable> table = decode_routes(with(kConfiguration, field));
     if (!table) {
       EXPECT_LT(table.error().message.size(), 1000U);
       continue;
     }
     for (const Route& route : table->routes()) {
-      for (const Duration time : {route.timeout, route.target, route.longest_pause,
-                                  route.run_target, route.retention}) {
+      for (const Duration time :
+           {route.timeout, route.target, route.longest_pause, route.run_target, route.retention}) {
         EXPECT_GE(time, Duration(0)) << field << " " << GetParam();
         EXPECT_LE(time, std::chrono::hours(24 * 3660)) << field << " " << GetParam();
       }
@@ -261,8 +262,8 @@
 TEST_P(OddValues, OfAWorkerAreRejectedOrGiveUsableTimes) {
   constexpr const char* kWorker = R"({"service": "s", "address": "10.1.0.1:80", "zone": "z",
       "version": "1", "slots": 4, "state": "ready", "cold_left_ms": 5, "seq": 1, "born": 7})";
-  for (const char* field : {"service", "address", "zone", "version", "slots", "state",
-                            "cold_left_ms", "seq", "born"}) {
+  for (const char* field :
+       {"service", "address", "zone", "version", "slots", "state", "cold_left_ms", "seq", "born"}) {
     const Expected<WorkerRecord> worker = decode_worker("i-1", with(kWorker, field));
     if (!worker) {
       EXPECT_LT(worker.error().message.size(), 1000U);
--- a/tests/serving/out_of_step_stream_test.cc
+++ b/tests/serving/out_of_step_stream_test.cc
@@ -53,7 +53,8 @@
 INSTANTIATE_TEST_SUITE_P(Milliseconds, CutOffFor,
                          testing::Values(0, 300, 1500, 2000, 2800, 3500, 6500, 9000));
 
-// Guards against: the only version of a service to which a route had moved was taken for the origin.
+// Guards against: the only version of a service to which a route had moved was taken for the
+// origin.
 TEST_F(OutOfStepNode, NoStreamGoesOnAtAnotherServiceAfterItsRouteMoved) {
   write_other("other-0", 0, "2");
   cluster.write_configuration(2, [](nlohmann::json& configuration) {
@@ -66,7 +67,8 @@
   EXPECT_TRUE(held_back(first, "n1"));
 }
 
-// Guards against: a node that had never seen the earlier route took the only version for the origin.
+// Guards against: a node that had never seen the earlier route took the only version for the
+// origin.
 TEST_F(OutOfStepNode, NoStreamGoesOnAtAnotherServiceAtANodeThatStartedAfterTheMove) {
   write_other("other-0", 0, "2");
   run_until_covered();
@@ -80,7 +82,8 @@
   EXPECT_TRUE(held_back(first, "n4"));
 }
 
-// Guards against: of a route that leads to two services, the version of one was taken for the origin.
+// Guards against: of a route that leads to two services, the version of one was taken for the
+// origin.
 TEST_F(OutOfStepNode, OfASplitRouteAStreamGoesOnAtTheServiceThatBeganIt) {
   write_other("other-0", 0, "1");
   const auto part = [](const char* service) { return nlohmann::json{{"service", service}}; };
--- a/tests/serving/stream_origin_property_test.cc
+++ b/tests/serving/stream_origin_property_test.cc
@@ -108,8 +108,8 @@
   }
   bool runs(const std::string& node) const {
     const auto found = cluster_.nodes.find(node);
-    return found != cluster_.nodes.end() && found->second &&
-           !found->second->dispatcher.frozen() && found->second->node.routes();
+    return found != cluster_.nodes.end() && found->second && !found->second->dispatcher.frozen() &&
+           found->second->node.routes();
   }
   void cut(const std::string& node, bool datagrams, bool store) {
     if (!runs(node)) {
--- a/tests/soak/fleet/deployment.cc
+++ b/tests/soak/fleet/deployment.cc
@@ -624,14 +624,14 @@
 
 const std::vector<std::string> &fault_kinds() {
     static const std::vector<std::string> kKinds = {
-        "node_kill",      "node_kill_all",   "node_freeze",    "node_stop",
-        "node_reload",    "node_replace",    "node_upgrade",   "node_upgrade_all",
-        "store_refuse",   "store_slow",      "store_cut",      "store_lose_answers",
-        "store_late",     "store_forget",    "worker_kill",    "worker_rack",
-        "worker_series",  "worker_leave",    "worker_break",   "worker_mute",
-        "worker_unlucky", "worker_endless",  "worker_surplus", "worker_refuse",
-        "worker_fail",    "worker_wrong",    "worker_flap",    "route_move",
-        "worker_release", "worker_rollback", "service_loss",   "node_cut",
+        "node_kill",         "node_kill_all",   "node_freeze",    "node_stop",
+        "node_reload",       "node_replace",    "node_upgrade",   "node_upgrade_all",
+        "store_refuse",      "store_slow",      "store_cut",      "store_lose_answers",
+        "store_late",        "store_forget",    "worker_kill",    "worker_rack",
+        "worker_series",     "worker_leave",    "worker_break",   "worker_mute",
+        "worker_unlucky",    "worker_endless",  "worker_surplus", "worker_refuse",
+        "worker_fail",       "worker_wrong",    "worker_flap",    "route_move",
+        "worker_release",    "worker_rollback", "service_loss",   "node_cut",
         "worker_release_all"};
     return kKinds;
 }
--- a/tests/watch/row_handover_test.cc
+++ b/tests/watch/row_handover_test.cc
@@ -122,8 +122,8 @@
   EXPECT_EQ(early_keys.keys, (std::set<std::string>{"i-0", "i-9"}));
 }
 
-// Guards against: a node that stood still took a page that had waited for it for as recent as it was
-// when its peer sent it.
+// Guards against: a node that stood still took a page that had waited for it for as recent as it
+// was when its peer sent it.
 TEST(RowHandoverTest, APageIsAsOldAsTheRequestForIt) {
   ServingCluster cluster(1);
   class Nothing : public TableObserver {
--- a/tests/watch/view_confirmation_test.cc
+++ b/tests/watch/view_confirmation_test.cc
@@ -142,8 +142,7 @@
   TableWatcher unlisted(clock, dispatcher, store, logger, "op", {""}, others);
   view_confirmation_knobs retry_never;
   retry_never.retries = 0;
-  view_confirmation both(clock, dispatcher, store, {&watcher, &unlisted},
-                         retry_never);
+  view_confirmation both(clock, dispatcher, store, {&watcher, &unlisted}, retry_never);
   both.confirm([this](bool confirmed) { answers.push_back(confirmed); });
   clock.run_for(milliseconds(5));
   ASSERT_EQ(store.reads.size(), 2U);
