A node that was cut off does not take the others for dead when it is back

Cause: silence of peers was counted from the last heartbeat that arrived here, also while this node itself was cut off and none could arrive.

Change: after 1.5 s in which no peer at all was heard, silence counts from the first heartbeat on; while none is heard, from when the store answers again. A job whose owner did die meanwhile is taken over 2.5 to 6 s later than before.

--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -491,7 +491,7 @@
 
 void PeerExchange::receive(std::string_view datagram) {
   if (relay_.receive(datagram)) {
-    last_heard_any_peer_ = time_source_.monotonic_now();
+    note_heard_any_peer();
     return;
   }
   if (other_reader_ && other_reader_(datagram)) {
@@ -579,8 +579,24 @@
 }
 
 void PeerExchange::record_contact(Peer& peer) {
-  peer.last_heard = time_source_.monotonic_now();
-  last_heard_any_peer_ = peer.last_heard;
+  note_heard_any_peer();
+  peer.last_heard = last_heard_any_peer_;
+}
+
+void PeerExchange::note_heard_any_peer() {
+  const MonotonicTime now = time_source_.monotonic_now();
+  if (now - last_heard_any_peer_ > knobs_.deaf_after) {
+    hearing_since_ = now;
+  }
+  last_heard_any_peer_ = now;
+}
+
+// What peers sent while this node was cut off never arrived: their silence counts only from the
+// time at which it could hear them again, or, while it hears nobody, reaches the store again.
+MonotonicTime PeerExchange::silent_since(const Peer& peer) const {
+  const bool alone = time_source_.monotonic_now() - last_heard_any_peer_ > knobs_.lapse_after;
+  return std::max({peer.last_heard, peer.announced, hearing_since_,
+                   alone ? store_contact_since_ : MonotonicTime{}});
 }
 
 void PeerExchange::apply_outcomes(const Peer& peer,
@@ -640,7 +656,7 @@
 
 PeerExchange::LapseReason PeerExchange::lapse_reason(const Peer& peer) const {
   const MonotonicTime now = time_source_.monotonic_now();
-  if (now - std::max(peer.last_heard, peer.announced) > lapse_timeout_of(peer)) {
+  if (now - silent_since(peer) > lapse_timeout_of(peer)) {
     return LapseReason::kSilent;
   }
   if (relayed() && relay_.reported_lapsed(peer.session)) {
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -63,6 +63,8 @@
   int missed_heartbeats = 5;
   // Used instead of lapse_after by a node that receives no heartbeats: it may itself be cut off.
   Duration lapse_when_alone = std::chrono::milliseconds(6000);
+  // A node that heard no peer at all for this long was itself cut off, or all others were.
+  Duration deaf_after = std::chrono::milliseconds(1500);
   // The work of a peer that a healthy store has not answered for this long is taken over.
   Duration store_silence = std::chrono::milliseconds(2600);
   // A slow store is slow for all nodes. It is considered slow if it delayed this node's long polls
@@ -220,6 +222,9 @@
   // Whether a node said lately that the store answers it.
   bool reports_store(MonotonicTime heard, Duration store_silence) const;
   void record_contact(Peer& peer);
+  void note_heard_any_peer();
+  // When this node began to notice that it does not hear the peer.
+  MonotonicTime silent_since(const Peer& peer) const;
   void apply_versions(Peer& peer, const KnownVersions& known);
   void apply_loads(Peer& peer, const std::vector<PeerWorkerLoad>& loads);
   void apply_outcomes(const Peer& peer, const std::vector<PeerWorkerOutcomes>& outcomes);
@@ -307,6 +312,7 @@
   size_t far_peers_ = 0;
   MonotonicTime last_tick_{};
   MonotonicTime last_heard_any_peer_{};
+  MonotonicTime hearing_since_{};  // the end of the last time in which no peer was heard
   log_limit unknown_logged_;
   log_limit unreadable_logged_;
   log_limit unreadable_rows_logged_;
