Keys stay confirmed for the long poll that the store held back

Change: an answer without rows confirms the table until the end of the poll that it ends, at the latest until it was read; one with rows, a listing or a page until it was asked for. The long poll may last half of the time again, as before.

--- a/src/node/serving_node.cc
+++ b/src/node/serving_node.cc
@@ -393,9 +393,8 @@
   const bool member = peers_.is_relay_member();
   WatchPace configuration = member ? watch.member_configuration : watch.configuration;
   if (knobs_.max_unconfirmed_time) {
-    // The view is as old as two polls while nothing changes, and a lost one and its retry have to
-    // fit into the time for which unconfirmed keys are accepted.
-    configuration.max_wait = std::min(configuration.max_wait, *knobs_.max_unconfirmed_time / 3);
+    // A lost poll and its retry have to fit into the time for which unconfirmed keys are accepted.
+    configuration.max_wait = std::min(configuration.max_wait, *knobs_.max_unconfirmed_time / 2);
   }
   route_table_.set_pace(configuration);
   // A member that has just started will receive a relay's digest soon, so it uses the pace of
@@ -571,10 +570,9 @@
 }
 
 // Only responses about the configuration table count: a response of the store about any other table
-// does not confirm the keys. A response confirms them for the time at which it was asked for: it
-// may have waited to be read.
+// does not confirm the keys.
 bool ServingNode::keys_unconfirmed() const {
-  return knobs_.max_unconfirmed_time && route_table_.age() > *knobs_.max_unconfirmed_time;
+  return knobs_.max_unconfirmed_time && route_table_.unconfirmed() > *knobs_.max_unconfirmed_time;
 }
 
 Expected<caller_identity> ServingNode::identify(const RouteTable& table, const Route* route,
--- a/src/watch/table_watcher.cc
+++ b/src/watch/table_watcher.cc
@@ -110,7 +110,9 @@
   }
   on_large_ = nullptr;
   const bool stale = version < followed_;
-  as_of_ = stale ? as_of_ : std::max(as_of_, list_asked_);
+  if (!stale) {
+    note_as_of(list_asked_);
+  }
   followed_ = version;
   complete_since_ = version;
   listing_.clear();
@@ -131,8 +133,8 @@
   following_ = true;
   batching_ = false;
   follow_asked_ = time_source_.monotonic_now();
-  const Duration wait = pace_.from_peers ? Duration(0) : pace_.max_wait;
-  store_.read_changes(table_, followed_, wait,
+  follow_wait_ = pace_.from_peers ? Duration(0) : pace_.max_wait;
+  store_.read_changes(table_, followed_, follow_wait_,
                       lifetime_.guard([this, call](const Expected<TableChanges>& changes) {
                         if (call == follow_calls_) {
                           handle_changes(changes);
@@ -232,6 +234,10 @@
   }
   note_answer();
   apply_changes(*changes, follow_asked_);
+  if (changes->rows.empty()) {
+    unchanged_until_ =
+        std::max(unchanged_until_, std::min(last_heard_, follow_asked_ + follow_wait_));
+  }
   may_have_missed_ = false;
   follow_later(!changes->rows.empty());
 }
@@ -247,13 +253,18 @@
 
 void TableWatcher::apply_changes(const TableChanges& changes, MonotonicTime asked) {
   last_heard_ = time_source_.monotonic_now();
-  as_of_ = std::max(as_of_, asked);
+  note_as_of(asked);
   for (const StoredRow& row : changes.rows) {
     notify(row);
   }
   followed_ = std::max(followed_, changes.stamp.version);
 }
 
+void TableWatcher::note_as_of(MonotonicTime time) {
+  as_of_ = std::max(as_of_, time);
+  unchanged_until_ = std::max(unchanged_until_, time);
+}
+
 void TableWatcher::index(const std::pair<const StoredRowKey, Known>& entry, StoreVersion before,
                          StoreVersion now) {
   const auto [first, last] = by_version_.equal_range(before);
@@ -336,7 +347,7 @@
   }
   followed_ = page.through;
   complete_since_ = page.whole ? page.through : complete_since_;
-  as_of_ = std::max(as_of_, asked - page.age);
+  note_as_of(asked - page.age);
   if (!std::exchange(listed_, true)) {
     on_large_ = nullptr;
     retry_timer_->disable();  // it may be set for a list that the store refused
--- a/src/watch/table_watcher.h
+++ b/src/watch/table_watcher.h
@@ -155,6 +155,10 @@
   // the store generated the answer is only known by its own clock, which may drift, jump or be read
   // late. Effectively infinite until the table has been listed.
   Duration age() const { return time_source_.monotonic_now() - as_of_; }
+  // Time since which the table may have changed unseen. Less than age(): the store holds an answer
+  // without rows back for the whole long poll. When this node read the answer does not count, since
+  // the answer may have waited for that.
+  Duration unconfirmed() const { return time_source_.monotonic_now() - unchanged_until_; }
 
  private:
   struct Known {
@@ -172,6 +176,8 @@
   void follow_later(bool changed);
   void handle_changes(const Expected<TableChanges>& changes);
   void apply_changes(const TableChanges& changes, MonotonicTime asked);
+  // The view shows the table as of that time.
+  void note_as_of(MonotonicTime time);
   void notify(const StoredRow& row);
   // Updates by_version_. @param before the previous version of the row.
   void index(const std::pair<const StoredRowKey, Known>& entry, StoreVersion before,
@@ -216,6 +222,8 @@
   MonotonicTime as_of_{};       // when the last answered request was sent
   MonotonicTime list_asked_{};  // when the list in progress began
   MonotonicTime follow_asked_{};
+  Duration follow_wait_{0};          // of the long poll
+  MonotonicTime unchanged_until_{};  // all changes up to here are known
   std::function<void()> retry_action_;
   TimerPtr retry_timer_;
   TimerPtr hint_timer_;
--- a/tests/node/key_age_test.cc
+++ b/tests/node/key_age_test.cc
@@ -63,6 +63,14 @@
   }
 }
 
+TEST_F(KeyAgeTest, KeysStayConfirmedWhileTheStoreIsSlow) {
+  node->inner.set_delay(milliseconds(900));
+  for (int step = 0; step < 600; ++step) {
+    cluster.clock.run_for(milliseconds(50));
+    EXPECT_TRUE(allowed("k1")) << step;
+  }
+}
+
 TEST_F(KeyAgeTest, KeysStayConfirmedWhileNothingChanges) {
   for (int step = 0; step < 600; ++step) {
     cluster.clock.run_for(milliseconds(50));
