Comments of the new code in the field's terms

Cause: four comments spoke of a process that stands still and of nodes that hear. Change: they name stopped processes, heartbeats received and time-outs; no code is changed.

--- a/include/chalkshed/origin_exchange.h
+++ b/include/chalkshed/origin_exchange.h
@@ -36,8 +36,8 @@
      * after the other. Round trips take a millisecond in a zone, up to 40 between regions. */
     Duration repeat_after = std::chrono::milliseconds(45);
     Duration give_up_after = std::chrono::milliseconds(110);
-    /** A timer that is later than this shows that the process stood still meanwhile: the peers'
-     * silence then counts for nothing, and they are asked again. */
+    /** A timer that fires later than this shows that the process was not running: answers of the
+     * peers may not have been read yet, so they are asked again. */
     Duration longest_delay = std::chrono::milliseconds(50);
     int max_rounds = 4;
 };
--- a/include/chalkshed/view_confirmation.h
+++ b/include/chalkshed/view_confirmation.h
@@ -19,7 +19,7 @@
 namespace chalkshed {
 
 struct view_confirmation_knobs {
-    /** Whoever waits is told of failure after this long: a caller waits for the answer. */
+    /** Time-out of a question: a caller waits for its result. */
     Duration patience = std::chrono::milliseconds(1000);
     /** A refused read is repeated after this long, and as often as the other says. */
     Duration retry_after = std::chrono::milliseconds(60);
--- a/src/peers/peer_exchange.cc
+++ b/src/peers/peer_exchange.cc
@@ -591,8 +591,8 @@
   last_heard_any_peer_ = now;
 }
 
-// What peers sent while this node was cut off never arrived: their silence counts only from the
-// time at which it could hear them again, or, while it hears nobody, reaches the store again.
+// Heartbeats sent while this node was cut off never arrived: silence counts only from the first
+// heartbeat received afterwards, or, until there is one, from the store's first answer.
 MonotonicTime PeerExchange::silent_since(const Peer& peer) const {
   const bool alone = time_source_.monotonic_now() - last_heard_any_peer_ > knobs_.lapse_after;
   return std::max({peer.last_heard, peer.announced, hearing_since_,
--- a/src/stream_origin/origin_exchange.cc
+++ b/src/stream_origin/origin_exchange.cc
@@ -130,7 +130,7 @@
                lifetime_.guard([this, number] { give_up(number); }));
 }
 
-// While this process stood still the time went on, and its peers' answers were not read.
+// If this process was stopped or had no processor time, its peers' answers were not read yet.
 void origin_exchange::give_up(uint64_t number) {
     const auto found = open_.find(number);
     if (found == open_.end()) {
