--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -108,6 +108,7 @@
         self.blob_s = blob_ms / 1000
         self.history_s = history_s
         self.changed = asyncio.Condition()
+        self.slow = 1  # how many times as long its answers take
         self.fault = None  # callable(ip, method, path, body) -> None | "refuse" | "lose" | "silent" | "hold"
         self.server = None
 
@@ -125,7 +126,7 @@
             row["value"] = value
         return row
 
-    async def write(self, puts, deletes):
+    def apply(self, puts, deletes):
         self.ver += 1
         for key, value in puts:
             self.rows[key] = (value, self.ver)
@@ -136,9 +137,15 @@
                 self.log.append((self.ver, now(), key, True))
         while self.log and now() - self.log[0][1] > self.history_s:
             self.floor = self.log.pop(0)[0]
+
+    async def notify(self):
         async with self.changed:
             self.changed.notify_all()
 
+    async def write(self, puts, deletes):
+        self.apply(puts, deletes)
+        await self.notify()
+
     async def put(self, table, key, value):
         await self.write([((table, "", key), base64.b64encode(json.dumps(value).encode()).decode())], [])
 
@@ -151,7 +158,7 @@
         def key_of(entry):
             return (entry["table"], entry.get("part", ""), entry["tls_key"])
 
-        await asyncio.sleep(self.tx_s)
+        await asyncio.sleep(self.tx_s * self.slow)
         for entry in request.get("expect_rev", []):
             if self.rows.get(key_of(entry), (None, 0))[1] != entry["ver"]:
                 rows = [self.row(key_of(each)) for each in request["expect_rev"]]
@@ -159,7 +166,8 @@
         puts = [(key_of(entry), entry["value"]) for entry in request.get("put", [])]
         deletes = [key_of(entry) for entry in request.get("delete", [])]
         if puts or deletes:
-            await self.write(puts, deletes)
+            self.apply(puts, deletes)
+            asyncio.ensure_future(self.notify())
         return 200, self.stamp()
 
     async def feed(self, table, since, wait_s):
@@ -187,7 +195,7 @@
                     pass
 
     async def answer(self, method, path, query, body):
-        await asyncio.sleep(self.answer_s)
+        await asyncio.sleep(self.answer_s * self.slow)
         if path == "/rows-tx":
             return await self.transact(body)
         if path == "/rows-get":
@@ -211,7 +219,7 @@
         if path == "/rows-parts":
             parts = sorted({key[1] for key in self.rows if key[0] == query["table"]})
             return 200, self.stamp({"parts": parts, "has_more": False})
-        await asyncio.sleep(self.blob_s)
+        await asyncio.sleep(self.blob_s * self.slow)
         name = path.rsplit("/", 1)[-1]
         if path.startswith("/blob-put/"):
             self.blobs[name] = body
