--- a/review/5/case.py
+++ b/review/5/case.py
@@ -133,4 +133,5 @@
             await node.end()
 
 
-s.run(main, os.path.dirname(os.path.abspath(__file__)))
+# TROUBLE=0: the same without the disruption.
+s.run(main, os.path.dirname(os.path.abspath(__file__)), trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/further-2/newest_version.py
+++ b/review/further-2/newest_version.py
@@ -99,4 +99,4 @@
 
 import tempfile
 
-s.run(main, tempfile.mkdtemp(prefix="chalkshed-newest-version-"))
+s.run(main, tempfile.mkdtemp(prefix="chalkshed-newest-version-"), trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -476,10 +476,9 @@
     return json.dumps({"requests": requests}).encode()
 
 
-def run(main, folder):
+def run(main, folder, trouble):
     """Runs main(record, scratch folder, trouble); exits with its verdict, or with 2 if the case couldn't run."""
     record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
     with tempfile.TemporaryDirectory(prefix="chalkshed-review-") as scratch:
         if os.environ.get("KEEP_LOGS"):
